--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,255 @@
+// Package balancer serves callers: it accepts a request, finds its team and
+// kind, gets a grant, sends it to an endpoint and passes the answer on.
+//
+// The way of a request is a chain of go-kit endpoints, one for each hop: route,
+// deadline, serve (which waits for a grant and sends, again where the rules
+// allow it) and answer. Each hop has a span. The handler only executes;
+// decisions are made by the packages of coord.
+//
+// # Usage
+//
+//	h := balancer.New(balancer.Config{Fleet: node, Log: log, Metrics: registry, Tracing: tracing})
+//	server := &http.Server{Handler: h}
+package balancer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/coord/retry"
+	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/settings"
+	"github.com/lotuswing/lotuswing/telemetry"
+	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/upstream"
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+const (
+	maxTimeout   = 24 * time.Hour
+	maxAttempts  = 4
+	retryPercent = 20 // retries earned by 100 requests of a service
+	retryLimit   = 20 // retries held ready
+)
+
+// Fleet is what the handler needs of the other balancers.
+type Fleet interface {
+	NextID() string
+	Route(host, method, path string) (tenant.Route, reason.Code)
+	Service(tenantName, service string) (tenant.Service, int)
+	Ready() (ok bool, why string)
+	Acquire(ctx context.Context, a node.Ask) (node.Grant, *node.Refusal)
+	Complete(g node.Grant, e node.Ending)
+}
+
+// Config of a handler.
+type Config struct {
+	Fleet   Fleet
+	Limits  settings.Limits
+	Log     hclog.Logger
+	Metrics metrics.Registry
+	Tracing *telemetry.Tracing
+}
+
+// Balancer is the handler for callers.
+type Balancer struct {
+	cfg      Config
+	chain    endpoint.Endpoint
+	stopping atomic.Bool
+	sessions sync.WaitGroup // upgraded connections, which the server forgets
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	clients map[clientKey]*upstream.Client
+	budgets map[string]retry.Budget
+	timers  map[string]metrics.Timer
+}
+
+type clientKey struct {
+	service     string
+	connections int
+	protocol    string
+}
+
+// New returns a handler.
+func New(cfg Config) *Balancer {
+	b := &Balancer{
+		cfg:     cfg,
+		clients: map[clientKey]*upstream.Client{},
+		budgets: map[string]retry.Budget{},
+		timers:  map[string]metrics.Timer{},
+	}
+	b.chain = endpoint.Chain(b.hop("accept"), b.route, b.hop("route"), b.deadline, b.hop("serve"))(b.serve)
+	return b
+}
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	id       string
+	w        http.ResponseWriter
+	r        *http.Request
+	route    tenant.Route
+	deadline time.Time
+	accepted time.Time
+	verdict  verdict.Verdict
+	reason   reason.Code
+	status   int
+}
+
+// ServeHTTP serves one request.
+func (b *Balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.inFlight.Add(1)
+	defer b.inFlight.Add(-1)
+	now := time.Now()
+	x := &exchange{id: b.cfg.Fleet.NextID(), w: w, r: r, accepted: now}
+	if b.stopping.Load() && r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close") // moves the caller to another balancer
+	}
+	ctx := b.cfg.Tracing.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	defer b.finish(x, now)
+	if _, err := b.chain(ctx, x); err != nil {
+		b.refuse(x, err)
+	}
+}
+
+// finish records the end of an exchange, also of one that was cut off.
+func (b *Balancer) finish(x *exchange, began time.Time) {
+	kind, team := "none", "none"
+	if x.route.Kind != nil {
+		kind, team = x.route.Kind.Name, x.route.Team
+	}
+	b.timer(kind, x.verdict).UpdateSince(began)
+	b.cfg.Log.Debug("request", "id", x.id, "tenant", x.route.Tenant, "team", team, "kind", kind,
+		"verdict", x.verdict.String(), "reason", string(x.reason), "status", x.status, "took", time.Since(began))
+}
+
+func (b *Balancer) timer(kind string, v verdict.Verdict) metrics.Timer {
+	key := fmt.Sprintf("request{kind=%q,verdict=%q}", kind, v.String())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t, ok := b.timers[key]
+	if !ok {
+		t = metrics.GetOrRegisterTimer(key, b.cfg.Metrics)
+		b.timers[key] = t
+	}
+	return t
+}
+
+// hop returns a middleware that gives the rest of the way a span.
+func (b *Balancer) hop(name string) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		if !b.cfg.Tracing.Enabled {
+			return next
+		}
+		return func(ctx context.Context, request any) (any, error) {
+			ctx, span := b.cfg.Tracing.Tracer.Start(ctx, name)
+			defer span.End()
+			return next(ctx, request)
+		}
+	}
+}
+
+// route finds the team and kind.
+func (b *Balancer) route(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		x := request.(*exchange)
+		if ok, why := b.cfg.Fleet.Ready(); !ok {
+			return nil, refusal{reason: reason.NotReady, message: why, retryAfter: time.Second}
+		}
+		if err := wellFormed(x.r); err != nil {
+			return nil, refusal{reason: reason.BadRequest, message: err.Error()}
+		}
+		host := x.r.Host
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			host = h
+		}
+		route, code := b.cfg.Fleet.Route(host, x.r.Method, x.r.URL.EscapedPath())
+		if code != "" {
+			return nil, refusal{reason: code, message: fmt.Sprintf("host %q, %s %s", host, x.r.Method, x.r.URL.Path)}
+		}
+		x.route = route
+		return next(ctx, x)
+	}
+}
+
+// wellFormed refuses shapes that an endpoint may read in another way.
+func wellFormed(r *http.Request) error {
+	path := r.URL.EscapedPath()
+	for segment := range strings.SplitSeq(path, "/") {
+		plain := strings.ReplaceAll(strings.ToLower(segment), "%2e", ".")
+		if plain == "." || plain == ".." {
+			return fmt.Errorf("path %q has a dot segment", path)
+		}
+	}
+	switch {
+	case !strings.HasPrefix(path, "/"):
+		return fmt.Errorf("path %q does not start with /", path)
+	case r.Method == http.MethodConnect:
+		return fmt.Errorf("method CONNECT is not served")
+	case r.ProtoMajor == 1 && len(r.Header.Values("Content-Length")) > 1:
+		return fmt.Errorf("Content-Length stands more than once")
+	}
+	return nil
+}
+
+// deadline sets the time by which an answer must have begun.
+func (b *Balancer) deadline(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		x := request.(*exchange)
+		timeout := x.route.Kind.Timeout
+		if text := x.r.Header.Get(upstream.TimeoutHeader); text != "" {
+			d, err := time.ParseDuration(text)
+			if err != nil || d <= 0 || d > maxTimeout {
+				return nil, refusal{reason: reason.BadTimeout, message: fmt.Sprintf("%s is %q", upstream.TimeoutHeader, text)}
+			}
+			timeout = min(timeout, d)
+		}
+		x.deadline = x.accepted.Add(timeout)
+		return next(ctx, x)
+	}
+}
+
+// client returns the client of a service's endpoints. The endpoints'
+// connections are shared out among the balancers.
+func (b *Balancer) client(route tenant.Route) *upstream.Client {
+	desc, sharers := b.cfg.Fleet.Service(route.Tenant, route.Kind.Service)
+	key := clientKey{service: route.ServiceKey(), connections: max(1, desc.Connections/plannedBalancers(sharers)), protocol: desc.Protocol}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, ok := b.clients[key]
+	if !ok {
+		c = upstream.NewClient(upstream.Options{Connections: key.connections, HTTP2: desc.Protocol == "h2c"})
+		b.clients[key] = c
+	}
+	return c
+}
+
+// plannedBalancers rounds the number of sharers up to a power of two, at least
+// 16, so that the share stays the same while single balancers come and go.
+func plannedBalancers(sharers int) int {
+	planned := 16
+	for planned < sharers {
+		planned *= 2
+	}
+	return planned
+}
+
+// InFlight returns the number of requests being served.
+func (b *Balancer) InFlight() int64 { return b.inFlight.Load() }
+
+// Stop begins a planned stop: callers are moved away as they ask.
+func (b *Balancer) Stop() { b.stopping.Store(true) }
+
+// WaitSessions waits until the last upgraded session has ended.
+func (b *Balancer) WaitSessions() { b.sessions.Wait() }
--- /dev/null
+++ b/balancer/refuse.go
@@ -0,0 +1,72 @@
+package balancer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/coord/verdict"
+)
+
+// refusal is an answer that the balancer makes itself. Its zero verdict claims
+// nothing.
+type refusal struct {
+	verdict    verdict.Verdict
+	reason     reason.Code
+	message    string
+	retryAfter time.Duration
+}
+
+// Error returns the code and message.
+func (r refusal) Error() string { return fmt.Sprintf("%s: %s", r.reason, r.message) }
+
+// answerBody is the JSON body of such an answer.
+type answerBody struct {
+	Verdict      string `json:"verdict"`
+	Reason       string `json:"reason"`
+	Message      string `json:"message"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+}
+
+// beforeSending lists the codes of answers given before anything was sent.
+func beforeSending(code reason.Code) bool {
+	return code < "LW3"
+}
+
+// refuse answers the caller at once, with when to come back.
+func (b *Balancer) refuse(x *exchange, err error) {
+	var r refusal
+	if !errors.As(err, &r) {
+		panic(fmt.Sprintf("balancer: unreachable error %v", err))
+	}
+	if beforeSending(r.reason) {
+		r.verdict = verdict.NotRun
+	}
+	doc := reason.MustLookup(r.reason)
+	x.verdict, x.reason, x.status = r.verdict, r.reason, doc.Status
+	h := x.w.Header()
+	h.Set(verdict.Header, r.verdict.String())
+	h.Set(verdict.ReasonHeader, string(r.reason))
+	h.Set("Content-Type", "application/json")
+	if doc.Status == http.StatusServiceUnavailable {
+		r.retryAfter = max(r.retryAfter, time.Millisecond)
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.retryAfter.Seconds()))))
+	}
+	body, err := json.Marshal(answerBody{
+		Verdict:      r.verdict.String(),
+		Reason:       string(r.reason),
+		Message:      doc.Title + ": " + r.message,
+		RetryAfterMS: r.retryAfter.Milliseconds(),
+	})
+	if err != nil {
+		panic(fmt.Sprintf("balancer: encode refusal: %v", err))
+	}
+	x.w.WriteHeader(doc.Status)
+	_, _ = x.w.Write(append(body, '\n'))
+	b.cfg.Log.Info("request refused", "id", x.id, "reason", string(r.reason), "verdict", r.verdict.String(), "message", r.message)
+}
--- /dev/null
+++ b/balancer/serve.go
@@ -0,0 +1,192 @@
+package balancer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/contract"
+	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/coord/retry"
+	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/upstream"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// serve waits for a grant, sends, and sends again where the rules allow it.
+func (b *Balancer) serve(ctx context.Context, request any) (any, error) {
+	x := request.(*exchange)
+	b.limitBody(x)
+	prepare(x.r)
+	b.cfg.Tracing.Propagator.Inject(ctx, propagation.HeaderCarrier(x.r.Header))
+	body := upstream.NewBody(x.r.Body, b.cfg.Limits.ReplayBytes)
+	b.deposit(x.route.ServiceKey())
+	var tried []string
+	for attempt := 1; ; attempt++ {
+		grant, err := b.acquire(ctx, x, tried)
+		if err != nil {
+			return nil, err
+		}
+		sent := time.Now()
+		res := b.send(ctx, x, grant, body)
+		if res.Answer != nil && res.Verdict == verdict.Ran {
+			return nil, b.answer(x, grant, &res, sent)
+		}
+		b.complete(x, grant, &res, sent)
+		tried = append(tried, grant.Endpoint.VM)
+		if !b.again(x, &res, attempt, body) {
+			return nil, b.giveUp(ctx, x, &res)
+		}
+		res.Close()
+		b.cfg.Log.Debug("attempt repeated", "id", x.id, "vm", grant.Endpoint.VM, "reason", string(res.Reason))
+	}
+}
+
+// limitBody bounds the body and lets the answer begin before it has ended.
+func (b *Balancer) limitBody(x *exchange) {
+	if x.r.ProtoMajor == 1 {
+		_ = http.NewResponseController(x.w).EnableFullDuplex()
+	}
+	x.r.Body = http.MaxBytesReader(x.w, x.r.Body, b.cfg.Limits.BodyBytes)
+}
+
+func (b *Balancer) acquire(ctx context.Context, x *exchange, tried []string) (node.Grant, error) {
+	ctx, span := b.cfg.Tracing.Tracer.Start(ctx, "wait")
+	defer span.End()
+	patience := min(time.Until(x.accepted.Add(x.route.Kind.Patience)), time.Until(x.deadline))
+	grant, refused := b.cfg.Fleet.Acquire(ctx, node.Ask{
+		ID:       b.cfg.Fleet.NextID(),
+		Service:  x.route.ServiceKey(),
+		Class:    x.route.Kind.Class,
+		Patience: patience,
+		Deadline: x.deadline,
+		Avoid:    tried,
+	})
+	if refused != nil && refused.Reason == reason.Expired && !time.Now().Before(x.deadline) {
+		refused.Reason = reason.DeadlineWaiting
+	}
+	if refused != nil {
+		return node.Grant{}, refusal{reason: refused.Reason, message: "service " + x.route.ServiceKey(), retryAfter: refused.RetryAfter}
+	}
+	span.SetAttributes(attribute.String("vm", grant.Endpoint.VM), attribute.String("home", grant.HomeID))
+	return grant, nil
+}
+
+func (b *Balancer) send(ctx context.Context, x *exchange, grant node.Grant, body *upstream.Body) upstream.Result {
+	ctx, span := b.cfg.Tracing.Tracer.Start(ctx, "send")
+	defer span.End()
+	res := b.client(x.route).Send(ctx, upstream.Request{
+		ID:       grant.ID,
+		Addr:     grant.Endpoint.Addr,
+		In:       x.r,
+		Body:     body,
+		Deadline: x.deadline,
+		Informational: func(code int, header http.Header) {
+			if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
+				return // the server sends its own
+			}
+			copyHeader(x.w.Header(), header)
+			x.w.WriteHeader(code)
+			clear(x.w.Header())
+		},
+	})
+	span.SetAttributes(attribute.String("verdict", res.Verdict.String()), attribute.String("reason", string(res.Reason)))
+	return res
+}
+
+// complete reports an attempt that the endpoint did not run to its end.
+func (b *Balancer) complete(x *exchange, grant node.Grant, res *upstream.Result, sent time.Time) {
+	e := node.Ending{Outcome: contract.Failed, Took: time.Since(sent)}
+	switch {
+	case res.Reason == reason.EndpointRefused:
+		e.Outcome = contract.Shed
+		e.Load = upstream.ParseLoad(res.Answer.Header.Get(upstream.LoadHeader))
+	case x.r.Context().Err() != nil, res.Reason == reason.NothingWritten:
+		e.Outcome = contract.Unused // says nothing about the endpoint
+	}
+	b.cfg.Fleet.Complete(grant, e)
+}
+
+// again decides about another attempt.
+func (b *Balancer) again(x *exchange, res *upstream.Result, attempt int, body *upstream.Body) bool {
+	if x.r.Context().Err() != nil {
+		return false
+	}
+	service := x.route.ServiceKey()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := retry.Decide(
+		retry.Policy{MaxAttempts: maxAttempts, Repeatable: x.route.Kind.Repeatable},
+		retry.Attempt{Number: attempt, Verdict: res.Verdict, Replayable: body.Replayable(), Deadline: x.deadline},
+		b.budgets[service], time.Now())
+	if d.Again {
+		b.budgets[service] = b.budgets[service].Withdraw()
+	}
+	return d.Again
+}
+
+func (b *Balancer) deposit(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget, ok := b.budgets[service]
+	if !ok {
+		budget = retry.NewBudget(retryPercent, retryLimit)
+	}
+	b.budgets[service] = budget.Deposit()
+}
+
+// giveUp makes the last answer of a request that no endpoint ran. An
+// endpoint's own refusal is passed on.
+func (b *Balancer) giveUp(ctx context.Context, x *exchange, res *upstream.Result) error {
+	if res.Answer != nil {
+		if res.Answer.Header.Get("Retry-After") == "" {
+			res.Answer.Header.Set("Retry-After", "1")
+		}
+		if err := b.relay(x, res); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		return nil
+	}
+	res.Close()
+	message := "service " + x.route.ServiceKey()
+	if res.Err != nil {
+		message += ": " + res.Err.Error()
+	}
+	if ctx.Err() != nil {
+		message += " (caller left)"
+	}
+	return refusal{verdict: res.Verdict, reason: res.Reason, message: message, retryAfter: time.Second}
+}
+
+// answer passes an endpoint's answer on and reports how the exchange ended.
+func (b *Balancer) answer(x *exchange, grant node.Grant, res *upstream.Result, sent time.Time) error {
+	e := node.Ending{
+		Outcome: contract.Completed,
+		Load:    upstream.ParseLoad(res.Answer.Header.Get(upstream.LoadHeader)),
+	}
+	if res.Answer.StatusCode >= http.StatusInternalServerError {
+		e.Outcome = contract.Failed // failing fast must not look like being fast
+	}
+	defer func() {
+		e.Took = time.Since(sent)
+		b.cfg.Fleet.Complete(grant, e)
+	}()
+	if res.Answer.StatusCode == http.StatusSwitchingProtocols {
+		return b.upgrade(x, res)
+	}
+	err := b.relay(x, res)
+	switch {
+	case x.r.Context().Err() != nil || errors.Is(err, errCallerGone):
+		e.Outcome = contract.Unused
+	case errors.Is(err, errCutShort):
+		e.Outcome = contract.Failed
+	}
+	if err != nil {
+		// The caller must see a broken answer, never a clean short one.
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
--- /dev/null
+++ b/coord/budget/budget.go
@@ -0,0 +1,100 @@
+// Package budget bounds what measuring endpoints may cost.
+//
+// A cost is the time that a measurement takes from an endpoint. The limit of a
+// tenant is a rate and a burst: in any window of length w the whole fleet
+// spends at most Rate*w + Burst. Only one balancer at a time, the holder of a
+// lease, has a Bucket; a new holder starts with an empty one, so a change of
+// holder never adds to what was allowed before. Reserve is the part of Burst
+// that is never handed to a holder: it covers a measurement that was accounted
+// before the holder's process was paused and reaches its endpoint afterwards.
+//
+// # Usage
+//
+//	b := budget.New(limit, now)
+//	b, ok := b.Spend(now, limit.ProbeCost)
+//	if ok {
+//		// send the probe
+//	}
+package budget
+
+import (
+	"fmt"
+	"time"
+)
+
+// Limit is what a tenant allows for measuring.
+type Limit struct {
+	Rate    time.Duration // endpoint time per second
+	Burst   time.Duration // endpoint time above Rate in any window
+	Reserve time.Duration // part of Burst kept for delayed measurements
+}
+
+// Validate reports what is wrong with the limit.
+func (l Limit) Validate() error {
+	if l.Rate < 0 || l.Burst < 0 || l.Reserve < 0 {
+		return fmt.Errorf("budget: rate, burst and reserve must not be negative")
+	}
+	if l.Reserve > l.Burst {
+		return fmt.Errorf("budget: reserve %v exceeds burst %v", l.Reserve, l.Burst)
+	}
+	return nil
+}
+
+// Allowed returns the most that may be spent in a window.
+func (l Limit) Allowed(window time.Duration) time.Duration {
+	return scale(l.Rate, window) + l.Burst
+}
+
+// Bucket is the token bucket of one lease term. It is an immutable value.
+type Bucket struct {
+	limit   Limit
+	tokens  time.Duration
+	updated time.Time
+}
+
+// New returns the bucket of a term that begins at now. It is empty.
+func New(limit Limit, now time.Time) Bucket {
+	return Bucket{limit: limit, updated: now}
+}
+
+// Limit returns the limit that the bucket enforces.
+func (b Bucket) Limit() Limit { return b.limit }
+
+// WithLimit returns the bucket under another limit, keeping what it holds up
+// to the new capacity.
+func (b Bucket) WithLimit(limit Limit, now time.Time) Bucket {
+	b = b.refill(now)
+	b.limit = limit
+	b.tokens = min(b.tokens, b.capacity())
+	return b
+}
+
+// Spend returns the bucket after a measurement of the given cost, and whether
+// the bucket covered it. Account first and send afterwards.
+func (b Bucket) Spend(now time.Time, cost time.Duration) (Bucket, bool) {
+	b = b.refill(now)
+	if cost < 0 || cost > b.tokens {
+		return b, false
+	}
+	b.tokens -= cost
+	return b, true
+}
+
+func (b Bucket) capacity() time.Duration { return b.limit.Burst - b.limit.Reserve }
+
+func (b Bucket) refill(now time.Time) Bucket {
+	elapsed := now.Sub(b.updated)
+	if elapsed <= 0 {
+		return b
+	}
+	earned := scale(b.limit.Rate, elapsed)
+	b.tokens = min(b.tokens+earned, b.capacity())
+	b.updated = now
+	return b
+}
+
+// scale returns rate*d per second, rounded down, without overflow for rates
+// below an hour per second.
+func scale(rate, d time.Duration) time.Duration {
+	return time.Duration(rate.Seconds() * float64(d))
+}
--- /dev/null
+++ b/coord/contract/contract.go
@@ -0,0 +1,151 @@
+// Package contract decides who may use an endpoint's slots.
+//
+// A service has a home, one balancer that keeps the service's Ledger in
+// memory. A balancer that has a request asks the home for a contract: the
+// right to have one request in flight on one endpoint until a time. Where no
+// slot is free the request waits in the home's queue, ordered by class and
+// deadline, so that many balancers that each see a sixteenth of the load
+// share one queue instead of guessing.
+//
+// The ledger is soft state. Two homes at once, or none, cost performance and
+// never safety: endpoints shed what they cannot take, and verdicts stay
+// honest. The package decides; it has no clock, does no input or output and
+// starts no goroutine. A Ledger is not safe for concurrent use.
+//
+// # Usage
+//
+//	l := contract.NewLedger(contract.Options{})
+//	l.SetEndpoints(now, endpoints, marks.Has)
+//	for _, d := range l.Acquire(now, req) { deliver(d) }
+//	for _, d := range l.Complete(now, id, contract.Completed, took) { deliver(d) }
+//	for _, d := range l.Tick(now) { deliver(d) }
+//
+// Each call returns the decisions that it caused, which may concern requests
+// that came earlier.
+package contract
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/health"
+	"github.com/lotuswing/lotuswing/coord/reason"
+)
+
+// Class says how a request waits.
+type Class uint8
+
+const (
+	// Interactive requests have a person waiting.
+	Interactive Class = iota
+	// Patient requests may wait long but must be answered.
+	Patient
+	classes
+)
+
+// String returns the name used in configuration.
+func (c Class) String() string {
+	return [...]string{"interactive", "patient"}[c]
+}
+
+// ParseClass returns the class with a name.
+func ParseClass(s string) (Class, error) {
+	for c := range classes {
+		if c.String() == s {
+			return c, nil
+		}
+	}
+	return 0, fmt.Errorf("contract: class %q is none of interactive, patient", s)
+}
+
+// Endpoint is one incarnation of a server of the service.
+type Endpoint struct {
+	VM    string // identity of the VM, never used again
+	Addr  string
+	Zone  string
+	Slots int
+}
+
+// Request asks for a contract.
+type Request struct {
+	ID        string
+	Holder    string // the balancer that asks
+	Zone      string // of the balancer
+	Class     Class
+	WaitUntil time.Time // patience: a contract is of no use after this
+	Deadline  time.Time // of the whole request
+	Avoid     []string  // VMs that refused it already
+}
+
+// Kind of a decision.
+type Kind uint8
+
+// The kinds of decision.
+const (
+	Granted Kind = iota
+	Queued
+	Refused
+)
+
+// String returns the word used in traces.
+func (k Kind) String() string {
+	return [...]string{"granted", "queued", "refused"}[k]
+}
+
+// Decision is what the ledger decided about one request.
+type Decision struct {
+	Request    string
+	Kind       Kind
+	Endpoint   Endpoint      // where granted
+	Until      time.Time     // where granted: end of the contract unless renewed
+	Reason     reason.Code   // where refused
+	RetryAfter time.Duration // where refused
+}
+
+// Outcome of a request under a contract.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Completed Outcome = iota // the endpoint answered
+	Shed                     // the endpoint said that it did not run it
+	Failed                   // no connection, or a broken or late answer
+	Unused                   // the caller left before anything was sent
+)
+
+// String returns the word used in traces.
+func (o Outcome) String() string {
+	return [...]string{"completed", "shed", "failed", "unused"}[o]
+}
+
+// Options of a ledger. Zero fields take the defaults.
+type Options struct {
+	TTL          time.Duration // of a contract that is not renewed; default 3 s
+	QueueLimit   int           // waiting requests per class; default 2,000
+	FreshFor     time.Duration // how long a sign of staying counts; default 2 s
+	ZoneCost     float64       // share of the usual time that another zone costs; default 0.1
+	PatientSpare float64       // share of the slots that patient requests leave free; default 0.1
+	ColdSlots    int           // slots used of an endpoint that is cold; default 1
+	TrialEvery   time.Duration // between requests that test a slow endpoint; default 1 s
+	ShedPause    time.Duration // after an endpoint shed a request; default 10 ms
+	Health       health.Options
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.TTL, 3*time.Second)
+	setDefault(&o.QueueLimit, 2000)
+	setDefault(&o.FreshFor, 2*time.Second)
+	setDefault(&o.ZoneCost, 0.1)
+	setDefault(&o.PatientSpare, 0.1)
+	setDefault(&o.ColdSlots, 1)
+	setDefault(&o.TrialEvery, time.Second)
+	setDefault(&o.ShedPause, 10*time.Millisecond)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/coord/contract/endpoint.go
@@ -0,0 +1,95 @@
+package contract
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/health"
+)
+
+// contractHeld is a contract that has not ended.
+type contractHeld struct {
+	id      string
+	holder  string
+	class   Class
+	granted time.Time
+	until   time.Time
+}
+
+// slots is the ledger's account of one endpoint.
+type slots struct {
+	Endpoint
+	health     health.State
+	held       map[string]contractHeld
+	leaving    bool
+	cold       bool
+	lastSign   time.Time // last sign that the endpoint stays
+	pauseUntil time.Time // it shed a request and is left alone until then
+	lastTrial  time.Time // last request sent to it although it is slow
+}
+
+func newSlots(e Endpoint, opts Options) *slots {
+	return &slots{Endpoint: e, health: health.New(opts.Health), held: map[string]contractHeld{}}
+}
+
+// capacity returns how many requests the endpoint may have in flight at now.
+func (s *slots) capacity(now time.Time, opts Options) int {
+	switch {
+	case s.leaving, s.health.Ejected(now):
+		return 0
+	case s.health.OnTrial(now):
+		return 1
+	case s.cold:
+		return min(opts.ColdSlots, s.Slots)
+	}
+	return s.Slots
+}
+
+// free returns the slots that may be granted at now.
+func (s *slots) free(now time.Time, opts Options) int {
+	if now.Before(s.pauseUntil) {
+		return 0
+	}
+	return max(0, s.capacity(now, opts)-len(s.held))
+}
+
+// fresh reports whether the endpoint has lately shown that it stays.
+func (s *slots) fresh(now time.Time, opts Options) bool {
+	return now.Sub(s.lastSign) <= opts.FreshFor
+}
+
+// tier orders endpoints before their speed does: lower is better.
+type tier uint8
+
+const (
+	tierGood tier = iota
+	tierUnconfirmed
+	tierSlow
+)
+
+func (s *slots) tier(now time.Time, opts Options, median float64) tier {
+	switch {
+	case s.health.Slow(median):
+		return tierSlow
+	case !s.fresh(now, opts):
+		return tierUnconfirmed
+	}
+	return tierGood
+}
+
+// loadWeight is how much one request in flight counts against an endpoint, as
+// a share of its slowness.
+const loadWeight = 0.25
+
+// cost is the expected time of a request, in units of the usual time.
+func (s *slots) cost(zone string, opts Options) float64 {
+	c := s.health.Slowness() * (1 + loadWeight*float64(len(s.held)))
+	if zone != s.Zone {
+		c += opts.ZoneCost
+	}
+	return c
+}
+
+func sortBySign(list []*slots) {
+	slices.SortStableFunc(list, func(a, b *slots) int { return a.lastSign.Compare(b.lastSign) })
+}
--- /dev/null
+++ b/coord/contract/status.go
@@ -0,0 +1,70 @@
+package contract
+
+import "time"
+
+// Status is a snapshot of a ledger for operators.
+type Status struct {
+	Endpoints []EndpointStatus
+	Waiting   map[string]int // by class
+	Typical   map[string]time.Duration
+}
+
+// EndpointStatus is a snapshot of one endpoint.
+type EndpointStatus struct {
+	Endpoint
+	InFlight int
+	Capacity int
+	Slowness float64
+	State    string // live, unconfirmed, slow, cold, trial, ejected or leaving
+}
+
+// Status returns a snapshot.
+func (l *Ledger) Status(now time.Time) Status {
+	st := Status{Waiting: map[string]int{}, Typical: map[string]time.Duration{}}
+	for c := range classes {
+		st.Waiting[c.String()] = l.queues[c].len()
+		st.Typical[c.String()] = l.base[c].typical()
+	}
+	for _, s := range l.order {
+		st.Endpoints = append(st.Endpoints, EndpointStatus{
+			Endpoint: s.Endpoint,
+			InFlight: len(s.held),
+			Capacity: s.capacity(now, l.opts),
+			Slowness: s.health.Slowness(),
+			State:    l.stateName(now, s),
+		})
+	}
+	return st
+}
+
+func (l *Ledger) stateName(now time.Time, s *slots) string {
+	switch {
+	case s.leaving:
+		return "leaving"
+	case s.health.Ejected(now):
+		return "ejected"
+	case s.health.OnTrial(now):
+		return "trial"
+	case s.cold:
+		return "cold"
+	}
+	return [...]string{tierGood: "live", tierUnconfirmed: "unconfirmed", tierSlow: "slow"}[s.tier(now, l.opts, l.median)]
+}
+
+// Unconfirmed returns the endpoints with nothing in flight that have shown no
+// sign of staying for the given time, the longest silent first. They are the
+// ones worth a measurement.
+func (l *Ledger) Unconfirmed(now time.Time, silent time.Duration) []Endpoint {
+	var out []*slots
+	for _, s := range l.order {
+		if !s.leaving && len(s.held) == 0 && now.Sub(s.lastSign) >= silent {
+			out = append(out, s)
+		}
+	}
+	sortBySign(out)
+	list := make([]Endpoint, len(out))
+	for i, s := range out {
+		list[i] = s.Endpoint
+	}
+	return list
+}
--- /dev/null
+++ b/coord/reason/table.go
@@ -0,0 +1,53 @@
+package reason
+
+// Codes of requests that match no route or are malformed (1xxx), that were
+// refused or expired before they were sent (2xxx), and whose exchange with an
+// endpoint failed (3xxx).
+const (
+	NoTeam          Code = "LW1001"
+	NoKind          Code = "LW1002"
+	BadTimeout      Code = "LW1003"
+	BadRequest      Code = "LW1004"
+	NotReady        Code = "LW1005"
+	QueueFull       Code = "LW2001"
+	TooLate         Code = "LW2002"
+	Expired         Code = "LW2003"
+	NoEndpoint      Code = "LW2004"
+	CallerLeft      Code = "LW2005"
+	Stopping        Code = "LW2006"
+	RetryExhausted  Code = "LW2007"
+	DeadlineWaiting Code = "LW2008"
+	DialFailed      Code = "LW3001"
+	NothingWritten  Code = "LW3002"
+	EndpointRefused Code = "LW3003"
+	AnswerUnknown   Code = "LW3004"
+	AnswerLate      Code = "LW3005"
+	AnswerForeign   Code = "LW3006"
+	UpgradeFailed   Code = "LW3007"
+)
+
+const firstRelease = "0.1.0"
+
+// Table holds the documentation of each code, in the order of the codes.
+var Table = []Doc{
+	{NoTeam, "no such team", "The request's host and path match no team of any tenant in force.", "Check the Host header and the path; 'lotusctl check' prints what each team matches.", 404, firstRelease, Info},
+	{NoKind, "no such request kind", "A team matched, but none of its request kinds has this method and path.", "Add the kind to the team's template, or correct the caller.", 404, firstRelease, Info},
+	{BadTimeout, "unusable Lotuswing-Timeout", "The header is not a positive Go duration of at most 24h.", "Correct the caller; for example 'Lotuswing-Timeout: 250ms'.", 400, firstRelease, Info},
+	{BadRequest, "malformed request", "The request has a shape that different parsers read differently, so it was not forwarded.", "Correct the caller; the message names the field.", 400, firstRelease, Info},
+	{NotReady, "balancer not ready", "The balancer has no configuration yet: neither the store nor a peer has given it one.", "Check the store and the links to peers; see OPERATIONS.md, 'A balancer does not become ready'.", 503, firstRelease, Urgent},
+	{QueueFull, "waiting room full", "The service's queue for this class holds as many requests as its limit allows.", "Expected above capacity. If it lasts, add endpoints or lower the callers' rate.", 503, firstRelease, Warning},
+	{TooLate, "cannot be served in time", "The estimated wait and service time exceed the request's patience or deadline, so it was refused at once.", "Expected above capacity. The caller should come back after Retry-After.", 503, firstRelease, Warning},
+	{Expired, "patience ended while waiting", "The request waited as long as its patience allowed and no slot became free.", "Look at 'lotusctl status' for endpoints that are slow or ejected.", 503, firstRelease, Warning},
+	{NoEndpoint, "no usable endpoint", "Every endpoint of the service is leaving, ejected or unknown.", "Check the list of VMs and the service's endpoints.", 503, firstRelease, Urgent},
+	{CallerLeft, "caller left while waiting", "The caller closed its connection or cancelled before the request was sent.", "Nothing; callers that often leave need a shorter patience.", 499, firstRelease, Info},
+	{Stopping, "balancer is stopping", "The balancer is in a planned stop and takes no new requests.", "Nothing: the caller retries and reaches another balancer.", 503, firstRelease, Info},
+	{RetryExhausted, "retries used up", "Endpoints refused the request and the retry budget or the attempt limit is spent.", "Look for endpoints that reject everything; they are ejected on their own.", 503, firstRelease, Warning},
+	{DeadlineWaiting, "deadline passed before sending", "The request's whole time ran out while it waited for a slot or a connection. Nothing was sent.", "Give the request more time or the service more endpoints.", 504, firstRelease, Warning},
+	{DialFailed, "no connection to the endpoint", "No connection could be opened, so nothing was sent.", "Check the endpoint's VM.", 503, firstRelease, Warning},
+	{NothingWritten, "connection failed before anything was sent", "The connection failed before the first byte of the request was written.", "Nothing; it is retried when time allows.", 503, firstRelease, Info},
+	{EndpointRefused, "the endpoint refused the request", "The endpoint answered that it did not run the request.", "Expected when endpoints shed load or drain.", 503, firstRelease, Info},
+	{AnswerUnknown, "the endpoint's answer is unknown", "The request was at least partly sent and the connection failed before an answer arrived.", "For kinds that are not repeatable, find out at the endpoint whether the request ran before sending it again.", 502, firstRelease, Warning},
+	{AnswerLate, "no answer before the deadline", "The request was sent and its deadline passed before an answer arrived; it was cancelled.", "As for LW3004; look for slow endpoints in 'lotusctl status'.", 504, firstRelease, Warning},
+	{AnswerForeign, "the answer belongs to another request", "The answer carried the identity of another request and was discarded with its connection.", "The endpoint mixes up answers: take it out and report the fault.", 502, firstRelease, Urgent},
+	{UpgradeFailed, "the session could not be upgraded", "The endpoint agreed to switch protocols but the caller's connection could not be taken over.", "Check that the caller speaks HTTP/1.1 on this connection.", 502, firstRelease, Warning},
+}
--- /dev/null
+++ b/coord/store/client.go
@@ -0,0 +1,183 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	defaultTimeout  = 2 * time.Second
+	defaultRate     = 20
+	defaultCooldown = 2 * time.Second
+	tripAfter       = 3
+)
+
+// Options configures a Client. Zero fields take the defaults.
+type Options struct {
+	Timeout  time.Duration // of one call other than a watch
+	Rate     int           // calls a second that this client may make
+	Cooldown time.Duration // how long the client leaves a failing service alone
+	HTTP     *http.Client
+}
+
+// Client calls the service over HTTP. It bounds its own rate, and after a few
+// failures in a row it answers ErrUnavailable at once for a while, so that a
+// service that is down costs its callers nothing.
+type Client struct {
+	base string
+	opts Options
+
+	mu       sync.Mutex
+	tokens   float64
+	updated  time.Time
+	failures int
+	until    time.Time // calls are refused before this time
+}
+
+// NewClient returns a client of the service at base, such as
+// "http://127.0.0.1:7400".
+func NewClient(base string, opts Options) *Client {
+	if opts.Timeout == 0 {
+		opts.Timeout = defaultTimeout
+	}
+	if opts.Rate == 0 {
+		opts.Rate = defaultRate
+	}
+	if opts.Cooldown == 0 {
+		opts.Cooldown = defaultCooldown
+	}
+	if opts.HTTP == nil {
+		opts.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	}
+	return &Client{base: base, opts: opts, tokens: float64(opts.Rate)}
+}
+
+// Get reads a key.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	return c.call(ctx, http.MethodGet, "/v1/kv/"+url.PathEscape(key), nil)
+}
+
+// CompareAndSwap writes a key if it still has the revision that w names.
+func (c *Client) CompareAndSwap(ctx context.Context, w Write) (Entry, error) {
+	if len(w.Value) > MaxValue {
+		return Entry{}, fmt.Errorf("store: value of %d bytes exceeds %d", len(w.Value), MaxValue)
+	}
+	body, err := json.Marshal(w)
+	if err != nil {
+		return Entry{}, fmt.Errorf("store: encode write: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	return c.call(ctx, http.MethodPut, "/v1/kv/"+url.PathEscape(w.Key), body)
+}
+
+// Watch waits until the key has a revision above after, for at most wait, and
+// returns the entry, or ErrNotFound when nothing changed.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.opts.Timeout)
+	defer cancel()
+	q := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {wait.String()}}
+	return c.call(ctx, http.MethodGet, "/v1/watch/"+url.PathEscape(key)+"?"+q.Encode(), nil)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte) (Entry, error) {
+	if err := c.admit(time.Now()); err != nil {
+		return Entry{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return Entry{}, fmt.Errorf("store: %w", err)
+	}
+	// Without GetBody the transport never sends a write twice on its own.
+	req.GetBody = nil
+	resp, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		c.failed(time.Now())
+		return Entry{}, lostAnswer(method, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	entry, err := decode(method, resp)
+	if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnknown) {
+		c.failed(time.Now())
+		return entry, err
+	}
+	c.succeeded()
+	return entry, err
+}
+
+// lostAnswer tells a write that never left from one whose answer was lost.
+func lostAnswer(method string, err error) error {
+	var op *net.OpError
+	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnknown, err)
+}
+
+func decode(method string, resp *http.Response) (Entry, error) {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound, http.StatusNotModified:
+		return Entry{}, ErrNotFound
+	case http.StatusConflict:
+		return Entry{}, ErrConflict
+	case http.StatusTooManyRequests:
+		return Entry{}, ErrRateLimited
+	case http.StatusServiceUnavailable:
+		return Entry{}, ErrUnavailable
+	default:
+		return Entry{}, lostAnswer(method, fmt.Errorf("status %s", resp.Status))
+	}
+	var entry Entry
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 2*MaxValue)).Decode(&entry); err != nil {
+		return Entry{}, lostAnswer(method, err)
+	}
+	return entry, nil
+}
+
+// admit takes a token of the client's own rate and respects the cooldown.
+func (c *Client) admit(now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Before(c.until) {
+		return fmt.Errorf("%w: left alone after %d failures", ErrUnavailable, c.failures)
+	}
+	rate := float64(c.opts.Rate)
+	if !c.updated.IsZero() {
+		c.tokens = min(rate, c.tokens+now.Sub(c.updated).Seconds()*rate)
+	}
+	c.updated = now
+	if c.tokens < 1 {
+		return fmt.Errorf("%w: client limit of %d a second", ErrRateLimited, c.opts.Rate)
+	}
+	c.tokens--
+	return nil
+}
+
+func (c *Client) failed(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures++
+	if c.failures >= tripAfter {
+		c.until = now.Add(c.opts.Cooldown)
+	}
+}
+
+func (c *Client) succeeded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures = 0
+}
--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,166 @@
+// Package link is what balancers say to one another, over net/rpc.
+//
+// A Client keeps one connection to each peer. Each call has a bound of its
+// own, because a peer that is paused keeps its connections open and silent.
+//
+// # Usage
+//
+//	c := link.NewClient(nil)
+//	var reply link.Digest
+//	err := c.Call(ctx, "127.0.0.1:7002", link.Exchange, args, &reply)
+package link
+
+import (
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/contract"
+	"github.com/lotuswing/lotuswing/coord/document"
+	"github.com/lotuswing/lotuswing/coord/leaving"
+	"github.com/lotuswing/lotuswing/coord/member"
+	"github.com/lotuswing/lotuswing/coord/reason"
+)
+
+// Names of the methods, as net/rpc wants them.
+const (
+	service = "Balancer"
+
+	Acquire     = service + ".Acquire"
+	Await       = service + ".Await"
+	Complete    = service + ".Complete"
+	Cancel      = service + ".Cancel"
+	Renew       = service + ".Renew"
+	Exchange    = service + ".Exchange"
+	Reach       = service + ".Reach"
+	Fetch       = service + ".Fetch"
+	Offer       = service + ".Offer"
+	Unconfirmed = service + ".Unconfirmed"
+	Sign        = service + ".Sign"
+)
+
+// AcquireArgs asks the home of a service for a contract. Times are durations,
+// because the two machines' clocks may differ.
+type AcquireArgs struct {
+	Service   string // tenant/service
+	ID        string
+	Holder    string
+	Zone      string
+	Class     contract.Class
+	Patience  time.Duration // how long it may wait
+	Remaining time.Duration // to the deadline of the request
+	Avoid     []string
+}
+
+// AcquireReply is the home's decision. Where it is Queued, ask with Await.
+type AcquireReply struct {
+	Kind       contract.Kind
+	Endpoint   contract.Endpoint
+	Reason     reason.Code
+	RetryAfter time.Duration
+}
+
+// AwaitArgs waits for the decision about a queued request, for at most Wait.
+type AwaitArgs struct {
+	Service string
+	ID      string
+	Wait    time.Duration
+}
+
+// Done says how a request under a contract ended.
+type Done struct {
+	Service string
+	ID      string
+	VM      string
+	Outcome contract.Outcome
+	Took    time.Duration
+	Load    Load
+}
+
+// Load is an endpoint's own word about itself.
+type Load struct {
+	Known    bool
+	InFlight int
+	Slots    int
+	State    LoadState
+}
+
+// LoadState of an endpoint, as it reports it.
+type LoadState string
+
+// The states that endpoints report.
+const (
+	Live     LoadState = "live"
+	Draining LoadState = "draining"
+	Cold     LoadState = "cold"
+)
+
+// CancelArgs takes back a request.
+type CancelArgs struct {
+	Service string
+	ID      string
+}
+
+// Held is a contract in use.
+type Held struct {
+	ID    string
+	VM    string
+	Class contract.Class
+}
+
+// RenewArgs extends contracts that are in use. A home that does not know one,
+// because it is new, adopts it.
+type RenewArgs struct {
+	Service string
+	Holder  string
+	Held    []Held
+}
+
+// Digest is what balancers exchange on each heartbeat. Its size is bounded by
+// the member table's digest.
+type Digest struct {
+	From     member.Member
+	Members  []member.Member
+	Leaving  []leaving.Mark
+	Versions map[string]uint64
+}
+
+// ReachArgs asks a peer to try a member that did not answer.
+type ReachArgs struct {
+	Addr string
+}
+
+// FetchArgs asks for a document.
+type FetchArgs struct {
+	Name string
+}
+
+// FetchReply carries a document, if the peer has it.
+type FetchReply struct {
+	Found bool
+	Value document.Value
+}
+
+// OfferArgs carries a document that the sender has just taken in.
+type OfferArgs struct {
+	Value document.Value
+}
+
+// UnconfirmedArgs asks a home which endpoints have been silent for long.
+type UnconfirmedArgs struct {
+	Service string
+	Silent  time.Duration
+}
+
+// UnconfirmedReply lists them, the longest silent first.
+type UnconfirmedReply struct {
+	Endpoints []contract.Endpoint
+}
+
+// SignArgs tells a home what an endpoint said of itself.
+type SignArgs struct {
+	Service string
+	VM      string
+	Load    Load
+}
+
+// Empty is the reply of a call that answers nothing.
+type Empty struct{}
--- /dev/null
+++ b/node/acquire.go
@@ -0,0 +1,299 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/contract"
+	"github.com/lotuswing/lotuswing/coord/health"
+	"github.com/lotuswing/lotuswing/coord/leaving"
+	"github.com/lotuswing/lotuswing/coord/member"
+	"github.com/lotuswing/lotuswing/coord/pick"
+	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/link"
+)
+
+const (
+	// homeWait bounds the first answer of a home; zones are milliseconds apart.
+	homeWait = 100 * time.Millisecond
+	// awaitSlice bounds one call that waits in the home's queue, so that a
+	// home that was paused is noticed.
+	awaitSlice = 250 * time.Millisecond
+	// avoidHome is how long a silent home is not asked again.
+	avoidHome = 300 * time.Millisecond
+	// lateReport bounds calls that tell a home what is already decided.
+	lateReport = time.Second
+)
+
+// Ask is a request for a contract.
+type Ask struct {
+	ID       string
+	Service  string // tenant/service
+	Class    contract.Class
+	Patience time.Duration
+	Deadline time.Time
+	Avoid    []string
+}
+
+// Grant is the right to send one request to one endpoint.
+type Grant struct {
+	ID       string
+	Service  string
+	Endpoint contract.Endpoint
+	Home     string // link address; empty when chosen without a home
+	HomeID   string
+	Class    contract.Class
+}
+
+// Refusal says why there is no grant. The request was not sent.
+type Refusal struct {
+	Reason     reason.Code
+	RetryAfter time.Duration
+}
+
+// Ending is how a granted request ended.
+type Ending struct {
+	Outcome contract.Outcome
+	Took    time.Duration
+	Load    link.Load
+}
+
+// private is what this node knows by itself, for choosing without a home, and
+// the grants it uses.
+type private struct {
+	mu        sync.Mutex
+	held      map[string]Grant
+	endpoints map[string]own
+	silent    map[string]time.Time // homes not to be asked before
+}
+
+// own is this node's own account of one endpoint.
+type own struct {
+	inFlight int
+	health   health.State
+}
+
+// Acquire gets a grant from the home of the service, waiting as long as the
+// patience allows, or chooses alone when no home can be reached.
+func (n *Node) Acquire(ctx context.Context, a Ask) (Grant, *Refusal) {
+	end := time.Now().Add(a.Patience)
+	for {
+		home, ok := n.snapshot.Load().homes[a.Service]
+		if !ok || n.private.isSilent(home.ID, time.Now()) {
+			return n.alone(a)
+		}
+		a.Patience = time.Until(end)
+		reply, err := n.askHome(ctx, home, a)
+		switch {
+		case ctx.Err() != nil:
+			go n.cancelAt(home, a)
+			return Grant{}, &Refusal{Reason: reason.CallerLeft}
+		case errors.Is(err, errMoved) || isRemote(err, errMoved):
+			if !n.pauseForMove(ctx, end) {
+				return Grant{}, &Refusal{Reason: reason.Expired, RetryAfter: time.Second}
+			}
+			continue
+		case err != nil:
+			n.log.Debug("home does not answer", "service", a.Service, "home", home.ID, "error", err)
+			n.private.setSilent(home.ID, time.Now().Add(avoidHome))
+			go n.cancelAt(home, a)
+			return n.alone(a)
+		case reply.Kind == contract.Refused:
+			return Grant{}, &Refusal{Reason: reply.Reason, RetryAfter: reply.RetryAfter}
+		}
+		g := Grant{ID: a.ID, Service: a.Service, Endpoint: reply.Endpoint, Home: home.Addr, HomeID: home.ID, Class: a.Class}
+		n.private.begin(g)
+		return g, nil
+	}
+}
+
+// pauseForMove gives the fleet a moment to agree on the new home.
+func (n *Node) pauseForMove(ctx context.Context, end time.Time) bool {
+	select {
+	case <-time.After(tickPeriod):
+	case <-ctx.Done():
+	}
+	return time.Now().Before(end)
+}
+
+func (n *Node) askHome(ctx context.Context, home member.Member, a Ask) (link.AcquireReply, error) {
+	args := link.AcquireArgs{
+		Service:   a.Service,
+		ID:        a.ID,
+		Holder:    n.cfg.Settings.ID,
+		Zone:      n.cfg.Settings.Zone,
+		Class:     a.Class,
+		Patience:  a.Patience,
+		Remaining: time.Until(a.Deadline),
+		Avoid:     a.Avoid,
+	}
+	var reply link.AcquireReply
+	err := n.call(ctx, home, homeWait, link.Acquire, args, &reply)
+	for err == nil && reply.Kind == contract.Queued && ctx.Err() == nil {
+		wait := link.AwaitArgs{Service: a.Service, ID: a.ID, Wait: awaitSlice}
+		reply = link.AcquireReply{}
+		err = n.call(ctx, home, awaitSlice+homeWait, link.Await, wait, &reply)
+	}
+	return reply, err
+}
+
+// call calls a method of a member; of this node itself, without the network.
+func (n *Node) call(ctx context.Context, m member.Member, bound time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	if m.ID == n.cfg.Settings.ID {
+		return n.callSelf(method, args, reply)
+	}
+	return n.client.Call(ctx, m.Addr, method, args, reply)
+}
+
+func (n *Node) callSelf(method string, args, reply any) error {
+	r := &receiver{n}
+	switch method {
+	case link.Acquire:
+		return r.Acquire(args.(link.AcquireArgs), reply.(*link.AcquireReply))
+	case link.Await:
+		return r.Await(args.(link.AwaitArgs), reply.(*link.AcquireReply))
+	case link.Complete:
+		return r.Complete(args.(link.Done), reply.(*link.Empty))
+	case link.Cancel:
+		return r.Cancel(args.(link.CancelArgs), reply.(*link.Empty))
+	case link.Renew:
+		return r.Renew(args.(link.RenewArgs), reply.(*link.Empty))
+	case link.Unconfirmed:
+		return r.Unconfirmed(args.(link.UnconfirmedArgs), reply.(*link.UnconfirmedReply))
+	case link.Sign:
+		return r.Sign(args.(link.SignArgs), reply.(*link.Empty))
+	}
+	panic("node: unreachable method " + method)
+}
+
+func (n *Node) cancelAt(home member.Member, a Ask) {
+	args := link.CancelArgs{Service: a.Service, ID: a.ID}
+	_ = n.call(context.Background(), home, lateReport, link.Cancel, args, &link.Empty{})
+}
+
+// alone chooses an endpoint by two random choices among those not known to be
+// leaving, ejected or tried.
+func (n *Node) alone(a Ask) (Grant, *Refusal) {
+	s := n.snapshot.Load()
+	list := s.endpoints[a.Service]
+	now := time.Now()
+	candidates := make([]pick.Candidate, len(list))
+	n.private.mu.Lock()
+	for i, e := range list {
+		o := n.private.endpoints[e.VM]
+		candidates[i] = pick.Candidate{
+			Usable:   !s.leaving.Has(e.VM) && !o.health.Ejected(now) && !contains(a.Avoid, e.VM),
+			InFlight: o.inFlight,
+			Slowness: o.health.Slowness(),
+		}
+	}
+	n.private.mu.Unlock()
+	i, ok := pick.TwoChoices(candidates, newRand())
+	if !ok {
+		return Grant{}, &Refusal{Reason: reason.NoEndpoint, RetryAfter: time.Second}
+	}
+	g := Grant{ID: a.ID, Service: a.Service, Endpoint: list[i], Class: a.Class}
+	n.private.begin(g)
+	n.counter("chosen_alone").Inc(1)
+	return g, nil
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Complete ends a grant and tells the home, without keeping the caller.
+func (n *Node) Complete(g Grant, e Ending) {
+	n.private.end(g, e, time.Now())
+	if e.Load.Known && e.Load.State == link.Draining {
+		n.MarkLeaving(leaving.Mark{VM: g.Endpoint.VM, Source: leaving.Answer})
+	}
+	if g.Home == "" {
+		return
+	}
+	done := link.Done{Service: g.Service, ID: g.ID, VM: g.Endpoint.VM, Outcome: e.Outcome, Took: e.Took, Load: e.Load}
+	home := member.Member{ID: g.HomeID, Addr: g.Home}
+	if g.HomeID == n.cfg.Settings.ID {
+		_ = n.callSelf(link.Complete, done, &link.Empty{})
+		return
+	}
+	go func() { _ = n.call(context.Background(), home, lateReport, link.Complete, done, &link.Empty{}) }()
+}
+
+// renew extends the grants in use with the home that the fleet now sees.
+func (n *Node) renew(ctx context.Context) {
+	s := n.snapshot.Load()
+	byService := map[string][]link.Held{}
+	n.private.mu.Lock()
+	for _, g := range n.private.held {
+		byService[g.Service] = append(byService[g.Service], link.Held{ID: g.ID, VM: g.Endpoint.VM, Class: g.Class})
+	}
+	n.private.mu.Unlock()
+	for service, held := range byService {
+		home, ok := s.homes[service]
+		if !ok {
+			continue
+		}
+		args := link.RenewArgs{Service: service, Holder: n.cfg.Settings.ID, Held: held}
+		_ = n.call(ctx, home, lateReport, link.Renew, args, &link.Empty{})
+	}
+}
+
+func (p *private) begin(g Grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held == nil {
+		p.held = map[string]Grant{}
+		p.endpoints = map[string]own{}
+	}
+	p.held[g.ID] = g
+	o, ok := p.endpoints[g.Endpoint.VM]
+	if !ok {
+		o.health = health.New(health.Options{})
+	}
+	o.inFlight++
+	p.endpoints[g.Endpoint.VM] = o
+}
+
+func (p *private) end(g Grant, e Ending, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.held, g.ID)
+	o := p.endpoints[g.Endpoint.VM]
+	o.inFlight--
+	switch e.Outcome {
+	case contract.Completed:
+		o.health = o.health.WithCompletion(1)
+	case contract.Shed, contract.Failed:
+		o.health = o.health.WithFailure(now)
+	case contract.Unused:
+	}
+	p.endpoints[g.Endpoint.VM] = o
+}
+
+func (p *private) isSilent(home string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.silent[home])
+}
+
+func (p *private) setSilent(home string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silent == nil {
+		p.silent = map[string]time.Time{}
+	}
+	p.silent[home] = until
+}
--- /dev/null
+++ b/node/measure.go
@@ -0,0 +1,248 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/budget"
+	"github.com/lotuswing/lotuswing/coord/contract"
+	"github.com/lotuswing/lotuswing/coord/lease"
+	"github.com/lotuswing/lotuswing/coord/leaving"
+	"github.com/lotuswing/lotuswing/coord/rendezvous"
+	"github.com/lotuswing/lotuswing/link"
+	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/upstream"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	measurePeriod = 100 * time.Millisecond
+	measureLease  = 5 * time.Second
+	measureRenew  = measureLease / 3
+	// measureSilent is how long an endpoint may be silent before it is worth a
+	// probe: less than what contract.Options.FreshFor takes for fresh.
+	measureSilent = time.Second
+	probeTimeout  = 500 * time.Millisecond
+)
+
+// meter measures the endpoints of one tenant, while it holds the lease and
+// within the budget. Only balancers that hold the lease measure: with the
+// store down, nobody does.
+type meter struct {
+	node   *Node
+	tenant string
+	keeper *lease.Keeper
+	http   *http.Client
+	spent  metrics.Counter // endpoint time, in microseconds
+	probes metrics.Counter
+
+	mu      sync.Mutex
+	bucket  budget.Bucket
+	term    lease.Term
+	renewed time.Time
+}
+
+func newMeter(n *Node, tenantName string) *meter {
+	holder := n.NextID()
+	return &meter{
+		node:   n,
+		tenant: tenantName,
+		keeper: lease.NewKeeper(n.store, "lease/measure/"+tenantName, holder, measureLease),
+		// A connection for each probe: its cost is part of the probe's.
+		http:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: probeTimeout},
+		spent:  n.counter("measuring_spent_us{tenant=\"" + tenantName + "\"}"),
+		probes: n.counter("measuring_probes{tenant=\"" + tenantName + "\"}"),
+	}
+}
+
+func (n *Node) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, n.metrics)
+}
+
+// step renews the lease when it is time and makes the probes that are due.
+func (m *meter) step(ctx context.Context) {
+	s := m.node.snapshot.Load()
+	cfg := s.configs[m.tenant]
+	first, _ := rendezvous.First("measure/"+m.tenant, s.ids)
+	if cfg == nil || cfg.Measuring.Rate == 0 || first != m.node.cfg.Settings.ID {
+		return
+	}
+	m.hold(ctx, cfg.Measuring)
+	for service, desc := range cfg.Services {
+		if desc.ProbePath != "" {
+			m.probeService(ctx, cfg, service)
+		}
+	}
+}
+
+// hold keeps the lease; a new holding begins with an empty bucket.
+func (m *meter) hold(ctx context.Context, cfg tenant.Measuring) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if now.Sub(m.renewed) < measureRenew {
+		return
+	}
+	m.renewed = now
+	term, err := m.keeper.Renew(ctx, time.Now)
+	if err != nil {
+		m.node.log.Debug("measuring lease not renewed", "tenant", m.tenant, "error", err)
+		return
+	}
+	if !term.SameHolding(m.term) {
+		m.bucket = budget.New(cfg.Limit(), time.Now())
+		m.node.log.Info("measuring lease acquired", "tenant", m.tenant, "token", term.Token)
+	}
+	m.term = term
+	m.bucket = m.bucket.WithLimit(cfg.Limit(), time.Now())
+}
+
+// drop forgets the lease, as after a pause.
+func (m *meter) drop() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keeper.Drop()
+	m.term = lease.Term{}
+}
+
+// release gives the lease back, as in a planned stop.
+func (m *meter) release(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.term = lease.Term{}
+	_ = m.keeper.Release(ctx)
+}
+
+// spend accounts for one probe, if the lease is held and the budget covers it.
+func (m *meter) spend(cost time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if !m.term.Valid(now) {
+		return false
+	}
+	next, ok := m.bucket.Spend(now, cost)
+	m.bucket = next
+	if ok {
+		m.spent.Inc(cost.Microseconds())
+		m.probes.Inc(1)
+	}
+	return ok
+}
+
+func (m *meter) probeService(ctx context.Context, cfg *tenant.Config, service string) {
+	key := m.tenant + "/" + service
+	home, ok := m.node.snapshot.Load().homes[key]
+	if !ok {
+		return
+	}
+	var reply link.UnconfirmedReply
+	args := link.UnconfirmedArgs{Service: key, Silent: measureSilent}
+	if m.node.call(ctx, home, homeWait, link.Unconfirmed, args, &reply) != nil {
+		return
+	}
+	for _, e := range reply.Endpoints {
+		if !m.spend(cfg.Measuring.Cost()) {
+			return
+		}
+		load := m.probe(ctx, "http://"+e.Addr+cfg.Services[service].ProbePath)
+		if load.Known && load.State == link.Draining {
+			m.node.MarkLeaving(leaving.Mark{VM: e.VM, Source: leaving.Probe})
+		}
+		if load.Known {
+			sign := link.SignArgs{Service: key, VM: e.VM, Load: load}
+			_ = m.node.call(ctx, home, homeWait, link.Sign, sign, &link.Empty{})
+		}
+	}
+}
+
+// probe asks an endpoint once; the lease is checked again just before.
+func (m *meter) probe(ctx context.Context, url string) link.Load {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return link.Load{}
+	}
+	m.mu.Lock()
+	valid := m.term.Valid(time.Now())
+	m.mu.Unlock()
+	if !valid {
+		return link.Load{}
+	}
+	resp, err := m.http.Do(req)
+	if err != nil {
+		return link.Load{}
+	}
+	_ = resp.Body.Close()
+	return upstream.ParseLoad(resp.Header.Get(upstream.LoadHeader))
+}
+
+// MeasuringStatus is a meter's account for operators.
+type MeasuringStatus struct {
+	Tenant  string
+	Holds   bool
+	Spent   time.Duration
+	Probes  int64
+	Allowed time.Duration // in one second
+}
+
+func (m *meter) status(cfg *tenant.Config, now time.Time) MeasuringStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	st := MeasuringStatus{
+		Tenant: m.tenant,
+		Holds:  m.term.Valid(now),
+		Spent:  time.Duration(m.spent.Count()) * time.Microsecond,
+		Probes: m.probes.Count(),
+	}
+	if cfg != nil {
+		st.Allowed = cfg.Measuring.Limit().Allowed(time.Second)
+	}
+	return st
+}
+
+// Status is a node's account for operators.
+type Status struct {
+	ID        string
+	Zone      string
+	Ready     bool
+	Why       string `json:",omitempty"`
+	Members   []string
+	Versions  map[string]uint64
+	Rejected  map[string]uint64 `json:",omitempty"`
+	Leaving   []leaving.Mark
+	Homes     map[string]string
+	Services  map[string]contract.Status // of which this node is the home
+	Held      int                        // grants in use here
+	Measuring []MeasuringStatus
+}
+
+// Status returns the account.
+func (n *Node) Status() Status {
+	s := n.snapshot.Load()
+	now := time.Now()
+	st := Status{
+		ID: n.cfg.Settings.ID, Zone: n.cfg.Settings.Zone, Members: s.ids, Versions: n.replica.Versions(),
+		Leaving: s.leaving.Marks(), Homes: map[string]string{}, Services: map[string]contract.Status{}, Rejected: map[string]uint64{},
+	}
+	st.Ready, st.Why = n.Ready()
+	for key, home := range s.homes {
+		st.Homes[key] = home.ID
+	}
+	for service, host := range n.homes.all() {
+		st.Services[service] = host.status(now)
+	}
+	for name := range st.Versions {
+		if v := n.replica.Rejected(name); v > 0 {
+			st.Rejected[name] = v
+		}
+	}
+	for _, name := range n.cfg.Settings.Tenants {
+		st.Measuring = append(st.Measuring, n.meters[name].status(s.configs[name], now))
+	}
+	n.private.mu.Lock()
+	st.Held = len(n.private.held)
+	n.private.mu.Unlock()
+	return st
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,287 @@
+// Package node is a balancer's part in the fleet: membership, the shared
+// documents, the ledgers of the services whose home it is, and the measuring
+// of endpoints.
+//
+// What the request path reads is an immutable snapshot behind an atomic
+// pointer; every change builds a new one.
+//
+// # Usage
+//
+//	n, err := node.Start(node.Config{Settings: s, Log: log, Metrics: registry})
+//	defer n.Close()
+//	grant, refusal := n.Acquire(ctx, ask)
+//	n.Complete(grant, node.Ending{Outcome: contract.Completed, Took: took})
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/contract"
+	"github.com/lotuswing/lotuswing/coord/document"
+	"github.com/lotuswing/lotuswing/coord/lease"
+	"github.com/lotuswing/lotuswing/coord/leaving"
+	"github.com/lotuswing/lotuswing/coord/member"
+	"github.com/lotuswing/lotuswing/coord/store"
+	"github.com/lotuswing/lotuswing/link"
+	"github.com/lotuswing/lotuswing/settings"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Periods of the node's loops.
+const (
+	heartbeatPeriod = 300 * time.Millisecond
+	tickPeriod      = 20 * time.Millisecond
+	renewPeriod     = time.Second
+	pauseLimit      = 2 * time.Second
+	heartbeatWait   = 200 * time.Millisecond
+	heartbeatFanout = 2
+	offerFanout     = 3
+)
+
+// Config of a node.
+type Config struct {
+	Settings settings.Settings
+	Log      hclog.Logger
+	Metrics  metrics.Registry
+	Listener net.Listener // for links; nil to listen on Settings.Link
+}
+
+// Node is a running part of the fleet.
+type Node struct {
+	cfg      Config
+	log      hclog.Logger
+	metrics  metrics.Registry
+	store    *store.Client
+	client   *link.Client
+	server   *link.Server
+	replica  document.Replica
+	snapshot atomic.Pointer[snapshot]
+	sequence atomic.Uint64
+
+	mu      sync.Mutex // of the fields below, which writers of the snapshot use
+	table   *member.Table
+	marks   leaving.Set
+	rng     *rand.Rand
+	met     bool // a peer has answered, or there is none to ask
+	started time.Time
+
+	homes   homes
+	private private
+	meters  map[string]*meter // by tenant
+
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// Start joins the fleet.
+func Start(cfg Config) (*Node, error) {
+	var tlsConfig *tls.Config
+	if t := cfg.Settings.TLS; t.Insecure {
+		cfg.Log.Warn("links are not secured", "setting", "link_tls.insecure")
+	} else {
+		var err error
+		if tlsConfig, err = link.TLSConfig(link.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}); err != nil {
+			return nil, err
+		}
+	}
+	if cfg.Listener == nil {
+		l, err := net.Listen("tcp", cfg.Settings.Link)
+		if err != nil {
+			return nil, fmt.Errorf("node: %w", err)
+		}
+		cfg.Listener = l
+	}
+	n := build(cfg, tlsConfig)
+	server, err := link.Serve(cfg.Listener, tlsConfig, &receiver{n})
+	if err != nil {
+		return nil, err
+	}
+	n.server = server
+	n.run()
+	return n, nil
+}
+
+func build(cfg Config, tlsConfig *tls.Config) *Node {
+	s := cfg.Settings
+	now := time.Now()
+	self := member.Member{
+		ID:          s.ID,
+		Addr:        cfg.Listener.Addr().String(),
+		Zone:        s.Zone,
+		Incarnation: uint64(now.UnixMilli()),
+	}
+	n := &Node{
+		cfg:     cfg,
+		log:     cfg.Log,
+		metrics: cfg.Metrics,
+		store:   store.NewClient(s.Store.URL, store.Options{Timeout: s.Store.Timeout, Rate: s.Store.Rate}),
+		client:  link.NewClient(tlsConfig),
+		table:   member.NewTable(self, member.Options{}),
+		rng:     rand.New(rand.NewPCG(uint64(now.UnixNano()), self.Incarnation)),
+		started: now,
+		meters:  map[string]*meter{},
+	}
+	n.homes.init(n)
+	for _, tenantName := range s.Tenants {
+		n.meters[tenantName] = newMeter(n, tenantName)
+	}
+	n.rebuild()
+	return n
+}
+
+// run starts the loops.
+func (n *Node) run() {
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.loop(ctx, heartbeatPeriod, n.heartbeat)
+	n.loop(ctx, tickPeriod, n.tick)
+	n.loop(ctx, renewPeriod, n.renew)
+	n.loop(ctx, vmListPeriod, n.pollVMs)
+	for _, name := range n.cfg.Settings.Tenants {
+		n.loop(ctx, watchPause, func(ctx context.Context) { n.watch(ctx, name) })
+		n.loop(ctx, measurePeriod, n.meters[name].step)
+	}
+}
+
+// loop calls f again and again with a pause that is spread by a tenth.
+func (n *Node) loop(ctx context.Context, period time.Duration, f func(context.Context)) {
+	n.done.Add(1)
+	go func() {
+		defer n.done.Done()
+		for {
+			f(ctx)
+			pause := period - period/20 + time.Duration(rand.Int64N(int64(period/10)+1))
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(pause):
+			}
+		}
+	}()
+}
+
+// tick lets time pass for the ledgers and notices pauses of the process.
+func (n *Node) tick(context.Context) {
+	now := time.Now()
+	if n.homes.pause.Tick(now) {
+		n.log.Warn("process was paused; leases and ledgers dropped")
+		n.homes.reset()
+		for _, m := range n.meters {
+			m.drop()
+		}
+	}
+	n.homes.tick(now)
+}
+
+// Leave announces a planned stop to all peers: they choose other homes and
+// send nothing new here. Calls already waiting here are answered.
+func (n *Node) Leave(ctx context.Context) {
+	n.mu.Lock()
+	n.table.Leave()
+	n.mu.Unlock()
+	n.rebuild()
+	for _, m := range n.snapshot.Load().view.Members {
+		if m.ID != n.cfg.Settings.ID {
+			n.exchange(ctx, m.Addr)
+		}
+	}
+	n.homes.move()
+	for _, m := range n.meters {
+		m.release(ctx)
+	}
+}
+
+// Close ends all loops and links.
+func (n *Node) Close() {
+	n.stop()
+	_ = n.server.Close()
+	n.client.Close()
+	n.done.Wait()
+}
+
+// NextID returns an identity for a request, unique among all balancers.
+func (n *Node) NextID() string {
+	return fmt.Sprintf("%s-%x-%x", n.cfg.Settings.ID, n.started.UnixMilli(), n.sequence.Add(1))
+}
+
+// homes holds the ledgers that this node keeps as a home.
+type homes struct {
+	node  *Node
+	mu    sync.Mutex
+	hosts map[string]*host
+	pause *lease.PauseDetector
+}
+
+func (h *homes) init(n *Node) {
+	h.node = n
+	h.hosts = map[string]*host{}
+	h.pause = lease.NewPauseDetector(pauseLimit)
+}
+
+// get returns the host of a service, made on first use.
+func (h *homes) get(service string) *host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if found, ok := h.hosts[service]; ok {
+		return found
+	}
+	s := h.node.snapshot.Load()
+	made := newHost(contract.NewLedger(contract.Options{}))
+	made.update(time.Now(), s.endpoints[service], s.leaving)
+	h.hosts[service] = made
+	return made
+}
+
+func (h *homes) all() map[string]*host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string]*host, len(h.hosts))
+	for k, v := range h.hosts {
+		out[k] = v
+	}
+	return out
+}
+
+func (h *homes) tick(now time.Time) {
+	for _, host := range h.all() {
+		host.tick(now)
+	}
+}
+
+// update tells the ledgers of a new list of endpoints and marks.
+func (h *homes) update(s *snapshot) {
+	for service, host := range h.all() {
+		host.update(time.Now(), s.endpoints[service], s.leaving)
+	}
+}
+
+// dropHolder ends the contracts of a balancer that is gone.
+func (h *homes) dropHolder(id string) {
+	for _, host := range h.all() {
+		now := time.Now()
+		host.do(now, func(l *contract.Ledger) []contract.Decision { return l.DropHolder(now, id) })
+	}
+}
+
+// move tells those who wait here to ask the new home.
+func (h *homes) move() {
+	for _, host := range h.all() {
+		host.move()
+	}
+}
+
+// reset forgets all ledgers, whose contents may be out of date.
+func (h *homes) reset() {
+	h.move()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hosts = map[string]*host{}
+}
--- /dev/null
+++ b/server/admin.go
@@ -0,0 +1,83 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/telemetry"
+	"github.com/rcrowley/go-metrics"
+)
+
+// health is the answer of /livez and /readyz.
+type health struct {
+	OK  bool   `json:"ok"`
+	Why string `json:"why,omitempty"`
+}
+
+// adminHandler serves operators and the platform's balancer.
+func (s *Server) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /livez", kitHandler(s.live))
+	mux.Handle("GET /readyz", kitHandler(s.ready))
+	mux.Handle("GET /status", kitHandler(s.status))
+	mux.HandleFunc("GET /metrics", s.writeMetrics)
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+func kitHandler(e endpoint.Endpoint) http.Handler {
+	decode := func(context.Context, *http.Request) (any, error) { return nil, nil }
+	return kithttp.NewServer(e, decode, encode)
+}
+
+func encode(_ context.Context, w http.ResponseWriter, response any) error {
+	w.Header().Set("Content-Type", "application/json")
+	if h, ok := response.(health); ok && !h.OK {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return json.NewEncoder(w).Encode(response)
+}
+
+func (s *Server) live(context.Context, any) (any, error) { return health{OK: true}, nil }
+
+func (s *Server) ready(context.Context, any) (any, error) {
+	select {
+	case <-s.stopping:
+		return health{Why: "planned stop"}, nil
+	default:
+	}
+	ok, why := s.node.Ready()
+	return health{OK: ok, Why: why}, nil
+}
+
+// Status is the answer of /status.
+type Status struct {
+	node.Status
+	InFlight int64
+	Stopping bool
+}
+
+func (s *Server) status(context.Context, any) (any, error) {
+	st := Status{Status: s.node.Status(), InFlight: s.balancer.InFlight()}
+	select {
+	case <-s.stopping:
+		st.Stopping = true
+	default:
+	}
+	return st, nil
+}
+
+func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.GetOrRegisterGauge("requests_in_flight", s.metrics).Update(s.balancer.InFlight())
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	telemetry.WritePrometheus(w, s.metrics)
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,164 @@
+// Package server runs one balancer process: listeners for callers, operators
+// and peers, and the planned stop.
+//
+// # Usage
+//
+//	s, err := server.Start(server.Config{Settings: settings, Log: log, Errors: os.Stderr})
+//	...
+//	cut, err := s.Stop(ctx)
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/balancer"
+	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/settings"
+	"github.com/lotuswing/lotuswing/telemetry"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Config of a process.
+type Config struct {
+	Settings settings.Settings
+	Log      hclog.Logger
+	Traces   io.Writer // of the exporter "stderr"
+}
+
+// Server is a running balancer process.
+type Server struct {
+	cfg      Config
+	node     *node.Node
+	balancer *balancer.Balancer
+	tracing  *telemetry.Tracing
+	metrics  metrics.Registry
+	front    *http.Server
+	admin    *http.Server
+	frontL   net.Listener
+	adminL   net.Listener
+	stopping chan struct{}
+}
+
+// Start binds all addresses and serves.
+func Start(cfg Config) (*Server, error) {
+	tracing, err := telemetry.NewTracing(cfg.Settings.Trace, cfg.Traces)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, tracing: tracing, metrics: metrics.NewRegistry(), stopping: make(chan struct{})}
+	if s.frontL, err = net.Listen("tcp", cfg.Settings.Listen); err != nil {
+		return nil, fmt.Errorf("server: callers' address: %w", err)
+	}
+	if s.adminL, err = net.Listen("tcp", cfg.Settings.Admin); err != nil {
+		return nil, errors.Join(fmt.Errorf("server: admin address: %w", err), s.frontL.Close())
+	}
+	if s.node, err = node.Start(node.Config{Settings: cfg.Settings, Log: cfg.Log.Named("node"), Metrics: s.metrics}); err != nil {
+		return nil, errors.Join(err, s.frontL.Close(), s.adminL.Close())
+	}
+	s.balancer = balancer.New(balancer.Config{
+		Fleet:   s.node,
+		Limits:  cfg.Settings.Limits,
+		Log:     cfg.Log.Named("request"),
+		Metrics: s.metrics,
+		Tracing: tracing,
+	})
+	s.front = s.frontServer()
+	s.admin = &http.Server{Handler: s.adminHandler(), ReadHeaderTimeout: cfg.Settings.Limits.HeaderTimeout}
+	go func() { _ = s.front.Serve(s.frontL) }()
+	go func() { _ = s.admin.Serve(s.adminL) }()
+	cfg.Log.Info("started", "id", cfg.Settings.ID, "zone", cfg.Settings.Zone, "listen", s.frontL.Addr().String(),
+		"admin", s.adminL.Addr().String(), "link", cfg.Settings.Link)
+	return s, nil
+}
+
+func (s *Server) frontServer() *http.Server {
+	limits := s.cfg.Settings.Limits
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           s.balancer,
+		Protocols:         protocols,
+		MaxHeaderBytes:    limits.HeaderBytes,
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		ErrorLog:          s.cfg.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+// Addr returns the callers' address.
+func (s *Server) Addr() string { return s.frontL.Addr().String() }
+
+// AdminAddr returns the operators' address.
+func (s *Server) AdminAddr() string { return s.adminL.Addr().String() }
+
+// Node returns the process's part in the fleet.
+func (s *Server) Node() *node.Node { return s.node }
+
+// Stop is the planned stop: not ready first, then the notice for the
+// platform's balancer, then no new connections, and every request in flight
+// is served to its end. It returns how many requests were cut because ctx or
+// the limit ended first.
+func (s *Server) Stop(ctx context.Context) (cut int64, err error) {
+	close(s.stopping)
+	s.balancer.Stop()
+	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
+	s.node.Leave(ctx)
+	wait(ctx, s.cfg.Settings.Stop.Notice)
+	limited, cancel := context.WithTimeout(ctx, s.cfg.Settings.Stop.Limit)
+	defer cancel()
+	err = s.front.Shutdown(limited)
+	if err == nil {
+		err = s.waitSessions(limited)
+	}
+	if err != nil {
+		cut = s.balancer.InFlight()
+		s.cfg.Log.Error("stop cuts requests", "in_flight", cut, "error", err)
+		_ = s.front.Close()
+	}
+	s.close()
+	return cut, err
+}
+
+// waitSessions waits for upgraded connections, which Shutdown does not know.
+func (s *Server) waitSessions(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.balancer.WaitSessions()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Kill ends the process's part at once, as a crash does.
+func (s *Server) Kill() {
+	_ = s.front.Close()
+	s.close()
+}
+
+func (s *Server) close() {
+	s.node.Close()
+	_ = s.admin.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = s.tracing.Shutdown(ctx)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,154 @@
+// Package settings is the documented configuration of one balancer process,
+// read from a file of JSON with comments.
+//
+// # Usage
+//
+//	s, err := settings.Load("vm-1.jsonc")
+//
+// The error names file, line, column and field of every fault.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/lotuswing/lotuswing/internal/jsonc"
+)
+
+// Settings of one balancer. Every address is an IP number with a port.
+type Settings struct {
+	ID      string   `json:"id"`      // identity of the VM
+	Zone    string   `json:"zone"`    // availability zone
+	Tenants []string `json:"tenants"` // tenants that the balancer serves
+	Listen  string   `json:"listen"`  // callers
+	Admin   string   `json:"admin"`   // operators and the platform's balancer
+	Link    string   `json:"link"`    // other balancers
+	Peers   []string `json:"peers"`   // link addresses to start from; the VM list gives more
+	Store   Store    `json:"store"`
+	TLS     LinkTLS  `json:"link_tls"`
+	Stop    Stop     `json:"stop"`
+	Limits  Limits   `json:"limits"`
+	Trace   string   `json:"trace"`     // none or stderr; default none
+	Log     string   `json:"log_level"` // trace, debug, info, warn or error; default info
+}
+
+// Store says where the platform's key-value service and list of VMs are.
+type Store struct {
+	URL     string        `json:"url"`
+	VMs     string        `json:"vm_list_url"`
+	Timeout time.Duration `json:"timeout"` // of one call; default 2s
+	Rate    int           `json:"rate"`    // calls a second of this balancer; default 20
+}
+
+// LinkTLS says how links between balancers are secured.
+type LinkTLS struct {
+	Insecure bool   `json:"insecure"` // plain TCP; must be asked for, and is logged
+	Cert     string `json:"cert"`     // PEM files, read again when they change
+	Key      string `json:"key"`
+	CA       string `json:"ca"`
+}
+
+// Stop says how a planned stop goes.
+type Stop struct {
+	Notice time.Duration `json:"notice"` // between not ready and closing the listener; default 2s
+	Limit  time.Duration `json:"limit"`  // for requests in flight; default 1h
+}
+
+// Limits of what callers may send.
+type Limits struct {
+	HeaderBytes   int           `json:"header_bytes"`   // default 64 KiB
+	HeaderTimeout time.Duration `json:"header_timeout"` // default 10s
+	BodyBytes     int64         `json:"body_bytes"`     // default 1 GiB
+	ReplayBytes   int           `json:"replay_bytes"`   // body kept for a retry; default 64 KiB
+	IdleTimeout   time.Duration `json:"idle_timeout"`   // of a caller's connection; default 2m
+}
+
+// Defaults of the settings that may be left out.
+func defaults() Settings {
+	return Settings{
+		Store: Store{Timeout: 2 * time.Second, Rate: 20},
+		Stop:  Stop{Notice: 2 * time.Second, Limit: time.Hour},
+		Limits: Limits{
+			HeaderBytes:   64 << 10,
+			HeaderTimeout: 10 * time.Second,
+			BodyBytes:     1 << 30,
+			ReplayBytes:   64 << 10,
+			IdleTimeout:   2 * time.Minute,
+		},
+		Trace: "none",
+		Log:   "info",
+	}
+}
+
+// Load reads and checks a file.
+func Load(file string) (Settings, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(file, raw)
+}
+
+// Parse checks settings that were read from a file with the given name.
+func Parse(file string, raw []byte) (Settings, error) {
+	s := defaults()
+	dec := jsonc.Decode(file, raw, &s)
+	if len(dec.Faults()) == 0 {
+		check(dec, s)
+	}
+	return s, dec.Err()
+}
+
+func check(dec *jsonc.Decoder, s Settings) {
+	dec.Check(s.ID != "", "id", "is missing; give the identity of the VM")
+	dec.Check(s.Zone != "", "zone", "is missing; give the availability zone")
+	dec.Check(len(s.Tenants) > 0, "tenants", "is missing; name at least one tenant")
+	checkAddr(dec, "listen", s.Listen)
+	checkAddr(dec, "admin", s.Admin)
+	checkAddr(dec, "link", s.Link)
+	for i, p := range s.Peers {
+		checkAddr(dec, fmt.Sprintf("peers[%d]", i), p)
+	}
+	checkURL(dec, "store.url", s.Store.URL)
+	checkURL(dec, "store.vm_list_url", s.Store.VMs)
+	checkBetween(dec, "store.timeout", s.Store.Timeout, time.Millisecond, time.Minute)
+	dec.Check(s.Store.Rate >= 1 && s.Store.Rate <= 1000, "store.rate", "is %d; from 1 to 1000", s.Store.Rate)
+	checkBetween(dec, "stop.notice", s.Stop.Notice, 0, 10*time.Minute)
+	checkBetween(dec, "stop.limit", s.Stop.Limit, time.Second, 7*24*time.Hour)
+	checkBetween(dec, "limits.header_timeout", s.Limits.HeaderTimeout, time.Millisecond, time.Hour)
+	checkBetween(dec, "limits.idle_timeout", s.Limits.IdleTimeout, time.Millisecond, 24*time.Hour)
+	dec.Check(s.Limits.HeaderBytes >= 1024, "limits.header_bytes", "is %d; at least 1024", s.Limits.HeaderBytes)
+	dec.Check(s.Limits.BodyBytes >= 1, "limits.body_bytes", "is %d; at least 1", s.Limits.BodyBytes)
+	dec.Check(s.Limits.ReplayBytes >= 0, "limits.replay_bytes", "is %d; at least 0", s.Limits.ReplayBytes)
+	dec.Check(s.Trace == "none" || s.Trace == "stderr", "trace", "is %q; none or stderr", s.Trace)
+	checkTLS(dec, s.TLS)
+}
+
+func checkTLS(dec *jsonc.Decoder, t LinkTLS) {
+	files := t.Cert != "" && t.Key != "" && t.CA != ""
+	none := t.Cert == "" && t.Key == "" && t.CA == ""
+	dec.Check(t.Insecure && none || !t.Insecure && files, "link_tls",
+		"needs cert, key and ca, or insecure: true and none of them")
+}
+
+func checkAddr(dec *jsonc.Decoder, field, addr string) {
+	host, _, err := net.SplitHostPort(addr)
+	if err == nil {
+		_, err = netip.ParseAddr(host)
+	}
+	dec.Check(err == nil, field, "is %q; an IP number and port such as \"127.0.0.1:8080\" belongs here", addr)
+}
+
+func checkURL(dec *jsonc.Decoder, field, raw string) {
+	u, err := url.Parse(raw)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+	dec.Check(ok, field, "is %q; a URL such as \"http://127.0.0.1:7400\" belongs here", raw)
+}
+
+func checkBetween(dec *jsonc.Decoder, field string, d, low, high time.Duration) {
+	dec.Check(d >= low && d <= high, field, "is %v; from %v to %v", d, low, high)
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,334 @@
+// Package standin holds stand-ins for what surrounds the balancers: the
+// platform's key-value service and list of VMs, and endpoints. Each can be
+// told to fail in the ways that the real one does.
+//
+// # Usage
+//
+//	s := standin.NewStore(standin.StoreOptions{})
+//	http.ListenAndServe(addr, s)
+//	s.SetFaults(standin.Faults{Down: true})
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/store"
+	"github.com/lotuswing/lotuswing/vm"
+)
+
+// Rates that the platform's service bears, per second.
+const (
+	writesPerSecond = 300
+	readsPerSecond  = 2000
+	maxWatch        = time.Minute
+)
+
+// Faults of the store stand-in.
+type Faults struct {
+	Down        bool          `json:"down"`         // refuse every call
+	Slow        time.Duration `json:"slow"`         // delay of every call
+	LoseAnswers int           `json:"lose_answers"` // of the next writes, after they took effect
+	StuckWatch  bool          `json:"stuck_watch"`  // watches never see a change
+	RepeatWatch bool          `json:"repeat_watch"` // watches answer at once with what is known already
+}
+
+// StoreOptions of a store stand-in. Zero fields take the defaults.
+type StoreOptions struct {
+	Clock func() time.Time // default time.Now
+}
+
+type stored struct {
+	entry   store.Entry
+	expires time.Time // zero for a value that stays
+}
+
+// Store is the stand-in of the key-value service, and of the list of VMs.
+type Store struct {
+	mux   *http.ServeMux
+	clock func() time.Time
+
+	mu       sync.Mutex
+	keys     map[string]stored
+	revision uint64
+	changed  chan struct{} // closed and replaced at each change
+	faults   Faults
+	vms      vm.List
+	reads    rate
+	writes   rate
+	calls    int
+}
+
+// NewStore returns an empty store.
+func NewStore(opts StoreOptions) *Store {
+	if opts.Clock == nil {
+		opts.Clock = time.Now
+	}
+	s := &Store{
+		mux:     http.NewServeMux(),
+		clock:   opts.Clock,
+		keys:    map[string]stored{},
+		changed: make(chan struct{}),
+		vms:     vm.List{Revision: 1},
+		reads:   rate{limit: readsPerSecond},
+		writes:  rate{limit: writesPerSecond},
+	}
+	s.mux.HandleFunc("GET /v1/kv/{key}", s.get)
+	s.mux.HandleFunc("PUT /v1/kv/{key}", s.put)
+	s.mux.HandleFunc("GET /v1/watch/{key}", s.watch)
+	s.mux.HandleFunc("GET /v1/vms", s.getVMs)
+	s.mux.HandleFunc("PUT /v1/vms", s.putVMs)
+	s.mux.HandleFunc("PUT /v1/faults", s.putFaults)
+	s.mux.HandleFunc("GET /v1/calls", s.getCalls)
+	return s
+}
+
+// ServeHTTP serves the service's interface and the switches for faults.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/v1/kv/") || strings.HasPrefix(r.URL.Path, "/v1/watch/") {
+		if status := s.admit(r); status != 0 {
+			http.Error(w, http.StatusText(status), status)
+			return
+		}
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns how many calls the service has counted.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// SetVMs replaces the list of VMs.
+func (s *Store) SetVMs(list []vm.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = vm.List{Revision: s.vms.Revision + 1, VMs: list}
+}
+
+// admit counts the call and applies outage, delay and rate limits.
+func (s *Store) admit(r *http.Request) int {
+	s.mu.Lock()
+	faults := s.faults
+	s.calls++
+	limit := &s.reads
+	if r.Method == http.MethodPut {
+		limit = &s.writes
+	}
+	ok := limit.take(s.clock())
+	s.mu.Unlock()
+	if faults.Slow > 0 {
+		select {
+		case <-time.After(faults.Slow):
+		case <-r.Context().Done():
+		}
+	}
+	switch {
+	case faults.Down:
+		return http.StatusServiceUnavailable
+	case !ok:
+		return http.StatusTooManyRequests
+	}
+	return 0
+}
+
+func keyOf(r *http.Request) string {
+	key, err := url.PathUnescape(r.PathValue("key"))
+	if err != nil {
+		return r.PathValue("key")
+	}
+	return key
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	entry, ok := s.lookup(keyOf(r))
+	if !ok {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, entry)
+}
+
+// lookup returns the entry of a key whose lease has not lapsed.
+func (s *Store) lookup(key string) (store.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.live(key)
+}
+
+func (s *Store) live(key string) (store.Entry, bool) {
+	found, ok := s.keys[key]
+	if !ok || !found.expires.IsZero() && !s.clock().Before(found.expires) {
+		return store.Entry{}, false
+	}
+	return found.entry, true
+}
+
+// CompareAndSwap applies a write; it reports whether the revision matched.
+func (s *Store) CompareAndSwap(wr store.Write) (store.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, _ := s.live(wr.Key)
+	if current.Revision != wr.Revision {
+		return store.Entry{}, false
+	}
+	s.revision++
+	entry := store.Entry{Key: wr.Key, Value: wr.Value, Revision: s.revision}
+	next := stored{entry: entry}
+	if wr.TTL > 0 {
+		next.expires = s.clock().Add(wr.TTL)
+	}
+	if wr.Delete {
+		delete(s.keys, wr.Key)
+	} else {
+		s.keys[wr.Key] = next
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return entry, true
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	var wr store.Write
+	if err := json.NewDecoder(io.LimitReader(r.Body, 3*store.MaxValue)).Decode(&wr); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(wr.Value) > store.MaxValue {
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	wr.Key = keyOf(r)
+	entry, ok := s.CompareAndSwap(wr)
+	if ok && s.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	if !ok {
+		http.Error(w, "revision conflict", http.StatusConflict)
+		return
+	}
+	writeJSON(w, entry)
+}
+
+func (s *Store) loseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return false
+	}
+	s.faults.LoseAnswers--
+	return true
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		http.Error(w, "wait: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	timeout := time.NewTimer(min(wait, maxWatch))
+	defer timeout.Stop()
+	for {
+		entry, ok, changed := s.look(keyOf(r))
+		if ok && entry.Revision > after {
+			writeJSON(w, entry)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// look returns an entry as a watch sees it, and what to wait for.
+func (s *Store) look(key string) (store.Entry, bool, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry, ok := s.live(key)
+	if s.faults.StuckWatch {
+		return entry, false, nil
+	}
+	if s.faults.RepeatWatch {
+		entry.Revision = max(entry.Revision, 1) // answered whatever the caller knows
+		return store.Entry{Key: key, Value: entry.Value, Revision: ^uint64(0)}, ok, s.changed
+	}
+	return entry, ok, s.changed
+}
+
+func (s *Store) getVMs(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, s.vms)
+}
+
+func (s *Store) putVMs(w http.ResponseWriter, r *http.Request) {
+	var list []vm.VM
+	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetVMs(list)
+}
+
+func (s *Store) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Store) getCalls(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintln(w, s.Calls())
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// rate is a token bucket of one second's calls.
+type rate struct {
+	limit   float64
+	used    float64
+	updated time.Time
+}
+
+func (r *rate) take(now time.Time) bool {
+	if !r.updated.IsZero() {
+		r.used = max(0, r.used-now.Sub(r.updated).Seconds()*r.limit)
+	}
+	r.updated = now
+	if r.used+1 > r.limit {
+		return false
+	}
+	r.used++
+	return true
+}
--- /dev/null
+++ b/upstream/load.go
@@ -0,0 +1,36 @@
+package upstream
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/lotuswing/lotuswing/link"
+)
+
+// ParseLoad reads a load report such as "inflight=2, slots=3, state=live".
+// Parts that cannot be read are left out; a report with no known state is not
+// known.
+func ParseLoad(header string) link.Load {
+	var load link.Load
+	for part := range strings.SplitSeq(header, ",") {
+		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		switch key {
+		case "inflight":
+			load.InFlight, _ = strconv.Atoi(value)
+		case "slots":
+			load.Slots, _ = strconv.Atoi(value)
+		case "state":
+			load.State = link.LoadState(value)
+		}
+	}
+	switch load.State {
+	case link.Live, link.Draining, link.Cold:
+		load.Known = true
+	}
+	return load
+}
+
+// FormatLoad writes a load report.
+func FormatLoad(l link.Load) string {
+	return "inflight=" + strconv.Itoa(l.InFlight) + ", slots=" + strconv.Itoa(l.Slots) + ", state=" + string(l.State)
+}
