Verdicts proved over faults at each point of the exchange

Cause of the fault found: each attempt had an honest verdict, but the answer to the caller was made from the last attempt alone. A repeatable request whose first attempt may have run was told not-run when a later attempt was refused by its endpoint, could not connect, or got no grant.

Ruled out: the seal on the connection (its own race test holds) and the transport's silent resends (every method, with and without Idempotency-Key, fresh and reused, HTTP/1.1 and HTTP/2).

Change: an exchange remembers that an attempt may have run; refusals and relayed refusals after that say may-have-run.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -105,6 +105,7 @@
 	verdict  verdict.Verdict
 	reason   reason.Code
 	status   int
+	mayRun   bool // an attempt may have run, whatever later attempts say
 }
 
 // ServeHTTP serves one request.
--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,344 @@
+package balancer_test
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/balancer"
+	"github.com/lotuswing/lotuswing/coord/contract"
+	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/internal/faulty"
+	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/settings"
+	"github.com/lotuswing/lotuswing/telemetry"
+	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// fakeFleet grants the endpoints in turn, leaving out those to be avoided.
+type fakeFleet struct {
+	cfg       *tenant.Config
+	endpoints []contract.Endpoint
+	sequence  atomic.Uint64
+	refuse    *node.Refusal
+	// refuseAfter, where above 0, is how many grants there are.
+	refuseAfter int
+
+	mu      sync.Mutex
+	endings []node.Ending
+	granted int
+}
+
+func (f *fakeFleet) NextID() string { return fmt.Sprintf("id-%d", f.sequence.Add(1)) }
+
+func (f *fakeFleet) Route(host, method, path string) (tenant.Route, reason.Code) {
+	return f.cfg.Route(host, method, path)
+}
+
+func (f *fakeFleet) Service(_, service string) (tenant.Service, int) {
+	return f.cfg.Services[service], 1
+}
+
+func (f *fakeFleet) Ready() (bool, string) { return true, "" }
+
+func (f *fakeFleet) Acquire(ctx context.Context, a node.Ask) (node.Grant, *node.Refusal) {
+	if f.refuse != nil {
+		return node.Grant{}, f.refuse
+	}
+	if ctx.Err() != nil {
+		return node.Grant{}, &node.Refusal{Reason: reason.CallerLeft}
+	}
+	f.mu.Lock()
+	f.granted++
+	over := f.refuseAfter > 0 && f.granted > f.refuseAfter
+	f.mu.Unlock()
+	if over {
+		return node.Grant{}, &node.Refusal{Reason: reason.TooLate}
+	}
+	for _, e := range f.endpoints {
+		if !strings.Contains(strings.Join(a.Avoid, " "), e.VM) {
+			return node.Grant{ID: a.ID, Service: a.Service, Endpoint: e}, nil
+		}
+	}
+	return node.Grant{ID: a.ID, Service: a.Service, Endpoint: f.endpoints[0]}, nil
+}
+
+func (f *fakeFleet) Complete(_ node.Grant, e node.Ending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endings = append(f.endings, e)
+}
+
+// bench is a balancer in front of faulty endpoints.
+type bench struct {
+	fleet     *fakeFleet
+	endpoints []*faulty.Endpoint
+	server    *httptest.Server
+}
+
+type cleaner interface {
+	assert.TestingT
+	Cleanup(func())
+}
+
+func newBench(t cleaner, endpoints int) *bench {
+	cfg, err := tenant.Load("testdata/tenant.jsonc")
+	assert.NilError(t, err)
+	b := &bench{fleet: &fakeFleet{cfg: cfg}}
+	for i := range endpoints {
+		e, err := faulty.New()
+		assert.NilError(t, err)
+		t.Cleanup(e.Close)
+		b.endpoints = append(b.endpoints, e)
+		b.fleet.endpoints = append(b.fleet.endpoints, contract.Endpoint{VM: fmt.Sprintf("e%d", i), Addr: e.Addr(), Slots: 3})
+	}
+	tracing, err := telemetry.NewTracing("none", io.Discard)
+	assert.NilError(t, err)
+	h := balancer.New(balancer.Config{
+		Fleet:   b.fleet,
+		Limits:  settings.Limits{BodyBytes: 1 << 20, ReplayBytes: 1 << 10},
+		Log:     hclog.NewNullLogger(),
+		Metrics: metrics.NewRegistry(),
+		Tracing: tracing,
+	})
+	b.server = httptest.NewServer(h)
+	b.server.Config.ErrorLog = hclog.NewNullLogger().StandardLogger(nil)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func (b *bench) ran(key string) int {
+	n := 0
+	for _, e := range b.endpoints {
+		n += e.Ran(key)
+	}
+	return n
+}
+
+// told is what a caller was told.
+type told struct {
+	status  int
+	verdict string
+	reason  string
+	retry   string
+	body    string
+	whole   bool
+}
+
+func (b *bench) call(t assert.TestingT, method, path, key, body string, header http.Header) told {
+	req, err := http.NewRequest(method, b.server.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Host = "desk"
+	req.Header = header.Clone()
+	req.Header.Set(faulty.KeyHeader, key)
+	req.GetBody = nil
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return told{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return told{
+		status: resp.StatusCode, verdict: resp.Header.Get(verdict.Header), reason: resp.Header.Get(verdict.ReasonHeader),
+		retry: resp.Header.Get("Retry-After"), body: string(raw), whole: err == nil,
+	}
+}
+
+// TestCallersAreToldTheTruth puts faults at any point of the exchange with two
+// endpoints and compares what callers are told with what ran.
+func TestCallersAreToldTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(t, 2)
+		for i := range rapid.IntRange(1, 5).Draw(t, "requests") {
+			for _, e := range b.endpoints {
+				e.Set(rapid.SampledFrom(faulty.All).Draw(t, "fault"))
+			}
+			key := fmt.Sprintf("request-%d", i)
+			once := rapid.Bool().Draw(t, "once")
+			path := "/read"
+			if once {
+				path = "/once"
+			}
+			header := http.Header{"Lotuswing-Timeout": {"60ms"}}
+			if rapid.Bool().Draw(t, "idempotency-key") {
+				header.Set("Idempotency-Key", "k")
+			}
+			body := rapid.SampledFrom([]string{"", "x", strings.Repeat("x", 3000)}).Draw(t, "body")
+			got := b.call(t, rapid.SampledFrom([]string{"GET", "POST", "PUT"}).Draw(t, "method"), path, key, body, header)
+			ran := b.ran(key)
+			assert.Assert(t, !once || ran <= 1, "%s ran %d times", key, ran)
+			switch got.verdict {
+			case "not-run":
+				assert.Equal(t, ran, 0, "told not-run by %s", got.reason)
+			case "ran":
+				assert.Assert(t, ran >= 1)
+			}
+			if got.whole && got.status == http.StatusOK {
+				assert.Equal(t, got.body, "answer to "+key)
+			}
+			if got.status == http.StatusServiceUnavailable && got.verdict == "not-run" {
+				assert.Assert(t, got.retry != "", "a refusal says when to come back")
+			}
+		}
+	})
+}
+
+// TestRefusedRequestIsRepeatedElsewhere: a request that an endpoint did not
+// run goes to another, body included.
+func TestRefusedRequestIsRepeatedElsewhere(t *testing.T) {
+	b := newBench(t, 2)
+	b.endpoints[0].Set(faulty.AnswerNotRun)
+	got := b.call(t, "POST", "/once", "petition", "stamped", http.Header{})
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, b.endpoints[1].Ran("petition"), 1)
+	assert.Equal(t, b.fleet.endings[0].Outcome, contract.Shed)
+}
+
+// TestUnknownAnswerOfFilingIsNotRepeated: the filing may have run, so the
+// caller is told so and nothing is sent again.
+func TestUnknownAnswerOfFilingIsNotRepeated(t *testing.T) {
+	b := newBench(t, 2)
+	b.endpoints[0].Set(faulty.CloseAfterRead)
+	got := b.call(t, "POST", "/once", "petition", "stamped", http.Header{})
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.verdict, "may-have-run")
+	assert.Equal(t, got.reason, "LW3004")
+	assert.Equal(t, b.ran("petition"), 1)
+}
+
+// TestEarlierAttemptDecidesVerdict: a repeatable request whose first attempt
+// may have run is never told not-run because a later attempt did not.
+func TestEarlierAttemptDecidesVerdict(t *testing.T) {
+	b := newBench(t, 4)
+	b.endpoints[0].Set(faulty.CloseAfterRead)
+	for _, e := range b.endpoints[1:] {
+		e.Set(faulty.AnswerNotRun)
+	}
+	got := b.call(t, "POST", "/read", "k", "x", http.Header{})
+	assert.Equal(t, b.ran("k"), 1)
+	assert.Equal(t, got.verdict, "may-have-run")
+}
+
+// TestRefusalAfterAttemptIsNotTold: no grant for a second attempt does not
+// make the first one not run.
+func TestRefusalAfterAttemptIsNotTold(t *testing.T) {
+	b := newBench(t, 1)
+	b.endpoints[0].Set(faulty.CloseAfterRead)
+	b.fleet.refuseAfter = 1
+	got := b.call(t, "POST", "/read", "k", "x", http.Header{})
+	assert.Equal(t, b.ran("k"), 1)
+	assert.Equal(t, got.verdict, "may-have-run")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+}
+
+// TestCutAnswerReachesCallerAsCut over both framings.
+func TestCutAnswerReachesCallerAsCut(t *testing.T) {
+	for _, f := range []faulty.Fault{faulty.CutBody, faulty.CutChunked} {
+		b := newBench(t, 1)
+		b.endpoints[0].Set(f)
+		got := b.call(t, "GET", "/read", "k", "", http.Header{})
+		assert.Assert(t, !got.whole, "%s: %+v", f, got)
+	}
+}
+
+// TestRefusalIsAnsweredAtOnce: what the fleet refuses is told to the caller
+// with the time to come back.
+func TestRefusalIsAnsweredAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	b.fleet.refuse = &node.Refusal{Reason: reason.TooLate, RetryAfter: 1500 * time.Millisecond}
+	got := b.call(t, "GET", "/read", "k", "", http.Header{})
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.verdict, "not-run")
+	assert.Equal(t, got.retry, "2")
+	assert.Assert(t, strings.Contains(got.body, `"retry_after_ms":1500`), got.body)
+	assert.Equal(t, b.ran("k"), 0)
+}
+
+// TestCallerThatLeavesCancelsUpstream: the grant is given back.
+func TestCallerThatLeavesCancelsUpstream(t *testing.T) {
+	b := newBench(t, 1)
+	b.endpoints[0].Set(faulty.SilentAfterRead)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "GET", b.server.URL+"/read", nil)
+	assert.NilError(t, err)
+	req.Host = "desk"
+	req.Header.Set(faulty.KeyHeader, "k")
+	go func() {
+		for b.ran("k") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(req)
+	assert.Assert(t, err != nil)
+	for {
+		b.fleet.mu.Lock()
+		n := len(b.fleet.endings)
+		b.fleet.mu.Unlock()
+		if n > 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, b.fleet.endings[0].Outcome, contract.Unused)
+	assert.Equal(t, b.ran("k"), 1)
+}
+
+// TestMalformedRequestsReachNoEndpoint sends raw bytes.
+func TestMalformedRequestsReachNoEndpoint(t *testing.T) {
+	b := newBench(t, 1)
+	cases := map[string]string{
+		"two lengths":        "POST /once HTTP/1.1\r\nHost: desk\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+		"bad length":         "POST /once HTTP/1.1\r\nHost: desk\r\nContent-Length: -1\r\n\r\n",
+		"unknown coding":     "POST /once HTTP/1.1\r\nHost: desk\r\nTransfer-Encoding: xchunked\r\n\r\n",
+		"no host":            "GET /read HTTP/1.1\r\n\r\n",
+		"dot segment":        "GET /read/../once HTTP/1.1\r\nHost: desk\r\n\r\n",
+		"coded dot segment":  "GET /read/%2e%2E/once HTTP/1.1\r\nHost: desk\r\n\r\n",
+		"bad method":         "GE(T /read HTTP/1.1\r\nHost: desk\r\n\r\n",
+		"absurd timeout":     "GET /read HTTP/1.1\r\nHost: desk\r\nLotuswing-Timeout: 9999h\r\n\r\n",
+		"negative timeout":   "GET /read HTTP/1.1\r\nHost: desk\r\nLotuswing-Timeout: -1s\r\n\r\n",
+		"unknown team":       "GET /read HTTP/1.1\r\nHost: nobody\r\n\r\n",
+		"space in a header":  "GET /read HTTP/1.1\r\nHost: desk\r\nX y: 1\r\n\r\n",
+		"line ends in value": "GET /read HTTP/1.1\r\nHost: desk\r\nX: a\x00b\r\n\r\n",
+	}
+	for name, raw := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, raw)
+			assert.NilError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			// RFC 9112, section 6.1, wants 501 for an unknown coding.
+			wantStatus := resp.StatusCode >= 400 && resp.StatusCode < 500 || resp.StatusCode == http.StatusNotImplemented
+			assert.Assert(t, wantStatus, resp.Status)
+			assert.Equal(t, b.ran(""), 0)
+		})
+	}
+}
--- a/balancer/refuse.go
+++ b/balancer/refuse.go
@@ -44,7 +44,14 @@
 	if !errors.As(err, &r) {
 		panic(fmt.Sprintf("balancer: unreachable error %v", err))
 	}
-	if beforeSending(r.reason) {
+	switch {
+	case x.mayRun:
+		// What an earlier attempt left open stays open.
+		r.verdict = verdict.MayHaveRun
+		if beforeSending(r.reason) {
+			r.reason = reason.AnswerUnknown
+		}
+	case beforeSending(r.reason):
 		r.verdict = verdict.NotRun
 	}
 	doc := reason.MustLookup(r.reason)
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -36,6 +36,7 @@
 			return nil, b.answer(x, grant, &res, sent)
 		}
 		b.complete(x, grant, &res, sent)
+		x.mayRun = x.mayRun || res.Verdict == verdict.MayHaveRun
 		tried = append(tried, grant.Endpoint.VM)
 		if !b.again(x, &res, attempt, body) {
 			return nil, b.giveUp(ctx, x, &res)
@@ -141,6 +142,9 @@
 // giveUp makes the last answer of a request that no endpoint ran. An
 // endpoint's own refusal is passed on.
 func (b *Balancer) giveUp(ctx context.Context, x *exchange, res *upstream.Result) error {
+	if x.mayRun {
+		res.Verdict = verdict.MayHaveRun
+	}
 	if res.Answer != nil {
 		if res.Answer.Header.Get("Retry-After") == "" {
 			res.Answer.Header.Set("Retry-After", "1")
--- /dev/null
+++ b/upstream/conn_test.go
@@ -0,0 +1,47 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// countingConn counts the writes that reach the network.
+type countingConn struct {
+	net.Conn
+	mu     sync.Mutex
+	writes int
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes++
+	return len(p), nil
+}
+
+// TestSealStopsLaterWrites races a seal with a write: either the seal holds
+// and nothing is ever written, or the write came first and the seal fails.
+func TestSealStopsLaterWrites(t *testing.T) {
+	for range 2000 {
+		under := &countingConn{}
+		c := &conn{Conn: under}
+		var wg sync.WaitGroup
+		var held bool
+		var writeErr error
+		wg.Go(func() { held = c.seal(0) })
+		wg.Go(func() { _, writeErr = c.Write([]byte("x")) })
+		wg.Wait()
+		if held {
+			_, err := c.Write([]byte("later"))
+			assert.Assert(t, errors.Is(err, errSealed))
+			assert.Assert(t, errors.Is(writeErr, errSealed))
+			assert.Equal(t, under.writes, 0)
+		} else {
+			assert.Equal(t, under.writes, 1)
+		}
+	}
+}
--- /dev/null
+++ b/upstream/http2_test.go
@@ -0,0 +1,132 @@
+package upstream_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/upstream"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"gotest.tools/v3/assert"
+)
+
+// http2Endpoint speaks HTTP/2 frame by frame: it counts each request that it
+// was sent whole and ends it in the way it is told to.
+type http2Endpoint struct {
+	listener net.Listener
+	end      func(fr *http2.Framer, stream uint32) (open bool)
+
+	mu   sync.Mutex
+	runs int
+}
+
+func newHTTP2Endpoint(t *testing.T, end func(*http2.Framer, uint32) bool) *http2Endpoint {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &http2Endpoint{listener: l, end: end}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *http2Endpoint) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs
+}
+
+func (e *http2Endpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	preface := make([]byte, len(http2.ClientPreface))
+	if _, err := io.ReadFull(c, preface); err != nil {
+		return
+	}
+	fr := http2.NewFramer(c, c)
+	_ = fr.WriteSettings()
+	for {
+		f, err := fr.ReadFrame()
+		if err != nil {
+			return
+		}
+		if s, ok := f.(*http2.SettingsFrame); ok && !s.IsAck() {
+			_ = fr.WriteSettingsAck()
+		}
+		h := f.Header()
+		ends := (h.Type == http2.FrameHeaders || h.Type == http2.FrameData) && h.Flags.Has(http2.FlagDataEndStream)
+		if !ends {
+			continue
+		}
+		e.mu.Lock()
+		e.runs++
+		e.mu.Unlock()
+		if !e.end(fr, h.StreamID) {
+			return
+		}
+	}
+}
+
+// TestHTTP2IsNotResent: the transport also sends requests again after some
+// HTTP/2 errors. None of ours may be sent twice.
+func TestHTTP2IsNotResent(t *testing.T) {
+	ends := map[string]func(*http2.Framer, uint32) bool{
+		"protocol error": func(fr *http2.Framer, s uint32) bool { return fr.WriteRSTStream(s, http2.ErrCodeProtocol) == nil },
+		"refused stream": func(fr *http2.Framer, s uint32) bool { return fr.WriteRSTStream(s, http2.ErrCodeRefusedStream) == nil },
+		"internal error": func(fr *http2.Framer, s uint32) bool { return fr.WriteRSTStream(s, http2.ErrCodeInternal) == nil },
+		"going away": func(fr *http2.Framer, _ uint32) bool {
+			_ = fr.WriteGoAway(0, http2.ErrCodeNo, nil)
+			return false
+		},
+		"closed": func(*http2.Framer, uint32) bool { return false },
+	}
+	for name, end := range ends {
+		for _, method := range methods {
+			for _, body := range []string{"", "x"} {
+				t.Run(fmt.Sprintf("%s/%s/%d bytes", name, method, len(body)), func(t *testing.T) {
+					e := newHTTP2Endpoint(t, end)
+					c := upstream.NewClient(upstream.Options{HTTP2: true})
+					defer c.Close()
+					header := http.Header{"Idempotency-Key": {"once"}}
+					a := send(c, e.listener.Addr().String(), method, "petition", body, header, 5*time.Second)
+					assert.Equal(t, a.verdict, verdict.MayHaveRun)
+					assert.Equal(t, e.count(), 1)
+				})
+			}
+		}
+	}
+}
+
+// TestHTTP2ReusedConnection: the second request on a connection is treated
+// like the first.
+func TestHTTP2ReusedConnection(t *testing.T) {
+	answered := false
+	e := newHTTP2Endpoint(t, func(fr *http2.Framer, s uint32) bool {
+		if answered {
+			return fr.WriteRSTStream(s, http2.ErrCodeRefusedStream) == nil
+		}
+		answered = true
+		var block bytes.Buffer
+		_ = hpack.NewEncoder(&block).WriteField(hpack.HeaderField{Name: ":status", Value: "204"})
+		return fr.WriteHeaders(http2.HeadersFrameParam{StreamID: s, BlockFragment: block.Bytes(), EndHeaders: true, EndStream: true}) == nil
+	})
+	c := upstream.NewClient(upstream.Options{HTTP2: true})
+	defer c.Close()
+	addr := e.listener.Addr().String()
+	assert.Equal(t, send(c, addr, "GET", "warm", "", http.Header{}, 5*time.Second).verdict, verdict.Ran)
+	assert.Equal(t, send(c, addr, "POST", "petition", "", http.Header{}, 5*time.Second).verdict, verdict.MayHaveRun)
+	assert.Equal(t, e.count(), 2)
+}
