--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -5,8 +5,11 @@
 // spends at most Rate*w + Burst. Only one balancer at a time, the holder of a
 // lease, has a Bucket; a new holder starts with an empty one, so a change of
 // holder never adds to what was allowed before. Reserve is the part of Burst
-// that is never handed to a holder: it covers a measurement that was accounted
-// before the holder's process was paused and reaches its endpoint afterwards.
+// that is never handed to a holder. It covers what was accounted in one window
+// and reaches its endpoint in a later one: the measurement that the present
+// holder is about to send, and one of an earlier holder whose process was
+// paused after its last check. So it is at least twice the cost of one
+// measurement.
 //
 // # Usage
 //
--- a/coord/contract/ledger.go
+++ b/coord/contract/ledger.go
@@ -264,13 +264,6 @@
 
 // Tick ends what has run out: patience and contracts.
 func (l *Ledger) Tick(now time.Time) []Decision {
-	var out []Decision
-	for c := range l.queues {
-		for _, w := range l.queues[c].expired(now) {
-			retryAfter := l.estimate(l.queues[c].len()+1, max(1, l.usableSlots(now)))
-			out = append(out, Decision{Request: w.ID, Kind: Refused, Reason: reason.Expired, RetryAfter: retryAfter})
-		}
-	}
 	for _, s := range l.order {
 		for id, held := range s.held {
 			if !now.Before(held.until) {
@@ -279,7 +272,19 @@
 			}
 		}
 	}
-	return append(out, l.dispatch(now)...)
+	return l.dispatch(now)
+}
+
+// expire refuses the requests whose patience has ended.
+func (l *Ledger) expire(now time.Time) []Decision {
+	var out []Decision
+	for c := range l.queues {
+		for _, w := range l.queues[c].expired(now) {
+			retryAfter := l.estimate(l.queues[c].len()+1, max(1, l.usableSlots(now)))
+			out = append(out, Decision{Request: w.ID, Kind: Refused, Reason: reason.Expired, RetryAfter: retryAfter})
+		}
+	}
+	return out
 }
 
 // DropHolder ends the contracts of a balancer that is gone. Its requests may
@@ -296,9 +301,10 @@
 	return l.dispatch(now)
 }
 
-// dispatch grants free slots to waiting requests.
+// dispatch grants free slots to waiting requests, after those whose patience
+// has ended were refused.
 func (l *Ledger) dispatch(now time.Time) []Decision {
-	var out []Decision
+	out := l.expire(now)
 	for {
 		class, ok := l.nextClass(now)
 		if !ok {
--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -16,9 +16,12 @@
 package lease
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/store"
@@ -65,6 +68,7 @@
 	ttl    time.Duration
 	term   Term
 	known  store.Entry // last entry seen under the key
+	writes uint64      // made so far; part of each value, to tell them apart
 }
 
 // NewKeeper returns a keeper that holds nothing. The holder's name must be
@@ -85,7 +89,7 @@
 // Renew acquires the lease or extends it. It makes at most three calls.
 // After an error the old term is unchanged and lapses at its deadline.
 func (k *Keeper) Renew(ctx context.Context, clock func() time.Time) (Term, error) {
-	if k.known.Revision == 0 || string(k.known.Value) != k.holder {
+	if k.known.Revision == 0 {
 		if err := k.look(ctx); err != nil {
 			return k.term, err
 		}
@@ -124,31 +128,46 @@
 func (k *Keeper) look(ctx context.Context) error {
 	entry, err := k.store.Get(ctx, k.key)
 	if errors.Is(err, store.ErrNotFound) {
-		k.known = store.Entry{}
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if string(entry.Value) != k.holder {
+	if !k.mine(entry) {
 		return fmt.Errorf("%w: %s has %s", ErrHeld, entry.Value, k.key)
 	}
 	k.known = entry
 	return nil
 }
 
+// separator stands between the holder and the number of the write.
+const separator = "#"
+
+// mine reports whether any write of this keeper made the entry.
+func (k *Keeper) mine(entry store.Entry) bool {
+	return strings.HasPrefix(string(entry.Value), k.holder+separator)
+}
+
 func (k *Keeper) write(ctx context.Context) (store.Entry, error) {
-	w := store.Write{Key: k.key, Revision: k.known.Revision, Value: []byte(k.holder), TTL: k.ttl}
+	k.writes++
+	w := store.Write{Key: k.key, Revision: k.known.Revision, Value: k.value(), TTL: k.ttl}
 	return k.store.CompareAndSwap(ctx, w)
 }
 
-// settle learns by reading whether a write whose answer was lost took effect.
+// value is what the present write stores.
+func (k *Keeper) value() []byte {
+	return []byte(k.holder + separator + strconv.FormatUint(k.writes, 10))
+}
+
+// settle learns by reading whether the write whose answer was lost took
+// effect. An earlier write of the same keeper may have arrived late instead:
+// its time to live began before this one was sent, so it extends nothing.
 func (k *Keeper) settle(ctx context.Context) (store.Entry, error) {
 	entry, err := k.store.Get(ctx, k.key)
 	if err != nil {
 		return entry, err
 	}
-	if string(entry.Value) != k.holder || entry.Revision == k.known.Revision {
+	if !bytes.Equal(entry.Value, k.value()) {
 		return entry, store.ErrConflict
 	}
 	return entry, nil
--- a/node/measure.go
+++ b/node/measure.go
@@ -39,8 +39,7 @@
 	probes metrics.Counter
 
 	mu      sync.Mutex
-	bucket  budget.Bucket
-	term    lease.Term
+	account budget.Account
 	renewed time.Time
 }
 
@@ -91,12 +90,10 @@
 		m.node.log.Debug("measuring lease not renewed", "tenant", m.tenant, "error", err)
 		return
 	}
-	if !term.SameHolding(m.term) {
-		m.bucket = budget.New(cfg.Limit(), time.Now())
+	if !term.SameHolding(m.account.Term()) {
 		m.node.log.Info("measuring lease acquired", "tenant", m.tenant, "token", term.Token)
 	}
-	m.term = term
-	m.bucket = m.bucket.WithLimit(cfg.Limit(), time.Now())
+	m.account = m.account.WithTerm(term, cfg.Limit(), time.Now())
 }
 
 // drop forgets the lease, as after a pause.
@@ -104,14 +101,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.keeper.Drop()
-	m.term = lease.Term{}
+	m.account = budget.Account{}
 }
 
 // release gives the lease back, as in a planned stop.
 func (m *meter) release(ctx context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.term = lease.Term{}
+	m.account = budget.Account{}
 	_ = m.keeper.Release(ctx)
 }
 
@@ -119,12 +116,8 @@
 func (m *meter) spend(cost time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
-	if !m.term.Valid(now) {
-		return false
-	}
-	next, ok := m.bucket.Spend(now, cost)
-	m.bucket = next
+	next, ok := m.account.Spend(time.Now(), cost)
+	m.account = next
 	if ok {
 		m.spent.Inc(cost.Microseconds())
 		m.probes.Inc(1)
@@ -165,9 +158,9 @@
 		return link.Load{}
 	}
 	m.mu.Lock()
-	valid := m.term.Valid(time.Now())
+	holds := m.account.Holds(time.Now())
 	m.mu.Unlock()
-	if !valid {
+	if !holds {
 		return link.Load{}
 	}
 	resp, err := m.http.Do(req)
@@ -192,7 +185,7 @@
 	defer m.mu.Unlock()
 	st := MeasuringStatus{
 		Tenant: m.tenant,
-		Holds:  m.term.Valid(now),
+		Holds:  m.account.Holds(now),
 		Spent:  time.Duration(m.spent.Count()) * time.Microsecond,
 		Probes: m.probes.Count(),
 	}
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -181,8 +181,8 @@
 	dec.Check(err == nil, "measuring", "%v", err)
 	dec.Check(m.ProbeCost >= 0 && m.ConnectCost >= 0, "measuring", "has a negative cost")
 	dec.Check(m.Rate == 0 || m.Cost() > 0, "measuring.probe_cost", "is missing; give the cost of one probe")
-	dec.Check(m.Rate == 0 || m.Reserve >= m.Cost(), "measuring.reserve",
-		"is %v; at least the cost of one probe with its connection, %v", m.Reserve, m.Cost())
+	dec.Check(m.Rate == 0 || m.Reserve >= 2*m.Cost(), "measuring.reserve",
+		"is %v; at least the cost of two probes with their connections, %v", m.Reserve, 2*m.Cost())
 	dec.Check(m.Rate == 0 || m.Burst-m.Reserve >= m.Cost(), "measuring.burst",
 		"is %v; at least the reserve and the cost of one probe, %v", m.Burst, m.Reserve+m.Cost())
 }
