--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -219,6 +219,20 @@
 	assert.Equal(t, b.fleet.endings[0].Outcome, contract.Shed)
 }
 
+// TestBareRejectionIsRepeatedForReadsOnly: an endpoint that rejects everything
+// does not fail reads while others serve; a filing is never sent again.
+func TestBareRejectionIsRepeatedForReadsOnly(t *testing.T) {
+	b := newBench(t, 2)
+	b.endpoints[0].Set(faulty.Bare503)
+	got := b.call(t, "GET", "/read", "read", "", http.Header{})
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, b.fleet.endings[0].Outcome, contract.Failed)
+	got = b.call(t, "POST", "/once", "filing", "x", http.Header{})
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.verdict, "ran")
+	assert.Equal(t, b.ran("filing"), 1)
+}
+
 // TestUnknownAnswerOfFilingIsNotRepeated: the filing may have run, so the
 // caller is told so and nothing is sent again.
 func TestUnknownAnswerOfFilingIsNotRepeated(t *testing.T) {
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -32,11 +32,11 @@
 		}
 		sent := time.Now()
 		res := b.send(ctx, x, grant, body)
-		if res.Answer != nil && res.Verdict == verdict.Ran {
+		if res.Verdict == verdict.Ran && !rejected(x, &res) {
 			return nil, b.answer(x, grant, &res, sent)
 		}
 		b.complete(x, grant, &res, sent)
-		x.mayRun = x.mayRun || res.Verdict == verdict.MayHaveRun
+		x.mayRun = x.mayRun || res.Verdict != verdict.NotRun
 		tried = append(tried, grant.Endpoint.VM)
 		if !b.again(x, &res, attempt, body) {
 			return nil, b.giveUp(ctx, x, &res)
@@ -46,6 +46,17 @@
 	}
 }
 
+// rejected reports whether an endpoint's answer is a bare rejection of a
+// repeatable request. It proves nothing about what ran, but another endpoint
+// may do better.
+func rejected(x *exchange, res *upstream.Result) bool {
+	switch res.Answer.StatusCode {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return x.route.Kind.Repeatable
+	}
+	return false
+}
+
 // limitBody bounds the body and lets the answer begin before it has ended.
 func (b *Balancer) limitBody(x *exchange) {
 	if x.r.ProtoMajor == 1 {
@@ -121,7 +132,7 @@
 	defer b.mu.Unlock()
 	d := retry.Decide(
 		retry.Policy{MaxAttempts: maxAttempts, Repeatable: x.route.Kind.Repeatable},
-		retry.Attempt{Number: attempt, Verdict: res.Verdict, Replayable: body.Replayable(), Deadline: x.deadline},
+		retry.Attempt{Number: attempt, Verdict: repeatVerdict(res.Verdict), Replayable: body.Replayable(), Deadline: x.deadline},
 		b.budgets[service], time.Now())
 	if d.Again {
 		b.budgets[service] = b.budgets[service].Withdraw()
@@ -129,6 +140,15 @@
 	return d.Again
 }
 
+// repeatVerdict is what counts for another attempt: only rejections get as far
+// as that with an answer.
+func repeatVerdict(v verdict.Verdict) verdict.Verdict {
+	if v == verdict.Ran {
+		return verdict.MayHaveRun
+	}
+	return v
+}
+
 func (b *Balancer) deposit(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -142,7 +162,7 @@
 // giveUp makes the last answer of a request that no endpoint ran. An
 // endpoint's own refusal is passed on.
 func (b *Balancer) giveUp(ctx context.Context, x *exchange, res *upstream.Result) error {
-	if x.mayRun {
+	if x.mayRun && res.Verdict == verdict.NotRun {
 		res.Verdict = verdict.MayHaveRun
 	}
 	if res.Answer != nil {
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -30,7 +30,7 @@
 type Behavior struct {
 	Draining bool    `json:"draining"`  // say so; work that still arrives is run
 	Slowness float64 `json:"slowness"`  // factor on service times; 0 for 1
-	FailFast bool    `json:"fail_fast"` // answer 500 at once, without a verdict
+	FailFast bool    `json:"fail_fast"` // answer 503 at once, without a verdict
 	Shed     bool    `json:"shed"`      // answer not-run at once
 }
 
@@ -143,8 +143,10 @@
 	if id := r.Header.Get(upstream.RequestIDHeader); id != "" {
 		w.Header().Set(upstream.RequestIDHeader, id)
 	}
+	run := Run{Key: r.Header.Get(KeyHeader), Path: r.URL.Path, Began: time.Now(), State: e.state()}
 	if e.behavior.FailFast {
-		return false, http.StatusInternalServerError
+		e.runs = append(e.runs, run) // a bare failure says nothing about what ran
+		return false, http.StatusServiceUnavailable
 	}
 	if e.behavior.Shed || e.inFlight >= e.opts.Slots {
 		e.shed++
@@ -152,7 +154,7 @@
 		return false, http.StatusServiceUnavailable
 	}
 	e.inFlight++
-	e.runs = append(e.runs, Run{Key: r.Header.Get(KeyHeader), Path: r.URL.Path, Began: time.Now(), State: e.state()})
+	e.runs = append(e.runs, run)
 	return true, 0
 }
 
