--- a/cli/control.go
+++ b/cli/control.go
@@ -35,6 +35,8 @@
 	addEditing(a)
 	addStatus(a)
 	addExperiment(a)
+	addDemo(a)
+	addReplay(a)
 	return a.main(args)
 }
 
--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/demo"
+)
+
+// addDemo declares the demonstration in one process.
+func addDemo(a *app) {
+	a.add("demo", "Run the whole product in one process and check its promises: exit 1 on a violation.", func(c *kingpin.CmdClause) func() error {
+		span := c.Flag("for", "how long; without it, until interrupted").Duration()
+		return func() error {
+			if a.env.level == "info" {
+				a.env.level = "warn" // the table is what a newcomer looks for
+			}
+			log, err := a.env.logger("demo")
+			if err != nil {
+				return exitError{exitUsage, err}
+			}
+			ctx, stop := untilSignal()
+			defer stop()
+			_, _ = fmt.Fprintln(a.env.err, "demo: 2 tenants, 65 endpoints, 3 balancers; one endpoint of each tenant drains, one turns slow, the configuration changes")
+			report, err := demo.Run(ctx, demo.Options{For: *span, Log: log})
+			if err != nil {
+				return err
+			}
+			return printDemo(a.env, report)
+		}
+	})
+}
+
+func printDemo(e *env, r *demo.Report) error {
+	header := []string{"tenant", "kind", "calls", "ran", "not run", "may have run", "p50", "p99", "p99.9", "measuring", "allowed"}
+	var rows [][]string
+	for _, row := range r.Rows {
+		l := row.Load
+		var spent, allowed string
+		for _, c := range r.Costs {
+			if c.Tenant == row.Tenant {
+				spent, allowed = c.Spent.String(), c.Allowed.String()
+			}
+		}
+		rows = append(rows, []string{
+			row.Tenant, row.Kind, strconv.FormatInt(l.Calls, 10), strconv.FormatInt(l.Ran, 10),
+			strconv.FormatInt(l.NotRun, 10), strconv.FormatInt(l.MayHaveRun+l.Broken, 10),
+			quantile(l, 0.5), quantile(l, 0.99), quantile(l, 0.999), spent, allowed,
+		})
+	}
+	if err := e.table(header, rows); err != nil {
+		return err
+	}
+	for _, v := range r.Violations {
+		_, _ = fmt.Fprintln(e.err, "violation:", v)
+	}
+	_, _ = fmt.Fprintf(e.out, "violations: %d\n", len(r.Violations))
+	if len(r.Violations) > 0 {
+		return exitError{exitFailed, fmt.Errorf("demo: %d violations", len(r.Violations))}
+	}
+	return nil
+}
--- a/coord/contract/status.go
+++ b/coord/contract/status.go
@@ -1,6 +1,9 @@
 package contract
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Status is a snapshot of a ledger for operators.
 type Status struct {
@@ -68,3 +71,15 @@
 	}
 	return list
 }
+
+// Views returns how the endpoints look to a request at now.
+func (l *Ledger) Views(now time.Time, r Request) []EndpointView {
+	views := make([]EndpointView, len(l.order))
+	for i, s := range l.order {
+		views[i] = EndpointView{
+			VM: s.VM, State: l.stateName(now, s), InFlight: len(s.held), Free: s.free(now, l.opts),
+			Cost: s.cost(r.Zone, l.opts), Avoided: slices.Contains(r.Avoid, s.VM),
+		}
+	}
+	return views
+}
--- a/coord/document/replica_test.go
+++ b/coord/document/replica_test.go
@@ -20,8 +20,6 @@
 	os.Exit(m.Run())
 }
 
-func accept(document.Value) error { return nil }
-
 // TestReplicasNeverGoBack spreads versions between replicas by messages that
 // come late, twice and out of order, with stale reads and rejected versions.
 func TestReplicasNeverGoBack(t *testing.T) {
--- a/coord/health/health.go
+++ b/coord/health/health.go
@@ -136,3 +136,22 @@
 	slices.Sort(known)
 	return known[(len(known)-1)/2]
 }
+
+// Snapshot is a State as it is written to a trace.
+type Snapshot struct {
+	Log      float64   `json:"log"`
+	Samples  int       `json:"samples"`
+	Failures int       `json:"failures"`
+	Ejected  int       `json:"ejected"`
+	Until    time.Time `json:"until"`
+}
+
+// Snapshot returns the state in a form that can be stored.
+func (s State) Snapshot() Snapshot {
+	return Snapshot{Log: s.log, Samples: s.samples, Failures: s.failures, Ejected: s.ejected, Until: s.until}
+}
+
+// Restore returns the state that a snapshot was taken of.
+func Restore(opts Options, s Snapshot) State {
+	return State{opts: opts.withDefaults(), log: s.Log, samples: s.Samples, failures: s.Failures, ejected: s.Ejected, until: s.Until}
+}
--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -103,7 +103,10 @@
 	before := d.raw[:min(offset, len(d.raw))]
 	line := 1 + strings.Count(string(before), "\n")
 	col := len(before) - strings.LastIndexByte(string(before), '\n')
-	d.faults = append(d.faults, Fault{File: d.file, Line: line, Col: col, Field: field, Message: message})
+	f := Fault{File: d.file, Line: line, Col: col, Field: field, Message: message}
+	if !slices.Contains(d.faults, f) {
+		d.faults = append(d.faults, f)
+	}
 }
 
 // syntax records a parse error, whose place hujson gives in its text.
@@ -219,7 +222,18 @@
 			return
 		}
 	}
-	d.fault(v.StartOffset, path, fmt.Sprintf("is %s; a %s belongs here", kindOf(v), target.Kind()))
+	d.fault(v.StartOffset, path, fmt.Sprintf("is %s; %s belongs here", kindOf(v), wanted(target.Kind())))
+}
+
+// wanted names a kind of literal as an operator would.
+func wanted(k reflect.Kind) string {
+	switch k {
+	case reflect.String:
+		return "a text"
+	case reflect.Bool:
+		return "true or false"
+	}
+	return "a whole number"
 }
 
 func kindOf(v hujson.Value) string {
--- a/link/link.go
+++ b/link/link.go
@@ -99,19 +99,12 @@
 	ID      string
 }
 
-// Held is a contract in use.
-type Held struct {
-	ID    string
-	VM    string
-	Class contract.Class
-}
-
 // RenewArgs extends contracts that are in use. A home that does not know one,
 // because it is new, adopts it.
 type RenewArgs struct {
 	Service string
 	Holder  string
-	Held    []Held
+	Held    []contract.Held
 }
 
 // Digest is what balancers exchange on each heartbeat. Its size is bounded by
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,152 @@
+package link_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/lotuswing/lotuswing/link"
+	"gotest.tools/v3/assert"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	assert.NilError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return &authority{cert: cert, key: key}
+}
+
+// issue writes a certificate, its key and the authority to files.
+func (a *authority) issue(t *testing.T, dir, name string, until time.Time) link.Files {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-2 * time.Hour), NotAfter: until,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	assert.NilError(t, err)
+	rawKey, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	files := link.Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
+	write := func(file, kind string, der []byte) {
+		assert.NilError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	}
+	write(files.Key, "EC PRIVATE KEY", rawKey)
+	write(files.Cert, "CERTIFICATE", der)
+	write(files.CA, "CERTIFICATE", a.cert.Raw)
+	return files
+}
+
+// echo is a receiver of one method.
+type echo struct{ called int }
+
+func (e *echo) Fetch(a link.FetchArgs, reply *link.FetchReply) error {
+	e.called++
+	reply.Found, reply.Value.Name = true, a.Name
+	return nil
+}
+
+func serve(t *testing.T, config *tls.Config) (string, *echo) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &echo{}
+	s, err := link.Serve(l, config, e)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String(), e
+}
+
+func fetch(t *testing.T, c *link.Client, addr string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var reply link.FetchReply
+	err := c.Call(ctx, addr, link.Fetch, link.FetchArgs{Name: "x"}, &reply)
+	if err == nil {
+		assert.Equal(t, reply.Value.Name, "x")
+	}
+	return err
+}
+
+func config(t *testing.T, files link.Files) *tls.Config {
+	c, err := link.TLSConfig(files)
+	assert.NilError(t, err)
+	return c
+}
+
+// TestOnlyCertifiedPeersGetThrough: a process without a valid certificate
+// calls no method.
+func TestOnlyCertifiedPeersGetThrough(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	soon, past := time.Now().Add(time.Hour), time.Now().Add(-time.Hour)
+	addr, e := serve(t, config(t, ours.issue(t, t.TempDir(), "server", soon)))
+
+	assert.NilError(t, fetch(t, link.NewClient(config(t, ours.issue(t, t.TempDir(), "peer", soon))), addr))
+	assert.Equal(t, e.called, 1)
+	strangers := map[string]*tls.Config{
+		"plain":             nil,
+		"no certificate":    {InsecureSkipVerify: true},
+		"another authority": config(t, theirs.issue(t, t.TempDir(), "peer", soon)),
+		"expired":           config(t, ours.issue(t, t.TempDir(), "peer", past)),
+	}
+	for name, c := range strangers {
+		assert.Assert(t, fetch(t, link.NewClient(c), addr) != nil, name)
+	}
+	assert.Equal(t, e.called, 1)
+}
+
+// TestKeysAreRotatedWithoutRestart: a running server shows the new certificate
+// and keeps its connections.
+func TestKeysAreRotatedWithoutRestart(t *testing.T) {
+	a := newAuthority(t)
+	dir := t.TempDir()
+	files := a.issue(t, dir, "first", time.Now().Add(time.Hour))
+	addr, _ := serve(t, config(t, files))
+	peer := config(t, a.issue(t, t.TempDir(), "peer", time.Now().Add(time.Hour)))
+	old := link.NewClient(peer)
+	assert.NilError(t, fetch(t, old, addr))
+	a.issue(t, dir, "second", time.Now().Add(time.Hour))
+	assert.NilError(t, os.Chtimes(files.Cert, time.Now(), time.Now().Add(time.Minute)))
+	conn, err := tls.Dial("tcp", addr, peer)
+	assert.NilError(t, err)
+	assert.Equal(t, conn.ConnectionState().PeerCertificates[0].Subject.CommonName, "second")
+	assert.NilError(t, conn.Close())
+	assert.NilError(t, fetch(t, old, addr))
+}
+
+// TestSilentPeerIsLeft: a peer that accepts and says nothing costs the caller
+// its own bound, no more.
+func TestSilentPeerIsLeft(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	err = link.NewClient(nil).Call(ctx, l.Addr().String(), link.Fetch, link.FetchArgs{}, &link.FetchReply{})
+	assert.Assert(t, errors.Is(err, link.ErrSilent), "%v", err)
+}
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -268,10 +268,10 @@
 // renew extends the grants in use with the home that the fleet now sees.
 func (n *Node) renew(ctx context.Context) {
 	s := n.snapshot.Load()
-	byService := map[string][]link.Held{}
+	byService := map[string][]contract.Held{}
 	n.private.mu.Lock()
 	for _, g := range n.private.held {
-		byService[g.Service] = append(byService[g.Service], link.Held{ID: g.ID, VM: g.Endpoint.VM, Class: g.Class})
+		byService[g.Service] = append(byService[g.Service], contract.Held{ID: g.ID, VM: g.Endpoint.VM, Class: g.Class})
 	}
 	n.private.mu.Unlock()
 	for service, held := range byService {
--- a/node/host.go
+++ b/node/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -13,6 +14,9 @@
 // errMoved: this balancer is no longer the home of the service.
 var errMoved = errors.New("node: service has moved to another home")
 
+// errRecording: only one trace of a ledger is recorded at a time.
+var errRecording = errors.New("node: a trace of this service is being recorded already")
+
 // errNotWaiting: no request of this identity waits here.
 var errNotWaiting = errors.New("node: request does not wait here")
 
@@ -32,17 +36,45 @@
 	waiters map[string]*waiter
 	moved   chan struct{}
 	gone    bool
+	// recorder writes a trace; nil for none.
+	recorder *contract.Recorder
 }
 
 func newHost(l *contract.Ledger) *host {
 	return &host{ledger: l, waiters: map[string]*waiter{}, moved: make(chan struct{})}
 }
 
-// do calls the ledger and hands its decisions to those who wait for them.
-func (h *host) do(now time.Time, f func(*contract.Ledger) []contract.Decision) {
+// apply does a step and hands the decisions to those who wait for them.
+func (h *host) apply(s contract.Step) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.deliver(now, f(h.ledger))
+	h.deliver(s.At, h.decide(s))
+}
+
+// decide does a step and records it. h.mu is held.
+func (h *host) decide(s contract.Step) []contract.Decision {
+	decisions := h.ledger.Apply(s)
+	if h.recorder != nil {
+		h.recorder.Record(s, decisions)
+	}
+	return decisions
+}
+
+// record writes a trace of all steps until ctx ends.
+func (h *host) record(ctx context.Context, w io.Writer) error {
+	h.mu.Lock()
+	if h.recorder != nil {
+		h.mu.Unlock()
+		return errRecording
+	}
+	r := contract.NewRecorder(w, h.ledger)
+	h.recorder = r
+	h.mu.Unlock()
+	<-ctx.Done()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.recorder = nil
+	return r.Err()
 }
 
 // deliver keeps each decision until the holder fetches it with await.
@@ -59,7 +91,7 @@
 
 // tick lets time pass and forgets decisions that nobody fetched.
 func (h *host) tick(now time.Time) {
-	h.do(now, func(l *contract.Ledger) []contract.Decision { return l.Tick(now) })
+	h.apply(contract.Step{At: now, Op: contract.OpTick})
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, w := range h.waiters {
@@ -76,7 +108,7 @@
 	if h.gone {
 		return contract.Decision{}, errMoved
 	}
-	decisions := h.ledger.Acquire(now, r)
+	decisions := h.decide(contract.Step{At: now, Op: contract.OpAcquire, Request: r})
 	first := decisions[0]
 	if first.Kind == contract.Queued {
 		h.waiters[r.ID] = &waiter{decision: make(chan contract.Decision, 1)}
@@ -116,15 +148,19 @@
 
 // cancel takes back a request, waiting or granted.
 func (h *host) cancel(now time.Time, id string) {
-	h.do(now, func(l *contract.Ledger) []contract.Decision { return l.Cancel(now, id) })
+	h.apply(contract.Step{At: now, Op: contract.OpCancel, ID: id})
 	h.forget(id)
 }
 
 // update replaces the endpoints and marks the leaving ones.
 func (h *host) update(now time.Time, list []contract.Endpoint, marks leaving.Set) {
-	h.do(now, func(l *contract.Ledger) []contract.Decision {
-		return l.SetEndpoints(now, list, marks.Has)
-	})
+	s := contract.Step{At: now, Op: contract.OpEndpoints, Endpoints: list}
+	for _, e := range list {
+		if marks.Has(e.VM) {
+			s.Leaving = append(s.Leaving, e.VM)
+		}
+	}
+	h.apply(s)
 }
 
 // move turns away those who wait.
@@ -142,3 +178,10 @@
 	defer h.mu.Unlock()
 	return h.ledger.Status(now)
 }
+
+// unconfirmed lists the endpoints worth a measurement.
+func (h *host) unconfirmed(now time.Time, silent time.Duration) []contract.Endpoint {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Unconfirmed(now, silent)
+}
--- a/node/measure.go
+++ b/node/measure.go
@@ -224,7 +224,7 @@
 		st.Homes[key] = home.ID
 	}
 	for service, host := range n.homes.all() {
-		st.Services[service] = host.status(now)
+		st.Services[service] = host.status(n.now())
 	}
 	for name := range st.Versions {
 		if v := n.replica.Rejected(name); v > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -168,6 +169,13 @@
 	}()
 }
 
+// now returns the time for the ledgers: it follows the monotonic clock, so a
+// jump of the wall clock moves nothing, and it has no hidden reading, so a
+// trace holds all of it.
+func (n *Node) now() time.Time {
+	return n.started.Round(0).Add(time.Since(n.started))
+}
+
 // tick lets time pass for the ledgers and notices pauses of the process.
 func (n *Node) tick(context.Context) {
 	now := time.Now()
@@ -178,7 +186,7 @@
 			m.drop()
 		}
 	}
-	n.homes.tick(now)
+	n.homes.tick(n.now())
 }
 
 // Leave announces a planned stop to all peers: they choose other homes and
@@ -207,6 +215,15 @@
 	n.done.Wait()
 }
 
+// Record writes a trace of the decisions about a service, of which this node
+// must be the home, until ctx ends.
+func (n *Node) Record(ctx context.Context, service string, w io.Writer) error {
+	if n.snapshot.Load().homes[service].ID != n.cfg.Settings.ID {
+		return fmt.Errorf("node: %s is not the home of %q", n.cfg.Settings.ID, service)
+	}
+	return n.homes.get(service).record(ctx, w)
+}
+
 // NextID returns an identity for a request, unique among all balancers.
 func (n *Node) NextID() string {
 	return fmt.Sprintf("%s-%x-%x", n.cfg.Settings.ID, n.started.UnixMilli(), n.sequence.Add(1))
@@ -235,7 +252,7 @@
 	}
 	s := h.node.snapshot.Load()
 	made := newHost(contract.NewLedger(contract.Options{}))
-	made.update(time.Now(), s.endpoints[service], s.leaving)
+	made.update(h.node.now(), s.endpoints[service], s.leaving)
 	h.hosts[service] = made
 	return made
 }
@@ -259,15 +276,14 @@
 // update tells the ledgers of a new list of endpoints and marks.
 func (h *homes) update(s *snapshot) {
 	for service, host := range h.all() {
-		host.update(time.Now(), s.endpoints[service], s.leaving)
+		host.update(h.node.now(), s.endpoints[service], s.leaving)
 	}
 }
 
 // dropHolder ends the contracts of a balancer that is gone.
 func (h *homes) dropHolder(id string) {
 	for _, host := range h.all() {
-		now := time.Now()
-		host.do(now, func(l *contract.Ledger) []contract.Decision { return l.DropHolder(now, id) })
+		host.apply(contract.Step{At: h.node.now(), Op: contract.OpDrop, Holder: id})
 	}
 }
 
--- a/node/receiver.go
+++ b/node/receiver.go
@@ -24,7 +24,7 @@
 
 // Acquire decides about a request.
 func (r *receiver) Acquire(a link.AcquireArgs, reply *link.AcquireReply) error {
-	now := time.Now()
+	now := r.node.now()
 	d, err := r.node.homes.get(a.Service).acquire(now, contract.Request{
 		ID:        a.ID,
 		Holder:    a.Holder,
@@ -57,24 +57,22 @@
 
 // Complete ends a contract.
 func (r *receiver) Complete(d link.Done, _ *link.Empty) error {
-	now := time.Now()
-	r.node.homes.get(d.Service).do(now, func(l *contract.Ledger) []contract.Decision {
-		out := sign(l, now, d.VM, d.Load)
-		return append(out, l.Complete(now, d.ID, d.Outcome, d.Took)...)
-	})
+	h := r.node.homes.get(d.Service)
+	now := r.node.now()
+	applyLoad(h, now, d.VM, d.Load)
+	h.apply(contract.Step{At: now, Op: contract.OpComplete, ID: d.ID, Outcome: d.Outcome, Took: d.Took})
 	return nil
 }
 
-// sign tells a ledger what an endpoint said of itself.
-func sign(l *contract.Ledger, now time.Time, vm string, load link.Load) []contract.Decision {
+// applyLoad tells a ledger what an endpoint said of itself.
+func applyLoad(h *host, now time.Time, vm string, load link.Load) {
 	switch {
 	case !load.Known:
-		return nil
 	case load.State == link.Draining:
-		l.Leaving(vm)
-		return nil
+		h.apply(contract.Step{At: now, Op: contract.OpLeaving, VM: vm})
+	default:
+		h.apply(contract.Step{At: now, Op: contract.OpSign, VM: vm, Cold: load.State == link.Cold})
 	}
-	return l.Sign(now, vm, load.State == link.Cold)
 }
 
 // Cancel takes back a request.
@@ -85,14 +83,7 @@
 
 // Renew extends contracts and adopts those that another home granted.
 func (r *receiver) Renew(a link.RenewArgs, _ *link.Empty) error {
-	now := time.Now()
-	r.node.homes.get(a.Service).do(now, func(l *contract.Ledger) []contract.Decision {
-		for _, held := range a.Held {
-			l.Adopt(now, a.Holder, held.ID, held.VM, held.Class)
-			l.Renew(now, []string{held.ID})
-		}
-		return nil
-	})
+	r.node.homes.get(a.Service).apply(contract.Step{At: r.node.now(), Op: contract.OpRenew, Holder: a.Holder, Held: a.Held})
 	return nil
 }
 
@@ -126,19 +117,12 @@
 
 // Unconfirmed lists the endpoints worth a measurement.
 func (r *receiver) Unconfirmed(a link.UnconfirmedArgs, reply *link.UnconfirmedReply) error {
-	now := time.Now()
-	r.node.homes.get(a.Service).do(now, func(l *contract.Ledger) []contract.Decision {
-		reply.Endpoints = l.Unconfirmed(now, a.Silent)
-		return nil
-	})
+	reply.Endpoints = r.node.homes.get(a.Service).unconfirmed(r.node.now(), a.Silent)
 	return nil
 }
 
 // Sign notes what an endpoint said of itself.
 func (r *receiver) Sign(a link.SignArgs, _ *link.Empty) error {
-	now := time.Now()
-	r.node.homes.get(a.Service).do(now, func(l *contract.Ledger) []contract.Decision {
-		return sign(l, now, a.VM, a.Load)
-	})
+	applyLoad(r.node.homes.get(a.Service), r.node.now(), a.VM, a.Load)
 	return nil
 }
--- a/server/admin.go
+++ b/server/admin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"time"
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -26,6 +27,7 @@
 	mux.Handle("GET /readyz", kitHandler(s.ready))
 	mux.Handle("GET /status", kitHandler(s.status))
 	mux.HandleFunc("GET /metrics", s.writeMetrics)
+	mux.HandleFunc("GET /trace", s.trace)
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -81,3 +83,21 @@
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	telemetry.WritePrometheus(w, s.metrics)
 }
+
+// longestTrace bounds the recording of a trace.
+const longestTrace = 10 * time.Minute
+
+// trace records the decisions about a service, for "lotusctl replay".
+func (s *Server) trace(w http.ResponseWriter, r *http.Request) {
+	span, err := time.ParseDuration(r.URL.Query().Get("for"))
+	if err != nil || span <= 0 || span > longestTrace {
+		http.Error(w, "for: a duration of at most 10m belongs here", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), span)
+	defer cancel()
+	if err := s.node.Record(ctx, r.URL.Query().Get("service"), w); err != nil {
+		s.cfg.Log.Warn("trace not recorded", "error", err)
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
--- a/systemtest/history_test.go
+++ b/systemtest/history_test.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/audit"
 	"github.com/lotuswing/lotuswing/load"
 	"github.com/lotuswing/lotuswing/standin"
 	"gotest.tools/v3/assert"
@@ -31,30 +32,19 @@
 	return len(h.answers)
 }
 
-// violations lists every answer that the endpoints' own counts contradict.
-func violations(answers map[string]load.Answer, runs map[string][]standin.Run, once func(path string) bool) []string {
-	var out []string
-	for key, list := range runs {
-		if once(list[0].Path) && len(list) > 1 {
-			out = append(out, fmt.Sprintf("%s ran %d times", key, len(list)))
-		}
-	}
-	for key, a := range answers {
-		list := runs[key]
-		switch {
-		case a.Err == nil && a.Verdict == verdict.NotRun.String() && len(list) > 0:
-			out = append(out, fmt.Sprintf("%s was told not-run (%s) and ran", key, a.Reason))
-		case a.Err == nil && a.Verdict == verdict.Ran.String() && len(list) == 0:
-			out = append(out, fmt.Sprintf("%s was told ran and did not", key))
-		case a.Whole && a.Status == 200 && a.Body != wantBody(key, list[0].Path, "stamped"):
-			out = append(out, fmt.Sprintf("%s got %q", key, a.Body))
-		}
+// told returns the history as the audit wants it. Keys begin with the path.
+func (h *history) told() []audit.Told {
+	var out []audit.Told
+	for key, a := range h.answers {
+		path := key[:strings.LastIndexByte(key, '-')]
+		out = append(out, audit.Told{
+			Key: key, Once: path == "/petitions", Failed: a.Err != nil, Status: a.Status, Verdict: a.Verdict,
+			Reason: a.Reason, Whole: a.Whole, Body: a.Body, Want: wantBody(key, path, "stamped"),
+		})
 	}
 	return out
 }
 
-func isFiling(path string) bool { return path == "/petitions" }
-
 func (f *fleet) runs() map[string][]standin.Run {
 	out := map[string][]standin.Run{}
 	for _, e := range f.endpoints {
@@ -121,34 +111,6 @@
 	}
 	c.t.Logf("%d answers: %d ran, %d not run, %d open", c.history.len(), ran, refused, open)
 	assert.Assert(c.t, ran > c.history.len()/2, "too few ran to prove anything")
-	found := violations(c.history.answers, c.f.runs(), isFiling)
+	found := audit.Answers(c.history.told(), c.f.runs())
 	assert.Equal(c.t, len(found), 0, "%v", found)
 }
-
-// TestViolationsAreCounted shows that the check of histories can fail, for
-// each kind of violation.
-func TestViolationsAreCounted(t *testing.T) {
-	run := standin.Run{Key: "k", Path: "/petitions"}
-	whole := load.Answer{Status: 200, Verdict: "ran", Whole: true, Body: wantBody("k", "/petitions", "stamped")}
-	cases := map[string]struct {
-		answer load.Answer
-		runs   []standin.Run
-		want   int
-	}{
-		"as it should be":      {whole, []standin.Run{run}, 0},
-		"ran twice":            {whole, []standin.Run{run, run}, 1},
-		"told not-run and ran": {load.Answer{Verdict: "not-run"}, []standin.Run{run}, 1},
-		"told ran and did not": {load.Answer{Verdict: "ran"}, nil, 1},
-		"another's answer":     {load.Answer{Status: 200, Verdict: "ran", Whole: true, Body: wantBody("other", "/petitions", "stamped")}, []standin.Run{run}, 1},
-		"a short answer":       {load.Answer{Status: 200, Verdict: "ran", Whole: true, Body: "key=k"}, []standin.Run{run}, 1},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			runs := map[string][]standin.Run{}
-			if c.runs != nil {
-				runs["k"] = c.runs
-			}
-			assert.Equal(t, len(violations(map[string]load.Answer{"k": c.answer}, runs, isFiling)), c.want)
-		})
-	}
-}
--- /dev/null
+++ b/upstream/load_test.go
@@ -0,0 +1,29 @@
+package upstream_test
+
+import (
+	"testing"
+
+	"github.com/lotuswing/lotuswing/link"
+	"github.com/lotuswing/lotuswing/upstream"
+	"gotest.tools/v3/assert"
+)
+
+// TestLoadReports are read leniently; one without a known state is not known.
+func TestLoadReports(t *testing.T) {
+	want := link.Load{Known: true, InFlight: 2, Slots: 3, State: link.Draining}
+	assert.Equal(t, upstream.ParseLoad("inflight=2, slots=3, state=draining"), want)
+	assert.Equal(t, upstream.ParseLoad(upstream.FormatLoad(want)), want)
+	assert.Assert(t, !upstream.ParseLoad("").Known)
+	assert.Assert(t, !upstream.ParseLoad("inflight=2, state=happy").Known)
+}
+
+// FuzzParseLoad: what is read can be written and read again.
+func FuzzParseLoad(f *testing.F) {
+	f.Add("inflight=2, slots=3, state=cold")
+	f.Fuzz(func(t *testing.T, header string) {
+		load := upstream.ParseLoad(header)
+		if load.Known {
+			assert.Equal(t, upstream.ParseLoad(upstream.FormatLoad(load)), load)
+		}
+	})
+}
