--- a/coord/budget/account_test.go
+++ b/coord/budget/account_test.go
@@ -142,7 +142,7 @@
 		if !ok {
 			return
 		}
-		if w.maybePause(h, 60) {
+		if w.maybePause(h, 30) {
 			h.covered = true
 			return
 		}
@@ -202,4 +202,6 @@
 	assert.Assert(t, ok)
 	_, ok = a.Spend(now.Add(ttl), cost)
 	assert.Assert(t, !ok)
+	// What was covered before a pause is not sent after it.
+	assert.Assert(t, a.Holds(now) && !a.Holds(now.Add(ttl)))
 }
