Capacity measured from slopes; heartbeats whose cost does not grow

'lotusctl experiment capacity' fits lines through three sizes of each part and works out one node at today's size and at that of two years.

Cause of two lines that were over: a digest sorted the whole table and sent 32 members. Change: changed members are sent 3*log2(n) times, a few others in turn; one who joins gets all at once. Marks of VMs that the list no longer names are forgotten after ten minutes (they were kept for good).

Still over, and named: acquire calls, the whole list of VMs, whole configuration documents.

--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -196,7 +196,7 @@
 	}
 	defer func() {
 		e.Took = time.Since(sent)
-		b.cfg.Fleet.Complete(grant, e)
+		go b.cfg.Fleet.Complete(grant, e) // the caller's last bytes go first
 	}()
 	if res.Answer.StatusCode == http.StatusSwitchingProtocols {
 		return b.upgrade(x, res)
--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -1,11 +1,14 @@
 package cli
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/capacity"
 	"github.com/lotuswing/lotuswing/experiment"
 )
 
@@ -14,10 +17,48 @@
 	a.add("experiment", "Measure the policies in virtual time.", func(c *kingpin.CmdClause) func() error {
 		quick := c.Flag("quick", "a smaller matrix, within 20 s").Bool()
 		dir := c.Flag("out", "also write tables and plots to this directory").String()
-		return func() error { return runExperiment(a.env, *quick, *dir) }
+		what := c.Arg("what", "policies, or capacity for the slopes of docs/CAPACITY.md").Default("policies").Enum("policies", "capacity")
+		page := c.Flag("page", "with capacity: a page whose tables are rewritten").String()
+		return func() error {
+			if *what == "capacity" {
+				return measureCapacity(a.env, *page)
+			}
+			return runExperiment(a.env, *quick, *dir)
+		}
 	})
 }
 
+// Marks in the page between which the tables stand.
+const (
+	tablesBegin = "<!-- tables: lotusctl experiment capacity --page docs/CAPACITY.md -->\n"
+	tablesEnd   = "<!-- end of tables -->\n"
+)
+
+func measureCapacity(e *env, page string) error {
+	var tables bytes.Buffer
+	if err := capacity.WriteMarkdown(&tables, capacity.Measure()); err != nil {
+		return err
+	}
+	if page == "" {
+		_, err := e.out.Write(tables.Bytes())
+		return err
+	}
+	raw, err := os.ReadFile(page)
+	if err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	before, rest, ok := strings.Cut(string(raw), tablesBegin)
+	_, after, ok2 := strings.Cut(rest, tablesEnd)
+	if !ok || !ok2 {
+		return fmt.Errorf("experiment: %s has no place for the tables", page)
+	}
+	text := before + tablesBegin + tables.String() + tablesEnd + after
+	if err := os.WriteFile(page, []byte(text), 0o644); err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	return nil
+}
+
 func runExperiment(e *env, quick bool, dir string) error {
 	size := experiment.Full
 	if quick {
--- a/coord/contract/ledger.go
+++ b/coord/contract/ledger.go
@@ -295,7 +295,6 @@
 		s.health = s.health.WithFailure(now)
 	case Unused:
 	}
-	l.relearn()
 	return l.dispatch(now)
 }
 
@@ -330,7 +329,8 @@
 	l.hold(now, s, Request{ID: id, Holder: holder, Class: class})
 }
 
-// Tick ends what has run out: patience and contracts.
+// Tick ends what has run out, patience and contracts, and compares the
+// endpoints with one another. Call it every few milliseconds.
 func (l *Ledger) Tick(now time.Time) []Decision {
 	for _, s := range l.order {
 		for id, held := range s.held {
@@ -339,6 +339,7 @@
 			}
 		}
 	}
+	l.relearn()
 	return l.dispatch(now)
 }
 
--- a/coord/contract/ledger_test.go
+++ b/coord/contract/ledger_test.go
@@ -238,6 +238,7 @@
 		l.Adopt(start, "h", id, "e2", contract.Interactive)
 		l.Complete(start, id, contract.Completed, 200*time.Millisecond)
 	}
+	l.Tick(start)
 	kinds := map[contract.Kind]int{}
 	toSlow := 0
 	for i := range 12 {
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -16,6 +16,7 @@
 package member
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -52,7 +53,8 @@
 type Options struct {
 	SuspectFor time.Duration // before a suspect is dead; default 2 s
 	ForgetFor  time.Duration // before a dead member is forgotten; default 1 h
-	DigestSize int           // members sent with a message; default 32
+	DigestNews int           // changed members sent with a message; default 8
+	DigestRest int           // other members sent with a message, in turn; default 4
 }
 
 type record struct {
@@ -61,12 +63,19 @@
 	sent  int       // times it was in a digest since it changed
 }
 
+// spreadFactor times the binary logarithm of the fleet's size is how often a
+// change is sent by each member that hears of it.
+const spreadFactor = 3
+
 // Table is the view. It is not safe for concurrent use.
 type Table struct {
 	self    string
 	opts    Options
 	records map[string]*record
 	order   []string // members still to be probed in this round
+	news    []string // members that changed and have not been told often enough
+	ring    []string // all members, told in turn
+	next    int      // in ring
 }
 
 // NewTable returns a table that knows only self.
@@ -77,8 +86,11 @@
 	if opts.ForgetFor == 0 {
 		opts.ForgetFor = time.Hour
 	}
-	if opts.DigestSize == 0 {
-		opts.DigestSize = 32
+	if opts.DigestNews == 0 {
+		opts.DigestNews = 8
+	}
+	if opts.DigestRest == 0 {
+		opts.DigestRest = 4
 	}
 	t := &Table{self: self.ID, opts: opts, records: map[string]*record{}}
 	t.records[self.ID] = &record{Member: self}
@@ -107,16 +119,27 @@
 		if m.State == Dead || m.State == Left {
 			return false
 		}
-		t.records[m.ID] = &record{Member: m, since: now}
+		t.set(now, m)
 		return true
 	}
 	if !overrides(m, old.Member) {
 		return false
 	}
-	t.records[m.ID] = &record{Member: m, since: now}
+	t.set(now, m)
 	return true
 }
 
+// set puts in an entry and makes it news.
+func (t *Table) set(now time.Time, m Member) {
+	if _, known := t.records[m.ID]; !known {
+		t.ring = append(t.ring, m.ID)
+	}
+	t.records[m.ID] = &record{Member: m, since: now}
+	if !slices.Contains(t.news, m.ID) {
+		t.news = append(t.news, m.ID)
+	}
+}
+
 // overrides is SWIM's order of claims about one member.
 func overrides(claim, known Member) bool {
 	if claim.Incarnation != known.Incarnation {
@@ -135,7 +158,6 @@
 		return false
 	}
 	self.Incarnation = m.Incarnation + 1
-	self.sent = 0
 	return true
 }
 
@@ -143,7 +165,6 @@
 func (t *Table) Leave() {
 	self := t.records[t.self]
 	self.State = Left
-	self.sent = 0
 }
 
 // Heard notes that a member answered, which ends a local suspicion only
@@ -159,7 +180,9 @@
 	if !ok || id == t.self || r.State != Alive {
 		return false
 	}
-	r.State, r.since, r.sent = Suspect, now, 0
+	suspect := r.Member
+	suspect.State = Suspect
+	t.set(now, suspect)
 	return true
 }
 
@@ -169,7 +192,9 @@
 	for id, r := range t.records {
 		switch {
 		case r.State == Suspect && now.Sub(r.since) >= t.opts.SuspectFor:
-			r.State, r.since, r.sent = Dead, now, 0
+			dead := r.Member
+			dead.State = Dead
+			t.set(now, dead)
 			changed = true
 		case (r.State == Dead || r.State == Left) && id != t.self && now.Sub(r.since) >= t.opts.ForgetFor:
 			delete(t.records, id)
@@ -208,29 +233,74 @@
 	return ids
 }
 
-// Digest returns the members to send along: self first, then those told least
-// often since they changed. Its size is bounded.
+// Digest returns the members to send along: self, some that changed lately,
+// and some others in turn. Neither its size nor its cost depends on the size
+// of the fleet.
 func (t *Table) Digest() []Member {
-	all := make([]*record, 0, len(t.records))
-	for id, r := range t.records {
-		if id != t.self {
-			all = append(all, r)
+	out := []Member{t.Self()}
+	enough := spreadFactor * bits.Len(uint(len(t.records)))
+	var again []string
+	for i, id := range t.news {
+		if len(out) > t.opts.DigestNews {
+			again = append(again, t.news[i:]...)
+			break
+		}
+		r, ok := t.records[id]
+		if !ok {
+			continue
+		}
+		out = append(out, r.Member)
+		if r.sent++; r.sent < enough {
+			again = append(again, id)
 		}
 	}
-	slices.SortFunc(all, func(a, b *record) int {
-		if a.sent != b.sent {
-			return a.sent - b.sent
+	t.news = rotate(again, len(out)-1)
+	return t.rest(out)
+}
+
+// rotate moves the first n names to the end, so that all have their turn.
+func rotate(names []string, n int) []string {
+	if n >= len(names) {
+		return names
+	}
+	return append(slices.Clone(names[n:]), names[:n]...)
+}
+
+// rest adds members in turn to a digest; names of forgotten members leave the
+// ring on the way.
+func (t *Table) rest(out []Member) []Member {
+	for range min(t.opts.DigestRest, len(t.ring)) {
+		t.next %= len(t.ring)
+		r, ok := t.records[t.ring[t.next]]
+		if !ok {
+			t.ring = slices.Delete(t.ring, t.next, t.next+1)
+			if len(t.ring) == 0 {
+				break
+			}
+			continue
 		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	out := []Member{t.Self()}
-	for _, r := range all[:min(len(all), t.opts.DigestSize)] {
-		r.sent++
+		out = append(out, r.Member)
+		t.next++
+	}
+	return out
+}
+
+// All returns every member, for one that has just joined.
+func (t *Table) All() []Member {
+	out := make([]Member, 0, len(t.records))
+	for _, r := range t.records {
 		out = append(out, r.Member)
 	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
+// Knows reports whether a member is in the table.
+func (t *Table) Knows(id string) bool {
+	_, ok := t.records[id]
+	return ok
+}
+
 // View returns the members that are alive or only suspected, in order of ID.
 func (t *Table) View() View {
 	var v View
--- a/node/node.go
+++ b/node/node.go
@@ -146,6 +146,7 @@
 	n.loop(ctx, tickPeriod, n.tick)
 	n.loop(ctx, renewPeriod, n.renew)
 	n.loop(ctx, vmListPeriod, n.pollVMs)
+	n.loop(ctx, forgetPeriod, n.forget)
 	for _, name := range n.cfg.Settings.Tenants {
 		n.loop(ctx, watchPause, func(ctx context.Context) { n.watch(ctx, name) })
 		n.loop(ctx, measurePeriod, n.meters[name].step)
--- a/node/receiver.go
+++ b/node/receiver.go
@@ -89,9 +89,13 @@
 
 // Exchange swaps digests.
 func (r *receiver) Exchange(d link.Digest, reply *link.Digest) error {
+	joins := !r.node.knows(d.From.ID)
 	r.node.takeIn(d)
 	go r.node.fetchNewer(d.From.Addr, d.Versions)
 	*reply = r.node.digest()
+	if joins {
+		reply.Members = r.node.allMembers()
+	}
 	return nil
 }
 
--- a/node/spread.go
+++ b/node/spread.go
@@ -111,6 +111,42 @@
 	}
 }
 
+func (n *Node) knows(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Knows(id)
+}
+
+func (n *Node) allMembers() []member.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.All()
+}
+
+const (
+	// forgetPeriod is between two looks for marks that are no longer needed.
+	forgetPeriod = time.Minute
+	// keepMarks is how long a mark travels after its VM has left the list:
+	// longer than any list lags.
+	keepMarks = 10 * time.Minute
+)
+
+// forget drops the marks of VMs that the list has not named for long.
+func (n *Node) forget(context.Context) {
+	listed := map[string]bool{}
+	for _, m := range n.snapshot.Load().vms.VMs {
+		listed[m.ID] = true
+	}
+	n.mu.Lock()
+	before := n.marks.Len()
+	n.marks = n.marks.Forget(time.Now().Add(-keepMarks), func(vm string) bool { return listed[vm] })
+	changed := n.marks.Len() != before
+	n.mu.Unlock()
+	if changed {
+		n.rebuild()
+	}
+}
+
 // takeIn merges what a peer said of members and leaving endpoints.
 func (n *Node) takeIn(d link.Digest) {
 	now := time.Now()
--- a/standin/store.go
+++ b/standin/store.go
@@ -157,7 +157,7 @@
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
-	entry, ok := s.lookup(keyOf(r))
+	entry, ok := s.Lookup(keyOf(r))
 	if !ok {
 		http.Error(w, "no such key", http.StatusNotFound)
 		return
@@ -165,8 +165,8 @@
 	writeJSON(w, entry)
 }
 
-// lookup returns the entry of a key whose lease has not lapsed.
-func (s *Store) lookup(key string) (store.Entry, bool) {
+// Lookup returns the entry of a key whose lease has not lapsed.
+func (s *Store) Lookup(key string) (store.Entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.live(key)
