--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -89,5 +89,12 @@
 		return fmt.Errorf("experiment: %w", err)
 	}
 	defer func() { _ = f.Close() }()
-	return experiment.WriteTable(f, results)
+	if err := experiment.WriteTable(f, results); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(f)
+	if err := experiment.WriteComparison(f, results); err != nil {
+		return err
+	}
+	return experiment.Plot(dir, results)
 }
--- a/experiment/baselines.go
+++ b/experiment/baselines.go
@@ -127,7 +127,7 @@
 	b := r.balancer
 	i, ok := d.choose(b, r)
 	if !ok && d.limit > 0 && d.w.now.Sub(r.began) < patience[r.class] {
-		d.w.after(alonePause, func() { d.arrive(r) })
+		d.w.after(alonePause[r.class], func() { d.arrive(r) })
 		return
 	}
 	if !ok {
--- a/experiment/home.go
+++ b/experiment/home.go
@@ -14,9 +14,11 @@
 	tickEvery    = 20 * time.Millisecond
 	renewEvery   = time.Second
 	contractsFor = 3 * time.Second
-	alonePause   = 10 * time.Millisecond
 )
 
+// alonePause is how long a request without a home waits for room, by class.
+var alonePause = [...]time.Duration{contract.Interactive: 10 * time.Millisecond, contract.Patient: 100 * time.Millisecond}
+
 // homePolicy is the product's own: contracts from the ledger of one home,
 // with the delays of the links.
 type homePolicy struct {
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -189,8 +189,10 @@
 	// aloneLimit is how many requests a balancer that chooses alone has in
 	// flight on one endpoint, for each of its slots that would be its share.
 	aloneLimit = 2
-	// alonePause is between two looks for an endpoint with room.
-	alonePause = 10 * time.Millisecond
+	// alonePause is between two looks for an endpoint with room, and
+	// alonePausePatient that of patient requests, which so come second.
+	alonePause        = 10 * time.Millisecond
+	alonePausePatient = 100 * time.Millisecond
 )
 
 // alone chooses an endpoint without a home, and waits while this balancer has
@@ -208,7 +210,11 @@
 		case !time.Now().Before(end):
 			return Grant{}, &Refusal{Reason: reason.Expired, RetryAfter: time.Second}
 		}
-		pause(ctx, alonePause)
+		if a.Class == contract.Patient {
+			pause(ctx, alonePausePatient)
+		} else {
+			pause(ctx, alonePause)
+		}
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -225,6 +225,12 @@
 	return n.homes.get(service).record(ctx, w)
 }
 
+// Version returns the version of a document that is in force here, 0 for none.
+func (n *Node) Version(name string) uint64 {
+	v, _ := n.replica.Get(name)
+	return v.Version
+}
+
 // NextID returns an identity for a request, unique among all balancers.
 func (n *Node) NextID() string {
 	return fmt.Sprintf("%s-%x-%x", n.cfg.Settings.ID, n.started.UnixMilli(), n.sequence.Add(1))
--- a/node/spread.go
+++ b/node/spread.go
@@ -177,22 +177,28 @@
 	}
 }
 
-// reachThroughOthers asks two other members to try one that did not answer.
+// reachThroughOthers asks two other members, at the same time, to try one that
+// did not answer.
 func (n *Node) reachThroughOthers(ctx context.Context, target member.Member) bool {
-	asked := 0
+	ctx, cancel := context.WithTimeout(ctx, 2*heartbeatWait)
+	defer cancel()
+	var helpers []string
 	for _, m := range n.snapshot.Load().view.Members {
-		if m.ID == target.ID || m.ID == n.cfg.Settings.ID {
-			continue
+		if m.ID != target.ID && m.ID != n.cfg.Settings.ID && len(helpers) < heartbeatFanout {
+			helpers = append(helpers, m.Addr)
 		}
-		cctx, cancel := context.WithTimeout(ctx, 2*heartbeatWait)
-		err := n.client.Call(cctx, m.Addr, link.Reach, link.ReachArgs{Addr: target.Addr}, &link.Empty{})
-		cancel()
-		if err == nil {
+	}
+	reached := make(chan bool, len(helpers))
+	for _, addr := range helpers {
+		go func() {
+			err := n.client.Call(ctx, addr, link.Reach, link.ReachArgs{Addr: target.Addr}, &link.Empty{})
+			reached <- err == nil
+		}()
+	}
+	for range helpers {
+		if <-reached {
 			return true
 		}
-		if asked++; asked == 2 {
-			break
-		}
 	}
 	return false
 }
@@ -205,6 +211,7 @@
 	if changed {
 		n.rebuild()
 		n.log.Info("peer is suspected", "peer", m.ID, "addr", m.Addr)
+		go n.toSomePeers(func(ctx context.Context, addr string) { n.exchange(ctx, addr) })
 	}
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"runtime"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -210,3 +211,53 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapInuse + m.StackInuse
 }
+
+// BenchmarkInForce measures the time from a write in the store until the last
+// of the balancers has the version in force, and the calls on the store.
+func BenchmarkInForce(b *testing.B) {
+	for _, n := range []int{3, 16, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newRig(b, n, 3)
+			version := uint64(1)
+			var took []time.Duration
+			calls, begin := r.store.Calls(), time.Now()
+			for b.Loop() {
+				version++
+				r.publish(b, version)
+				at := time.Now()
+				for _, s := range r.servers {
+					for s.Node().Version("config/bennani") < version {
+						time.Sleep(time.Millisecond)
+					}
+				}
+				took = append(took, time.Since(at))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(quantile(took, 0.5).Milliseconds()), "p50-ms")
+			b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "worst-ms")
+			b.ReportMetric(float64(r.store.Calls()-calls)/time.Since(begin).Seconds(), "store-calls/s")
+		})
+	}
+}
+
+// BenchmarkControl measures what balancers at rest spend on one another.
+func BenchmarkControl(b *testing.B) {
+	for _, n := range []int{3, 16, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newRig(b, n, 3)
+			calls, cpu, begin := r.store.Calls(), processorTime(b), time.Now()
+			for b.Loop() {
+				time.Sleep(time.Second)
+			}
+			span := time.Since(begin).Seconds()
+			b.ReportMetric(100*(processorTime(b)-cpu).Seconds()/span/float64(n), "%core/balancer")
+			b.ReportMetric(float64(r.store.Calls()-calls)/span, "store-calls/s")
+		})
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
