--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -93,6 +93,20 @@
 	f.endings = append(f.endings, e)
 }
 
+// ending waits for the report of an attempt, which comes after the caller has
+// its answer.
+func (f *fakeFleet) ending(i int) node.Ending {
+	for {
+		f.mu.Lock()
+		if len(f.endings) > i {
+			defer f.mu.Unlock()
+			return f.endings[i]
+		}
+		f.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // bench is a balancer in front of faulty endpoints.
 type bench struct {
 	fleet     *fakeFleet
@@ -216,7 +230,7 @@
 	got := b.call(t, "POST", "/once", "petition", "stamped", http.Header{})
 	assert.Equal(t, got.status, http.StatusOK)
 	assert.Equal(t, b.endpoints[1].Ran("petition"), 1)
-	assert.Equal(t, b.fleet.endings[0].Outcome, contract.Shed)
+	assert.Equal(t, b.fleet.ending(0).Outcome, contract.Shed)
 }
 
 // TestBareRejectionIsRepeatedForReadsOnly: an endpoint that rejects everything
@@ -226,7 +240,7 @@
 	b.endpoints[0].Set(faulty.Bare503)
 	got := b.call(t, "GET", "/read", "read", "", http.Header{})
 	assert.Equal(t, got.status, http.StatusOK)
-	assert.Equal(t, b.fleet.endings[0].Outcome, contract.Failed)
+	assert.Equal(t, b.fleet.ending(0).Outcome, contract.Failed)
 	got = b.call(t, "POST", "/once", "filing", "x", http.Header{})
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Equal(t, got.verdict, "ran")
@@ -310,16 +324,7 @@
 	}()
 	_, err = http.DefaultClient.Do(req)
 	assert.Assert(t, err != nil)
-	for {
-		b.fleet.mu.Lock()
-		n := len(b.fleet.endings)
-		b.fleet.mu.Unlock()
-		if n > 0 {
-			break
-		}
-		time.Sleep(time.Millisecond)
-	}
-	assert.Equal(t, b.fleet.endings[0].Outcome, contract.Unused)
+	assert.Equal(t, b.fleet.ending(0).Outcome, contract.Unused)
 	assert.Equal(t, b.ran("k"), 1)
 }
 
--- a/cli/standins.go
+++ b/cli/standins.go
@@ -21,6 +21,7 @@
 		var opts standin.EndpointOptions
 		addr := c.Flag("listen", "address").Required().String()
 		c.Flag("slots", "requests served at a time").Default("3").IntVar(&opts.Slots)
+		c.Flag("queue", "requests that wait for a slot before others are shed").Default("0").IntVar(&opts.Queue)
 		c.Flag("service-time", "mean time of a request").Default("20ms").DurationVar(&opts.ServiceTime)
 		c.Flag("spread", "of the logarithm of service times").Default("0").Float64Var(&opts.Spread)
 		c.Flag("cold-for", "how long it reports to be cold").DurationVar(&opts.ColdFor)
--- a/coord/health/health.go
+++ b/coord/health/health.go
@@ -58,6 +58,7 @@
 type State struct {
 	opts     Options
 	log      float64 // moving average of the logarithm of the ratio
+	slowness float64 // its exponential, kept because it is read far more often
 	samples  int
 	failures int // in a row
 	ejected  int // times in a row
@@ -65,11 +66,11 @@
 }
 
 // New returns the state of an endpoint of which nothing is known.
-func New(opts Options) State { return State{opts: opts.withDefaults()} }
+func New(opts Options) State { return State{opts: opts.withDefaults(), slowness: 1} }
 
 // Slowness returns how many times longer the endpoint takes than usual; 1
 // while nothing is known.
-func (s State) Slowness() float64 { return math.Exp(s.log) }
+func (s State) Slowness() float64 { return s.slowness }
 
 // Known reports whether a request has completed.
 func (s State) Known() bool { return s.samples > 0 }
@@ -93,6 +94,7 @@
 	} else {
 		s.log += alpha * (sample - s.log)
 	}
+	s.slowness = math.Exp(s.log)
 	s.samples++
 	s.failures = 0
 	s.ejected = 0
@@ -153,5 +155,5 @@
 
 // Restore returns the state that a snapshot was taken of.
 func Restore(opts Options, s Snapshot) State {
-	return State{opts: opts.withDefaults(), log: s.Log, samples: s.Samples, failures: s.Failures, ejected: s.Ejected, until: s.Until}
+	return State{opts: opts.withDefaults(), log: s.Log, slowness: math.Exp(s.Log), samples: s.Samples, failures: s.Failures, ejected: s.Ejected, until: s.Until}
 }
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -83,7 +83,7 @@
 	end := time.Now().Add(a.Patience)
 	for {
 		home, ok := n.snapshot.Load().homes[a.Service]
-		if !ok || n.private.isSilent(home.ID, time.Now()) {
+		if !ok || n.cfg.Alone || n.private.isSilent(home.ID, time.Now()) {
 			return n.alone(ctx, a, end)
 		}
 		a.Patience = time.Until(end)
--- a/server/server.go
+++ b/server/server.go
@@ -30,6 +30,8 @@
 	Settings settings.Settings
 	Log      hclog.Logger
 	Traces   io.Writer // of the exporter "stderr"
+	// Alone makes every choice without a home, to compare with.
+	Alone bool
 }
 
 // Server is a running balancer process.
@@ -59,7 +61,12 @@
 	if s.adminL, err = net.Listen("tcp", cfg.Settings.Admin); err != nil {
 		return nil, errors.Join(fmt.Errorf("server: admin address: %w", err), s.frontL.Close())
 	}
-	if s.node, err = node.Start(node.Config{Settings: cfg.Settings, Log: cfg.Log.Named("node"), Metrics: s.metrics}); err != nil {
+	if s.node, err = node.Start(node.Config{
+		Settings: cfg.Settings,
+		Log:      cfg.Log.Named("node"),
+		Metrics:  s.metrics,
+		Alone:    cfg.Alone,
+	}); err != nil {
 		return nil, errors.Join(err, s.frontL.Close(), s.adminL.Close())
 	}
 	s.balancer = balancer.New(balancer.Config{
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -20,6 +20,7 @@
 // EndpointOptions of an endpoint stand-in.
 type EndpointOptions struct {
 	Slots       int           // requests served at a time; default 3
+	Queue       int           // requests that wait for a slot before others are shed
 	ServiceTime time.Duration // mean; default 20 ms
 	Spread      float64       // of the logarithm of service times; 0 for none
 	ColdFor     time.Duration // how long after start it reports cold
@@ -46,6 +47,7 @@
 type Endpoint struct {
 	opts    EndpointOptions
 	started time.Time
+	slots   chan struct{} // filled by requests being served
 
 	mu       sync.Mutex
 	behavior Behavior
@@ -66,7 +68,7 @@
 	if opts.ServiceTime == 0 {
 		opts.ServiceTime = 20 * time.Millisecond
 	}
-	return &Endpoint{opts: opts, started: time.Now()}
+	return &Endpoint{opts: opts, started: time.Now(), slots: make(chan struct{}, opts.Slots)}
 }
 
 // Set replaces the behavior.
@@ -148,7 +150,7 @@
 		e.runs = append(e.runs, run) // a bare failure says nothing about what ran
 		return false, http.StatusServiceUnavailable
 	}
-	if e.behavior.Shed || e.inFlight >= e.opts.Slots {
+	if e.behavior.Shed || e.inFlight >= e.opts.Slots+e.opts.Queue {
 		e.shed++
 		w.Header().Set(verdict.Header, verdict.NotRun.String())
 		return false, http.StatusServiceUnavailable
@@ -195,6 +197,12 @@
 		defer cancel()
 	}
 	select {
+	case e.slots <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-e.slots }()
+	select {
 	case <-time.After(e.serviceTime()):
 		return true
 	case <-ctx.Done():
