A planned stop of the home refuses nothing: new homes learn before they grant

Found by a test that stops the home while requests wait in its queue; three causes, each with a named test:

The new home knew nothing of what was in flight until the next renewal, a second later, and gave every slot twice. Change: holders report at once when a home changes, and a new ledger grants nothing for its first 100 ms. 2. Endpoints that shed the surplus were ejected as failing, and with both ejected, requests were refused as having no endpoint. Change: a shed pauses the endpoint (10 ms, doubled up to 1.28 s) and is no failure; never more than half of the endpoints are ejected, the others are paused. 3. A balancer choosing alone refused a request that every endpoint had shed. Change: it waits like any other.

Ruled out: calls lost in the hand-over itself (waiting requests are told that the service moved and ask again).

--- /dev/null
+++ b/balancer/relay_test.go
@@ -0,0 +1,220 @@
+package balancer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"testing"
+
+	"github.com/lotuswing/lotuswing/coord/contract"
+	"gotest.tools/v3/assert"
+)
+
+// via puts a balancer in front of one handler, over HTTP/1.1 or HTTP/2 on both
+// sides, and returns a client of it.
+func via(t *testing.T, http2 bool, h http.HandlerFunc) (*http.Client, string) {
+	t.Helper()
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	end := httptest.NewUnstartedServer(h)
+	end.Config.Protocols = protocols
+	end.Start()
+	t.Cleanup(end.Close)
+	b := newBench(t, 0)
+	b.fleet.endpoints = []contract.Endpoint{{VM: "e0", Addr: end.Listener.Addr().String(), Slots: 3}}
+	if http2 {
+		service := b.fleet.cfg.Services["pool"]
+		service.Protocol = "h2c"
+		b.fleet.cfg.Services["pool"] = service
+	}
+	front := httptest.NewUnstartedServer(b.server.Config.Handler)
+	front.Config.Protocols = protocols
+	front.Start()
+	t.Cleanup(front.Close)
+	return &http.Client{Transport: &http.Transport{Protocols: protocols}}, front.URL
+}
+
+func both(t *testing.T, f func(t *testing.T, http2 bool)) {
+	for _, http2 := range []bool{false, true} {
+		t.Run(fmt.Sprintf("http2=%v", http2), func(t *testing.T) { f(t, http2) })
+	}
+}
+
+func newRequest(t *testing.T, method, url string, body io.Reader) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(method, url, body)
+	assert.NilError(t, err)
+	req.Host = "desk"
+	return req
+}
+
+// TestStreamsBothWays: each side reads what the other has written before
+// either has ended.
+func TestStreamsBothWays(t *testing.T) {
+	both(t, func(t *testing.T, http2 bool) {
+		client, url := via(t, http2, func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).EnableFullDuplex()
+			lines := bufio.NewScanner(r.Body)
+			for lines.Scan() {
+				_, _ = fmt.Fprintf(w, "got %s\n", lines.Text())
+				_ = http.NewResponseController(w).Flush()
+			}
+		})
+		pr, pw := io.Pipe()
+		go func() { _, _ = io.WriteString(pw, "one\n") }()
+		resp, err := client.Do(newRequest(t, "POST", url+"/once", pr))
+		assert.NilError(t, err)
+		answers := bufio.NewReader(resp.Body)
+		for _, word := range []string{"one", "two", "three"} {
+			got, err := answers.ReadString('\n')
+			assert.NilError(t, err)
+			assert.Equal(t, got, "got "+word+"\n")
+			next := map[string]string{"one": "two\n", "two": "three\n"}[word]
+			_, _ = io.WriteString(pw, next)
+		}
+		assert.NilError(t, pw.Close())
+		rest, err := io.ReadAll(answers)
+		assert.NilError(t, err)
+		assert.Equal(t, string(rest), "")
+	})
+}
+
+// TestTrailersBothWays, announced and not.
+func TestTrailersBothWays(t *testing.T) {
+	both(t, func(t *testing.T, http2 bool) {
+		client, url := via(t, http2, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set("Trailer", "X-Sum")
+			_, _ = io.WriteString(w, "body")
+			_ = http.NewResponseController(w).Flush()
+			w.Header().Set("X-Sum", r.Trailer.Get("X-Caller-Sum"))
+			w.Header().Set(http.TrailerPrefix+"X-Late", "late")
+		})
+		req := newRequest(t, "POST", url+"/read", io.MultiReader(strings.NewReader("stream")))
+		req.Trailer = http.Header{"X-Caller-Sum": {"42"}}
+		resp, err := client.Do(req)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Trailer.Get("X-Sum"), "42")
+		assert.Equal(t, resp.Trailer.Get("X-Late"), "late")
+	})
+}
+
+// TestInformationalAnswers pass through before the final one.
+func TestInformationalAnswers(t *testing.T) {
+	both(t, func(t *testing.T, http2 bool) {
+		client, url := via(t, http2, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Link", "</style.css>; rel=preload")
+			w.WriteHeader(http.StatusEarlyHints)
+			w.Header().Set("X-Final", "yes")
+			_, _ = io.WriteString(w, "done")
+		})
+		var hints []string
+		trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+			hints = append(hints, fmt.Sprint(code, " ", h.Get("Link")))
+			return nil
+		}}
+		req := newRequest(t, "GET", url+"/read", nil)
+		resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(context.Background(), trace)))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, hints, []string{"103 </style.css>; rel=preload"})
+		assert.Equal(t, resp.Header.Get("X-Final"), "yes")
+		assert.Equal(t, resp.Header.Get("Lotuswing-Verdict"), "ran")
+	})
+}
+
+// TestHopHeadersStay: headers of one connection are not passed on; the
+// caller's address is.
+func TestHopHeadersStay(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	client, url := via(t, false, func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header.Clone()
+		w.Header().Set("Connection", "X-Secret")
+		w.Header().Set("X-Secret", "of this connection")
+		w.Header().Set("Keep-Alive", "timeout=5")
+	})
+	req := newRequest(t, "GET", url+"/read", nil)
+	req.Header.Set("Connection", "X-Mine, keep-alive")
+	req.Header.Set("X-Mine", "of this connection")
+	req.Header.Set("Proxy-Authorization", "Basic x")
+	req.Header.Set("X-Forwarded-For", "10.0.0.9")
+	req.Header.Set("Traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+	resp, err := client.Do(req)
+	assert.NilError(t, err)
+	got := <-seen
+	for _, name := range []string{"X-Mine", "Proxy-Authorization", "Keep-Alive"} {
+		assert.Equal(t, got.Get(name), "", name)
+	}
+	assert.Equal(t, got.Get("X-Forwarded-For"), "10.0.0.9, 127.0.0.1")
+	assert.Equal(t, got.Get("X-Forwarded-Host"), "desk")
+	assert.Equal(t, got.Get("Forwarded"), "for=127.0.0.1;proto=http")
+	assert.Equal(t, got.Get("Traceparent"), "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+	assert.Equal(t, resp.Header.Get("X-Secret"), "")
+	assert.Equal(t, resp.Header.Get("Keep-Alive"), "")
+}
+
+// TestUpgradedSession carries bytes both ways and ends one direction at a time.
+func TestUpgradedSession(t *testing.T) {
+	_, url := via(t, false, func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: count\r\n\r\n")
+		all, _ := io.ReadAll(buffered) // until the caller ends its direction
+		_, _ = fmt.Fprintf(conn, "%d bytes", len(all))
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /read HTTP/1.1\r\nHost: desk\r\nConnection: Upgrade\r\nUpgrade: count\r\n\r\nearly")
+	assert.NilError(t, err)
+	r := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusSwitchingProtocols)
+	assert.Equal(t, resp.Header.Get("Upgrade"), "count")
+	_, err = io.WriteString(conn, strings.Repeat("x", 100000))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	rest, err := io.ReadAll(r)
+	assert.NilError(t, err)
+	assert.Equal(t, string(rest), "100005 bytes")
+}
+
+// TestAnswerBeforeBodyIsRead: an endpoint may refuse a large upload early.
+func TestAnswerBeforeBodyIsRead(t *testing.T) {
+	both(t, func(t *testing.T, http2 bool) {
+		client, url := via(t, http2, func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "too large for me", http.StatusRequestEntityTooLarge)
+		})
+		resp, err := client.Do(newRequest(t, "POST", url+"/once", strings.NewReader(strings.Repeat("x", 900_000))))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
+	})
+}
+
+// TestBodyLimit: a body above the balancer's limit is refused and the endpoint
+// never sees its end.
+func TestBodyLimit(t *testing.T) {
+	whole := make(chan bool, 1)
+	client, url := via(t, false, func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		whole <- err == nil
+	})
+	resp, err := client.Do(newRequest(t, "POST", url+"/once", io.MultiReader(strings.NewReader(strings.Repeat("x", 2<<20)))))
+	if err == nil {
+		assert.Assert(t, resp.StatusCode >= 400, resp.Status)
+	}
+	assert.Assert(t, !<-whole)
+}
--- a/coord/contract/contract.go
+++ b/coord/contract/contract.go
@@ -128,7 +128,8 @@
 	PatientShare float64       // share of the slots that overdue patient requests take from interactive ones; default 0.2
 	ColdSlots    int           // slots used of an endpoint that is cold; default 1
 	TrialEvery   time.Duration // between requests that test a slow endpoint; default 1 s
-	ShedPause    time.Duration // after an endpoint shed a request; default 10 ms
+	ShedPause    time.Duration // after an endpoint shed a request, doubled while it goes on; default 10 ms
+	LearnFor     time.Duration // after Begin, before the first grant; default 100 ms
 	Overbook     int           // requests sent to an endpoint beyond its slots while others wait; default 1, -1 for none
 	OverbookOff  time.Duration // without overbooking after an endpoint shed one, doubled each time; default 10 s
 	Health       health.Options
@@ -143,6 +144,7 @@
 	setDefault(&o.PatientShare, 0.2)
 	setDefault(&o.ColdSlots, 1)
 	setDefault(&o.TrialEvery, time.Second)
+	setDefault(&o.LearnFor, 100*time.Millisecond)
 	setDefault(&o.Overbook, 1)
 	setDefault(&o.OverbookOff, 10*time.Second)
 	setDefault(&o.ShedPause, 10*time.Millisecond)
--- a/coord/contract/endpoint.go
+++ b/coord/contract/endpoint.go
@@ -26,12 +26,24 @@
 	lastSign   time.Time // last sign that the endpoint stays
 	pauseUntil time.Time // it shed a request and is left alone until then
 	lastTrial  time.Time // last request sent to it although it is slow
+	sheds      int       // in a row
 }
 
 func newSlots(e Endpoint, opts Options) *slots {
 	return &slots{Endpoint: e, health: health.New(opts.Health), held: map[string]contractHeld{}}
 }
 
+// mostShedDoublings bounds the pause after sheds in a row: 10 ms to 1.28 s.
+const mostShedDoublings = 7
+
+// shed leaves the endpoint alone for a moment, doubled while it goes on. It is
+// full, or rejects everything; either way it is no failure: nothing ran, and
+// requests wait for it rather than being refused.
+func (s *slots) shed(now time.Time, opts Options) {
+	s.pauseUntil = now.Add(opts.ShedPause << min(s.sheds, mostShedDoublings))
+	s.sheds++
+}
+
 // capacity returns how many requests the endpoint may have in flight at now.
 func (s *slots) capacity(now time.Time, opts Options) int {
 	switch {
--- a/coord/contract/ledger.go
+++ b/coord/contract/ledger.go
@@ -14,6 +14,9 @@
 	baseAlpha = 0.02
 	// drainAlpha is the weight of one grant in the interval between grants.
 	drainAlpha = 0.1
+	// failedPause is how long an endpoint that fails and is not ejected is left
+	// alone.
+	failedPause = 100 * time.Millisecond
 	// drainSamples are needed before the interval is believed.
 	drainSamples = 5
 )
@@ -30,6 +33,7 @@
 	inUse     [classes]int // contracts
 	median    float64
 	overbook  overbooking
+	learning  time.Time // nothing is granted before this time
 }
 
 // drain is how fast a class that waits is granted slots.
@@ -116,6 +120,10 @@
 	}
 }
 
+// Begin says that the home is new: holders are about to report what they have
+// in flight, and until they had time to, requests wait.
+func (l *Ledger) Begin(now time.Time) { l.learning = now.Add(l.opts.LearnFor) }
+
 // SetEndpoints replaces the list of endpoints. What is known of an endpoint
 // that stays in the list, and its contracts, are kept. An endpoint that leaves
 // reports as leaving gets nothing from now on.
@@ -282,22 +290,42 @@
 	l.drop(s, id)
 	switch o {
 	case Completed:
+		s.sheds = 0
 		l.base[class].add(took)
 		s.health = s.health.WithCompletion(float64(took) / float64(max(l.base[class].typical(), 1)))
 	case Shed:
-		s.pauseUntil = now.Add(l.opts.ShedPause)
-		if booked { // our own doing, no evidence against the endpoint
+		s.shed(now, l.opts)
+		if booked { // our own doing
 			l.overbook = l.overbook.withShed(now, l.opts)
-			break
 		}
-		s.health = s.health.WithFailure(now)
 	case Failed:
 		s.health = s.health.WithFailure(now)
+		if s.health.Ejected(now) && l.tooManyEjected(now) {
+			s.health = s.health.WithoutEjection()
+			s.pauseUntil = now.Add(failedPause)
+		}
 	case Unused:
 	}
 	return l.dispatch(now)
 }
 
+// tooManyEjected reports whether more than half of the endpoints that stay are
+// ejected: the rest would have to carry too much, so the failing ones are only
+// paused.
+func (l *Ledger) tooManyEjected(now time.Time) bool {
+	ejected, staying := 0, 0
+	for _, s := range l.order {
+		if s.leaving {
+			continue
+		}
+		staying++
+		if s.health.Ejected(now) {
+			ejected++
+		}
+	}
+	return 2*ejected > staying
+}
+
 // Cancel takes back a request that waits or has a contract it never used.
 func (l *Ledger) Cancel(now time.Time, id string) []Decision {
 	for c := range l.queues {
@@ -372,6 +400,9 @@
 // has ended were refused.
 func (l *Ledger) dispatch(now time.Time) []Decision {
 	out := l.expire(now)
+	if now.Before(l.learning) {
+		return out
+	}
 	for {
 		class, ok := l.nextClass(now)
 		if !ok {
--- a/coord/contract/ledger_test.go
+++ b/coord/contract/ledger_test.go
@@ -205,6 +205,47 @@
 	assert.Assert(t, toBad > 0 && toBad <= 6, "%d of 200 requests went to the failing endpoint", toBad)
 }
 
+// TestShedsAreNoFailures: an endpoint that sheds is left alone for a moment,
+// longer while it goes on, and requests wait for it.
+func TestShedsAreNoFailures(t *testing.T) {
+	l := contract.NewLedger(exact)
+	l.SetEndpoints(start, endpoints(1), never)
+	now := start
+	granted := 0
+	for i := range 1000 {
+		now = now.Add(time.Millisecond)
+		id := fmt.Sprintf("r%d", i)
+		d := l.Acquire(now, request(id, contract.Interactive, now))[0]
+		assert.Assert(t, d.Kind != contract.Refused, "%v", d)
+		if d.Kind == contract.Granted {
+			granted++
+			l.Complete(now, id, contract.Shed, 0)
+		} else {
+			l.Cancel(now, id)
+		}
+	}
+	assert.Assert(t, granted >= 5 && granted <= 10, "%d of 1000 requests sent to it in a second", granted)
+}
+
+// TestHalfOfTheEndpointsStay: however many fail, no more than half and one are
+// ejected, so that a fault of all does not refuse everything.
+func TestHalfOfTheEndpointsStay(t *testing.T) {
+	l := contract.NewLedger(exact)
+	l.SetEndpoints(start, endpoints(4), never)
+	now := start
+	for i := range 200 {
+		now = now.Add(10 * time.Millisecond)
+		id := fmt.Sprintf("r%d", i)
+		d := l.Acquire(now, request(id, contract.Interactive, now))[0]
+		assert.Assert(t, d.Kind != contract.Refused, "%v", d)
+		if d.Kind == contract.Granted {
+			l.Complete(now, id, contract.Failed, 0)
+		} else {
+			l.Cancel(now, id)
+		}
+	}
+}
+
 // TestSlowEndpointIsAvoided: ten times slower without warning.
 func TestSlowEndpointIsAvoided(t *testing.T) {
 	l := contract.NewLedger(contract.Options{})
@@ -268,6 +309,23 @@
 	assert.Equal(t, granted[0].Request, "next")
 }
 
+// TestNewHomeLearnsFirst: what is in flight elsewhere is reported before the
+// first grant, so no slot is given twice.
+func TestNewHomeLearnsFirst(t *testing.T) {
+	l := contract.NewLedger(contract.Options{Overbook: -1, LearnFor: 100 * time.Millisecond})
+	l.Begin(start)
+	l.SetEndpoints(start, endpoints(1), never)
+	for i := range 2 {
+		assert.Equal(t, l.Acquire(start, request(fmt.Sprintf("r%d", i), contract.Interactive, start))[0].Kind, contract.Queued)
+	}
+	l.Adopt(start, "h", "old-1", "e0", contract.Interactive)
+	l.Adopt(start, "h", "old-2", "e0", contract.Interactive)
+	assert.Equal(t, len(l.Tick(start.Add(99*time.Millisecond))), 0)
+	granted := l.Tick(start.Add(100 * time.Millisecond))
+	assert.Equal(t, len(granted), 1)
+	assert.Equal(t, granted[0].Request, "r0")
+}
+
 // TestOverbookingEndsWhereItIsShed: one request beyond the slots is sent ahead
 // while others wait; an endpoint that sheds it ends that for a while, and the
 // shed request is no evidence against the endpoint.
--- a/coord/contract/state.go
+++ b/coord/contract/state.go
@@ -17,6 +17,7 @@
 	Off       time.Time       `json:"overbook_off"`
 	OffTimes  int             `json:"overbook_off_times"`
 	Median    float64         `json:"median"`
+	Learning  time.Time       `json:"learning_until"`
 }
 
 // EndpointState is the account of one endpoint.
@@ -29,6 +30,7 @@
 	LastSign   time.Time       `json:"last_sign"`
 	PauseUntil time.Time       `json:"pause_until"`
 	LastTrial  time.Time       `json:"last_trial"`
+	Sheds      int             `json:"sheds"`
 }
 
 // HeldState is one contract.
@@ -61,11 +63,11 @@
 
 // State returns a copy of all that the ledger knows.
 func (l *Ledger) State() State {
-	st := State{Options: l.opts, Off: l.overbook.off, OffTimes: l.overbook.times, Median: l.median}
+	st := State{Options: l.opts, Off: l.overbook.off, OffTimes: l.overbook.times, Median: l.median, Learning: l.learning}
 	for _, s := range l.order {
 		e := EndpointState{
 			Endpoint: s.Endpoint, Health: s.health.Snapshot(), Leaving: s.leaving, Cold: s.cold,
-			LastSign: s.lastSign, PauseUntil: s.pauseUntil, LastTrial: s.lastTrial,
+			LastSign: s.lastSign, PauseUntil: s.pauseUntil, LastTrial: s.lastTrial, Sheds: s.sheds,
 		}
 		for _, h := range s.held {
 			e.Held = append(e.Held, HeldState{ID: h.id, Holder: h.holder, Class: h.class, Granted: h.granted, Until: h.until})
@@ -88,12 +90,13 @@
 func Restore(st State) *Ledger {
 	l := NewLedger(st.Options)
 	l.median = st.Median
+	l.learning = st.Learning
 	l.overbook = overbooking{off: st.Off, times: st.OffTimes}
 	for _, e := range st.Endpoints {
 		s := newSlots(e.Endpoint, l.opts)
 		s.health = health.Restore(l.opts.Health, e.Health)
 		s.leaving, s.cold = e.Leaving, e.Cold
-		s.lastSign, s.pauseUntil, s.lastTrial = e.LastSign, e.PauseUntil, e.LastTrial
+		s.lastSign, s.pauseUntil, s.lastTrial, s.sheds = e.LastSign, e.PauseUntil, e.LastTrial, e.Sheds
 		for _, h := range e.Held {
 			s.held[h.ID] = contractHeld{id: h.ID, holder: h.Holder, class: h.Class, granted: h.Granted, until: h.Until}
 			l.owner[h.ID] = s
--- a/coord/contract/step.go
+++ b/coord/contract/step.go
@@ -10,6 +10,7 @@
 
 // The operations.
 const (
+	OpBegin     Op = "begin"     // this balancer has just become the home
 	OpEndpoints Op = "endpoints" // the list of endpoints has changed
 	OpLeaving   Op = "leaving"   // an endpoint is going away
 	OpSign      Op = "sign"      // an endpoint said that it stays
@@ -49,6 +50,9 @@
 // Apply does what a step says and returns the decisions.
 func (l *Ledger) Apply(s Step) []Decision {
 	switch s.Op {
+	case OpBegin:
+		l.Begin(s.At)
+		return nil
 	case OpEndpoints:
 		leaving := map[string]bool{}
 		for _, vm := range s.Leaving {
--- a/coord/contract/trace.go
+++ b/coord/contract/trace.go
@@ -136,7 +136,7 @@
 		return " " + s.Holder
 	case OpEndpoints:
 		return fmt.Sprintf(": %d, of which %d leave", len(s.Endpoints), len(s.Leaving))
-	case OpTick:
+	case OpTick, OpBegin:
 		return ""
 	}
 	panic(fmt.Sprintf("contract: unreachable operation %q", s.Op))
--- a/coord/health/health.go
+++ b/coord/health/health.go
@@ -110,6 +110,14 @@
 	return s
 }
 
+// WithoutEjection returns the state with its ejection ended, for an endpoint
+// that cannot be spared.
+func (s State) WithoutEjection() State {
+	s.until = time.Time{}
+	s.ejected = 0
+	return s
+}
+
 func (s State) eject(now time.Time) State {
 	d := s.opts.EjectFor << min(s.ejected, mostDoubled)
 	s.until = now.Add(min(d, s.opts.EjectMost))
--- a/experiment/home.go
+++ b/experiment/home.go
@@ -71,6 +71,7 @@
 			next++
 		}
 		p.begin(next)
+		p.ledger.Begin(p.w.now)
 		p.adopt()
 	})
 }
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -215,6 +215,7 @@
 		} else {
 			pause(ctx, alonePause)
 		}
+		a.Avoid = nil // another may have had time to recover
 	}
 }
 
@@ -235,10 +236,11 @@
 	n.private.mu.Lock()
 	for i, e := range list {
 		o := n.private.endpoints[e.VM]
-		usable := !s.leaving.Has(e.VM) && !o.health.Ejected(now) && !slices.Contains(a.Avoid, e.VM)
+		usable := !s.leaving.Has(e.VM) && !o.health.Ejected(now)
 		share := max(1, aloneLimit*e.Slots/max(1, len(s.ids)))
-		full = full || usable && o.inFlight >= share
-		candidates[i] = pick.Candidate{Usable: usable && o.inFlight < share, InFlight: o.inFlight, Slowness: o.health.Slowness()}
+		free := o.inFlight < share && !slices.Contains(a.Avoid, e.VM)
+		full = full || usable && !free
+		candidates[i] = pick.Candidate{Usable: usable && free, InFlight: o.inFlight, Slowness: o.health.Slowness()}
 	}
 	n.private.mu.Unlock()
 	i, ok := pick.TwoChoices(candidates, newRand())
--- a/node/node.go
+++ b/node/node.go
@@ -261,6 +261,7 @@
 	}
 	s := h.node.snapshot.Load()
 	made := newHost(contract.NewLedger(contract.Options{}))
+	made.apply(contract.Step{At: h.node.now(), Op: contract.OpBegin})
 	made.update(h.node.now(), s.endpoints[service], s.leaving)
 	h.hosts[service] = made
 	return made
@@ -282,8 +283,14 @@
 	}
 }
 
-// update tells the ledgers of a new list of endpoints and marks.
+// update tells the ledgers of a new list of endpoints and marks, and makes the
+// ledgers of services that have come to this home.
 func (h *homes) update(s *snapshot) {
+	for service, home := range s.homes {
+		if home.ID == h.node.cfg.Settings.ID {
+			h.get(service)
+		}
+	}
 	for service, host := range h.all() {
 		host.update(h.node.now(), s.endpoints[service], s.leaving)
 	}
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"maps"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/contract"
@@ -99,8 +101,11 @@
 	for _, m := range next.vms.VMs {
 		next.addEndpoint(m)
 	}
-	n.snapshot.Store(next)
+	old := n.snapshot.Swap(next)
 	n.homes.update(next)
+	if old != nil && !maps.Equal(old.homes, next.homes) {
+		go n.renew(context.Background()) // new homes learn what is in flight
+	}
 }
 
 func (s *snapshot) addHome(key string) {
--- a/systemtest/stop_test.go
+++ b/systemtest/stop_test.go
@@ -121,3 +121,71 @@
 	raw, err := io.ReadAll(resp.Body)
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err}
 }
+
+// TestPlannedStopOfHomeRefusesNothing stops the home while more requests wait
+// in its queue than the slots serve: they are asked for again at the new home,
+// and callers of the other balancers notice nothing.
+func TestPlannedStopOfHomeRefusesNothing(t *testing.T) {
+	f := newFleet(t)
+	for i := range 2 {
+		f.addEndpoint("bennani", "petitions", fmt.Sprintf("petition-%d", i), "medina", standin.EndpointOptions{ServiceTime: 100 * time.Millisecond})
+		f.addEndpoint("bennani", "archives", fmt.Sprintf("archive-%d", i), "medina", standin.EndpointOptions{ServiceTime: time.Millisecond})
+	}
+	f.apply(bennani)
+	f.addBalancer("vm-a", "medina", "bennani")
+	f.addBalancer("vm-b", "tribunal", "bennani")
+	f.addBalancer("vm-c", "ville-nouvelle", "bennani")
+	f.list()
+	f.ready()
+	home, others := f.homeOf("bennani/petitions")
+	c := f.startCallers(50, others...) // of 60 that six slots serve in a second
+	eventually(t, "requests wait", func() bool { return home.status().Services["bennani/petitions"].Waiting["interactive"] > 0 })
+	home.signal(syscall.SIGTERM)
+	c.more(200)
+	assert.Equal(t, home.exitCode(), 0)
+	c.cancel()
+	c.done.Wait()
+	for key, a := range c.history.answers {
+		if a.Err == nil {
+			assert.Equal(t, a.Verdict, "ran", "%s: %+v", key, a)
+		}
+	}
+	c.check()
+}
+
+// TestPlannedStopWithHTTP2 serves a request on a shared HTTP/2 connection to
+// its end.
+func TestPlannedStopWithHTTP2(t *testing.T) {
+	f := newFleet(t)
+	f.addEndpoint("bennani", "case-files", "case-0", "medina", standin.EndpointOptions{ServiceTime: 2 * time.Second})
+	f.apply(bennani)
+	b := f.addBalancer("vm-a", "medina", "bennani")
+	f.list()
+	f.ready()
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	got := make(chan answer, 1)
+	go func() {
+		req, err := http.NewRequest(http.MethodGet, b.url()+"/cases/1", nil)
+		if err != nil {
+			got <- answer{err: err}
+			return
+		}
+		req.Host = "medina.bennani"
+		req.Header.Set(standin.KeyHeader, "slow")
+		resp, err := client.Do(req)
+		if err != nil {
+			got <- answer{err: err}
+			return
+		}
+		raw, err := io.ReadAll(resp.Body)
+		got <- answer{status: resp.StatusCode, body: string(raw), err: err}
+	}()
+	eventually(t, "in flight", func() bool { return b.status().InFlight == 1 })
+	b.signal(syscall.SIGTERM)
+	a := <-got
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.body, wantBody("slow", "/cases/1", ""))
+	assert.Equal(t, b.exitCode(), 0)
+}
