A starting balancer settles before it serves; small bodies are read before waiting

A balancer was ready once any peer had answered, also when fetching the peer's newer version failed or the peer was itself just starting, so a stale read of the store could come into force. A caller that left while its request with a body waited was not noticed, since the server watches a connection only after the body was read; and a slow upload held a slot. Change: a body that fits the replay limit is read first, up to the deadline.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -48,6 +48,9 @@
 	// refuseAfter, where above 0, is how many grants there are.
 	refuseAfter int
 
+	// waiting and left, where set, make Acquire wait until the caller leaves.
+	waiting, left chan struct{}
+
 	mu      sync.Mutex
 	endings []node.Ending
 	granted int
@@ -69,6 +72,11 @@
 	if f.refuse != nil {
 		return node.Grant{}, f.refuse
 	}
+	if f.waiting != nil {
+		close(f.waiting)
+		<-ctx.Done()
+		close(f.left)
+	}
 	if ctx.Err() != nil {
 		return node.Grant{}, &node.Refusal{Reason: reason.CallerLeft}
 	}
@@ -328,6 +336,42 @@
 	assert.Equal(t, b.ran("k"), 1)
 }
 
+// TestCallerThatLeavesWhileWaiting gives its place back, though its body was
+// not asked for yet.
+func TestCallerThatLeavesWhileWaiting(t *testing.T) {
+	b := newBench(t, 1)
+	b.fleet.waiting = make(chan struct{})
+	b.fleet.left = make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", b.server.URL+"/once", strings.NewReader("stamped"))
+	assert.NilError(t, err)
+	req.Host = "desk"
+	go func() {
+		<-b.fleet.waiting
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(req)
+	assert.Assert(t, err != nil)
+	<-b.fleet.left
+	assert.Equal(t, b.ran(""), 0)
+}
+
+// TestSlowUploadHoldsNoSlot: a small body that stops arriving is given up at
+// the deadline, before anything is asked of the fleet.
+func TestSlowUploadHoldsNoSlot(t *testing.T) {
+	b := newBench(t, 1)
+	conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /once HTTP/1.1\r\nHost: desk\r\nLotuswing-Timeout: 50ms\r\nContent-Length: 10\r\n\r\nhalf")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Header.Get(verdict.ReasonHeader), "LW2008")
+	assert.Equal(t, resp.Header.Get(verdict.Header), "not-run")
+	assert.Equal(t, b.fleet.granted, 0)
+}
+
 // TestMalformedRequestsReachNoEndpoint sends raw bytes.
 func TestMalformedRequestsReachNoEndpoint(t *testing.T) {
 	b := newBench(t, 1)
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -23,6 +23,9 @@
 	prepare(x.r)
 	b.cfg.Tracing.Propagator.Inject(ctx, propagation.HeaderCarrier(x.r.Header))
 	body := upstream.NewBody(x.r.Body, b.cfg.Limits.ReplayBytes)
+	if err := b.fill(x, body); err != nil {
+		return nil, err
+	}
 	b.deposit(x.route.ServiceKey())
 	var tried []string
 	for attempt := 1; ; attempt++ {
@@ -46,6 +49,24 @@
 	}
 }
 
+// fill reads a small body before the request waits.
+func (b *Balancer) fill(x *exchange, body *upstream.Body) error {
+	if x.r.ContentLength <= 0 || x.r.ContentLength > int64(b.cfg.Limits.ReplayBytes) {
+		return nil
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(x.deadline)
+	err := body.Fill()
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil:
+		return nil
+	case !time.Now().Before(x.deadline):
+		return refusal{reason: reason.DeadlineWaiting, message: "the body did not arrive in time"}
+	}
+	return refusal{reason: reason.CallerLeft, message: "the body did not arrive: " + err.Error()}
+}
+
 // rejected reports whether an endpoint's answer is a bare rejection of a
 // repeatable request. It proves nothing about what ran, but another endpoint
 // may do better.
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -19,6 +19,9 @@
 	if err := flag.Set("rapid.seed", "20261202"); err != nil {
 		panic(err)
 	}
+	if err := flag.Set("rapid.checks", "2000"); err != nil {
+		panic(err)
+	}
 	os.Exit(m.Run())
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -114,6 +114,7 @@
 	Members  []member.Member
 	Leaving  []leaving.Mark
 	Versions map[string]uint64
+	Settled  bool // the sender has learnt the versions of the fleet
 }
 
 // ReachArgs asks a peer to try a member that did not answer.
--- a/node/node.go
+++ b/node/node.go
@@ -73,7 +73,7 @@
 	table   *member.Table
 	marks   leaving.Set
 	rng     *rand.Rand
-	met     bool // a peer has answered, or there is none to ask
+	settled bool // it has the versions of the fleet, or there is no fleet
 	started time.Time
 
 	homes   homes
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -163,8 +163,8 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.met {
-		return false, "no peer has answered yet"
+	if !n.settled {
+		return false, "no settled peer has answered yet"
 	}
 	return true, ""
 }
--- a/node/spread.go
+++ b/node/spread.go
@@ -25,7 +25,7 @@
 	vmListPeriod = 500 * time.Millisecond
 	vmListLimit  = 16 << 20
 	vmTimeout    = time.Second
-	alone        = 3 * time.Second // after which a balancer that hears of no peer serves alone
+	alone        = 3 * time.Second // after which a balancer that finds no settled peer serves
 )
 
 // heartbeat exchanges digests with a few peers, chosen in turn. The number of
@@ -52,18 +52,18 @@
 }
 
 // meetSeeds finds peers from settings and the list of VMs while none is known.
+// With none to be found, or none that has settled itself, the node settles
+// alone after a while.
 func (n *Node) meetSeeds(ctx context.Context, knowsPeers bool) {
-	if knowsPeers {
-		return
-	}
 	seeds := n.seeds()
-	for _, addr := range seeds {
-		n.exchange(ctx, addr)
+	if !knowsPeers {
+		for _, addr := range seeds {
+			n.exchange(ctx, addr)
+		}
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if listed := n.snapshot.Load().vms.Revision > 0; listed && len(seeds) == 0 || time.Since(n.started) > alone {
-		n.met = true
+	listed := n.snapshot.Load().vms.Revision > 0
+	if !knowsPeers && listed && len(seeds) == 0 || time.Since(n.started) > alone {
+		n.settle()
 	}
 }
 
@@ -93,13 +93,20 @@
 		return false
 	}
 	n.takeIn(reply)
-	n.fetchNewer(reply.From.Addr, reply.Versions)
-	n.mu.Lock()
-	n.met = true
-	n.mu.Unlock()
+	if n.fetchNewer(reply.From.Addr, reply.Versions) && reply.Settled {
+		n.settle()
+	}
 	return true
 }
 
+// settle notes that this node has the versions of the fleet, so that what it
+// reads from a lagging store cannot bring an older one back into force.
+func (n *Node) settle() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.settled = true
+}
+
 func (n *Node) digest() link.Digest {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -108,6 +115,7 @@
 		Members:  n.table.Digest(),
 		Leaving:  n.marks.Marks(),
 		Versions: n.replica.Versions(),
+		Settled:  n.settled,
 	}
 }
 
@@ -161,8 +169,10 @@
 	}
 }
 
-// fetchNewer gets the documents of which a peer has a higher version.
-func (n *Node) fetchNewer(addr string, versions map[string]uint64) {
+// fetchNewer gets the documents of which a peer has a higher version and
+// reports whether all of them arrived.
+func (n *Node) fetchNewer(addr string, versions map[string]uint64) bool {
+	all := true
 	for name, version := range versions {
 		if !n.replica.Wants(name, version) {
 			continue
@@ -171,10 +181,13 @@
 		var reply link.FetchReply
 		err := n.client.Call(ctx, addr, link.Fetch, link.FetchArgs{Name: name}, &reply)
 		cancel()
-		if err == nil && reply.Found {
-			n.offer(reply.Value, "peer "+addr)
+		if err != nil || !reply.Found {
+			all = false
+			continue
 		}
+		n.offer(reply.Value, "peer "+addr)
 	}
+	return all
 }
 
 // reachThroughOthers asks two other members, at the same time, to try one that
--- a/standin/store.go
+++ b/standin/store.go
@@ -38,6 +38,7 @@
 	LoseAnswers int           `json:"lose_answers"` // of the next writes, after they took effect
 	StuckWatch  bool          `json:"stuck_watch"`  // watches never see a change
 	RepeatWatch bool          `json:"repeat_watch"` // watches answer at once with what is known already
+	StaleReads  bool          `json:"stale_reads"`  // reads and watches see the value before the last
 }
 
 // StoreOptions of a store stand-in. Zero fields take the defaults.
@@ -47,7 +48,8 @@
 
 type stored struct {
 	entry   store.Entry
-	expires time.Time // zero for a value that stays
+	before  store.Entry // the value that the entry replaced
+	expires time.Time   // zero for a value that stays
 }
 
 // Store is the stand-in of the key-value service, and of the list of VMs.
@@ -157,7 +159,7 @@
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
-	entry, ok := s.Lookup(keyOf(r))
+	entry, ok := s.read(keyOf(r))
 	if !ok {
 		http.Error(w, "no such key", http.StatusNotFound)
 		return
@@ -172,6 +174,16 @@
 	return s.live(key)
 }
 
+// read is Lookup as callers see it, with the fault of stale reads.
+func (s *Store) read(key string) (store.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if found, ok := s.keys[key]; ok && s.faults.StaleReads {
+		return found.before, found.before.Revision > 0
+	}
+	return s.live(key)
+}
+
 func (s *Store) live(key string) (store.Entry, bool) {
 	found, ok := s.keys[key]
 	if !ok || !found.expires.IsZero() && !s.clock().Before(found.expires) {
@@ -190,7 +202,7 @@
 	}
 	s.revision++
 	entry := store.Entry{Key: wr.Key, Value: wr.Value, Revision: s.revision}
-	next := stored{entry: entry}
+	next := stored{entry: entry, before: current}
 	if wr.TTL > 0 {
 		next.expires = s.clock().Add(wr.TTL)
 	}
@@ -271,7 +283,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, ok := s.live(key)
-	if s.faults.StuckWatch {
+	if s.faults.StuckWatch || s.faults.StaleReads {
 		return entry, false, nil
 	}
 	if s.faults.RepeatWatch {
--- a/systemtest/failure_test.go
+++ b/systemtest/failure_test.go
@@ -193,6 +193,28 @@
 	assert.Equal(t, f.lowestVersion(), uint64(2))
 }
 
+// TestStaleStoreBringsNothingBack: the store answers reads with the version
+// before the last. A balancer that starts takes the last one from its peers and
+// serves nothing before.
+func TestStaleStoreBringsNothingBack(t *testing.T) {
+	f := bennaniFleet(t)
+	f.apply(bennani)
+	eventually(t, "version 2 everywhere", func() bool { return f.lowestVersion() == 2 })
+	f.put("/v1/faults", standin.Faults{StaleReads: true})
+	late := f.addBalancer("vm-late", "medina", "bennani")
+	f.list()
+	eventually(t, "it is ready", func() bool {
+		ready := get("http://"+late.admin+"/readyz").status == http.StatusOK
+		if !ready {
+			got := do(http.MethodGet, late.url()+"/petitions/1", "medina.bennani", "early", "")
+			assert.Assert(t, got.err != nil || got.status == http.StatusServiceUnavailable, got.status)
+		}
+		return ready
+	})
+	assert.Equal(t, late.status().Versions["config/bennani"], uint64(2))
+	assert.Equal(t, f.lowestVersion(), uint64(2))
+}
+
 // TestTwoOperators edit the same version at the same moment: one wins, the
 // other is told whose edit is in force.
 func TestTwoOperators(t *testing.T) {
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -24,6 +24,26 @@
 	return &Body{src: src, limit: limit}
 }
 
+// Fill reads a body that fits the kept prefix to its end. The caller's server
+// can then notice that the caller leaves while its request waits, and a slow
+// upload holds no slot.
+func (b *Body) Fill() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	buf := make([]byte, fillBuffer)
+	for b.err == nil && b.read <= b.limit {
+		var n int
+		n, b.err = b.src.Read(buf)
+		b.keep(buf[:n])
+	}
+	if b.err == nil || errors.Is(b.err, io.EOF) {
+		return nil
+	}
+	return b.err
+}
+
+const fillBuffer = 4 << 10
+
 // Replayable reports whether the body can still be sent from its start.
 func (b *Body) Replayable() bool {
 	if !b.mu.TryLock() {
