Ejected endpoints are not measured

Cause: an endpoint that answers no probe stays the longest silent, so the prober came back to it as fast as the budget allowed, though an ejected endpoint gets nothing whatever a probe says. Ruled out: the period of probing.

--- a/coord/contract/ledger_test.go
+++ b/coord/contract/ledger_test.go
@@ -319,6 +319,26 @@
 	assert.Equal(t, l.Status(start).Endpoints[0].InFlight, 0)
 }
 
+// TestOnlySilentEndpointsAreMeasured: neither busy nor leaving nor ejected
+// ones, and the longest silent first.
+func TestOnlySilentEndpointsAreMeasured(t *testing.T) {
+	l := contract.NewLedger(exact)
+	l.SetEndpoints(start, endpoints(5), never)
+	l.Sign(start.Add(-2*time.Second), "e0", false)
+	l.Sign(start.Add(-3*time.Second), "e1", false)
+	l.Sign(start, "e2", false)
+	l.Leaving("e3")
+	for i := range 3 {
+		id := fmt.Sprintf("r%d", i)
+		l.Adopt(start, "h", id, "e4", contract.Interactive)
+		l.Complete(start, id, contract.Failed, 0)
+	}
+	list := l.Unconfirmed(start, time.Second)
+	assert.Equal(t, len(list), 2)
+	assert.Equal(t, list[0].VM, "e1")
+	assert.Equal(t, list[1].VM, "e0")
+}
+
 // TestNewHomeLearnsFirst: what is in flight elsewhere is reported before the
 // first grant, so no slot is given twice.
 func TestNewHomeLearnsFirst(t *testing.T) {
--- a/coord/contract/status.go
+++ b/coord/contract/status.go
@@ -60,7 +60,8 @@
 func (l *Ledger) Unconfirmed(now time.Time, silent time.Duration) []Endpoint {
 	var out []*slots
 	for _, s := range l.order {
-		if !s.leaving && len(s.held) == 0 && now.Sub(s.lastSign) >= silent {
+		excluded := s.leaving || s.health.Ejected(now) // gets nothing, whatever a probe says
+		if !excluded && len(s.held) == 0 && now.Sub(s.lastSign) >= silent {
 			out = append(out, s)
 		}
 	}
