--- a/experiment/home.go
+++ b/experiment/home.go
@@ -194,7 +194,7 @@
 	p.held[d.Request] = i
 	p.w.send(r, p.w.servers[i], func(o contract.Outcome) {
 		delete(p.held, d.Request)
-		p.finish(d, i, o, p.w.now.Sub(sent))
+		p.finish(r, d, i, o, p.w.now.Sub(sent))
 		switch {
 		case o == contract.Completed:
 			p.w.answer(r, served)
@@ -208,7 +208,7 @@
 }
 
 // finish tells the home how a contract ended.
-func (p *homePolicy) finish(d contract.Decision, i int, o contract.Outcome, took time.Duration) {
+func (p *homePolicy) finish(r *request, d contract.Decision, i int, o contract.Outcome, took time.Duration) {
 	if p.home < 0 {
 		return
 	}
@@ -216,7 +216,7 @@
 	s := p.w.servers[i]
 	home := p.home
 	leaving, cold := s.draining, p.w.now.Before(s.coldTill)
-	p.w.after(p.link(balancerOf(d)), func() {
+	p.w.after(p.link(r.balancer), func() {
 		if p.home != home {
 			return
 		}
@@ -228,8 +228,3 @@
 		p.deliver(p.ledger.Complete(p.w.now, d.Request, o, took))
 	})
 }
-
-// balancerOf spreads the reports over the balancers as requests are.
-func balancerOf(d contract.Decision) int {
-	return len(d.Request) % balancers
-}
