--- a/node/acquire.go
+++ b/node/acquire.go
@@ -63,7 +63,7 @@
 	end := time.Now().Add(a.Patience)
 	for {
 		home, ok := n.snapshot.Load().homes[a.Service]
-		if !ok || n.cfg.Alone || n.private.isSilent(home.ID, time.Now()) {
+		if !ok || n.cfg.Alone || n.local.isSilent(home.ID, time.Now()) {
 			return n.alone(ctx, a, end)
 		}
 		a.Patience = time.Until(end)
@@ -79,7 +79,7 @@
 			continue
 		case err != nil:
 			n.log.Debug("home does not answer", "service", a.Service, "home", home.ID, "error", err)
-			n.private.setSilent(home.ID, time.Now().Add(avoidHome))
+			n.local.setSilent(home.ID, time.Now().Add(avoidHome))
 			go n.check(home)
 			go n.cancelAt(home, a)
 			return n.alone(ctx, a, end)
@@ -87,7 +87,7 @@
 			return Grant{}, &Refusal{Reason: reply.Reason, RetryAfter: reply.RetryAfter}
 		}
 		g := Grant{ID: a.ID, Service: a.Service, Endpoint: reply.Endpoint, Home: home.Addr, HomeID: home.ID, Class: a.Class}
-		n.private.begin(g)
+		n.local.begin(g)
 		return g, nil
 	}
 }
@@ -167,7 +167,7 @@
 
 // Complete ends a grant and tells the home, without keeping the caller.
 func (n *Node) Complete(g Grant, e Ending) {
-	n.private.end(g, e, time.Now())
+	n.local.end(g, e, time.Now())
 	if e.Load.Known && e.Load.State == link.Draining {
 		n.MarkLeaving(leaving.Mark{VM: g.Endpoint.VM, Source: leaving.Answer})
 	}
@@ -194,11 +194,11 @@
 func (n *Node) renew(ctx context.Context) {
 	s := n.snapshot.Load()
 	byService := map[string][]contract.Held{}
-	n.private.mu.Lock()
-	for _, g := range n.private.held {
+	n.local.mu.Lock()
+	for _, g := range n.local.held {
 		byService[g.Service] = append(byService[g.Service], contract.Held{ID: g.ID, VM: g.Endpoint.VM, Class: g.Class})
 	}
-	n.private.mu.Unlock()
+	n.local.mu.Unlock()
 	for service, held := range byService {
 		home, ok := s.homes[service]
 		if !ok {
--- a/node/alone.go
+++ b/node/alone.go
@@ -59,22 +59,22 @@
 	list := s.endpoints[a.Service]
 	now := time.Now()
 	candidates := make([]pick.Candidate, len(list))
-	n.private.mu.Lock()
+	n.local.mu.Lock()
 	for i, e := range list {
-		o := n.private.endpoints[e.VM]
+		o := n.local.endpoints[e.VM]
 		usable := !s.leaving.Has(e.VM) && !o.health.Ejected(now)
 		share := max(1, aloneLimit*e.Slots/max(1, len(s.ids)))
 		free := o.inFlight < share && !slices.Contains(a.Avoid, e.VM)
 		full = full || usable && !free
 		candidates[i] = pick.Candidate{Usable: usable && free, InFlight: o.inFlight, Slowness: o.health.Slowness()}
 	}
-	n.private.mu.Unlock()
+	n.local.mu.Unlock()
 	i, ok := pick.TwoChoices(candidates, newRand())
 	if !ok {
 		return Grant{}, false, full
 	}
 	g = Grant{ID: a.ID, Service: a.Service, Endpoint: list[i], Class: a.Class}
-	n.private.begin(g)
+	n.local.begin(g)
 	n.counter("chosen_alone").Inc(1)
 	return g, true, false
 }
--- a/node/private.go
+++ b/node/local.go
@@ -8,9 +8,9 @@
 	"github.com/lotuswing/lotuswing/coord/health"
 )
 
-// private is what this node knows by itself, for choosing without a home, and
+// local is what this node knows by itself, for choosing without a home, and
 // the grants it uses.
-type private struct {
+type local struct {
 	mu        sync.Mutex
 	held      map[string]Grant
 	endpoints map[string]own
@@ -23,7 +23,7 @@
 	health   health.State
 }
 
-func (p *private) begin(g Grant) {
+func (p *local) begin(g Grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.held == nil {
@@ -39,7 +39,7 @@
 	p.endpoints[g.Endpoint.VM] = o
 }
 
-func (p *private) end(g Grant, e Ending, now time.Time) {
+func (p *local) end(g Grant, e Ending, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.held, g.ID)
@@ -55,13 +55,13 @@
 	p.endpoints[g.Endpoint.VM] = o
 }
 
-func (p *private) isSilent(home string, now time.Time) bool {
+func (p *local) isSilent(home string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return now.Before(p.silent[home])
 }
 
-func (p *private) setSilent(home string, until time.Time) {
+func (p *local) setSilent(home string, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.silent == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -74,9 +74,9 @@
 	settled bool // it has the versions of the fleet, or there is no fleet
 	started time.Time
 
-	homes   homes
-	private private
-	meters  map[string]*meter // by tenant
+	homes  homes
+	local  local
+	meters map[string]*meter // by tenant
 
 	stop context.CancelFunc
 	done sync.WaitGroup
--- a/node/status.go
+++ b/node/status.go
@@ -71,8 +71,8 @@
 	for _, name := range n.cfg.Settings.Tenants {
 		st.Measuring = append(st.Measuring, n.meters[name].status(s.configs[name], now))
 	}
-	n.private.mu.Lock()
-	st.Held = len(n.private.held)
-	n.private.mu.Unlock()
+	n.local.mu.Lock()
+	st.Held = len(n.local.held)
+	n.local.mu.Unlock()
 	return st
 }
