One way to try a member; code that nothing called removed

A heartbeat and the check of a silent home held the same three steps: both call probe now. Removed because nothing called or read them: verdict.Parse, member.Table.Heard (a merge of one), the stand-in's count of sheds. A wrong comment in capacity and a size written twice are mended.

--- a/capacity/size.go
+++ b/capacity/size.go
@@ -53,23 +53,24 @@
 // service and zone.
 func homesPerNode(s size) float64 { return s.services * s.zones / s.nodes }
 
-// callsPerHome is what one home decides about a second. Today there is one
-// home for each service.
+// endpointsPerHome is the size of one home's ledger.
+func endpointsPerHome(s size) float64 { return s.endpoints / s.services / s.zones }
+
+// callsPerNode is what one node asks homes for a second, and as many are asked
+// of it.
 func callsPerNode(s size) float64 { return s.callsPerSec / s.nodes }
 
 func marks(s size) float64 { return s.vmChanges / 2 / 24 * markHours }
 
 var lines = []line{
 	{"home", "decisions", "% of a core", func(r Report, s size) float64 {
-		perHome := s.endpoints / s.services / s.zones
-		return callsPerNode(s) * r.line("decide").At(perHome) / 1e7
+		return callsPerNode(s) * r.line("decide").At(endpointsPerHome(s)) / 1e7
 	}, limitCPU, "ledger in memory (coord/contract)"},
 	{"home", "calls on links: acquire, complete", "% of a core", func(r Report, s size) float64 {
 		return callsPerNode(s) * 2 * r.line("call").At(1) / 1e7
 	}, limitCPU, "contracts over net/rpc (link, node)"},
 	{"home", "memory of ledgers", "bytes", func(r Report, s size) float64 {
-		perHome := s.endpoints / s.services / s.zones
-		return homesPerNode(s)*r.line("ledger").At(perHome) + 3*s.endpoints/s.nodes*r.line("contract").Slope
+		return homesPerNode(s)*r.line("ledger").At(endpointsPerHome(s)) + 3*s.endpoints/s.nodes*r.line("contract").Slope
 	}, limitMemory, "ledger in memory (coord/contract)"},
 	{"member", "heartbeats", "% of a core", func(r Report, s size) float64 {
 		return 2 * heartbeatsPerSec * (r.line("call").At(digestMembers)/2 + r.line("merge").At(s.nodes)) / 1e7
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -167,12 +167,6 @@
 	self.State = Left
 }
 
-// Heard notes that a member answered, which ends a local suspicion only
-// together with the member's own refutation.
-func (t *Table) Heard(now time.Time, m Member) bool {
-	return t.Merge(now, []Member{m})
-}
-
 // Unreachable notes that a member answered neither a direct nor an indirect
 // probe.
 func (t *Table) Unreachable(now time.Time, id string) bool {
--- a/coord/verdict/verdict.go
+++ b/coord/verdict/verdict.go
@@ -44,16 +44,6 @@
 	return names[v]
 }
 
-// Parse returns the verdict named by s.
-func Parse(s string) (Verdict, error) {
-	for v, name := range names {
-		if s == name {
-			return Verdict(v), nil
-		}
-	}
-	return MayHaveRun, fmt.Errorf("verdict: %q is none of not-run, may-have-run, ran", s)
-}
-
 // MayRepeat reports whether a request with this verdict may be sent again,
 // given whether its kind is repeatable.
 func (v Verdict) MayRepeat(repeatable bool) bool {
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -160,8 +160,8 @@
 func (n *Node) check(home member.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), lateReport)
 	defer cancel()
-	if home.ID != n.cfg.Settings.ID && !n.exchange(ctx, home.Addr) && !n.reachThroughOthers(ctx, home) {
-		n.unreachable(home)
+	if home.ID != n.cfg.Settings.ID {
+		n.probe(ctx, home)
 	}
 }
 
--- a/node/homes.go
+++ b/node/homes.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -40,11 +41,7 @@
 func (h *homes) all() map[string]*host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := make(map[string]*host, len(h.hosts))
-	for k, v := range h.hosts {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(h.hosts)
 }
 
 func (h *homes) tick(now time.Time) {
--- a/node/spread.go
+++ b/node/spread.go
@@ -29,9 +29,7 @@
 		n.rebuild()
 	}
 	for _, m := range targets {
-		if !n.exchange(ctx, m.Addr) && !n.reachThroughOthers(ctx, m) {
-			n.unreachable(m)
-		}
+		n.probe(ctx, m)
 	}
 	n.meetSeeds(ctx, len(targets) > 0)
 }
@@ -144,8 +142,7 @@
 func (n *Node) takeIn(d link.Digest) {
 	now := time.Now()
 	n.mu.Lock()
-	changed := n.table.Heard(now, d.From)
-	changed = n.table.Merge(now, d.Members) || changed
+	changed := n.table.Merge(now, append([]member.Member{d.From}, d.Members...))
 	marks, fresh := n.marks.Merge(d.Leaving, now)
 	n.marks = marks
 	n.mu.Unlock()
@@ -175,6 +172,14 @@
 	return all
 }
 
+// probe exchanges digests with a member, and suspects it when neither this node
+// nor others reach it.
+func (n *Node) probe(ctx context.Context, m member.Member) {
+	if !n.exchange(ctx, m.Addr) && !n.reachThroughOthers(ctx, m) {
+		n.unreachable(m)
+	}
+}
+
 // reachThroughOthers asks two other members, at the same time, to try one that
 // did not answer.
 func (n *Node) reachThroughOthers(ctx context.Context, target member.Member) bool {
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -54,7 +54,6 @@
 	inFlight int
 	runs     []Run
 	probes   int
-	shed     int
 }
 
 // KeyHeader names a request for those who count how often it ran.
@@ -151,7 +150,6 @@
 		return false, http.StatusServiceUnavailable
 	}
 	if e.behavior.Shed || e.inFlight >= e.opts.Slots+e.opts.Queue {
-		e.shed++
 		w.Header().Set(verdict.Header, verdict.NotRun.String())
 		return false, http.StatusServiceUnavailable
 	}
