Whole path on the operators' platform: directory, direct choice, adapter

Cause: nothing of the product ran on the platform; its store, discovery, routes and headers are other ones than ours. Change: package directory follows a store that can be watched; package direct chooses endpoints on its own from reports asked for just before the choice; package selection estimates; tenant gains routes by prefix with weighted splits; upstream takes its header names from a table; platform/ translates.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -25,7 +25,6 @@
 	"github.com/go-kit/kit/endpoint"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/reason"
-	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/coord/verdict"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/settings"
@@ -58,6 +57,7 @@
 type Config struct {
 	Fleet   Fleet
 	Limits  settings.Limits
+	Policy  Policy
 	Log     hclog.Logger
 	Metrics metrics.Registry
 	Tracing *telemetry.Tracing
@@ -73,7 +73,7 @@
 
 	mu      sync.Mutex
 	clients map[clientKey]*upstream.Client
-	budgets map[string]retry.Budget
+	budgets map[string]repeats // by service
 	timers  map[string]metrics.Timer
 }
 
@@ -81,14 +81,16 @@
 	service     string
 	connections int
 	protocol    string
+	fresh       bool
 }
 
 // New returns a handler.
 func New(cfg Config) *Balancer {
+	cfg.Policy = cfg.Policy.withDefaults()
 	b := &Balancer{
 		cfg:     cfg,
 		clients: map[clientKey]*upstream.Client{},
-		budgets: map[string]retry.Budget{},
+		budgets: map[string]repeats{},
 		timers:  map[string]metrics.Timer{},
 	}
 	b.chain = endpoint.Chain(b.hop("accept"), b.route, b.hop("route"), b.deadline, b.hop("serve"))(b.serve)
@@ -114,7 +116,7 @@
 	b.inFlight.Add(1)
 	defer b.inFlight.Add(-1)
 	now := time.Now()
-	x := &exchange{id: b.cfg.Fleet.NextID(), w: w, r: r, accepted: now}
+	x := &exchange{id: b.requestID(r), w: w, r: r, accepted: now}
 	if b.stopping.Load() && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close") // moves the caller to another balancer
 	}
@@ -169,7 +171,7 @@
 		if ok, why := b.cfg.Fleet.Ready(); !ok {
 			return nil, refusal{reason: reason.NotReady, message: why, retryAfter: time.Second}
 		}
-		if err := wellFormed(x.r); err != nil {
+		if err := b.wellFormed(x.r); err != nil {
 			return nil, refusal{reason: reason.BadRequest, message: err.Error()}
 		}
 		host := x.r.Host
@@ -186,9 +188,12 @@
 }
 
 // wellFormed refuses shapes that an endpoint may read in another way.
-func wellFormed(r *http.Request) error {
+func (b *Balancer) wellFormed(r *http.Request) error {
 	path := r.URL.EscapedPath()
 	for segment := range strings.SplitSeq(path, "/") {
+		if b.cfg.Policy.AnyPath {
+			break
+		}
 		plain := strings.ReplaceAll(strings.ToLower(segment), "%2e", ".")
 		if plain == "." || plain == ".." {
 			return fmt.Errorf("path %q has a dot segment", path)
@@ -210,10 +215,11 @@
 	return func(ctx context.Context, request any) (any, error) {
 		x := request.(*exchange)
 		timeout := x.route.Kind.Timeout
-		if text := x.r.Header.Get(upstream.TimeoutHeader); text != "" {
-			d, err := time.ParseDuration(text)
+		dialect := b.cfg.Policy.Dialect
+		if text := x.r.Header.Get(dialect.Timeout); text != "" {
+			d, err := dialect.ParseTimeout(text)
 			if err != nil || d <= 0 || d > maxTimeout {
-				return nil, refusal{reason: reason.BadTimeout, message: fmt.Sprintf("%s is %q", upstream.TimeoutHeader, text)}
+				return nil, refusal{reason: reason.BadTimeout, message: fmt.Sprintf("%s is %q", dialect.Timeout, text)}
 			}
 			timeout = min(timeout, d)
 		}
@@ -226,12 +232,24 @@
 // connections are shared out among the balancers.
 func (b *Balancer) client(route tenant.Route) *upstream.Client {
 	desc, sharers := b.cfg.Fleet.Service(route.Tenant, route.Kind.Service)
-	key := clientKey{service: route.ServiceKey(), connections: max(1, desc.Connections/plannedBalancers(sharers)), protocol: desc.Protocol}
+	key := clientKey{
+		service:     route.ServiceKey(),
+		connections: max(1, desc.Connections/plannedBalancers(sharers)),
+		protocol:    desc.Protocol,
+		fresh:       b.cfg.Policy.FreshConnections && !route.Kind.Repeatable,
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c, ok := b.clients[key]
 	if !ok {
-		c = upstream.NewClient(upstream.Options{Connections: key.connections, HTTP2: desc.Protocol == "h2c"})
+		c = upstream.NewClient(upstream.Options{
+			Connections: key.connections,
+			HTTP2:       desc.Protocol == "h2c",
+			DialTimeout: b.cfg.Policy.DialTimeout,
+			Idle:        b.cfg.Policy.IdleUpstream,
+			Fresh:       key.fresh,
+			Dialect:     &b.cfg.Policy.Dialect,
+		})
 		b.clients[key] = c
 	}
 	return c
--- a/balancer/refuse.go
+++ b/balancer/refuse.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/reason"
@@ -62,7 +60,7 @@
 	h.Set("Content-Type", "application/json")
 	if doc.Status == http.StatusServiceUnavailable {
 		r.retryAfter = max(r.retryAfter, time.Millisecond)
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.retryAfter.Seconds()))))
+		h.Set("Retry-After", b.cfg.Policy.Dialect.FormatRetryAfter(r.retryAfter))
 	}
 	body, err := json.Marshal(answerBody{
 		Verdict:      r.verdict.String(),
--- a/balancer/relay.go
+++ b/balancer/relay.go
@@ -30,14 +30,16 @@
 	answer := res.Answer
 	h := x.w.Header()
 	removeHopHeaders(answer.Header)
-	answer.Header.Del(upstream.RequestIDHeader)
+	if !b.cfg.Policy.Dialect.CallersID {
+		answer.Header.Del(b.cfg.Policy.Dialect.RequestID)
+	}
 	answer.Header.Del(verdict.Header)
 	copyHeader(h, answer.Header)
 	h.Set(verdict.Header, res.Verdict.String())
 	x.verdict, x.reason, x.status = res.Verdict, res.Reason, answer.StatusCode
 	announced := announceTrailers(h, answer.Trailer)
 	x.w.WriteHeader(answer.StatusCode)
-	streaming := answer.ContentLength < 0
+	streaming := answer.ContentLength < 0 && !res.Held
 	if err := copyAnswer(x.w, answer.Body, streaming); err != nil {
 		b.cfg.Log.Warn("answer not passed on whole", "id", x.id, "error", err)
 		return err
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -10,6 +10,7 @@
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/link"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/upstream"
 	"go.opentelemetry.io/otel/attribute"
@@ -35,7 +36,7 @@
 		}
 		sent := time.Now()
 		res := b.send(ctx, x, grant, body)
-		if res.Verdict == verdict.Ran && !rejected(x, &res) {
+		if res.Verdict == verdict.Ran && !b.rejected(x, &res) {
 			return nil, b.answer(x, grant, &res, sent)
 		}
 		b.complete(x, grant, &res, sent)
@@ -70,7 +71,10 @@
 // rejected reports whether an endpoint's answer is a bare rejection of a
 // repeatable request. It proves nothing about what ran, but another endpoint
 // may do better.
-func rejected(x *exchange, res *upstream.Result) bool {
+func (b *Balancer) rejected(x *exchange, res *upstream.Result) bool {
+	if b.cfg.Policy.RepeatErrors && res.Answer.StatusCode >= http.StatusInternalServerError {
+		return x.route.Kind.Repeatable
+	}
 	switch res.Answer.StatusCode {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		return x.route.Kind.Repeatable
@@ -97,6 +101,12 @@
 		Patience: patience,
 		Deadline: x.deadline,
 		Avoid:    tried,
+
+		Kind:       x.route.Team + "/" + x.route.Kind.Name,
+		Accepted:   x.accepted,
+		Target:     x.route.Kind.Target,
+		Priority:   x.route.Kind.Priority,
+		Repeatable: x.route.Kind.Repeatable,
 	})
 	if refused != nil && refused.Reason == reason.Expired && !time.Now().Before(x.deadline) {
 		refused.Reason = reason.DeadlineWaiting
@@ -112,11 +122,13 @@
 	ctx, span := b.cfg.Tracing.Tracer.Start(ctx, "send")
 	defer span.End()
 	res := b.client(x.route).Send(ctx, upstream.Request{
-		ID:       grant.ID,
+		ID:       b.attemptID(x, grant),
 		Addr:     grant.Endpoint.Addr,
 		In:       x.r,
 		Body:     body,
 		Deadline: x.deadline,
+		Instance: grant.Endpoint.VM,
+		Hold:     b.cfg.Policy.HoldBytes,
 		Informational: func(code int, header http.Header) {
 			if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
 				return // the server sends its own
@@ -130,13 +142,26 @@
 	return res
 }
 
+// attemptID names an attempt to the endpoint: the caller's name where that goes
+// through, else that of the grant.
+func (b *Balancer) attemptID(x *exchange, grant node.Grant) string {
+	if b.cfg.Policy.Dialect.CallersID {
+		return x.id
+	}
+	return grant.ID
+}
+
 // complete reports an attempt that the endpoint did not run to its end.
 func (b *Balancer) complete(x *exchange, grant node.Grant, res *upstream.Result, sent time.Time) {
 	e := node.Ending{Outcome: contract.Failed, Took: time.Since(sent)}
 	switch {
+	case res.Reason == reason.EndpointReplaced:
+		e.Replaced = true
 	case res.Reason == reason.EndpointRefused:
 		e.Outcome = contract.Shed
-		e.Load = upstream.ParseLoad(res.Answer.Header.Get(upstream.LoadHeader))
+		e.Load = b.load(res)
+	case x.r.Context().Err() == nil && res.Answer == nil && res.Reason == reason.DialFailed:
+		e.Unheard = true
 	case x.r.Context().Err() != nil, res.Reason == reason.NothingWritten:
 		e.Outcome = contract.Unused // says nothing about the endpoint
 	}
@@ -148,22 +173,32 @@
 	if x.r.Context().Err() != nil {
 		return false
 	}
-	policy := retry.Policy{MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, Repeatable: x.route.Kind.Repeatable}
-	if x.mayRun {
-		policy.MaxRefusals = maxAttempts
-	}
 	service := x.route.ServiceKey()
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	d := retry.Decide(policy,
+	budget := b.budget(service)
+	d := retry.Decide(attemptsOf(x),
 		retry.Attempt{Number: attempt, Verdict: repeatVerdict(res.Verdict), Replayable: body.Replayable(), Deadline: x.deadline},
-		b.budgets[service], time.Now())
+		budget, now)
 	if d.Again {
-		b.budgets[service] = b.budgets[service].Withdraw()
+		b.budgets[service] = budget.withRepeat(now)
 	}
 	return d.Again
 }
 
+// attemptsOf bounds the attempts of a request.
+func attemptsOf(x *exchange) retry.Policy {
+	policy := retry.Policy{MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, Repeatable: x.route.Kind.Repeatable}
+	if x.mayRun {
+		policy.MaxRefusals = maxAttempts
+	}
+	if most := x.route.Kind.MaxAttempts; most > 0 {
+		policy.MaxAttempts, policy.MaxRefusals = most, most
+	}
+	return policy
+}
+
 // repeatVerdict is what counts for another attempt: only rejections get as far
 // as that with an answer.
 func repeatVerdict(v verdict.Verdict) verdict.Verdict {
@@ -176,11 +211,13 @@
 func (b *Balancer) deposit(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	budget, ok := b.budgets[service]
-	if !ok {
-		budget = retry.NewBudget(retryPercent, retryLimit)
-	}
-	b.budgets[service] = budget.Deposit()
+	b.budgets[service] = b.budget(service).withRequest(time.Now())
+}
+
+// load returns the endpoint's word about its load on an answer.
+func (b *Balancer) load(res *upstream.Result) link.Load {
+	d := &b.cfg.Policy.Dialect
+	return d.ParseLoad(res.Answer.Header.Get(d.Load))
 }
 
 // giveUp makes the last answer of a request that no endpoint ran. An
@@ -189,9 +226,9 @@
 	if x.mayRun && res.Verdict == verdict.NotRun {
 		res.Verdict = verdict.MayHaveRun
 	}
-	if res.Answer != nil {
+	if res.Answer != nil && !(res.Reason != "" && b.cfg.Policy.OwnRefusals) {
 		if res.Answer.Header.Get("Retry-After") == "" {
-			res.Answer.Header.Set("Retry-After", "1")
+			res.Answer.Header.Set("Retry-After", b.cfg.Policy.Dialect.FormatRetryAfter(b.comeBack(x)))
 		}
 		if err := b.relay(x, res); err != nil {
 			panic(http.ErrAbortHandler)
@@ -206,14 +243,26 @@
 	if ctx.Err() != nil {
 		message += " (caller left)"
 	}
-	return refusal{verdict: res.Verdict, reason: res.Reason, message: message, retryAfter: time.Second}
+	return refusal{verdict: res.Verdict, reason: res.Reason, message: message, retryAfter: b.comeBack(x)}
+}
+
+// comeBack returns when a caller whose request did not run should ask again.
+func (b *Balancer) comeBack(x *exchange) time.Duration {
+	if x.route.Kind.Target > 0 {
+		return x.route.Kind.Target / comeBackShare
+	}
+	return time.Second
 }
 
+// comeBackShare is the part of a kind's target after which a caller may ask
+// again.
+const comeBackShare = 8
+
 // answer passes an endpoint's answer on and reports how the exchange ended.
 func (b *Balancer) answer(x *exchange, grant node.Grant, res *upstream.Result, sent time.Time) error {
 	e := node.Ending{
 		Outcome: contract.Completed,
-		Load:    upstream.ParseLoad(res.Answer.Header.Get(upstream.LoadHeader)),
+		Load:    b.load(res),
 	}
 	if res.Answer.StatusCode >= http.StatusInternalServerError {
 		e.Outcome = contract.Failed // failing fast must not look like being fast
--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -6,9 +6,16 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
+	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/balancer"
+	"github.com/lotuswing/lotuswing/coord/retry"
+	"github.com/lotuswing/lotuswing/platform"
 	"github.com/lotuswing/lotuswing/server"
 	"github.com/lotuswing/lotuswing/settings"
 )
@@ -17,7 +24,7 @@
 func Balancer(args []string, out, errOut io.Writer) int {
 	a := newApp("lotuswing", "A load balancer for long sessions that must never be dropped.", out, errOut)
 	a.add("run", "Run a balancer until SIGTERM, which is a planned stop.", func(c *kingpin.CmdClause) func() error {
-		file := c.Flag("settings", "the settings file").Required().String()
+		file := c.Flag("settings", "the settings file").Envar(platform.SettingsVariable).Required().String()
 		return func() error { return runBalancer(a.env, *file) }
 	})
 	a.add("check", "Check a settings file.", func(c *kingpin.CmdClause) func() error {
@@ -47,10 +54,14 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	srv, err := server.Start(server.Config{Settings: s, Log: log, Traces: e.err})
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	limitMemory(s.Memory)
+	srv, err := server.Start(serverConfig(s, log, e))
 	if err != nil {
 		return err
 	}
+	go reload(reloads, file, s, log)
 	<-signals
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -62,3 +73,76 @@
 	log.Info("stopped", "cut", cut)
 	return err
 }
+
+// serverConfig chooses the source and the policy that the settings ask for.
+func serverConfig(s settings.Settings, log hclog.Logger, e *env) server.Config {
+	cfg := server.Config{Settings: s, Log: log, Traces: e.err}
+	if s.Discovery.Kind != settings.Platform {
+		return cfg
+	}
+	cfg.Source = platform.NewStore(s.Discovery.URL)
+	cfg.Policy = balancer.Policy{
+		Dialect:          platform.Dialect(),
+		HoldBytes:        holdBytes,
+		RepeatErrors:     true,
+		FreshConnections: true,
+		OwnRefusals:      true,
+		AnyPath:          true,
+		DialTimeout:      dialTimeout,
+		IdleUpstream:     idleUpstream,
+	}
+	if s.Retries != (settings.Retries{}) {
+		cfg.Policy.Repeats = repeatsOf(s.Retries)
+	}
+	return cfg
+}
+
+// Of connections and answers on the platform.
+const (
+	holdBytes    = 128 << 10
+	dialTimeout  = 300 * time.Millisecond
+	idleUpstream = 4 * time.Second
+)
+
+// Each process keeps to its own part of the fleet's budget of repeats: a share
+// of its own requests a little below the fleet's, and one beyond it, so that
+// no process needs to know how many there are.
+const (
+	repeatRatioShare = 0.85
+	repeatAllowance  = 1
+)
+
+func repeatsOf(r settings.Retries) *retry.WindowLimit {
+	return &retry.WindowLimit{Span: r.Window, Ratio: r.Ratio * repeatRatioShare, Allowance: min(repeatAllowance, r.Burst)}
+}
+
+// Parts of the memory that the settings allow.
+const (
+	heapPart       = 0.5 // of it that the heap may reach before it is collected at any cost
+	collectPercent = 60  // growth of the heap between two collections
+)
+
+// limitMemory keeps the heap well below what the process may use.
+func limitMemory(mebibytes int) {
+	if mebibytes == 0 {
+		return
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(float64(mebibytes) * heapPart * (1 << 20)))
+}
+
+// reload takes changed settings into force as far as that is possible without
+// a restart, and says what is not. Wrong settings change nothing.
+func reload(signals <-chan os.Signal, file string, current settings.Settings, log hclog.Logger) {
+	for range signals {
+		next, err := settings.Load(file)
+		if err != nil {
+			log.Error("settings not taken; the last good ones stay", "error", err)
+			continue
+		}
+		log.SetLevel(hclog.LevelFromString(next.Log))
+		same := next
+		same.Log = current.Log
+		log.Info("settings read again", "log_level", next.Log, "needs_restart", !reflect.DeepEqual(same, current))
+	}
+}
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -4,26 +4,29 @@
 // refused or expired before they were sent (2xxx), and whose exchange with an
 // endpoint failed (3xxx).
 const (
-	NoTeam          Code = "LW1001"
-	NoKind          Code = "LW1002"
-	BadTimeout      Code = "LW1003"
-	BadRequest      Code = "LW1004"
-	NotReady        Code = "LW1005"
-	QueueFull       Code = "LW2001"
-	TooLate         Code = "LW2002"
-	Expired         Code = "LW2003"
-	NoEndpoint      Code = "LW2004"
-	CallerLeft      Code = "LW2005"
-	Stopping        Code = "LW2006"
-	RetryExhausted  Code = "LW2007"
-	DeadlineWaiting Code = "LW2008"
-	DialFailed      Code = "LW3001"
-	NothingWritten  Code = "LW3002"
-	EndpointRefused Code = "LW3003"
-	AnswerUnknown   Code = "LW3004"
-	AnswerLate      Code = "LW3005"
-	AnswerForeign   Code = "LW3006"
-	UpgradeFailed   Code = "LW3007"
+	NoTeam           Code = "LW1001"
+	NoKind           Code = "LW1002"
+	BadTimeout       Code = "LW1003"
+	BadRequest       Code = "LW1004"
+	NotReady         Code = "LW1005"
+	QueueFull        Code = "LW2001"
+	TooLate          Code = "LW2002"
+	Expired          Code = "LW2003"
+	NoEndpoint       Code = "LW2004"
+	CallerLeft       Code = "LW2005"
+	Stopping         Code = "LW2006"
+	RetryExhausted   Code = "LW2007"
+	DeadlineWaiting  Code = "LW2008"
+	DialFailed       Code = "LW3001"
+	NothingWritten   Code = "LW3002"
+	EndpointRefused  Code = "LW3003"
+	AnswerUnknown    Code = "LW3004"
+	AnswerLate       Code = "LW3005"
+	AnswerForeign    Code = "LW3006"
+	UpgradeFailed    Code = "LW3007"
+	EndpointReplaced Code = "LW3008"
+	AnswerSpoiled    Code = "LW3009"
+	AnswerCut        Code = "LW3010"
 )
 
 const firstRelease = "0.1.0"
@@ -50,4 +53,7 @@
 	{AnswerLate, "no answer before the deadline", "The request was sent and its deadline passed before an answer arrived; it was cancelled.", "As for LW3004; look for slow endpoints in 'lotusctl status'.", 504, firstRelease, Warning},
 	{AnswerForeign, "the answer belongs to another request", "The answer carried the identity of another request and was discarded with its connection.", "The endpoint mixes up answers: take it out and report the fault.", 502, firstRelease, Urgent},
 	{UpgradeFailed, "the session could not be upgraded", "The endpoint agreed to switch protocols but the caller's connection could not be taken over.", "Check that the caller speaks HTTP/1.1 on this connection.", 502, firstRelease, Warning},
+	{EndpointReplaced, "another endpoint has the address", "The request named the incarnation of the endpoint that it was meant for, and another one answered at the address. It did not run the request.", "Nothing; the endpoint is marked as gone and the request goes elsewhere.", 503, "0.2.0", Info},
+	{AnswerSpoiled, "the answer is not the endpoint's own", "The answer lacks the signature of an endpoint, or its body is encoded though nobody asked for that. It was discarded with its connection.", "As for LW3004; if it lasts, take the endpoint out and report the fault.", 502, "0.2.0", Warning},
+	{AnswerCut, "the answer was cut short", "The endpoint began an answer and the connection failed before its end. Nothing of it was passed on.", "As for LW3004; look for endpoints that crash.", 502, "0.2.0", Warning},
 }
--- a/coord/retry/retry.go
+++ b/coord/retry/retry.go
@@ -40,11 +40,11 @@
 }
 
 // Decide is the rule for repeating an attempt.
-func Decide(p Policy, a Attempt, budget Budget, now time.Time) Decision {
+func Decide(p Policy, a Attempt, budget Covering, now time.Time) Decision {
 	switch {
 	case !a.Verdict.MayRepeat(p.Repeatable):
 		return Decision{Reason: reason.AnswerUnknown}
-	case a.Number >= p.most(a.Verdict), !a.Replayable, !budget.Covers():
+	case a.Number >= p.most(a.Verdict), !a.Replayable, !budget.Covers(now):
 		return Decision{Reason: reason.RetryExhausted}
 	case now.Add(a.Expected).After(a.Deadline):
 		return Decision{Reason: reason.TooLate}
@@ -74,8 +74,13 @@
 	return Budget{percent: percent, limit: limit * hundredths, balance: limit * hundredths}
 }
 
+// Covering is a budget that can tell whether it covers one more retry.
+type Covering interface {
+	Covers(now time.Time) bool
+}
+
 // Covers reports whether a retry can be paid for.
-func (b Budget) Covers() bool { return b.balance >= hundredths }
+func (b Budget) Covers(time.Time) bool { return b.balance >= hundredths }
 
 // Deposit returns the budget after one more request.
 func (b Budget) Deposit() Budget {
--- /dev/null
+++ b/direct/direct.go
@@ -0,0 +1,221 @@
+// Package direct is a balancer's way to choose endpoints on its own, from fresh
+// reports of load, without a home that keeps a ledger for all balancers.
+//
+// Configuration and endpoints come from a directory. For each request a few
+// promising endpoints are asked for their load just before the choice, so the
+// choice rests on figures that are a millisecond or two old. Nothing is shared
+// among balancers, so nothing has to be agreed or recovered when some of them
+// vanish.
+//
+// # Usage
+//
+//	f := direct.New(direct.Config{Directory: d, Zone: zone, Log: log, Dialect: dialect})
+//	grant, refusal := f.Acquire(ctx, ask)
+//	f.Complete(grant, ending)
+package direct
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/coord/selection"
+	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/upstream"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Config of a Fleet. Zero fields of Options take the defaults.
+type Config struct {
+	ID        string // identity of the process
+	Zone      string
+	Directory *directory.Directory
+	Dialect   upstream.Dialect
+	Log       hclog.Logger
+	Metrics   metrics.Registry
+	Options   Options
+	Stop      func() // ends what keeps the directory up to date; may be nil
+}
+
+// Options of the choice. Zero fields take the defaults.
+type Options struct {
+	Estimate       selection.Options
+	ProbeCount     int           // endpoints asked just before a choice; default 2
+	ProbeWait      time.Duration // how long their answers are waited for; default 12 ms
+	ProbeFresh     time.Duration // an endpoint heard of so lately is not asked; default 4 ms
+	ProbeRate      float64       // probes a second of this process for one endpoint; default 3
+	ProbeBurst     float64       // beyond the rate; default 4
+	QueueMost      int           // requests that may wait at an endpoint; default 1
+	RefuseShare    float64       // part of the target after which a request that found no place is refused; default 0.2
+	RefuseAfter    time.Duration // the same for a kind without a target; default 200 ms
+	LookAgain      time.Duration // pause between two looks for a place; default 8 ms
+	ComeBackShare  float64       // part of the target after which a refused caller may ask again; default 0.25
+	IdleUpstream   time.Duration // after which an unused probe connection is closed; default 4 s
+	ConnectTimeout time.Duration // of a probe's connection; default 250 ms
+}
+
+func (o Options) withDefaults() Options {
+	o.Estimate = o.Estimate.WithDefaults()
+	setDefault(&o.ProbeCount, 2)
+	setDefault(&o.ProbeWait, 12*time.Millisecond)
+	setDefault(&o.ProbeFresh, 4*time.Millisecond)
+	setDefault(&o.ProbeRate, 3)
+	setDefault(&o.ProbeBurst, 4)
+	setDefault(&o.QueueMost, 1)
+	setDefault(&o.RefuseShare, 0.2)
+	setDefault(&o.RefuseAfter, 200*time.Millisecond)
+	setDefault(&o.LookAgain, 8*time.Millisecond)
+	setDefault(&o.ComeBackShare, 0.25)
+	setDefault(&o.IdleUpstream, 4*time.Second)
+	setDefault(&o.ConnectTimeout, 250*time.Millisecond)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Fleet chooses endpoints.
+type Fleet struct {
+	cfg      Config
+	opts     Options
+	prober   *upstream.Prober
+	sequence atomic.Uint64
+	born     int64
+	probes   metrics.Counter
+
+	mu        sync.Mutex
+	endpoints map[string]*endpoint // by identity
+	work      map[string]workload  // by request kind
+	rng       *rand.Rand
+}
+
+// New returns a fleet.
+func New(cfg Config) *Fleet {
+	opts := cfg.Options.withDefaults()
+	now := time.Now().UnixNano()
+	return &Fleet{
+		cfg:  cfg,
+		opts: opts,
+		prober: upstream.NewProber(upstream.Options{
+			Dialect: &cfg.Dialect, Idle: opts.IdleUpstream, DialTimeout: opts.ConnectTimeout,
+		}),
+		born:      now,
+		probes:    metrics.GetOrRegisterCounter("probes", cfg.Metrics),
+		endpoints: map[string]*endpoint{},
+		work:      map[string]workload{},
+		rng:       rand.New(rand.NewPCG(uint64(now), rand.Uint64())),
+	}
+}
+
+// NextID returns an identity for a request, unique among all balancers.
+func (f *Fleet) NextID() string {
+	return fmt.Sprintf("%s-%x-%x", f.cfg.ID, f.born, f.sequence.Add(1))
+}
+
+// Route finds the route of a request.
+func (f *Fleet) Route(host, _, path string) (tenant.Route, reason.Code) {
+	cfg := f.cfg.Directory.Snapshot().Config
+	if cfg == nil {
+		return tenant.Route{}, reason.NotReady
+	}
+	return cfg.Routes.Route(host, path, rand.Uint64())
+}
+
+// Service returns the description of a service. The number of balancers that
+// share its connections is not known here.
+func (f *Fleet) Service(_, service string) (tenant.Service, int) {
+	cfg := f.cfg.Directory.Snapshot().Config
+	if cfg == nil {
+		return tenant.Service{}, 0
+	}
+	return cfg.Services[service], 0
+}
+
+// Ready reports whether requests can be routed and, if not, why.
+func (f *Fleet) Ready() (bool, string) {
+	s := f.cfg.Directory.Snapshot()
+	switch {
+	case s.Config == nil:
+		return false, "no configuration"
+	case s.Known == 0:
+		return false, "no endpoint is known"
+	}
+	return true, ""
+}
+
+// Status is a fleet's account for operators.
+type Status struct {
+	ID        string
+	Zone      string
+	Ready     bool
+	Why       string `json:",omitempty"`
+	Version   uint64
+	Revision  uint64
+	Routes    int
+	Endpoints []EndpointStatus
+}
+
+// EndpointStatus is the account of one endpoint.
+type EndpointStatus struct {
+	ID       string
+	Service  string
+	Zone     string
+	State    string
+	InFlight int
+	Running  int
+	Waiting  int
+	Pace     float64
+	Slowness float64
+	Ejected  bool
+	Age      time.Duration // of the last report
+}
+
+// Status returns the account.
+func (f *Fleet) Status() Status {
+	now := time.Now()
+	s := f.cfg.Directory.Snapshot()
+	st := Status{ID: f.cfg.ID, Zone: f.cfg.Zone, Revision: s.At}
+	st.Ready, st.Why = f.Ready()
+	if s.Config != nil {
+		st.Version, st.Routes = s.Config.Version, s.Config.Routes.Len()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for service, list := range s.Endpoints {
+		for _, e := range list {
+			st.Endpoints = append(st.Endpoints, f.statusOf(service, e, now))
+		}
+	}
+	return st
+}
+
+func (f *Fleet) statusOf(service string, e directory.Endpoint, now time.Time) EndpointStatus {
+	known := f.known(e)
+	report := known.load.Report()
+	return EndpointStatus{
+		ID: e.VM, Service: service, Zone: e.Zone, State: e.State.String(), InFlight: known.load.InFlight(),
+		Running: report.Running, Waiting: report.Waiting, Pace: report.Pace, Slowness: known.health.Slowness(),
+		Ejected: known.health.Ejected(now), Age: known.load.Age(now),
+	}
+}
+
+// Leave does nothing: no other balancer counts on this one.
+func (f *Fleet) Leave(context.Context) {}
+
+// Close ends idle connections and the following of the directory.
+func (f *Fleet) Close() {
+	if f.cfg.Stop != nil {
+		f.cfg.Stop()
+	}
+	f.prober.Close()
+}
--- a/link/link.go
+++ b/link/link.go
@@ -79,7 +79,9 @@
 type Load struct {
 	Known    bool
 	InFlight int
+	Waiting  int // requests that wait for a slot
 	Slots    int
+	Pace     float64 // how long work takes now, 1 as usual; 0 where it is not told
 	State    LoadState
 }
 
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -32,6 +32,13 @@
 	Patience time.Duration
 	Deadline time.Time
 	Avoid    []string
+
+	// For a fleet that estimates when an answer would come.
+	Kind       string        // request kind, whose usual service time is learnt
+	Accepted   time.Time     // when the request came
+	Target     time.Duration // an answer within it has its full worth; 0 for none
+	Priority   int           // 0 is the most urgent
+	Repeatable bool
 }
 
 // Grant is the right to send one request to one endpoint.
@@ -42,6 +49,7 @@
 	Home     string // link address; empty when chosen without a home
 	HomeID   string
 	Class    contract.Class
+	Kind     string // as in the Ask
 }
 
 // Refusal says why there is no grant. The request was not sent.
@@ -52,9 +60,11 @@
 
 // Ending is how a granted request ended.
 type Ending struct {
-	Outcome contract.Outcome
-	Took    time.Duration
-	Load    link.Load
+	Outcome  contract.Outcome
+	Took     time.Duration
+	Load     link.Load
+	Replaced bool // another incarnation answers at the endpoint's address
+	Unheard  bool // no connection could be opened, or it ended without an answer
 }
 
 // Acquire gets a grant from the home of the service, waiting as long as the
--- a/server/admin.go
+++ b/server/admin.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/rcrowley/go-metrics"
@@ -52,12 +53,10 @@
 func (s *Server) live(context.Context, any) (any, error) { return health{OK: true}, nil }
 
 func (s *Server) ready(context.Context, any) (any, error) {
-	select {
-	case <-s.stopping:
+	if s.isStopping() {
 		return health{Why: "planned stop"}, nil
-	default:
 	}
-	ok, why := s.node.Ready()
+	ok, why := s.fleet.Ready()
 	return health{OK: ok, Why: why}, nil
 }
 
@@ -68,14 +67,28 @@
 	Stopping bool
 }
 
+// DirectStatus is the answer of /status of a balancer that chooses on its own.
+type DirectStatus struct {
+	direct.Status
+	InFlight int64
+	Stopping bool
+}
+
 func (s *Server) status(context.Context, any) (any, error) {
-	st := Status{Status: s.node.Status(), InFlight: s.balancer.InFlight()}
+	if s.direct != nil {
+		return DirectStatus{Status: s.direct.Status(), InFlight: s.balancer.InFlight(), Stopping: s.isStopping()}, nil
+	}
+	return Status{Status: s.node.Status(), InFlight: s.balancer.InFlight(), Stopping: s.isStopping()}, nil
+}
+
+// isStopping reports whether a planned stop has begun.
+func (s *Server) isStopping() bool {
 	select {
 	case <-s.stopping:
-		st.Stopping = true
+		return true
 	default:
+		return false
 	}
-	return st, nil
 }
 
 func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
@@ -96,6 +109,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), span)
 	defer cancel()
+	if s.node == nil {
+		http.Error(w, "this balancer chooses on its own and keeps no ledger to record", http.StatusNotImplemented)
+		return
+	}
 	if err := s.node.Record(ctx, r.URL.Query().Get("service"), w); err != nil {
 		s.cfg.Log.Warn("trace not recorded", "error", err)
 		http.Error(w, err.Error(), http.StatusConflict)
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/balancer"
+	"github.com/lotuswing/lotuswing/direct"
+	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/telemetry"
@@ -32,12 +34,26 @@
 	Traces   io.Writer // of the exporter "stderr"
 	// Alone makes every choice without a home, to compare with.
 	Alone bool
+	// Source of configuration and endpoints; nil for those of peers.
+	Source directory.Source
+	// Policy towards callers and endpoints; the zero value is the product's.
+	Policy balancer.Policy
+}
+
+// fleet is the process's view of endpoints and of other balancers.
+type fleet interface {
+	balancer.Fleet
+	// Leave announces a planned stop.
+	Leave(ctx context.Context)
+	Close()
 }
 
 // Server is a running balancer process.
 type Server struct {
 	cfg      Config
-	node     *node.Node
+	fleet    fleet
+	node     *node.Node    // nil with a Source
+	direct   *direct.Fleet // nil without one
 	balancer *balancer.Balancer
 	tracing  *telemetry.Tracing
 	metrics  metrics.Registry
@@ -61,17 +77,13 @@
 	if s.adminL, err = net.Listen("tcp", cfg.Settings.Admin); err != nil {
 		return nil, errors.Join(fmt.Errorf("server: admin address: %w", err), s.frontL.Close())
 	}
-	if s.node, err = node.Start(node.Config{
-		Settings: cfg.Settings,
-		Log:      cfg.Log.Named("node"),
-		Metrics:  s.metrics,
-		Alone:    cfg.Alone,
-	}); err != nil {
+	if err := s.startFleet(); err != nil {
 		return nil, errors.Join(err, s.frontL.Close(), s.adminL.Close())
 	}
 	s.balancer = balancer.New(balancer.Config{
-		Fleet:   s.node,
+		Fleet:   s.fleet,
 		Limits:  cfg.Settings.Limits,
+		Policy:  cfg.Policy,
 		Log:     cfg.Log.Named("request"),
 		Metrics: s.metrics,
 		Tracing: tracing,
@@ -81,10 +93,48 @@
 	go func() { _ = s.front.Serve(s.frontL) }()
 	go func() { _ = s.admin.Serve(s.adminL) }()
 	cfg.Log.Info("started", "id", cfg.Settings.ID, "zone", cfg.Settings.Zone, "listen", s.frontL.Addr().String(),
-		"admin", s.adminL.Addr().String(), "link", s.node.LinkAddr())
+		"admin", s.adminL.Addr().String(), "discovery", cfg.Settings.Discovery.Kind)
 	return s, nil
 }
 
+// startFleet starts the part that knows endpoints: with a source on its own,
+// else together with peers.
+func (s *Server) startFleet() error {
+	cfg := s.cfg
+	if cfg.Source != nil {
+		s.direct = s.startDirect()
+		s.fleet = s.direct
+		return nil
+	}
+	n, err := node.Start(node.Config{
+		Settings: cfg.Settings,
+		Log:      cfg.Log.Named("node"),
+		Metrics:  s.metrics,
+		Alone:    cfg.Alone,
+	})
+	if err != nil {
+		return err
+	}
+	s.node, s.fleet = n, n
+	return nil
+}
+
+func (s *Server) startDirect() *direct.Fleet {
+	d := directory.New()
+	ctx, stop := context.WithCancel(context.Background())
+	follower := directory.NewFollower(d, s.cfg.Source, directory.Options{Log: s.cfg.Log.Named("directory")})
+	go follower.Run(ctx)
+	return direct.New(direct.Config{
+		ID:        s.cfg.Settings.ID,
+		Zone:      s.cfg.Settings.Zone,
+		Directory: d,
+		Dialect:   s.cfg.Policy.Dialect,
+		Log:       s.cfg.Log.Named("choice"),
+		Metrics:   s.metrics,
+		Stop:      stop,
+	})
+}
+
 func (s *Server) frontServer() *http.Server {
 	limits := s.cfg.Settings.Limits
 	protocols := new(http.Protocols)
@@ -106,10 +156,10 @@
 // AdminAddr returns the operators' address.
 func (s *Server) AdminAddr() string { return s.adminL.Addr().String() }
 
-// LinkAddr returns the peers' address.
+// LinkAddr returns the peers' address. There is none with a Source.
 func (s *Server) LinkAddr() string { return s.node.LinkAddr() }
 
-// Node returns the process's part in the fleet.
+// Node returns the process's part in the fleet; nil with a Source.
 func (s *Server) Node() *node.Node { return s.node }
 
 // Stop is the planned stop: not ready first, then the notice for the
@@ -120,7 +170,7 @@
 	close(s.stopping)
 	s.balancer.Stop()
 	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
-	s.node.Leave(ctx)
+	s.fleet.Leave(ctx)
 	wait(ctx, s.cfg.Settings.Stop.Notice)
 	limited, cancel := context.WithTimeout(ctx, s.cfg.Settings.Stop.Limit)
 	defer cancel()
@@ -159,7 +209,7 @@
 }
 
 func (s *Server) close() {
-	s.node.Close()
+	s.fleet.Close()
 	_ = s.admin.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,19 +21,46 @@
 
 // Settings of one balancer. Every address is an IP number with a port.
 type Settings struct {
-	ID      string   `json:"id"`      // identity of the VM
-	Zone    string   `json:"zone"`    // availability zone
-	Tenants []string `json:"tenants"` // tenants that the balancer serves
-	Listen  string   `json:"listen"`  // callers
-	Admin   string   `json:"admin"`   // operators and the platform's balancer
-	Link    string   `json:"link"`    // other balancers
-	Peers   []string `json:"peers"`   // link addresses to start from; the VM list gives more
-	Store   Store    `json:"store"`
-	TLS     LinkTLS  `json:"link_tls"`
-	Stop    Stop     `json:"stop"`
-	Limits  Limits   `json:"limits"`
-	Trace   string   `json:"trace"`     // none or stderr; default none
-	Log     string   `json:"log_level"` // trace, debug, info, warn or error; default info
+	ID        string    `json:"id"`      // identity of the VM
+	Zone      string    `json:"zone"`    // availability zone
+	Tenants   []string  `json:"tenants"` // tenants that the balancer serves
+	Listen    string    `json:"listen"`  // callers
+	Admin     string    `json:"admin"`   // operators and the platform's balancer
+	Link      string    `json:"link"`    // other balancers
+	Peers     []string  `json:"peers"`   // link addresses to start from; the VM list gives more
+	Store     Store     `json:"store"`
+	TLS       LinkTLS   `json:"link_tls"`
+	Stop      Stop      `json:"stop"`
+	Limits    Limits    `json:"limits"`
+	Discovery Discovery `json:"discovery"`
+	Retries   Retries   `json:"retries"`
+	Memory    int       `json:"memory_mb"` // what the process may use, in MiB; 0 for no limit
+	Trace     string    `json:"trace"`     // none or stderr; default none
+	Log       string    `json:"log_level"` // trace, debug, info, warn or error; default info
+}
+
+// Discovery kinds.
+const (
+	// Peers: documents and a list of VMs in the product's own store, spread by
+	// the balancers, with a home for each service.
+	Peers = "peers"
+	// Platform: configuration and endpoints come from the operators' platform,
+	// and each balancer chooses on its own.
+	Platform = "platform"
+)
+
+// Discovery says where configuration and endpoints come from.
+type Discovery struct {
+	Kind string `json:"kind"` // peers or platform; default peers
+	URL  string `json:"url"`  // of the platform's store
+}
+
+// Retries bounds the repeats of the whole fleet, for each service in any
+// window. Zero fields stand for the product's own bound of each process.
+type Retries struct {
+	Ratio  float64       `json:"ratio"`  // for each request
+	Burst  float64       `json:"burst"`  // beyond the ratio
+	Window time.Duration `json:"window"` // length
 }
 
 // Store says where the platform's key-value service and list of VMs are.
@@ -79,8 +106,9 @@
 			ReplayBytes:   64 << 10,
 			IdleTimeout:   2 * time.Minute,
 		},
-		Trace: "none",
-		Log:   "info",
+		Discovery: Discovery{Kind: Peers},
+		Trace:     "none",
+		Log:       "info",
 	}
 }
 
@@ -106,17 +134,18 @@
 func check(dec *jsonc.Decoder, s Settings) {
 	dec.Check(s.ID != "", "id", "is missing; give the identity of the VM")
 	dec.Check(s.Zone != "", "zone", "is missing; give the availability zone")
-	dec.Check(len(s.Tenants) > 0, "tenants", "is missing; name at least one tenant")
 	checkAddr(dec, "listen", s.Listen)
 	checkAddr(dec, "admin", s.Admin)
-	checkAddr(dec, "link", s.Link)
-	for i, p := range s.Peers {
-		checkAddr(dec, fmt.Sprintf("peers[%d]", i), p)
+	switch s.Discovery.Kind {
+	case Peers:
+		checkPeers(dec, s)
+	case Platform:
+		checkURL(dec, "discovery.url", s.Discovery.URL)
+	default:
+		dec.Check(false, "discovery.kind", "is %q; peers or platform", s.Discovery.Kind)
 	}
-	checkURL(dec, "store.url", s.Store.URL)
-	checkURL(dec, "store.vm_list_url", s.Store.VMs)
-	checkBetween(dec, "store.timeout", s.Store.Timeout, time.Millisecond, time.Minute)
-	dec.Check(s.Store.Rate >= 1 && s.Store.Rate <= 1000, "store.rate", "is %d; from 1 to 1000", s.Store.Rate)
+	checkRetries(dec, s.Retries)
+	dec.Check(s.Memory >= 0, "memory_mb", "is %d; at least 0", s.Memory)
 	checkBetween(dec, "stop.notice", s.Stop.Notice, 0, 10*time.Minute)
 	checkBetween(dec, "stop.limit", s.Stop.Limit, time.Second, 7*24*time.Hour)
 	checkBetween(dec, "limits.header_timeout", s.Limits.HeaderTimeout, time.Millisecond, time.Hour)
@@ -125,9 +154,31 @@
 	dec.Check(s.Limits.BodyBytes >= 1, "limits.body_bytes", "is %d; at least 1", s.Limits.BodyBytes)
 	dec.Check(s.Limits.ReplayBytes >= 0, "limits.replay_bytes", "is %d; at least 0", s.Limits.ReplayBytes)
 	dec.Check(s.Trace == "none" || s.Trace == "stderr", "trace", "is %q; none or stderr", s.Trace)
+}
+
+// checkPeers checks what only balancers need that talk to one another.
+func checkPeers(dec *jsonc.Decoder, s Settings) {
+	dec.Check(len(s.Tenants) > 0, "tenants", "is missing; name at least one tenant")
+	checkAddr(dec, "link", s.Link)
+	for i, p := range s.Peers {
+		checkAddr(dec, fmt.Sprintf("peers[%d]", i), p)
+	}
+	checkURL(dec, "store.url", s.Store.URL)
+	checkURL(dec, "store.vm_list_url", s.Store.VMs)
+	checkBetween(dec, "store.timeout", s.Store.Timeout, time.Millisecond, time.Minute)
+	dec.Check(s.Store.Rate >= 1 && s.Store.Rate <= 1000, "store.rate", "is %d; from 1 to 1000", s.Store.Rate)
 	checkTLS(dec, s.TLS)
 }
 
+func checkRetries(dec *jsonc.Decoder, r Retries) {
+	if r == (Retries{}) {
+		return
+	}
+	dec.Check(r.Ratio >= 0 && r.Ratio <= 1, "retries.ratio", "is %v; from 0 to 1", r.Ratio)
+	dec.Check(r.Burst >= 0, "retries.burst", "is %v; at least 0", r.Burst)
+	checkBetween(dec, "retries.window", r.Window, time.Second, time.Hour)
+}
+
 func checkTLS(dec *jsonc.Decoder, t LinkTLS) {
 	files := t.Cert != "" && t.Key != "" && t.CA != ""
 	none := t.Cert == "" && t.Key == "" && t.CA == ""
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -118,7 +118,13 @@
 	Repeatable bool
 	Patience   time.Duration
 	Timeout    time.Duration
-	segments   []string
+
+	// Of routes by prefix; zero in templates.
+	Target      time.Duration // an answer within it has its full worth
+	Priority    int           // 0 is the most urgent
+	MaxAttempts int           // endpoints that one request may be sent to; 0 for the default
+
+	segments []string
 }
 
 // Load reads and renders a file.
