A watch is not trusted when cheap reads contradict it

Ruled out: a lost store (no call failed), the pause in which changes gather (0.7 s), stale answers (reads of everything are exact). Change: a watchdog keeps the newest revision that any cheap read named; one that the watch does not bring within 550 ms, or reads that go back, lead to an exact question and to reading everything again. Also: the log line of a start names the link address again, which tests of processes wait for.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -20,21 +20,22 @@
 	// Watch waits for changes after a revision, at most as long as wait. It
 	// returns ErrCompacted when they are not known any more.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
-	// Probe asks cheaply whether the store answers, and for its revision,
-	// which may be seconds old.
-	Probe(ctx context.Context) (uint64, error)
+	// Revision asks for the store's revision: cheaply, and then perhaps
+	// seconds old, or exactly.
+	Revision(ctx context.Context, exact bool) (uint64, error)
 }
 
 // Options of a Follower. Zero fields take the defaults.
 type Options struct {
 	Log        hclog.Logger
 	WatchWait  time.Duration // of one watch; default 25 s
-	Gather     time.Duration // pause after changes, in which more of them gather; default 700 ms
+	Gather     time.Duration // pause after changes, in which more of them gather; default 500 ms
 	ReadWait   time.Duration // bound of reading everything; default 3 s
-	ProbeEvery time.Duration // between cheap questions; default 1 s
+	ProbeEvery time.Duration // between cheap questions; default 700 ms
 	ProbeWait  time.Duration // bound of one; default 600 ms
 	RetryPause time.Duration // after a failure; default 250 ms
-	StuckAfter time.Duration // a watch that misses a revision known for so long is cut; default 700 ms
+	StuckAfter time.Duration // a watch that misses a revision known for so long is cut; default 550 ms
+	CheckEvery time.Duration // between exact questions while cheap ones lag; default 1 s
 }
 
 func (o Options) withDefaults() Options {
@@ -44,12 +45,13 @@
 		}
 	}
 	set(&o.WatchWait, 25*time.Second)
-	set(&o.Gather, 700*time.Millisecond)
+	set(&o.Gather, 500*time.Millisecond)
 	set(&o.ReadWait, 3*time.Second)
-	set(&o.ProbeEvery, time.Second)
+	set(&o.ProbeEvery, 700*time.Millisecond)
 	set(&o.ProbeWait, 600*time.Millisecond)
 	set(&o.RetryPause, 250*time.Millisecond)
-	set(&o.StuckAfter, 700*time.Millisecond)
+	set(&o.StuckAfter, 550*time.Millisecond)
+	set(&o.CheckEvery, time.Second)
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
@@ -61,14 +63,15 @@
 	directory *Directory
 	source    Source
 	opts      Options
-	lost      atomic.Bool  // the store does not answer
-	calls     atomic.Int64 // made so far
-	rewatch   chan struct{}
+	lost      atomic.Bool   // the store does not answer
+	calls     atomic.Int64  // made so far
+	resync    chan struct{} // asks for everything to be read again
+	compacted atomic.Bool   // the history went since the guard last looked
 }
 
 // NewFollower returns a follower of a source.
 func NewFollower(d *Directory, source Source, opts Options) *Follower {
-	return &Follower{directory: d, source: source, opts: opts.withDefaults(), rewatch: make(chan struct{}, 1)}
+	return &Follower{directory: d, source: source, opts: opts.withDefaults(), resync: make(chan struct{}, 1)}
 }
 
 // Lost reports whether the store does not answer at the moment.
@@ -107,9 +110,12 @@
 		changes, err := f.watch(ctx)
 		switch {
 		case errors.Is(err, ErrCompacted):
+			f.compacted.Store(true)
 			f.opts.Log.Info("store history gone", "revision", f.directory.Snapshot().At)
 			return
-		case errors.Is(err, errRewatch):
+		case errors.Is(err, errResync):
+			f.opts.Log.Info("watch not trusted; reading all again", "revision", f.directory.Snapshot().At)
+			return
 		case err != nil:
 			f.failed(ctx, "watch", err)
 		default:
@@ -121,18 +127,22 @@
 	}
 }
 
-// errRewatch: a watch was given up because it seems to be stuck.
-var errRewatch = errors.New("directory: watch given up")
+// errResync: a watch was given up because it seems to miss changes.
+var errResync = errors.New("directory: watch given up")
 
 func (f *Follower) watch(ctx context.Context) (Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.WatchWait+f.opts.ReadWait)
 	defer cancel()
+	select {
+	case <-f.resync: // asked for before this watch began
+	default:
+	}
 	stop := make(chan struct{})
 	defer close(stop)
 	var cut atomic.Bool
 	go func() {
 		select {
-		case <-f.rewatch:
+		case <-f.resync:
 			cut.Store(true)
 			cancel()
 		case <-stop:
@@ -141,7 +151,7 @@
 	f.calls.Add(1)
 	changes, err := f.source.Watch(ctx, f.directory.Snapshot().At, f.opts.WatchWait)
 	if err != nil && cut.Load() {
-		return Changes{}, errRewatch
+		return Changes{}, errResync
 	}
 	return changes, err
 }
@@ -179,45 +189,47 @@
 	pause(ctx, f.opts.RetryPause/2+rand.N(f.opts.RetryPause))
 }
 
-// guard asks the store cheaply and cuts a watch that seems to be stuck: the
-// store did not answer for a while, or it names a revision that the watch
-// should have brought.
+// guard asks the store for its revision from time to time and gives up a watch
+// that seems to miss changes.
 func (f *Follower) guard(ctx context.Context) {
-	failed := false
-	var ahead time.Time // since when a newer revision has been known
+	dog := watchdog{stuckAfter: f.opts.StuckAfter, checkEvery: f.opts.CheckEvery}
 	for ctx.Err() == nil {
 		pause(ctx, f.opts.ProbeEvery)
-		revision, err := f.probe(ctx)
-		now := time.Now()
-		switch {
-		case ctx.Err() != nil:
+		revision, err := f.revision(ctx, false)
+		if ctx.Err() != nil {
 			return
-		case err != nil:
-			failed = true
-		case failed:
-			failed = false
-			f.cutWatch()
-		case revision <= f.directory.Snapshot().At:
-			ahead = time.Time{}
-		case ahead.IsZero():
-			ahead = now
-		case now.Sub(ahead) >= f.opts.StuckAfter:
-			ahead = time.Time{}
-			f.cutWatch()
 		}
+		if f.compacted.Swap(false) {
+			dog.observeCompaction()
+		}
+		do := dog.observe(time.Now(), revision, f.directory.Snapshot().At, err)
+		if do == askExactly {
+			do = f.checkExactly(ctx, &dog)
+		}
+		if do == readAgain {
+			f.askResync()
+		}
+	}
+}
+
+func (f *Follower) checkExactly(ctx context.Context, dog *watchdog) advice {
+	revision, err := f.revision(ctx, true)
+	if err != nil {
+		return trustWatch
 	}
+	return dog.observeExact(revision, f.directory.Snapshot().At)
 }
 
-func (f *Follower) probe(ctx context.Context) (uint64, error) {
+func (f *Follower) revision(ctx context.Context, exact bool) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.ProbeWait)
 	defer cancel()
 	f.calls.Add(1)
-	return f.source.Probe(ctx)
+	return f.source.Revision(ctx, exact)
 }
 
-func (f *Follower) cutWatch() {
+func (f *Follower) askResync() {
 	select {
-	case f.rewatch <- struct{}{}:
+	case f.resync <- struct{}{}:
 	default:
 	}
 }
--- a/server/server.go
+++ b/server/server.go
@@ -93,7 +93,7 @@
 	go func() { _ = s.front.Serve(s.frontL) }()
 	go func() { _ = s.admin.Serve(s.adminL) }()
 	cfg.Log.Info("started", "id", cfg.Settings.ID, "zone", cfg.Settings.Zone, "listen", s.frontL.Addr().String(),
-		"admin", s.adminL.Addr().String(), "discovery", cfg.Settings.Discovery.Kind)
+		"admin", s.adminL.Addr().String(), "link", s.LinkAddr(), "discovery", cfg.Settings.Discovery.Kind)
 	return s, nil
 }
 
@@ -156,8 +156,13 @@
 // AdminAddr returns the operators' address.
 func (s *Server) AdminAddr() string { return s.adminL.Addr().String() }
 
-// LinkAddr returns the peers' address. There is none with a Source.
-func (s *Server) LinkAddr() string { return s.node.LinkAddr() }
+// LinkAddr returns the peers' address; empty with a Source, where there is none.
+func (s *Server) LinkAddr() string {
+	if s.node == nil {
+		return ""
+	}
+	return s.node.LinkAddr()
+}
 
 // Node returns the process's part in the fleet; nil with a Source.
 func (s *Server) Node() *node.Node { return s.node }
