Requests go to endpoints at their usual pace with a slot to spare

Ruled out: a pace that changes under way (the pace at the end foretells nothing). Change: the best few endpoints are asked at once, others when none of them will do; one at its usual pace with room is taken at once; until a fifth of the target has passed the request looks again, then takes what still answers in time or is refused. What the last slot costs is learnt for each service, and the slot left free where it costs more than it adds.

--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -26,8 +26,6 @@
 type Options struct {
 	PaceMemory time.Duration // time constant with which a reported pace loses its weight; default 150 ms
 	MeanPace   float64       // pace of an endpoint of which nothing fresh is known; default 1.8
-	Knee       float64       // share of busy slots from which work slows down; default 0.8
-	KneePace   float64       // factor of the work beyond the knee; default 1.5
 	ZoneCost   time.Duration // added for an endpoint in another zone; default 12 ms
 	ColdPace   float64       // factor of the work while an endpoint warms up; default 2
 }
@@ -36,8 +34,6 @@
 func (o Options) WithDefaults() Options {
 	setDefault(&o.PaceMemory, 150*time.Millisecond)
 	setDefault(&o.MeanPace, 1.8)
-	setDefault(&o.Knee, 0.8)
-	setDefault(&o.KneePace, 1.5)
 	setDefault(&o.ZoneCost, 12*time.Millisecond)
 	setDefault(&o.ColdPace, 2)
 	return o
@@ -127,22 +123,20 @@
 	SameZone bool
 	Warm     bool    // no longer starting
 	Slowness float64 // of its completions against its peers, 1 as usual
+	Crowded  float64 // factor of the work on the last free slot, 1 where it makes no difference
 }
 
 // Estimate returns how long a request would take if it were sent at now, given
 // how long its work takes as usual.
 func (s State) Estimate(e Endpoint, work time.Duration, o Options, now time.Time) time.Duration {
-	slots := max(1, e.Slots)
-	if s.report.Slots > 0 {
-		slots = s.report.Slots
-	}
+	slots := s.Slots(e.Slots)
 	pace := s.Pace(o, now) * max(1, e.Slowness)
 	if !e.Warm {
 		pace *= o.ColdPace
 	}
 	busy := s.Busy()
-	if float64(busy+1) >= o.Knee*float64(slots) {
-		pace *= o.KneePace
+	if busy+1 >= slots {
+		pace *= max(1, e.Crowded)
 	}
 	served := float64(work) * pace
 	if waiting := busy - slots + 1; waiting > 0 {
@@ -154,11 +148,21 @@
 	return time.Duration(served)
 }
 
-// Full reports whether the endpoint is thought to hold as many requests as it
-// can take, given how many it lets wait.
-func (s State) Full(slots, queue int) bool {
+// Slots returns how many requests the endpoint works on at once: its own word
+// or, without one, what its entry says.
+func (s State) Slots(listed int) int {
 	if s.report.Slots > 0 {
-		slots = s.report.Slots
+		return s.report.Slots
+	}
+	return max(1, listed)
+}
+
+// Room returns how many requests an endpoint should hold at most. One whose
+// last slot slows all work by more than the slot adds is better off without it.
+func (s State) Room(e Endpoint) int {
+	slots := s.Slots(e.Slots)
+	if slots > 1 && e.Crowded > float64(slots)/float64(slots-1) {
+		return slots - 1
 	}
-	return s.Busy() >= slots+queue
+	return slots
 }
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -24,23 +24,10 @@
 	refilled   time.Time // when the tokens were counted last
 	heard      time.Time // last answer of any kind
 	unheard    int       // probes in a row without an answer
-	used       time.Time
 }
 
-// workload is the usual service time of a request kind, learnt from
-// completions divided by the pace of the endpoint.
-type workload struct {
-	usual   float64 // nanoseconds
-	samples int
-}
-
-const (
-	startWork   = 100 * time.Millisecond // of a kind that has not been seen
-	workWeight  = 0.05                   // of a new sample in the average
-	sureSamples = 20                     // from which the average counts in full
-	shedPause   = 25 * time.Millisecond
-	forgetAfter = time.Minute
-)
+// shedPause is how long an endpoint that refused a request is left alone.
+const shedPause = 25 * time.Millisecond
 
 // known returns the state of an endpoint; f.mu is held.
 func (f *Fleet) known(e directory.Endpoint) *endpoint {
@@ -56,39 +43,63 @@
 type candidate struct {
 	directory.Endpoint
 	known    *endpoint
-	estimate time.Duration
-	full     bool
+	estimate time.Duration // of the time until its answer
+	full     bool          // it holds as many requests as it should
+	good     bool          // nothing better is worth looking for
 }
 
-// Acquire chooses an endpoint for a request. While all are full it looks again,
-// until a part of the request's target has passed.
+// Acquire chooses an endpoint for a request. While none will do it looks again,
+// until a part of the request's target has passed; then it takes one that will
+// still answer within the target, or refuses.
 func (f *Fleet) Acquire(ctx context.Context, a node.Ask) (node.Grant, *node.Refusal) {
 	giveUp := f.giveUpAt(a)
 	for {
-		now := time.Now()
-		list := f.candidates(a, now)
+		list := f.look(ctx, a)
 		if len(list) == 0 {
 			return node.Grant{}, &node.Refusal{Reason: reason.NoEndpoint, RetryAfter: f.comeBack(a)}
 		}
-		if f.probe(ctx, a, list) {
-			list = f.candidates(a, time.Now())
-		}
 		if ctx.Err() != nil {
 			return node.Grant{}, &node.Refusal{Reason: reason.CallerLeft}
 		}
-		if g, ok := f.take(a, list); ok {
-			return g, nil
+		now := time.Now()
+		best := list[0]
+		if best.good || !now.Before(giveUp) && inTime(best, a, now) {
+			return f.take(a, best), nil
 		}
-		switch now = time.Now(); {
+		switch {
 		case !now.Before(a.Deadline):
 			return node.Grant{}, &node.Refusal{Reason: reason.Expired, RetryAfter: f.comeBack(a)}
 		case !now.Before(giveUp):
 			return node.Grant{}, &node.Refusal{Reason: reason.TooLate, RetryAfter: f.comeBack(a)}
 		}
-		pause(ctx, f.opts.LookAgain)
+		pause(ctx, min(f.opts.LookAgain, giveUp.Sub(now)))
 	}
 }
 
+// look returns the candidates, the best first, after asking the most promising
+// ones for their load; while none of these will do, it asks others.
+func (f *Fleet) look(ctx context.Context, a node.Ask) []candidate {
+	list := f.candidates(a, time.Now())
+	for range f.opts.ProbeRounds {
+		if len(list) == 0 || !f.probe(ctx, a, list) {
+			return list
+		}
+		list = f.candidates(a, time.Now())
+		if len(list) == 0 || list[0].good || ctx.Err() != nil {
+			return list
+		}
+	}
+	return list
+}
+
+// inTime reports whether a candidate is thought to answer within the target.
+func inTime(c candidate, a node.Ask, now time.Time) bool {
+	if a.Target <= 0 {
+		return !c.full
+	}
+	return !now.Add(c.estimate).After(a.Accepted.Add(a.Target))
+}
+
 // giveUpAt returns when a request that has found no place is refused.
 func (f *Fleet) giveUpAt(a node.Ask) time.Time {
 	if a.Target <= 0 {
@@ -146,19 +157,19 @@
 
 func (f *Fleet) candidate(e directory.Endpoint, a node.Ask, now time.Time) candidate {
 	k := f.known(e)
-	k.used = now
 	view := selection.Endpoint{
 		Slots:    e.Slots,
 		SameZone: e.Zone == f.cfg.Zone,
 		Warm:     !now.Before(e.WarmAt),
 		Slowness: max(1, k.health.Slowness()/slownessGrace),
+		Crowded:  f.crowded(e.Service),
 	}
 	estimate := k.load.Estimate(view, f.usual(a.Kind), f.opts.Estimate, now)
 	estimate += time.Duration(k.unheard) * unheardCost
-	return candidate{
-		Endpoint: e, known: k, estimate: estimate,
-		full: k.load.Full(e.Slots, f.opts.QueueMost) || now.Before(k.pauseUntil),
-	}
+	c := candidate{Endpoint: e, known: k, estimate: estimate}
+	c.full = k.load.Busy() >= k.load.Room(view) || now.Before(k.pauseUntil)
+	c.good = !c.full && k.unheard == 0 && k.load.Pace(f.opts.Estimate, now) <= f.opts.GoodPace
+	return c
 }
 
 const (
@@ -169,27 +180,18 @@
 	unheardCost = 150 * time.Millisecond
 )
 
-// usual returns the usual service time of a kind; f.mu is held.
-func (f *Fleet) usual(kind string) time.Duration {
-	w, ok := f.work[kind]
-	if !ok || w.samples == 0 {
-		return startWork
-	}
-	return time.Duration(w.usual)
-}
-
-// take gives the best candidate the request unless it is full.
-func (f *Fleet) take(a node.Ask, list []candidate) (node.Grant, bool) {
-	best := list[0]
-	if best.full {
-		return node.Grant{}, false
-	}
+// take gives a candidate the request.
+func (f *Fleet) take(a node.Ask, c candidate) node.Grant {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	best.known.load = best.known.load.WithSent()
-	f.cfg.Log.Debug("chosen", "request", a.ID, "kind", a.Kind, "endpoint", best.VM, "estimate", best.estimate,
-		"age", best.known.load.Age(time.Now()), "pace", best.known.load.Report().Pace, "busy", best.known.load.Busy(), "of", len(list))
-	return node.Grant{ID: a.ID, Service: a.Service, Endpoint: best.Endpoint.Endpoint, Class: a.Class, Kind: a.Kind}, true
+	c.known.load = c.known.load.WithSent()
+	report := c.known.load.Report()
+	f.cfg.Log.Debug("chosen", "request", a.ID, "kind", a.Kind, "endpoint", c.VM, "estimate", c.estimate,
+		"age", c.known.load.Age(time.Now()), "pace", report.Pace, "busy", c.known.load.Busy())
+	return node.Grant{
+		ID: a.ID, Service: a.Service, Endpoint: c.Endpoint.Endpoint, Class: a.Class, Kind: a.Kind,
+		Pace: report.Pace, Busy: c.known.load.Busy(),
+	}
 }
 
 // Complete takes in how a request ended.
@@ -202,10 +204,11 @@
 		return
 	}
 	k.load = k.load.WithEnded()
+	f.cfg.Log.Debug("ended", "request", g.ID, "kind", g.Kind, "endpoint", g.Endpoint.VM, "outcome", int(e.Outcome), "took", e.Took,
+		"pace_at_end", e.Load.Pace)
 	if e.Load.Known {
 		k.heard, k.unheard = now, 0
 	}
-	paceAtStart := k.load.Report().Pace
 	k.load = withLoad(k.load, e.Load, now)
 	switch {
 	case e.Replaced:
@@ -213,8 +216,8 @@
 			f.cfg.Log.Info("endpoint", "id", g.Endpoint.VM, "state", "leaving", "why", "another instance answers at its address")
 		}
 	case e.Outcome == contract.Completed:
-		f.learn(g.Kind, e, paceAtStart)
-		k.health = k.health.WithCompletion(f.ratio(g.Kind, e))
+		f.learn(g, e.Took, k.load.Slots(g.Endpoint.Slots))
+		k.health = k.health.WithCompletion(f.ratio(g.Kind, e.Took))
 	case e.Outcome == contract.Failed:
 		k.health = k.health.WithFailure(now)
 	case e.Outcome == contract.Shed:
@@ -222,28 +225,6 @@
 	}
 }
 
-// learn takes the time of a completion into the kind's usual time.
-func (f *Fleet) learn(kind string, e node.Ending, pace float64) {
-	if pace <= 0 {
-		pace = 1
-	}
-	sample := float64(e.Took) / pace
-	w := f.work[kind]
-	w.samples++
-	weight := max(workWeight, 1/float64(w.samples))
-	w.usual += weight * (sample - w.usual)
-	f.work[kind] = w
-}
-
-// ratio compares a completion with what the kind usually takes.
-func (f *Fleet) ratio(kind string, e node.Ending) float64 {
-	w := f.work[kind]
-	if w.samples < sureSamples || w.usual <= 0 {
-		return 1
-	}
-	return float64(e.Took) / w.usual
-}
-
 func withLoad(s selection.State, l link.Load, now time.Time) selection.State {
 	if !l.Known {
 		return s
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -46,33 +46,35 @@
 // Options of the choice. Zero fields take the defaults.
 type Options struct {
 	Estimate       selection.Options
-	ProbeCount     int           // endpoints asked just before a choice; default 2
+	ProbeCount     int           // endpoints asked at once before a choice; default 3
+	ProbeRounds    int           // times that others are asked when none of these will do; default 3
 	ProbeWait      time.Duration // how long their answers are waited for; default 12 ms
 	ProbeFresh     time.Duration // an endpoint heard of so lately is not asked; default 4 ms
 	ProbeRate      float64       // probes a second of this process for one endpoint; default 3
-	ProbeBurst     float64       // beyond the rate; default 4
-	QueueMost      int           // requests that may wait at an endpoint; default 1
+	ProbeBurst     float64       // beyond the rate; default 6
+	GoodPace       float64       // an endpoint up to this pace is taken at once; default 1.6
 	RefuseShare    float64       // part of the target after which a request that found no place is refused; default 0.2
 	RefuseAfter    time.Duration // the same for a kind without a target; default 200 ms
-	LookAgain      time.Duration // pause between two looks for a place; default 8 ms
+	LookAgain      time.Duration // pause between two looks for a place; default 10 ms
 	ComeBackShare  float64       // part of the target after which a refused caller may ask again; default 0.25
-	IdleUpstream   time.Duration // after which an unused probe connection is closed; default 4 s
+	IdleUpstream   time.Duration // after which an unused probe connection is closed; default 8 s
 	ConnectTimeout time.Duration // of a probe's connection; default 250 ms
 }
 
 func (o Options) withDefaults() Options {
 	o.Estimate = o.Estimate.WithDefaults()
-	setDefault(&o.ProbeCount, 2)
+	setDefault(&o.ProbeCount, 3)
+	setDefault(&o.ProbeRounds, 3)
 	setDefault(&o.ProbeWait, 12*time.Millisecond)
 	setDefault(&o.ProbeFresh, 4*time.Millisecond)
 	setDefault(&o.ProbeRate, 3)
-	setDefault(&o.ProbeBurst, 4)
-	setDefault(&o.QueueMost, 1)
+	setDefault(&o.ProbeBurst, 6)
+	setDefault(&o.GoodPace, 1.6)
 	setDefault(&o.RefuseShare, 0.2)
 	setDefault(&o.RefuseAfter, 200*time.Millisecond)
-	setDefault(&o.LookAgain, 8*time.Millisecond)
+	setDefault(&o.LookAgain, 10*time.Millisecond)
 	setDefault(&o.ComeBackShare, 0.25)
-	setDefault(&o.IdleUpstream, 4*time.Second)
+	setDefault(&o.IdleUpstream, 8*time.Second)
 	setDefault(&o.ConnectTimeout, 250*time.Millisecond)
 	return o
 }
@@ -96,6 +98,7 @@
 	mu        sync.Mutex
 	endpoints map[string]*endpoint // by identity
 	work      map[string]workload  // by request kind
+	crowds    map[string]crowding  // by service
 	rng       *rand.Rand
 }
 
@@ -113,6 +116,7 @@
 		probes:    metrics.GetOrRegisterCounter("probes", cfg.Metrics),
 		endpoints: map[string]*endpoint{},
 		work:      map[string]workload{},
+		crowds:    map[string]crowding{},
 		rng:       rand.New(rand.NewPCG(uint64(now), rand.Uint64())),
 	}
 }
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -54,7 +54,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var chosen []candidate
-	for _, c := range list[:min(f.opts.ProbeCount, len(list))] {
+	for _, c := range list {
+		if len(chosen) == f.opts.ProbeCount {
+			break
+		}
 		if c.known.load.Age(now) > f.opts.ProbeFresh && f.mayProbe(c.known, now) {
 			chosen = append(chosen, c)
 		}
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -50,6 +50,10 @@
 	HomeID   string
 	Class    contract.Class
 	Kind     string // as in the Ask
+
+	// What was known of the endpoint's load when it was chosen.
+	Pace float64
+	Busy int // requests that it held, this one included
 }
 
 // Refusal says why there is no grant. The request was not sent.
