--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -231,6 +231,9 @@
 // client returns the client of a service's endpoints. The endpoints'
 // connections are shared out among the balancers.
 func (b *Balancer) client(route tenant.Route) *upstream.Client {
+	if b.cfg.Policy.Client != nil && route.Kind.Repeatable {
+		return b.cfg.Policy.Client
+	}
 	desc, sharers := b.cfg.Fleet.Service(route.Tenant, route.Kind.Service)
 	key := clientKey{
 		service:     route.ServiceKey(),
--- a/balancer/policy.go
+++ b/balancer/policy.go
@@ -33,6 +33,9 @@
 	// for the defaults.
 	DialTimeout  time.Duration
 	IdleUpstream time.Duration
+	// Client sends repeatable requests of all services; nil for a client for
+	// each service.
+	Client *upstream.Client
 }
 
 func (p Policy) withDefaults() Policy {
--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -18,6 +18,7 @@
 	"github.com/lotuswing/lotuswing/platform"
 	"github.com/lotuswing/lotuswing/server"
 	"github.com/lotuswing/lotuswing/settings"
+	"github.com/lotuswing/lotuswing/upstream"
 )
 
 // Balancer runs the command line of lotuswing and returns its exit code.
@@ -91,6 +92,9 @@
 		DialTimeout:      dialTimeout,
 		IdleUpstream:     idleUpstream,
 	}
+	cfg.Policy.Client = upstream.NewClient(upstream.Options{
+		Connections: mostConnections, DialTimeout: dialTimeout, Idle: idleUpstream, Dialect: &cfg.Policy.Dialect,
+	})
 	if s.Retries != (settings.Retries{}) {
 		cfg.Policy.Repeats = repeatsOf(s.Retries)
 	}
@@ -99,9 +103,10 @@
 
 // Of connections and answers on the platform.
 const (
-	holdBytes    = 128 << 10
-	dialTimeout  = 300 * time.Millisecond
-	idleUpstream = 4 * time.Second
+	holdBytes       = 128 << 10
+	dialTimeout     = 300 * time.Millisecond
+	idleUpstream    = 8 * time.Second
+	mostConnections = 12 // of one process to one endpoint
 )
 
 // Each process keeps to its own part of the fleet's budget of repeats: a share
--- /dev/null
+++ b/coord/retry/window_test.go
@@ -0,0 +1,76 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/retry"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestFleetKeepsItsBudget: processes that each keep to a share of their own
+// requests and one repeat beyond it keep the fleet's bound in any span, without
+// knowing how many they are.
+func TestFleetKeepsItsBudget(t *testing.T) {
+	const (
+		ratio = 0.2
+		burst = 64
+	)
+	limit := retry.WindowLimit{Span: 10 * time.Second, Ratio: 0.85 * ratio, Allowance: 1}
+	rapid.Check(t, func(t *rapid.T) {
+		processes := make([]retry.Window, rapid.IntRange(1, 18).Draw(t, "processes"))
+		for i := range processes {
+			processes[i] = retry.NewWindow(limit)
+		}
+		now := time.Unix(1000, 0)
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 600).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			p := rapid.IntRange(0, len(processes)-1).Draw(t, "process")
+			if rapid.IntRange(0, 2).Draw(t, "event") == 0 {
+				processes[p] = processes[p].WithRequest(now)
+				requests = append(requests, now)
+			} else if processes[p].Covers(now) {
+				processes[p] = processes[p].WithRepeat(now)
+				repeats = append(repeats, now)
+			}
+			// A part of the window more is counted, since it slides by parts.
+			bound := ratio*float64(within(requests, now, 10*time.Second)) + burst
+			assert.Assert(t, float64(within(repeats, now, 9500*time.Millisecond)) <= bound)
+		}
+	})
+}
+
+func within(times []time.Time, now time.Time, span time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if now.Sub(at) < span {
+			n++
+		}
+	}
+	return n
+}
+
+// TestWindowForgets: repeats count for the span and no longer.
+func TestWindowForgets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := retry.NewWindow(retry.WindowLimit{Span: 10 * time.Second, Allowance: 1})
+	assert.Assert(t, w.Covers(now))
+	w = w.WithRepeat(now)
+	assert.Assert(t, !w.Covers(now.Add(9*time.Second)))
+	assert.Assert(t, w.Covers(now.Add(11*time.Second)))
+	assert.Assert(t, w.Covers(now.Add(time.Hour)))
+}
+
+// TestRatioIsEarnedByRequests of the window.
+func TestRatioIsEarnedByRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := retry.NewWindow(retry.WindowLimit{Span: 10 * time.Second, Ratio: 0.2})
+	for range 5 {
+		assert.Assert(t, !w.Covers(now))
+		w = w.WithRequest(now)
+	}
+	assert.Assert(t, w.Covers(now))
+	assert.Assert(t, !w.WithRepeat(now).Covers(now))
+}
--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -26,7 +26,6 @@
 type Options struct {
 	PaceMemory time.Duration // time constant with which a reported pace loses its weight; default 150 ms
 	MeanPace   float64       // pace of an endpoint of which nothing fresh is known; default 1.8
-	ZoneCost   time.Duration // added for an endpoint in another zone; default 12 ms
 	ColdPace   float64       // factor of the work while an endpoint warms up; default 2
 }
 
@@ -34,7 +33,6 @@
 func (o Options) WithDefaults() Options {
 	setDefault(&o.PaceMemory, 150*time.Millisecond)
 	setDefault(&o.MeanPace, 1.8)
-	setDefault(&o.ZoneCost, 12*time.Millisecond)
 	setDefault(&o.ColdPace, 2)
 	return o
 }
@@ -120,7 +118,6 @@
 // Endpoint is what an estimate needs to know beside the load.
 type Endpoint struct {
 	Slots    int
-	SameZone bool
 	Warm     bool    // no longer starting
 	Slowness float64 // of its completions against its peers, 1 as usual
 	Crowded  float64 // factor of the work on the last free slot, 1 where it makes no difference
@@ -142,9 +139,6 @@
 	if waiting := busy - slots + 1; waiting > 0 {
 		served += float64(work) * pace * float64(waiting) / float64(slots)
 	}
-	if !e.SameZone {
-		served += float64(o.ZoneCost)
-	}
 	return time.Duration(served)
 }
 
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -44,8 +44,10 @@
 	directory.Endpoint
 	known    *endpoint
 	estimate time.Duration // of the time until its answer
-	full     bool          // it holds as many requests as it should
-	good     bool          // nothing better is worth looking for
+	// surcharge stands for what traffic between zones costs.
+	surcharge time.Duration
+	full      bool // it holds as many requests as it should
+	good      bool // nothing better is worth looking for
 }
 
 // Acquire chooses an endpoint for a request. While none will do it looks again,
@@ -144,7 +146,8 @@
 	return list
 }
 
-// better orders candidates: those with room first, then by the estimate.
+// better orders candidates: those with room first, then by the estimate with
+// the surcharge of another zone.
 func better(a, b candidate) int {
 	if a.full != b.full {
 		if a.full {
@@ -152,14 +155,13 @@
 		}
 		return -1
 	}
-	return cmp.Compare(a.estimate, b.estimate)
+	return cmp.Compare(a.estimate+a.surcharge, b.estimate+b.surcharge)
 }
 
 func (f *Fleet) candidate(e directory.Endpoint, a node.Ask, now time.Time) candidate {
 	k := f.known(e)
 	view := selection.Endpoint{
 		Slots:    e.Slots,
-		SameZone: e.Zone == f.cfg.Zone,
 		Warm:     !now.Before(e.WarmAt),
 		Slowness: max(1, k.health.Slowness()/slownessGrace),
 		Crowded:  f.crowded(e.Service),
@@ -167,6 +169,10 @@
 	estimate := k.load.Estimate(view, f.usual(a.Kind), f.opts.Estimate, now)
 	estimate += time.Duration(k.unheard) * unheardCost
 	c := candidate{Endpoint: e, known: k, estimate: estimate}
+	if e.Zone != f.cfg.Zone {
+		c.estimate += f.opts.ZoneDelay
+		c.surcharge = f.opts.ZoneCost
+	}
 	c.full = k.load.Busy() >= k.load.Room(view) || now.Before(k.pauseUntil)
 	c.good = !c.full && k.unheard == 0 && k.load.Pace(f.opts.Estimate, now) <= f.opts.GoodPace
 	return c
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -36,46 +36,53 @@
 	ID        string // identity of the process
 	Zone      string
 	Directory *directory.Directory
-	Dialect   upstream.Dialect
+	Client    Prober
 	Log       hclog.Logger
 	Metrics   metrics.Registry
 	Options   Options
 	Stop      func() // ends what keeps the directory up to date; may be nil
 }
 
+// Prober asks an endpoint for its load.
+type Prober interface {
+	Probe(ctx context.Context, addr, path string, within time.Duration) (upstream.ProbeAnswer, error)
+}
+
 // Options of the choice. Zero fields take the defaults.
 type Options struct {
-	Estimate       selection.Options
-	ProbeCount     int           // endpoints asked at once before a choice; default 3
-	ProbeRounds    int           // times that others are asked when none of these will do; default 3
-	ProbeWait      time.Duration // how long their answers are waited for; default 12 ms
-	ProbeFresh     time.Duration // an endpoint heard of so lately is not asked; default 4 ms
-	ProbeRate      float64       // probes a second of this process for one endpoint; default 3
-	ProbeBurst     float64       // beyond the rate; default 6
-	GoodPace       float64       // an endpoint up to this pace is taken at once; default 1.6
-	RefuseShare    float64       // part of the target after which a request that found no place is refused; default 0.2
-	RefuseAfter    time.Duration // the same for a kind without a target; default 200 ms
-	LookAgain      time.Duration // pause between two looks for a place; default 10 ms
-	ComeBackShare  float64       // part of the target after which a refused caller may ask again; default 0.25
-	IdleUpstream   time.Duration // after which an unused probe connection is closed; default 8 s
-	ConnectTimeout time.Duration // of a probe's connection; default 250 ms
+	Estimate      selection.Options
+	ProbeCount    int           // endpoints asked at once before a choice; default 1
+	ProbeRounds   int           // times that others are asked when none of these will do; default 6
+	ProbeWait     time.Duration // how long their answers are waited for; default 12 ms
+	ProbeFresh    time.Duration // an endpoint heard of so lately is not asked; default 4 ms
+	ProbeRate     float64       // probes a second of this process for one endpoint; default 3
+	ProbeBurst    float64       // beyond the rate; default 6
+	ZoneDelay     time.Duration // added to the estimate for an endpoint in another zone; default 4 ms
+	ZoneCost      time.Duration // added when endpoints are compared, for what traffic between zones costs; default 60 ms
+	GoodPace      float64       // an endpoint up to this pace is taken at once; default 1.6
+	RefuseShare   float64       // part of the target after which a request that found no place is refused; default 0.2
+	RefuseAfter   time.Duration // the same for a kind without a target; default 200 ms
+	LookAgain     time.Duration // pause between two looks for a place; default 10 ms
+	ComeBackShare float64       // part of the target after which a refused caller may ask again; default 0.25
+	ProbeLimit    time.Duration // after which a probe is given up; default 250 ms
 }
 
 func (o Options) withDefaults() Options {
 	o.Estimate = o.Estimate.WithDefaults()
-	setDefault(&o.ProbeCount, 3)
-	setDefault(&o.ProbeRounds, 3)
+	setDefault(&o.ProbeCount, 1)
+	setDefault(&o.ProbeRounds, 6)
 	setDefault(&o.ProbeWait, 12*time.Millisecond)
 	setDefault(&o.ProbeFresh, 4*time.Millisecond)
 	setDefault(&o.ProbeRate, 3)
 	setDefault(&o.ProbeBurst, 6)
+	setDefault(&o.ZoneDelay, 4*time.Millisecond)
+	setDefault(&o.ZoneCost, 60*time.Millisecond)
 	setDefault(&o.GoodPace, 1.6)
 	setDefault(&o.RefuseShare, 0.2)
 	setDefault(&o.RefuseAfter, 200*time.Millisecond)
 	setDefault(&o.LookAgain, 10*time.Millisecond)
 	setDefault(&o.ComeBackShare, 0.25)
-	setDefault(&o.IdleUpstream, 8*time.Second)
-	setDefault(&o.ConnectTimeout, 250*time.Millisecond)
+	setDefault(&o.ProbeLimit, 250*time.Millisecond)
 	return o
 }
 
@@ -90,7 +97,6 @@
 type Fleet struct {
 	cfg      Config
 	opts     Options
-	prober   *upstream.Prober
 	sequence atomic.Uint64
 	born     int64
 	probes   metrics.Counter
@@ -107,11 +113,8 @@
 	opts := cfg.Options.withDefaults()
 	now := time.Now().UnixNano()
 	return &Fleet{
-		cfg:  cfg,
-		opts: opts,
-		prober: upstream.NewProber(upstream.Options{
-			Dialect: &cfg.Dialect, Idle: opts.IdleUpstream, DialTimeout: opts.ConnectTimeout,
-		}),
+		cfg:       cfg,
+		opts:      opts,
 		born:      now,
 		probes:    metrics.GetOrRegisterCounter("probes", cfg.Metrics),
 		endpoints: map[string]*endpoint{},
@@ -216,10 +219,9 @@
 // Leave does nothing: no other balancer counts on this one.
 func (f *Fleet) Leave(context.Context) {}
 
-// Close ends idle connections and the following of the directory.
+// Close ends the following of the directory.
 func (f *Fleet) Close() {
 	if f.cfg.Stop != nil {
 		f.cfg.Stop()
 	}
-	f.prober.Close()
 }
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -81,7 +81,7 @@
 // ask probes one endpoint and takes in its answer.
 func (f *Fleet) ask(ctx context.Context, c candidate, path string) {
 	f.probes.Inc(1)
-	answer, err := f.prober.Probe(ctx, c.Addr, path, f.opts.ConnectTimeout)
+	answer, err := f.cfg.Client.Probe(ctx, c.Addr, path, f.opts.ProbeLimit)
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -29,9 +29,9 @@
 type Options struct {
 	Log        hclog.Logger
 	WatchWait  time.Duration // of one watch; default 25 s
-	Gather     time.Duration // pause after changes, in which more of them gather; default 500 ms
+	Gather     time.Duration // pause after changes, in which more of them gather; default 1 s
 	ReadWait   time.Duration // bound of reading everything; default 3 s
-	ProbeEvery time.Duration // between cheap questions; default 700 ms
+	ProbeEvery time.Duration // between cheap questions; default 800 ms
 	ProbeWait  time.Duration // bound of one; default 600 ms
 	RetryPause time.Duration // after a failure; default 250 ms
 	StuckAfter time.Duration // a watch that misses a revision known for so long is cut; default 550 ms
@@ -45,9 +45,9 @@
 		}
 	}
 	set(&o.WatchWait, 25*time.Second)
-	set(&o.Gather, 500*time.Millisecond)
+	set(&o.Gather, time.Second)
 	set(&o.ReadWait, 3*time.Second)
-	set(&o.ProbeEvery, 700*time.Millisecond)
+	set(&o.ProbeEvery, 800*time.Millisecond)
 	set(&o.ProbeWait, 600*time.Millisecond)
 	set(&o.RetryPause, 250*time.Millisecond)
 	set(&o.StuckAfter, 550*time.Millisecond)
@@ -66,6 +66,7 @@
 	lost      atomic.Bool   // the store does not answer
 	calls     atomic.Int64  // made so far
 	resync    chan struct{} // asks for everything to be read again
+	watching  atomic.Bool   // a watch waits
 	compacted atomic.Bool   // the history went since the guard last looked
 }
 
@@ -149,6 +150,8 @@
 		}
 	}()
 	f.calls.Add(1)
+	f.watching.Store(true)
+	defer f.watching.Store(false)
 	changes, err := f.source.Watch(ctx, f.directory.Snapshot().At, f.opts.WatchWait)
 	if err != nil && cut.Load() {
 		return Changes{}, errResync
@@ -202,7 +205,7 @@
 		if f.compacted.Swap(false) {
 			dog.observeCompaction()
 		}
-		do := dog.observe(time.Now(), revision, f.directory.Snapshot().At, err)
+		do := dog.observe(time.Now(), revision, f.directory.Snapshot().At, f.watching.Load(), err)
 		if do == askExactly {
 			do = f.checkExactly(ctx, &dog)
 		}
--- /dev/null
+++ b/directory/follow_test.go
@@ -0,0 +1,162 @@
+package directory_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lotuswing/lotuswing/directory"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// fakeSource is a store in memory with one configuration, whose faults can be
+// switched on.
+type fakeSource struct {
+	mu       sync.Mutex
+	revision uint64
+	version  uint64
+	lost     uint64 // history up to this revision is gone
+	down     bool
+	mute     bool // watches hear nothing
+	changed  chan struct{}
+}
+
+func newFakeSource() *fakeSource { return &fakeSource{changed: make(chan struct{})} }
+
+func (s *fakeSource) set(change func(*fakeSource)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeSource) publish(version uint64) {
+	s.set(func(s *fakeSource) { s.version, s.revision = version, s.revision+1 })
+}
+
+var errDown = errors.New("store is down")
+
+func (s *fakeSource) ReadAll(context.Context) (directory.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return directory.Changes{}, errDown
+	}
+	return s.changes(), nil
+}
+
+func (s *fakeSource) changes() directory.Changes {
+	return directory.Changes{Config: &directory.Config{Version: s.version}, At: s.revision, Whole: true}
+}
+
+func (s *fakeSource) Watch(ctx context.Context, after uint64, wait time.Duration) (directory.Changes, error) {
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		switch {
+		case s.down:
+			s.mu.Unlock()
+			return directory.Changes{}, errDown
+		case after < s.lost:
+			s.mu.Unlock()
+			return directory.Changes{}, directory.ErrCompacted
+		case s.revision > after && !s.mute:
+			defer s.mu.Unlock()
+			return s.changes(), nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			return directory.Changes{At: after}, nil
+		case <-ctx.Done():
+			return directory.Changes{}, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeSource) Revision(context.Context, bool) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, errDown
+	}
+	return s.revision, nil
+}
+
+func follow(t *testing.T, s *fakeSource) (*directory.Directory, *directory.Follower) {
+	t.Helper()
+	d := directory.New()
+	f := directory.NewFollower(d, s, directory.Options{
+		Gather: time.Millisecond, RetryPause: time.Millisecond, ProbeEvery: 2 * time.Millisecond, StuckAfter: 4 * time.Millisecond,
+		CheckEvery: 4 * time.Millisecond,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go f.Run(ctx)
+	return d, f
+}
+
+func waitVersion(t *testing.T, d *directory.Directory, version uint64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c := d.Snapshot().Config; c != nil && c.Version == version {
+			return poll.Success()
+		}
+		return poll.Continue("version %d is not in force", version)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// TestChangesComeIntoForce one after the other.
+func TestChangesComeIntoForce(t *testing.T) {
+	s := newFakeSource()
+	d, _ := follow(t, s)
+	for version := uint64(3); version < 8; version += 2 {
+		s.publish(version)
+		waitVersion(t, d, version)
+	}
+}
+
+// TestStoreThatComesBackIsRead, and the follower says meanwhile that it is lost.
+func TestStoreThatComesBackIsRead(t *testing.T) {
+	s := newFakeSource()
+	s.set(func(s *fakeSource) { s.down = true })
+	d, f := follow(t, s)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.Lost() {
+			return poll.Success()
+		}
+		return poll.Continue("not lost yet")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	s.set(func(s *fakeSource) { s.down = false })
+	s.publish(2)
+	waitVersion(t, d, 2)
+	assert.Assert(t, !f.Lost())
+}
+
+// TestForgottenHistoryIsReadAgain.
+func TestForgottenHistoryIsReadAgain(t *testing.T) {
+	s := newFakeSource()
+	s.publish(1)
+	d, _ := follow(t, s)
+	waitVersion(t, d, 1)
+	s.set(func(s *fakeSource) { s.version, s.revision, s.lost = 5, 9, 9 })
+	waitVersion(t, d, 5)
+}
+
+// TestMuteWatchIsNotTrusted: changes that a waiting watch does not bring come
+// into force all the same.
+func TestMuteWatchIsNotTrusted(t *testing.T) {
+	s := newFakeSource()
+	s.publish(1)
+	d, _ := follow(t, s)
+	waitVersion(t, d, 1)
+	s.set(func(s *fakeSource) { s.mute = true })
+	s.publish(4)
+	waitVersion(t, d, 4)
+}
--- a/directory/watchdog.go
+++ b/directory/watchdog.go
@@ -31,8 +31,9 @@
 }
 
 // observe takes in the answer to a cheap question. at is the revision up to
-// which the directory knows all changes.
-func (w *watchdog) observe(now time.Time, revision, at uint64, err error) advice {
+// which the directory knows all changes; watching is false while no watch waits
+// because changes are left to gather.
+func (w *watchdog) observe(now time.Time, revision, at uint64, watching bool, err error) advice {
 	if err != nil {
 		w.failed = true
 		return trustWatch
@@ -46,7 +47,7 @@
 	if !lagging {
 		w.compacted = false
 	}
-	if w.highest > at {
+	if w.highest > at && watching {
 		return w.ahead(now)
 	}
 	w.aheadSince = time.Time{}
--- /dev/null
+++ b/directory/watchdog_test.go
@@ -0,0 +1,69 @@
+package directory
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// step is one cheap question and what is to follow from its answer.
+type step struct {
+	after    time.Duration
+	revision uint64
+	at       uint64
+	gather   bool // no watch waits
+	err      error
+	want     advice
+}
+
+var errSilent = errors.New("no answer")
+
+// TestWatchdog: each sign that a watch misses changes, and what is none.
+func TestWatchdog(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"all is well", []step{{0, 5, 5, false, nil, trustWatch}, {800 * ms, 5, 5, false, nil, trustWatch}}},
+		{"a change that the watch brings in time", []step{{0, 6, 5, false, nil, trustWatch}, {800 * ms, 6, 6, false, nil, trustWatch}}},
+		{"a change that the watch does not bring", []step{{0, 6, 5, false, nil, trustWatch}, {800 * ms, 6, 5, false, nil, readAgain}}},
+		{"the same, seen once by a read that then lags", []step{{0, 6, 5, false, nil, trustWatch}, {800 * ms, 5, 5, false, nil, readAgain}}},
+		{"changes are left to gather", []step{{0, 6, 5, true, nil, trustWatch}, {800 * ms, 6, 5, true, nil, trustWatch}}},
+		{"the store answers again", []step{{0, 0, 5, false, errSilent, trustWatch}, {800 * ms, 5, 5, false, nil, readAgain}, {800 * ms, 5, 5, false, nil, trustWatch}}},
+		{"reads go back", []step{{0, 5, 5, false, nil, trustWatch}, {800 * ms, 4, 5, false, nil, askExactly}}},
+		{"reads stay behind", []step{
+			{0, 5, 5, false, nil, trustWatch}, {800 * ms, 4, 5, false, nil, askExactly},
+			{800 * ms, 4, 5, false, nil, trustWatch}, {800 * ms, 4, 5, false, nil, askExactly},
+		}},
+	}
+	for _, c := range cases {
+		dog := watchdog{stuckAfter: 550 * ms, checkEvery: time.Second}
+		now := time.Unix(1000, 0)
+		for i, s := range c.steps {
+			now = now.Add(s.after)
+			assert.Equal(t, dog.observe(now, s.revision, s.at, !s.gather, s.err), s.want, "%s: step %d", c.name, i)
+		}
+	}
+}
+
+// TestNewWatchIsTrusted: once the history has gone, reads that lag say nothing
+// of the watch that began after it.
+func TestNewWatchIsTrusted(t *testing.T) {
+	dog := watchdog{stuckAfter: time.Second, checkEvery: time.Second}
+	now := time.Unix(1000, 0)
+	dog.observe(now, 9, 9, true, nil)
+	dog.observeCompaction()
+	assert.Equal(t, dog.observe(now.Add(2*time.Second), 4, 9, true, nil), trustWatch)
+	assert.Equal(t, dog.observe(now.Add(4*time.Second), 9, 9, true, nil), trustWatch)
+	assert.Equal(t, dog.observe(now.Add(6*time.Second), 4, 9, true, nil), askExactly, "the next time they lag")
+}
+
+// TestExactAnswerDecides.
+func TestExactAnswerDecides(t *testing.T) {
+	var dog watchdog
+	assert.Equal(t, dog.observeExact(7, 7), trustWatch)
+	assert.Equal(t, dog.observeExact(8, 7), readAgain)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -128,7 +128,7 @@
 		ID:        s.cfg.Settings.ID,
 		Zone:      s.cfg.Settings.Zone,
 		Directory: d,
-		Dialect:   s.cfg.Policy.Dialect,
+		Client:    s.cfg.Policy.Client,
 		Log:       s.cfg.Log.Named("choice"),
 		Metrics:   s.metrics,
 		Stop:      stop,
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -14,18 +14,6 @@
 // mostProbeBytes is how much of a probe's answer is read.
 const mostProbeBytes = 4 << 10
 
-// Prober asks endpoints for their load.
-type Prober struct {
-	client *Client
-}
-
-// NewProber returns a prober. Of the options only those of connections and the
-// dialect matter.
-func NewProber(opts Options) *Prober { return &Prober{client: NewClient(opts)} }
-
-// Close closes idle connections.
-func (p *Prober) Close() { p.client.Close() }
-
 // ProbeAnswer is what an endpoint says of itself.
 type ProbeAnswer struct {
 	Status   int
@@ -33,8 +21,9 @@
 	Load     link.Load
 }
 
-// Probe asks the endpoint at an address for its load.
-func (p *Prober) Probe(ctx context.Context, addr, path string, within time.Duration) (ProbeAnswer, error) {
+// Probe asks the endpoint at an address for its load. It uses the connections of
+// requests, so that a request often follows a probe on the same one.
+func (c *Client) Probe(ctx context.Context, addr, path string, within time.Duration) (ProbeAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	target, err := url.Parse("http://" + addr + path)
@@ -42,7 +31,7 @@
 		return ProbeAnswer{}, fmt.Errorf("upstream: probe path: %w", err)
 	}
 	r := &http.Request{Method: http.MethodGet, URL: target, Host: addr, Header: http.Header{"User-Agent": {""}}}
-	answer, err := p.client.transport.RoundTrip(r.WithContext(ctx))
+	answer, err := c.transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return ProbeAnswer{}, fmt.Errorf("upstream: probe: %w", err)
 	}
@@ -50,7 +39,7 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, mostProbeBytes)); err != nil {
 		return ProbeAnswer{}, fmt.Errorf("upstream: probe: %w", err)
 	}
-	d := p.client.dialect
+	d := c.dialect
 	out := ProbeAnswer{Status: answer.StatusCode, Load: d.ParseLoad(answer.Header.Get(d.Load))}
 	if d.InstanceID != "" {
 		out.Instance = answer.Header.Get(d.InstanceID)
