A line for each decision about a request, and the way from an id to its cause

Cause: on-call engineers had no line per decision and no way from a request's id to its cause; logs were written in place and could wait for their reader.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -61,6 +61,10 @@
 	Log     hclog.Logger
 	Metrics metrics.Registry
 	Tracing *telemetry.Tracing
+	// Recorder writes the decisions about requests; nil for none.
+	Recorder *telemetry.Recorder
+	// Histograms take the latency of requests; nil for none.
+	Histograms *telemetry.Histograms
 }
 
 // Balancer is the handler for callers.
@@ -108,7 +112,10 @@
 	verdict  verdict.Verdict
 	reason   reason.Code
 	status   int
-	mayRun   bool // an attempt may have run, whatever later attempts say
+	message  string // of an answer of the balancer's own
+	story    *telemetry.Story
+	looking  time.Time // since when an endpoint is looked for
+	mayRun   bool      // an attempt may have run, whatever later attempts say
 }
 
 // ServeHTTP serves one request.
@@ -116,7 +123,8 @@
 	b.inFlight.Add(1)
 	defer b.inFlight.Add(-1)
 	now := time.Now()
-	x := &exchange{id: b.requestID(r), w: w, r: r, accepted: now}
+	x := &exchange{id: b.requestID(r), w: w, r: r, accepted: now, looking: now}
+	x.story = b.cfg.Recorder.Begin(x.id)
 	if b.stopping.Load() && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close") // moves the caller to another balancer
 	}
@@ -129,13 +137,23 @@
 
 // finish records the end of an exchange, also of one that was cut off.
 func (b *Balancer) finish(x *exchange, began time.Time) {
-	kind, team := "none", "none"
+	kind, service := "none", "none"
+	var target time.Duration
 	if x.route.Kind != nil {
-		kind, team = x.route.Kind.Name, x.route.Team
+		kind, service, target = x.route.Kind.Name, x.route.Kind.Service, x.route.Kind.Target
 	}
-	b.timer(kind, x.verdict).UpdateSince(began)
-	b.cfg.Log.Debug("request", "id", x.id, "tenant", x.route.Tenant, "team", team, "kind", kind,
-		"verdict", x.verdict.String(), "reason", string(x.reason), "status", x.status, "took", time.Since(began))
+	now := time.Now()
+	took := now.Sub(began)
+	b.timer(kind, x.verdict).Update(took)
+	if b.cfg.Histograms != nil {
+		b.cfg.Histograms.Observe(service, x.verdict.String(), took)
+	}
+	left := x.r.Context().Err() != nil
+	x.story.Line(telemetry.EventEnded).Text("verdict", x.verdict.String()).Text("reason", string(x.reason)).
+		Int("status", int64(x.status)).Millis("took_ms", took).Millis("target_ms", target).Bool("caller_left", left).Text("message", x.message).Done()
+	failed := x.verdict != verdict.Ran || x.status >= http.StatusInternalServerError || left
+	late := target > 0 && took > target
+	x.story.End(failed || late, now)
 }
 
 func (b *Balancer) timer(kind string, v verdict.Verdict) metrics.Timer {
@@ -224,6 +242,8 @@
 			timeout = min(timeout, d)
 		}
 		x.deadline = x.accepted.Add(timeout)
+		x.story.Line(telemetry.EventAdmitted).Text("route", x.route.Kind.Name).Text("service", x.route.Kind.Service).
+			Int("version", int64(x.route.Version)).Millis("deadline_ms", timeout).Bool("repeatable", x.route.Kind.Repeatable).Done()
 		return next(ctx, x)
 	}
 }
--- a/balancer/refuse.go
+++ b/balancer/refuse.go
@@ -53,7 +53,7 @@
 		r.verdict = verdict.NotRun
 	}
 	doc := reason.MustLookup(r.reason)
-	x.verdict, x.reason, x.status = r.verdict, r.reason, doc.Status
+	x.verdict, x.reason, x.status, x.message = r.verdict, r.reason, doc.Status, r.message
 	h := x.w.Header()
 	h.Set(verdict.Header, r.verdict.String())
 	h.Set(verdict.ReasonHeader, string(r.reason))
@@ -73,5 +73,4 @@
 	}
 	x.w.WriteHeader(doc.Status)
 	_, _ = x.w.Write(append(body, '\n'))
-	b.cfg.Log.Info("request refused", "id", x.id, "reason", string(r.reason), "verdict", r.verdict.String(), "message", r.message)
 }
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -12,6 +12,7 @@
 	"github.com/lotuswing/lotuswing/coord/verdict"
 	"github.com/lotuswing/lotuswing/link"
 	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/lotuswing/lotuswing/upstream"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
@@ -34,8 +35,10 @@
 		if err != nil {
 			return nil, err
 		}
+		x.chosen(attempt, grant)
 		sent := time.Now()
 		res := b.send(ctx, x, grant, body)
+		x.attempted(attempt, grant, &res, sent)
 		if res.Verdict == verdict.Ran && !b.rejected(x, &res) {
 			return nil, b.answer(x, grant, &res, sent)
 		}
@@ -46,7 +49,6 @@
 			return nil, b.giveUp(ctx, x, &res)
 		}
 		res.Close()
-		b.cfg.Log.Debug("attempt repeated", "id", x.id, "vm", grant.Endpoint.VM, "reason", string(res.Reason))
 	}
 }
 
@@ -112,6 +114,7 @@
 		refused.Reason = reason.DeadlineWaiting
 	}
 	if refused != nil {
+		x.noPlace(len(tried)+1, refused)
 		return node.Grant{}, refusal{reason: refused.Reason, message: "service " + x.route.ServiceKey(), retryAfter: refused.RetryAfter}
 	}
 	span.SetAttributes(attribute.String("vm", grant.Endpoint.VM), attribute.String("home", grant.HomeID))
@@ -184,6 +187,8 @@
 	if d.Again {
 		b.budgets[service] = budget.withRepeat(now)
 	}
+	x.story.Line(telemetry.EventRepeat).Bool("again", d.Again).Text("why", string(d.Reason)).
+		Int("attempts", int64(attempt)).Int("most", int64(x.route.Kind.MaxAttempts)).Done()
 	return d.Again
 }
 
--- /dev/null
+++ b/balancer/story.go
@@ -0,0 +1,48 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/telemetry"
+	"github.com/lotuswing/lotuswing/upstream"
+)
+
+// chosen records the choice of an endpoint. Where the request must not run
+// twice, the line is written before the request goes out, so that the log tells
+// where it went even if this process dies.
+func (x *exchange) chosen(attempt int, g node.Grant) {
+	age := int64(-1)
+	if g.Choice.Age >= 0 {
+		age = g.Choice.Age.Milliseconds()
+	}
+	x.story.Line(telemetry.EventChosen).Int("attempt", int64(attempt)).Text("endpoint", g.Endpoint.VM).Text("zone", g.Endpoint.Zone).
+		Millis("estimate_ms", g.Choice.Estimate).Float("pace", g.Choice.Pace).Int("busy", int64(g.Choice.Busy)).
+		Int("age_ms", age).Int("probes", int64(g.Choice.Probes)).Millis("waited_ms", time.Since(x.looking)).Done()
+	if !x.route.Kind.Repeatable {
+		x.story.Flush()
+	}
+}
+
+// noPlace records that no endpoint was found.
+func (x *exchange) noPlace(attempt int, r *node.Refusal) {
+	x.story.Line(telemetry.EventNoPlace).Int("attempt", int64(attempt)).Text("reason", string(r.Reason)).
+		Int("known", int64(r.Search.Known)).Int("ejected", int64(r.Search.Ejected)).Int("full", int64(r.Search.Full)).
+		Millis("best_ms", r.Search.Best).Int("probes", int64(r.Search.Probes)).Millis("waited_ms", time.Since(x.looking)).Done()
+}
+
+// attempted records what became of an attempt.
+func (x *exchange) attempted(attempt int, g node.Grant, res *upstream.Result, sent time.Time) {
+	line := x.story.Line(telemetry.EventAttempt).Int("attempt", int64(attempt)).Text("endpoint", g.Endpoint.VM).
+		Text("verdict", res.Verdict.String()).Text("reason", string(res.Reason))
+	status := 0
+	if res.Answer != nil {
+		status = res.Answer.StatusCode
+	}
+	line.Int("status", int64(status)).Millis("took_ms", time.Since(sent))
+	if res.Err != nil {
+		line.Text("error", res.Err.Error())
+	}
+	line.Done()
+	x.looking = time.Now()
+}
--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -18,6 +18,7 @@
 	"github.com/lotuswing/lotuswing/platform"
 	"github.com/lotuswing/lotuswing/server"
 	"github.com/lotuswing/lotuswing/settings"
+	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/lotuswing/lotuswing/upstream"
 )
 
@@ -49,7 +50,9 @@
 	if e.level == "info" {
 		e.level = s.Log
 	}
-	log, err := e.logger("lotuswing")
+	queue := telemetry.NewQueue(e.out)
+	defer queue.Close(logFlushWait)
+	log, err := telemetry.Logger("lotuswing", e.level, queue)
 	if err != nil {
 		return exitError{exitUsage, err}
 	}
@@ -58,7 +61,9 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	limitMemory(s.Memory)
-	srv, err := server.Start(serverConfig(s, log, e))
+	cfg := serverConfig(s, log, e)
+	cfg.Recorder = telemetry.NewRecorder(queue, s.LogRate)
+	srv, err := server.Start(cfg)
 	if err != nil {
 		return err
 	}
@@ -75,6 +80,9 @@
 	return err
 }
 
+// logFlushWait bounds the writing of the last log lines.
+const logFlushWait = 500 * time.Millisecond
+
 // serverConfig chooses the source and the policy that the settings ask for.
 func serverConfig(s settings.Settings, log hclog.Logger, e *env) server.Config {
 	cfg := server.Config{Settings: s, Log: log, Traces: e.err}
--- a/cli/control.go
+++ b/cli/control.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/load"
+	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/lotuswing/lotuswing/tenant"
 )
 
@@ -26,7 +27,14 @@
 	a.add("explain", "Explain a reason code, or list all.", func(c *kingpin.CmdClause) func() error {
 		code := c.Arg("code", "such as LW2002").String()
 		markdown := c.Flag("markdown", "print the whole table as a page").Bool()
-		return func() error { return explain(a.env, *code, *markdown) }
+		events := c.Flag("events", "list the log lines about requests and their fields").Bool()
+		return func() error {
+			if *events {
+				_, err := io.WriteString(a.env.out, telemetry.EventsText())
+				return err
+			}
+			return explain(a.env, *code, *markdown)
+		}
 	})
 	a.add("load", "Make open-loop load and print a table of latencies.", func(c *kingpin.CmdClause) func() error {
 		return loadCommand(a.env, c)
@@ -37,6 +45,7 @@
 	addExperiment(a)
 	addDemo(a)
 	addReplay(a)
+	addTrace(a)
 	return a.main(args)
 }
 
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -55,37 +55,57 @@
 // still answer within the target, or refuses.
 func (f *Fleet) Acquire(ctx context.Context, a node.Ask) (node.Grant, *node.Refusal) {
 	giveUp := f.giveUpAt(a)
+	probes := 0
 	for {
-		list := f.look(ctx, a)
-		if len(list) == 0 {
-			return node.Grant{}, &node.Refusal{Reason: reason.NoEndpoint, RetryAfter: f.comeBack(a)}
-		}
-		if ctx.Err() != nil {
-			return node.Grant{}, &node.Refusal{Reason: reason.CallerLeft}
-		}
+		list := f.look(ctx, a, &probes)
 		now := time.Now()
-		best := list[0]
-		if best.good || !now.Before(giveUp) && inTime(best, a, now) {
-			return f.take(a, best), nil
-		}
 		switch {
+		case len(list) == 0:
+			return node.Grant{}, f.refuse(a, list, reason.NoEndpoint, probes)
+		case ctx.Err() != nil:
+			return node.Grant{}, f.refuse(a, list, reason.CallerLeft, probes)
+		case list[0].good, !now.Before(giveUp) && inTime(list[0], a, now):
+			return f.take(a, list[0], probes), nil
 		case !now.Before(a.Deadline):
-			return node.Grant{}, &node.Refusal{Reason: reason.Expired, RetryAfter: f.comeBack(a)}
+			return node.Grant{}, f.refuse(a, list, reason.Expired, probes)
 		case !now.Before(giveUp):
-			return node.Grant{}, &node.Refusal{Reason: reason.TooLate, RetryAfter: f.comeBack(a)}
+			return node.Grant{}, f.refuse(a, list, reason.TooLate, probes)
 		}
 		pause(ctx, min(f.opts.LookAgain, giveUp.Sub(now)))
 	}
 }
 
+// refuse says why there is no endpoint, with what was known of them.
+func (f *Fleet) refuse(a node.Ask, list []candidate, code reason.Code, probes int) *node.Refusal {
+	search := node.Search{Known: len(list), Probes: probes}
+	now := time.Now()
+	for _, c := range list {
+		if c.known.health.Ejected(now) {
+			search.Ejected++
+		}
+		if c.full {
+			search.Full++
+		}
+	}
+	if len(list) > 0 {
+		search.Best = list[0].estimate
+	}
+	return &node.Refusal{Reason: code, RetryAfter: f.comeBack(a), Search: search}
+}
+
 // look returns the candidates, the best first, after asking the most promising
 // ones for their load; while none of these will do, it asks others.
-func (f *Fleet) look(ctx context.Context, a node.Ask) []candidate {
+func (f *Fleet) look(ctx context.Context, a node.Ask, probes *int) []candidate {
 	list := f.candidates(a, time.Now())
 	for range f.opts.ProbeRounds {
-		if len(list) == 0 || !f.probe(ctx, a, list) {
+		if len(list) == 0 {
 			return list
 		}
+		asked := f.probe(ctx, a, list)
+		if asked == 0 {
+			return list
+		}
+		*probes += asked
 		list = f.candidates(a, time.Now())
 		if len(list) == 0 || list[0].good || ctx.Err() != nil {
 			return list
@@ -187,19 +207,22 @@
 )
 
 // take gives a candidate the request.
-func (f *Fleet) take(a node.Ask, c candidate) node.Grant {
+func (f *Fleet) take(a node.Ask, c candidate, probes int) node.Grant {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.known.load = c.known.load.WithSent()
-	report := c.known.load.Report()
-	f.cfg.Log.Debug("chosen", "request", a.ID, "kind", a.Kind, "endpoint", c.VM, "estimate", c.estimate,
-		"age", c.known.load.Age(time.Now()), "pace", report.Pace, "busy", c.known.load.Busy())
-	return node.Grant{
-		ID: a.ID, Service: a.Service, Endpoint: c.Endpoint.Endpoint, Class: a.Class, Kind: a.Kind,
-		Pace: report.Pace, Busy: c.known.load.Busy(),
+	choice := node.Choice{
+		Pace: c.known.load.Report().Pace, Busy: c.known.load.Busy(), Estimate: c.estimate, Age: -1, Probes: probes,
+	}
+	if age := c.known.load.Age(time.Now()); age < oldestAge {
+		choice.Age = age
 	}
+	return node.Grant{ID: a.ID, Service: a.Service, Endpoint: c.Endpoint.Endpoint, Class: a.Class, Kind: a.Kind, Choice: choice}
 }
 
+// oldestAge is the age from which a report counts as none in the log.
+const oldestAge = time.Hour
+
 // Complete takes in how a request ended.
 func (f *Fleet) Complete(g node.Grant, e node.Ending) {
 	now := time.Now()
@@ -210,8 +233,6 @@
 		return
 	}
 	k.load = k.load.WithEnded()
-	f.cfg.Log.Debug("ended", "request", g.ID, "kind", g.Kind, "endpoint", g.Endpoint.VM, "outcome", int(e.Outcome), "took", e.Took,
-		"pace_at_end", e.Load.Pace)
 	if e.Load.Known {
 		k.heard, k.unheard = now, 0
 	}
@@ -226,6 +247,10 @@
 		k.health = k.health.WithCompletion(f.ratio(g.Kind, e.Took))
 	case e.Outcome == contract.Failed:
 		k.health = k.health.WithFailure(now)
+		if k.health.Ejected(now) {
+			f.cfg.Log.Info("endpoint", "id", g.Endpoint.VM, "service", serviceOf(g.Service), "state", "ejected",
+				"for", k.health.EjectedUntil().Sub(now).String(), "request", g.ID)
+		}
 	case e.Outcome == contract.Shed:
 		k.pauseUntil = now.Add(shedPause)
 	}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -135,7 +135,9 @@
 	if cfg == nil {
 		return tenant.Route{}, reason.NotReady
 	}
-	return cfg.Routes.Route(host, path, rand.Uint64())
+	route, code := cfg.Routes.Route(host, path, rand.Uint64())
+	route.Version = cfg.Version
+	return route, code
 }
 
 // Service returns the description of a service. The number of balancers that
--- a/direct/learn.go
+++ b/direct/learn.go
@@ -63,15 +63,15 @@
 
 // learn takes in the time of a completion; f.mu is held.
 func (f *Fleet) learn(g node.Grant, took time.Duration, slots int) {
-	pace := g.Pace
+	pace := g.Choice.Pace
 	if pace <= 0 {
 		return // without a report the time says nothing about the kind
 	}
 	sample := float64(took) / pace
 	switch {
-	case g.Busy < slots:
+	case g.Choice.Busy < slots:
 		f.work[g.Kind] = f.work[g.Kind].with(sample)
-	case g.Busy == slots && f.work[g.Kind].samples >= sureSamples:
+	case g.Choice.Busy == slots && f.work[g.Kind].samples >= sureSamples:
 		service := serviceOf(g.Service)
 		f.crowds[service] = f.crowds[service].with(sample / f.work[g.Kind].usual)
 	}
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -8,15 +8,15 @@
 )
 
 // probe asks the most promising endpoints for their load, all at once, and
-// waits for the answers a short while. It reports whether it asked any.
-func (f *Fleet) probe(ctx context.Context, a node.Ask, list []candidate) bool {
+// waits for the answers a short while. It returns how many it asked.
+func (f *Fleet) probe(ctx context.Context, a node.Ask, list []candidate) int {
 	path := f.probePath(a.Service)
 	if path == "" {
-		return false
+		return 0
 	}
 	chosen := f.probed(list)
 	if len(chosen) == 0 {
-		return false
+		return 0
 	}
 	answers := make(chan struct{}, len(chosen))
 	for _, c := range chosen {
@@ -31,12 +31,12 @@
 		select {
 		case <-answers:
 		case <-timer.C:
-			return true
+			return len(chosen)
 		case <-ctx.Done():
-			return true
+			return len(chosen)
 		}
 	}
-	return true
+	return len(chosen)
 }
 
 func (f *Fleet) probePath(service string) string {
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -51,15 +51,31 @@
 	Class    contract.Class
 	Kind     string // as in the Ask
 
-	// What was known of the endpoint's load when it was chosen.
-	Pace float64
-	Busy int // requests that it held, this one included
+	Choice Choice
+}
+
+// Choice is what was known of an endpoint when it was chosen on its own load;
+// the zero value where a home granted it.
+type Choice struct {
+	Pace     float64 // how long work takes there, 1 as usual
+	Busy     int     // requests that it held, this one included
+	Estimate time.Duration
+	Age      time.Duration // of the report; below 0 without one
+	Probes   int           // endpoints asked
+}
+
+// Search is what was known of the endpoints when none was chosen.
+type Search struct {
+	Known, Ejected, Full int
+	Best                 time.Duration // lowest estimate
+	Probes               int           // endpoints asked
 }
 
 // Refusal says why there is no grant. The request was not sent.
 type Refusal struct {
 	Reason     reason.Code
 	RetryAfter time.Duration
+	Search     Search
 }
 
 // Ending is how a granted request ended.
--- a/server/admin.go
+++ b/server/admin.go
@@ -94,7 +94,13 @@
 func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.GetOrRegisterGauge("requests_in_flight", s.metrics).Update(s.balancer.InFlight())
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if s.cfg.Recorder != nil {
+		skipped := s.cfg.Recorder.Skipped()
+		metrics.GetOrRegisterGauge(`log_skipped{outcome="succeeded"}`, s.metrics).Update(skipped.Succeeded)
+		metrics.GetOrRegisterGauge(`log_skipped{outcome="failed"}`, s.metrics).Update(skipped.Failed)
+	}
 	telemetry.WritePrometheus(w, s.metrics)
+	s.latency.Write(w)
 }
 
 // longestTrace bounds the recording of a trace.
--- a/server/server.go
+++ b/server/server.go
@@ -36,6 +36,8 @@
 	Alone bool
 	// Source of configuration and endpoints; nil for those of peers.
 	Source directory.Source
+	// Recorder writes the decisions about requests; nil for none.
+	Recorder *telemetry.Recorder
 	// Policy towards callers and endpoints; the zero value is the product's.
 	Policy balancer.Policy
 }
@@ -57,8 +59,10 @@
 	balancer *balancer.Balancer
 	tracing  *telemetry.Tracing
 	metrics  metrics.Registry
+	latency  *telemetry.Histograms
 	front    *http.Server
 	admin    *http.Server
+	scrapes  *http.Server // nil without a metrics address
 	frontL   net.Listener
 	adminL   net.Listener
 	stopping chan struct{}
@@ -70,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{cfg: cfg, tracing: tracing, metrics: metrics.NewRegistry(), stopping: make(chan struct{})}
+	s := &Server{cfg: cfg, tracing: tracing, metrics: metrics.NewRegistry(), latency: telemetry.NewHistograms(), stopping: make(chan struct{})}
 	if s.frontL, err = net.Listen("tcp", cfg.Settings.Listen); err != nil {
 		return nil, fmt.Errorf("server: callers' address: %w", err)
 	}
@@ -87,9 +91,16 @@
 		Log:     cfg.Log.Named("request"),
 		Metrics: s.metrics,
 		Tracing: tracing,
+
+		Recorder:   cfg.Recorder,
+		Histograms: s.latency,
 	})
 	s.front = s.frontServer()
 	s.admin = &http.Server{Handler: s.adminHandler(), ReadHeaderTimeout: cfg.Settings.Limits.HeaderTimeout}
+	if err := s.startMetrics(); err != nil {
+		s.Kill()
+		return nil, err
+	}
 	go func() { _ = s.front.Serve(s.frontL) }()
 	go func() { _ = s.admin.Serve(s.adminL) }()
 	cfg.Log.Info("started", "id", cfg.Settings.ID, "zone", cfg.Settings.Zone, "listen", s.frontL.Addr().String(),
@@ -150,6 +161,22 @@
 	}
 }
 
+// startMetrics serves the metrics on their own address, where one is set.
+func (s *Server) startMetrics() error {
+	if s.cfg.Settings.Metrics == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", s.cfg.Settings.Metrics)
+	if err != nil {
+		return fmt.Errorf("server: metrics address: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", s.writeMetrics)
+	s.scrapes = &http.Server{Handler: mux, ReadHeaderTimeout: s.cfg.Settings.Limits.HeaderTimeout}
+	go func() { _ = s.scrapes.Serve(l) }()
+	return nil
+}
+
 // Addr returns the callers' address.
 func (s *Server) Addr() string { return s.frontL.Addr().String() }
 
@@ -216,6 +243,9 @@
 func (s *Server) close() {
 	s.fleet.Close()
 	_ = s.admin.Close()
+	if s.scrapes != nil {
+		_ = s.scrapes.Close()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = s.tracing.Shutdown(ctx)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,6 +36,8 @@
 	Retries   Retries   `json:"retries"`
 	Memory    int       `json:"memory_mb"` // what the process may use, in MiB; 0 for no limit
 	Trace     string    `json:"trace"`     // none or stderr; default none
+	Metrics   string    `json:"metrics"`   // address of metrics alone; empty for none beside the admin address
+	LogRate   int       `json:"log_rate"`  // lines a second about requests; default 200
 	Log       string    `json:"log_level"` // trace, debug, info, warn or error; default info
 }
 
@@ -108,6 +110,7 @@
 		},
 		Discovery: Discovery{Kind: Peers},
 		Trace:     "none",
+		LogRate:   200,
 		Log:       "info",
 	}
 }
@@ -153,6 +156,10 @@
 	dec.Check(s.Limits.HeaderBytes >= 1024, "limits.header_bytes", "is %d; at least 1024", s.Limits.HeaderBytes)
 	dec.Check(s.Limits.BodyBytes >= 1, "limits.body_bytes", "is %d; at least 1", s.Limits.BodyBytes)
 	dec.Check(s.Limits.ReplayBytes >= 0, "limits.replay_bytes", "is %d; at least 0", s.Limits.ReplayBytes)
+	if s.Metrics != "" {
+		checkAddr(dec, "metrics", s.Metrics)
+	}
+	dec.Check(s.LogRate >= 1 && s.LogRate <= 100000, "log_rate", "is %d; from 1 to 100000", s.LogRate)
 	dec.Check(s.Trace == "none" || s.Trace == "stderr", "trace", "is %q; none or stderr", s.Trace)
 }
 
--- /dev/null
+++ b/telemetry/events.go
@@ -0,0 +1,98 @@
+package telemetry
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Field documents a field of a log line.
+type Field struct {
+	Name string
+	Text string
+}
+
+// Event documents a log line about a request.
+type Event struct {
+	Name   string
+	Text   string
+	Fields []Field
+}
+
+// Events of requests. The names are also those that the lines begin with.
+const (
+	EventAdmitted = "admitted"
+	EventChosen   = "chosen"
+	EventNoPlace  = "no endpoint chosen"
+	EventAttempt  = "attempt ended"
+	EventRepeat   = "repeat decided"
+	EventEnded    = "ended"
+)
+
+// Events lists the lines about requests, in the order of a request's way. Each
+// has the field "request", the request's identity.
+var Events = []Event{
+	{EventAdmitted, "The request has a route and a deadline.", []Field{
+		{"route", "name of the route or request kind"},
+		{"service", "service that the route leads to"},
+		{"version", "version of the configuration that decided, 0 where versions belong to tenants"},
+		{"deadline_ms", "time until the final answer is due"},
+		{"repeatable", "whether the request may run more than once"},
+	}},
+	{EventChosen, "An endpoint was chosen for an attempt.", []Field{
+		{"attempt", "number of the attempt, from 1"},
+		{"endpoint", "identity of the endpoint"},
+		{"zone", "availability zone of the endpoint"},
+		{"estimate_ms", "time until its answer, as estimated"},
+		{"pace", "how long work takes there by its last report, 1 as usual; 0 where it tells nothing"},
+		{"busy", "requests that it holds, this one included"},
+		{"age_ms", "age of that report; -1 where there is none"},
+		{"probes", "endpoints asked for this choice"},
+		{"waited_ms", "time since the request was admitted or the last attempt ended"},
+	}},
+	{EventNoPlace, "No endpoint was found in time; the request is refused.", []Field{
+		{"attempt", "number of the attempt, from 1"},
+		{"reason", "reason code"},
+		{"known", "endpoints that could be considered"},
+		{"ejected", "of these, ejected for failures"},
+		{"full", "of these, thought to have no room"},
+		{"best_ms", "lowest estimate among them"},
+		{"probes", "endpoints asked"},
+		{"waited_ms", "time spent looking"},
+	}},
+	{EventAttempt, "What became of an attempt.", []Field{
+		{"attempt", "number of the attempt, from 1"},
+		{"endpoint", "identity of the endpoint"},
+		{"verdict", "ran, not-run or may-have-run"},
+		{"reason", "reason code; empty where the endpoint ran the request"},
+		{"status", "HTTP status of the endpoint's answer, 0 without one"},
+		{"took_ms", "time from sending to the answer or its failure"},
+		{"error", "what failed"},
+	}},
+	{EventRepeat, "Whether the request is sent again.", []Field{
+		{"again", "the decision"},
+		{"why", "reason code where it is not sent again"},
+		{"attempts", "attempts made"},
+		{"most", "attempts allowed by the route"},
+	}},
+	{EventEnded, "The final answer.", []Field{
+		{"verdict", "ran, not-run or may-have-run"},
+		{"reason", "reason code; empty for an endpoint's own answer"},
+		{"status", "HTTP status"},
+		{"took_ms", "time since the request came"},
+		{"target_ms", "time within which the answer has its full worth, 0 for none"},
+		{"caller_left", "whether the caller left before the answer"},
+		{"message", "what the balancer's own answer says; empty for an endpoint's"},
+	}},
+}
+
+// EventsText renders the table as plain text.
+func EventsText() string {
+	var b strings.Builder
+	for _, e := range Events {
+		fmt.Fprintf(&b, "%s: %s\n", e.Name, e.Text)
+		for _, f := range e.Fields {
+			fmt.Fprintf(&b, "  %-12s %s\n", f.Name, f.Text)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/telemetry/story.go
@@ -0,0 +1,199 @@
+package telemetry
+
+import (
+	"io"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// timeFormat is that of all log lines.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
+// Recorder writes the decisions about requests as log lines, one line for each
+// decision, at a bounded rate. The lines of a request are kept together until
+// it has ended. Half of the rate is kept for requests that failed; a request
+// that finds no room is left out whole and counted.
+type Recorder struct {
+	out  io.Writer
+	rate float64 // lines a second, and the most that may be saved up
+
+	mu      sync.Mutex
+	tokens  float64
+	updated time.Time
+	skipped Skipped
+}
+
+// Skipped counts requests that were left out of the log.
+type Skipped struct {
+	Succeeded int64
+	Failed    int64
+}
+
+// NewRecorder returns a recorder that writes up to rate lines a second.
+func NewRecorder(out io.Writer, rate int) *Recorder {
+	return &Recorder{out: out, rate: float64(rate), tokens: float64(rate)}
+}
+
+// Skipped returns how many requests were left out of the log.
+func (r *Recorder) Skipped() Skipped {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.skipped
+}
+
+// Begin starts the story of a request. A nil recorder starts one that is never
+// written.
+func (r *Recorder) Begin(request string) *Story {
+	if r == nil {
+		return nil
+	}
+	return &Story{recorder: r, request: request}
+}
+
+// allow takes the tokens for the lines of a request that has ended.
+func (r *Recorder) allow(lines int, failed bool, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.updated.IsZero() {
+		r.updated = now
+	}
+	r.tokens = min(r.rate, r.tokens+r.rate*now.Sub(r.updated).Seconds())
+	r.updated = now
+	left := r.tokens - float64(lines)
+	switch {
+	case failed && left < 0:
+		r.skipped.Failed++
+		return false
+	case !failed && left < r.rate*failedShare:
+		r.skipped.Succeeded++
+		return false
+	}
+	r.tokens = left
+	return true
+}
+
+// failedShare is the part of the rate that is kept for requests that failed.
+const failedShare = 0.5
+
+// Story is the lines of one request. It belongs to one goroutine at a time. All
+// methods do nothing on a nil Story.
+type Story struct {
+	recorder *Recorder
+	request  string
+	text     []byte
+	lines    int
+}
+
+// Line begins a line of the story; its fields follow.
+func (s *Story) Line(event string) *Line {
+	if s == nil {
+		return nil
+	}
+	s.lines++
+	s.text = time.Now().UTC().AppendFormat(s.text, timeFormat)
+	s.text = append(s.text, " [INFO]  lotuswing.request: "...)
+	s.text = append(s.text, event...)
+	s.text = append(s.text, ": request="...)
+	s.text = appendValue(s.text, s.request)
+	return (*Line)(s)
+}
+
+// Flush writes the lines so far at once, whatever becomes of the request.
+func (s *Story) Flush() {
+	if s == nil || len(s.text) == 0 {
+		return
+	}
+	_, _ = s.recorder.out.Write(s.text)
+	s.text, s.lines = s.text[:0], 0
+}
+
+// End ends the story.
+func (s *Story) End(failed bool, now time.Time) {
+	if s == nil {
+		return
+	}
+	if s.recorder.allow(s.lines, failed, now) {
+		s.Flush()
+	}
+}
+
+// Line is a line to which fields are added. All methods do nothing on a nil
+// Line.
+type Line Story
+
+// Text adds a field.
+func (l *Line) Text(key, value string) *Line {
+	if l == nil {
+		return nil
+	}
+	l.key(key)
+	l.text = appendValue(l.text, value)
+	return l
+}
+
+// Int adds a field.
+func (l *Line) Int(key string, value int64) *Line {
+	if l == nil {
+		return nil
+	}
+	l.key(key)
+	l.text = strconv.AppendInt(l.text, value, 10)
+	return l
+}
+
+// Float adds a field.
+func (l *Line) Float(key string, value float64) *Line {
+	if l == nil {
+		return nil
+	}
+	l.key(key)
+	l.text = strconv.AppendFloat(l.text, value, 'f', 2, 64)
+	return l
+}
+
+// Millis adds a duration in milliseconds.
+func (l *Line) Millis(key string, value time.Duration) *Line {
+	if l == nil {
+		return nil
+	}
+	l.key(key)
+	l.text = strconv.AppendFloat(l.text, float64(value)/float64(time.Millisecond), 'f', 1, 64)
+	return l
+}
+
+// Bool adds a field.
+func (l *Line) Bool(key string, value bool) *Line {
+	if l == nil {
+		return nil
+	}
+	l.key(key)
+	l.text = strconv.AppendBool(l.text, value)
+	return l
+}
+
+// Done ends the line.
+func (l *Line) Done() {
+	if l != nil {
+		l.text = append(l.text, '\n')
+	}
+}
+
+func (l *Line) key(key string) {
+	l.text = append(l.text, ' ')
+	l.text = append(l.text, key...)
+	l.text = append(l.text, '=')
+}
+
+// appendValue quotes a value where it would not be one word.
+func appendValue(text []byte, value string) []byte {
+	if value == "" {
+		return append(text, `""`...)
+	}
+	for i := range len(value) {
+		if c := value[i]; c <= ' ' || c == '"' || c == '=' || c >= 0x7f {
+			return strconv.AppendQuote(text, value)
+		}
+	}
+	return append(text, value...)
+}
--- a/tenant/route.go
+++ b/tenant/route.go
@@ -9,9 +9,10 @@
 
 // Route is where a request belongs.
 type Route struct {
-	Tenant string
-	Team   string
-	Kind   *Kind
+	Tenant  string
+	Team    string
+	Kind    *Kind
+	Version uint64 // of the configuration that decided; 0 where it is not told
 }
 
 // ServiceKey names a service among all tenants.
