Tests of the choice; two faults that they showed mended

Cause: with the budget of probes spent, a request waited for a fifth of its target although nothing more could be learnt (seen as a test that hung); and an endpoint heard of a millisecond ago led to a probe of the next one, often of another zone. Change: where nobody can be asked, the best guess is taken at once if it is thought to be in time; a fresh and good report is used as it is.

--- a/direct/choose.go
+++ b/direct/choose.go
@@ -57,14 +57,16 @@
 	giveUp := f.giveUpAt(a)
 	probes := 0
 	for {
+		before := probes
 		list := f.look(ctx, a, &probes)
 		now := time.Now()
+		blind := probes == before // no endpoint could be asked
 		switch {
 		case len(list) == 0:
 			return node.Grant{}, f.refuse(a, list, reason.NoEndpoint, probes)
 		case ctx.Err() != nil:
 			return node.Grant{}, f.refuse(a, list, reason.CallerLeft, probes)
-		case list[0].good, !now.Before(giveUp) && inTime(list[0], a, now):
+		case list[0].good, (blind || !now.Before(giveUp)) && list[0].acceptable(a, now):
 			return f.take(a, list[0], probes), nil
 		case !now.Before(a.Deadline):
 			return node.Grant{}, f.refuse(a, list, reason.Expired, probes)
@@ -98,7 +100,7 @@
 func (f *Fleet) look(ctx context.Context, a node.Ask, probes *int) []candidate {
 	list := f.candidates(a, time.Now())
 	for range f.opts.ProbeRounds {
-		if len(list) == 0 {
+		if len(list) == 0 || list[0].good && list[0].known.load.Age(time.Now()) <= f.opts.ProbeFresh {
 			return list
 		}
 		asked := f.probe(ctx, a, list)
@@ -114,8 +116,9 @@
 	return list
 }
 
-// inTime reports whether a candidate is thought to answer within the target.
-func inTime(c candidate, a node.Ask, now time.Time) bool {
+// acceptable reports whether a candidate is thought to answer within the
+// target, or has room where there is none.
+func (c candidate) acceptable(a node.Ask, now time.Time) bool {
 	if a.Target <= 0 {
 		return !c.full
 	}
--- /dev/null
+++ b/direct/direct_test.go
@@ -0,0 +1,261 @@
+package direct_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/contract"
+	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/direct"
+	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/link"
+	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/upstream"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+)
+
+// fakeProber answers for endpoints by address.
+type fakeProber struct {
+	mu      sync.Mutex
+	answers map[string]upstream.ProbeAnswer
+	asked   map[string]int
+}
+
+var errSilent = errors.New("no answer")
+
+func (p *fakeProber) Probe(_ context.Context, addr, _ string, _ time.Duration) (upstream.ProbeAnswer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked[addr]++
+	answer, ok := p.answers[addr]
+	if !ok {
+		return upstream.ProbeAnswer{}, errSilent
+	}
+	return answer, nil
+}
+
+func (p *fakeProber) set(addr string, running int, pace float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answers[addr] = upstream.ProbeAnswer{
+		Status: 200, Instance: addr,
+		Load: link.Load{Known: true, InFlight: running, Slots: 3, Pace: pace, State: link.Live},
+	}
+}
+
+// rig is a fleet over endpoints e0, e1, ..., whose addresses are their names;
+// even ones are in the fleet's zone.
+type rig struct {
+	*direct.Fleet
+	directory *directory.Directory
+	prober    *fakeProber
+}
+
+func newRig(endpoints int, opts direct.Options) *rig {
+	d := directory.New()
+	var entries []directory.Entry
+	prober := &fakeProber{answers: map[string]upstream.ProbeAnswer{}, asked: map[string]int{}}
+	for i := range endpoints {
+		id := fmt.Sprintf("e%d", i)
+		zone := []string{"near", "far"}[i%2]
+		entries = append(entries, directory.Entry{Endpoint: directory.Endpoint{
+			Endpoint: contract.Endpoint{VM: id, Addr: id, Zone: zone, Slots: 3}, Service: "s",
+		}, Revision: 1})
+		prober.set(id, 0, 1)
+	}
+	routes := tenant.NewPrefixTable("t", []tenant.PrefixRoute{{
+		Name: "r", Host: "a.example", Prefix: "/", Timeout: time.Second, Target: time.Second, MaxAttempts: 2,
+		Split: []tenant.Share{{Service: "s", Weight: 1}},
+	}})
+	config := &directory.Config{Version: 5, Routes: routes, Services: map[string]tenant.Service{"s": {ProbePath: "/health"}}}
+	d.Apply(directory.Changes{Config: config, Entries: entries}, time.Now())
+	return &rig{directory: d, prober: prober, Fleet: direct.New(direct.Config{
+		ID: "vm-1", Zone: "near", Directory: d, Client: prober, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Options: opts,
+	})}
+}
+
+// ask is a request with an hour to its target, so that nothing is refused for
+// want of time.
+func ask() node.Ask {
+	now := time.Now()
+	return node.Ask{ID: "id", Service: "t/s", Kind: "k", Accepted: now, Target: time.Hour, Deadline: now.Add(2 * time.Hour)}
+}
+
+// hurried is a request whose time to look has passed.
+func hurried() node.Ask {
+	a := ask()
+	a.Target = time.Nanosecond
+	return a
+}
+
+// TestSlowAndFullEndpointsAreNotChosen while another will do.
+func TestSlowAndFullEndpointsAreNotChosen(t *testing.T) {
+	for range 20 {
+		r := newRig(4, direct.Options{})
+		r.prober.set("e0", 0, 5)
+		r.prober.set("e1", 3, 1)
+		r.prober.set("e2", 0, 5)
+		g, refused := r.Acquire(context.Background(), ask())
+		assert.Assert(t, refused == nil)
+		assert.Equal(t, g.Endpoint.VM, "e3")
+		assert.Equal(t, g.Choice.Pace, 1.0)
+		assert.Equal(t, g.Choice.Busy, 1)
+	}
+}
+
+// TestOwnZoneIsAskedFirst, and others only where it will not do.
+func TestOwnZoneIsAskedFirst(t *testing.T) {
+	r := newRig(6, direct.Options{ProbeBurst: 1000})
+	for range 20 {
+		g, refused := r.Acquire(context.Background(), ask())
+		assert.Assert(t, refused == nil)
+		assert.Equal(t, g.Endpoint.Zone, "near")
+		r.Complete(g, node.Ending{Outcome: contract.Completed, Took: 100 * time.Millisecond})
+	}
+	for _, far := range []string{"e1", "e3", "e5"} {
+		assert.Equal(t, r.prober.asked[far], 0)
+	}
+}
+
+// TestNobodyInTimeIsRefusedAtOnce, with what was known and when to come back.
+func TestNobodyInTimeIsRefusedAtOnce(t *testing.T) {
+	r := newRig(2, direct.Options{})
+	r.prober.set("e0", 3, 1)
+	r.prober.set("e1", 0, 5)
+	_, refused := r.Acquire(context.Background(), hurried())
+	assert.Assert(t, refused != nil)
+	assert.Equal(t, refused.Reason, reason.TooLate)
+	assert.Equal(t, refused.Search.Known, 2)
+	assert.Equal(t, refused.Search.Full, 1)
+	assert.Equal(t, refused.Search.Probes, 2)
+}
+
+// TestWaitsForAPlace that becomes free.
+func TestWaitsForAPlace(t *testing.T) {
+	r := newRig(1, direct.Options{LookAgain: time.Millisecond, ProbeRate: 1e6})
+	r.prober.set("e0", 3, 1)
+	granted := make(chan node.Grant)
+	go func() {
+		g, _ := r.Acquire(context.Background(), ask())
+		granted <- g
+	}()
+	r.prober.set("e0", 1, 1)
+	assert.Equal(t, (<-granted).Endpoint.VM, "e0")
+}
+
+// TestCallerThatLeavesIsNotServed.
+func TestCallerThatLeavesIsNotServed(t *testing.T) {
+	r := newRig(1, direct.Options{LookAgain: time.Millisecond, ProbeRate: 1e6})
+	r.prober.set("e0", 3, 1)
+	ctx, leave := context.WithCancel(context.Background())
+	ended := make(chan *node.Refusal)
+	go func() {
+		_, refused := r.Acquire(ctx, ask())
+		ended <- refused
+	}()
+	leave()
+	assert.Equal(t, (<-ended).Reason, reason.CallerLeft)
+}
+
+// TestTriedEndpointsAreAvoided, and none is left where all were tried.
+func TestTriedEndpointsAreAvoided(t *testing.T) {
+	r := newRig(2, direct.Options{})
+	a := ask()
+	a.Avoid = []string{"e0"}
+	g, refused := r.Acquire(context.Background(), a)
+	assert.Assert(t, refused == nil)
+	assert.Equal(t, g.Endpoint.VM, "e1")
+	a.Avoid = []string{"e0", "e1"}
+	_, refused = r.Acquire(context.Background(), a)
+	assert.Equal(t, refused.Reason, reason.NoEndpoint)
+}
+
+// TestAnotherInstanceAtTheAddress, told by a probe or by a request's answer,
+// takes the endpoint out.
+func TestAnotherInstanceAtTheAddress(t *testing.T) {
+	r := newRig(3, direct.Options{})
+	r.prober.mu.Lock()
+	answer := r.prober.answers["e0"]
+	answer.Instance = "stranger"
+	r.prober.answers["e0"] = answer
+	r.prober.mu.Unlock()
+	for range 10 {
+		g, refused := r.Acquire(context.Background(), ask())
+		assert.Assert(t, refused == nil)
+		assert.Assert(t, g.Endpoint.VM != "e0")
+		r.Complete(g, node.Ending{Outcome: contract.Completed, Took: time.Millisecond})
+	}
+	g, _ := r.Acquire(context.Background(), ask())
+	r.Complete(g, node.Ending{Outcome: contract.Unused, Replaced: true})
+	for _, e := range r.directory.Snapshot().Endpoints["s"] {
+		assert.Assert(t, e.VM != g.Endpoint.VM)
+	}
+}
+
+// TestFailingEndpointIsEjected and comes back only where nobody else is left.
+func TestFailingEndpointIsEjected(t *testing.T) {
+	r := newRig(3, direct.Options{})
+	failing := ask()
+	failing.Avoid = []string{"e1", "e2"}
+	for range 3 {
+		g, refused := r.Acquire(context.Background(), failing)
+		assert.Assert(t, refused == nil)
+		r.Complete(g, node.Ending{Outcome: contract.Failed})
+	}
+	for range 10 {
+		g, refused := r.Acquire(context.Background(), ask())
+		assert.Assert(t, refused == nil)
+		assert.Assert(t, g.Endpoint.VM != "e0")
+	}
+	g, refused := r.Acquire(context.Background(), failing)
+	assert.Assert(t, refused == nil)
+	assert.Equal(t, g.Endpoint.VM, "e0", "the last one is used whatever it did")
+}
+
+// TestSilentEndpointIsPassedOver.
+func TestSilentEndpointIsPassedOver(t *testing.T) {
+	r := newRig(3, direct.Options{ProbeBurst: 1000})
+	r.prober.mu.Lock()
+	delete(r.prober.answers, "e0")
+	r.prober.mu.Unlock()
+	for range 10 {
+		g, refused := r.Acquire(context.Background(), ask())
+		assert.Assert(t, refused == nil)
+		assert.Assert(t, g.Endpoint.VM != "e0")
+		r.Complete(g, node.Ending{Outcome: contract.Completed, Took: time.Millisecond})
+	}
+}
+
+// TestProbesKeepTheirRate for each endpoint.
+func TestProbesKeepTheirRate(t *testing.T) {
+	r := newRig(1, direct.Options{ProbeRate: 1e-9, ProbeBurst: 5, ProbeFresh: time.Nanosecond})
+	for range 50 {
+		g, _ := r.Acquire(context.Background(), ask())
+		r.Complete(g, node.Ending{Outcome: contract.Completed, Took: time.Millisecond})
+	}
+	assert.Equal(t, r.prober.asked["e0"], 5)
+}
+
+// TestReadyNeedsConfigurationAndEndpoints.
+func TestReadyNeedsConfigurationAndEndpoints(t *testing.T) {
+	d := directory.New()
+	f := direct.New(direct.Config{Directory: d, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+	ok, why := f.Ready()
+	assert.Assert(t, !ok)
+	assert.Equal(t, why, "no configuration")
+	_, code := f.Route("a.example", "GET", "/")
+	assert.Equal(t, code, reason.NotReady)
+	r := newRig(1, direct.Options{})
+	ok, _ = r.Ready()
+	assert.Assert(t, ok)
+	route, _ := r.Route("a.example", "GET", "/")
+	assert.Equal(t, route.Version, uint64(5))
+	assert.Equal(t, r.Status().Endpoints[0].ID, "e0")
+}
