--- a/balancer/refuse.go
+++ b/balancer/refuse.go
@@ -44,9 +44,10 @@
 	}
 	switch {
 	case x.mayRun:
-		// What an earlier attempt left open stays open.
+		// What an earlier attempt left open stays open, and no status may
+		// promise otherwise.
 		r.verdict = verdict.MayHaveRun
-		if beforeSending(r.reason) {
+		if beforeSending(r.reason) || reason.MustLookup(r.reason).Status == http.StatusServiceUnavailable {
 			r.reason = reason.AnswerUnknown
 		}
 	case beforeSending(r.reason):
--- /dev/null
+++ b/upstream/dialect_test.go
@@ -0,0 +1,151 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/internal/scripted"
+	"github.com/lotuswing/lotuswing/platform"
+	"github.com/lotuswing/lotuswing/upstream"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	signed   = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nServer-Load: 1,0,3,100\r\nContent-Length: 5\r\n\r\nwhole"
+	declined = "HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+func scriptedEndpoint(t *testing.T, steps ...scripted.Step) *scripted.Endpoint {
+	t.Helper()
+	e, err := scripted.New(steps...)
+	assert.NilError(t, err)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func platformClient(t *testing.T, fresh bool) *upstream.Client {
+	t.Helper()
+	d := platform.Dialect()
+	c := upstream.NewClient(upstream.Options{Dialect: &d, Fresh: fresh})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func sendTo(c *upstream.Client, addr string) upstream.Result {
+	in, err := http.NewRequest(http.MethodGet, "http://caller/x/%2e?q=1", nil)
+	if err != nil {
+		panic(err)
+	}
+	return c.Send(context.Background(), upstream.Request{
+		ID: "r1", Addr: addr, In: in, Body: upstream.NewBody(strings.NewReader(""), 1<<10),
+		Deadline: time.Now().Add(5 * time.Second), Instance: "i-1", Hold: 1 << 10,
+	})
+}
+
+// TestWhatAnAnswerProves in the platform's dialect.
+func TestWhatAnAnswerProves(t *testing.T) {
+	cases := []struct {
+		name    string
+		step    scripted.Step
+		verdict verdict.Verdict
+		reason  reason.Code
+	}{
+		{"its own answer", scripted.Answer(signed), verdict.Ran, ""},
+		{"it declined", scripted.Answer(declined), verdict.NotRun, reason.EndpointRefused},
+		{"it declined with 429", scripted.Answer(strings.Replace(declined, "503 Busy", "429 Busy", 1)), verdict.NotRun, reason.EndpointRefused},
+		{"another instance", scripted.Answer("HTTP/1.1 421 No\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"), verdict.NotRun, reason.EndpointReplaced},
+		{"a bare 503 promises nothing", scripted.Answer("HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"), verdict.MayHaveRun, reason.AnswerUnknown},
+		{"a bare 429 promises nothing", scripted.Answer("HTTP/1.1 429 Busy\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"), verdict.MayHaveRun, reason.AnswerUnknown},
+		{"its own failure", scripted.Answer("HTTP/1.1 500 Error\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n"), verdict.Ran, ""},
+		{"another request's answer", scripted.Answer(strings.ReplaceAll(signed, "{id}", "r2")), verdict.MayHaveRun, reason.AnswerForeign},
+		{"another request's refusal", scripted.Answer(strings.ReplaceAll(declined, "{id}", "r2")), verdict.MayHaveRun, reason.AnswerForeign},
+		{"an answer without a name", scripted.Answer(strings.Replace(signed, "Request-Id: {id}\r\n", "", 1)), verdict.MayHaveRun, reason.AnswerForeign},
+		{"success without a signature", scripted.Answer(strings.Replace(signed, "Response-Signature: s\r\n", "", 1)), verdict.MayHaveRun, reason.AnswerSpoiled},
+		{"an encoded body", scripted.Answer(strings.Replace(signed, "Content-Length", "Content-Encoding: gzip\r\nContent-Length", 1)), verdict.MayHaveRun, reason.AnswerSpoiled},
+		{"a body cut short", scripted.Cut(signed[:len(signed)-2]), verdict.MayHaveRun, reason.AnswerCut},
+		{"a chunked body cut short", scripted.Cut("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"), verdict.MayHaveRun, reason.AnswerCut},
+		{"a body that ends with its connection", scripted.Cut(strings.Replace(signed, "Content-Length: 5\r\n", "", 1)), verdict.Ran, ""},
+		{"bytes that are no answer", scripted.Cut("garbage\r\n\r\n"), verdict.MayHaveRun, reason.AnswerUnknown},
+		{"a reset", scripted.Reset(), verdict.MayHaveRun, reason.AnswerUnknown},
+	}
+	for _, c := range cases {
+		res := sendTo(platformClient(t, false), scriptedEndpoint(t, c.step).Addr())
+		assert.Equal(t, res.Verdict, c.verdict, c.name)
+		assert.Equal(t, res.Reason, c.reason, c.name)
+		if c.verdict == verdict.Ran && c.reason == "" && res.Answer.StatusCode == http.StatusOK {
+			raw, err := io.ReadAll(res.Answer.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(raw), "whole", c.name)
+			assert.Assert(t, res.Held, c.name)
+		}
+		res.Close()
+	}
+}
+
+// TestLongAnswerIsNotHeld but passed on from its start.
+func TestLongAnswerIsNotHeld(t *testing.T) {
+	long := strings.Repeat("x", 3000)
+	for _, framing := range []string{"Content-Length: 3000\r\n", ""} {
+		e := scriptedEndpoint(t, scripted.Cut("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n"+framing+"\r\n"+long))
+		res := sendTo(platformClient(t, false), e.Addr())
+		assert.Assert(t, !res.Held)
+		raw, err := io.ReadAll(res.Answer.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(raw), long)
+		res.Close()
+	}
+}
+
+// TestRequestGoesUnchanged, with what is left of its time and the instance it
+// is meant for.
+func TestRequestGoesUnchanged(t *testing.T) {
+	e := scriptedEndpoint(t, scripted.Answer(signed))
+	res := sendTo(platformClient(t, false), e.Addr())
+	res.Close()
+	got := e.Requests()[0]
+	assert.Equal(t, got.RequestURI, "/x/%2e?q=1")
+	assert.Equal(t, got.Host, "caller")
+	assert.Equal(t, got.Header.Get("Request-Id"), "r1")
+	assert.Equal(t, got.Header.Get("Expected-Instance"), "i-1")
+	left, err := platform.Dialect().ParseTimeout(got.Header.Get("Deadline-Ms"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 5*time.Second)
+}
+
+// TestFreshConnections are opened for each request where that is asked for, and
+// kept otherwise; probes use the kept ones.
+func TestFreshConnections(t *testing.T) {
+	for _, fresh := range []bool{false, true} {
+		e := scriptedEndpoint(t, scripted.Answer(signed))
+		c := platformClient(t, fresh)
+		for range 3 {
+			res := sendTo(c, e.Addr())
+			res.Close()
+		}
+		want := 1
+		if fresh {
+			want = 3
+		}
+		assert.Equal(t, e.Connections(), want)
+	}
+}
+
+// TestProbe reads an endpoint's load and identity.
+func TestProbe(t *testing.T) {
+	e := scriptedEndpoint(t, scripted.Answer("HTTP/1.1 200 OK\r\nInstance-Id: i-7\r\nServer-Load: 2,1,3,500\r\nContent-Length: 0\r\n\r\n"))
+	got, err := platformClient(t, false).Probe(context.Background(), e.Addr(), "/health", 5*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Instance, "i-7")
+	assert.Equal(t, got.Load.Pace, 5.0)
+	assert.Equal(t, got.Load.Waiting, 1)
+	assert.Equal(t, e.Requests()[0].URL.Path, "/health")
+	e.Close()
+	_, err = platformClient(t, false).Probe(context.Background(), e.Addr(), "/health", 5*time.Second)
+	assert.ErrorContains(t, err, "probe")
+}
