--- a/cli/control.go
+++ b/cli/control.go
@@ -46,6 +46,7 @@
 	addDemo(a)
 	addReplay(a)
 	addTrace(a)
+	addSoak(a)
 	return a.main(args)
 }
 
--- /dev/null
+++ b/cli/soak.go
@@ -0,0 +1,74 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/soak"
+)
+
+// addSoak declares the command that runs a fault soak.
+func addSoak(a *app) {
+	a.add("soak", "Run balancers as processes under faults and check the product's promises: exit 1 where one is broken.", func(c *kingpin.CmdClause) func() error {
+		cfg := soak.Config{Timed: true}
+		c.Flag("seed", "seed of the faults; 0 for a fresh one").Uint64Var(&cfg.Seed)
+		c.Flag("for", "how long faults go on").Default("20s").DurationVar(&cfg.For)
+		c.Flag("balancers", "balancer processes").Default("4").IntVar(&cfg.Balancers)
+		c.Flag("callers", "callers").Default("8").IntVar(&cfg.Callers)
+		c.Flag("gap", "mean pause between two faults").Default("300ms").DurationVar(&cfg.Gap)
+		c.Flag("keep", "folder for the logs of all processes").StringVar(&cfg.Keep)
+		binary := c.Flag("binary", "the balancer's program").Default("target/lotuswing").ExistingFile()
+		return func() error { return runSoak(a.env, cfg, *binary) }
+	})
+}
+
+func runSoak(e *env, cfg soak.Config, binary string) error {
+	log, err := e.logger("soak")
+	if err != nil {
+		return exitError{exitUsage, err}
+	}
+	cfg.Log = log
+	if cfg.Seed == 0 {
+		cfg.Seed = uint64(time.Now().UnixNano())
+	}
+	cfg.Command = func(settings, logFile string) *exec.Cmd {
+		cmd := exec.Command(binary, "run", "--settings", settings)
+		if f, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err == nil {
+			cmd.Stdout, cmd.Stderr = f, f
+		}
+		return cmd
+	}
+	ctx, cancel := untilSignal()
+	defer cancel()
+	result, err := soak.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	return e.printSoak(result)
+}
+
+func (e *env) printSoak(r soak.Result) error {
+	var rows [][]string
+	for status, n := range r.Statuses {
+		rows = append(rows, []string{"status", fmt.Sprint(status), fmt.Sprint(n)})
+	}
+	for kind, n := range r.Faults {
+		rows = append(rows, []string{"fault", kind, fmt.Sprint(n)})
+	}
+	slices.SortFunc(rows, slices.Compare[[]string])
+	if err := e.table([]string{"what", "kind", "count"}, rows); err != nil {
+		return err
+	}
+	for _, v := range r.Violations {
+		_, _ = fmt.Fprintln(e.out, v)
+	}
+	_, _ = fmt.Fprintf(e.out, "seed %d, requests %d, violations: %d\n", r.Seed, r.Requests, len(r.Violations))
+	if len(r.Violations) > 0 {
+		return exitError{exitFailed, fmt.Errorf("soak: %d promises broken with seed %d", len(r.Violations), r.Seed)}
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/callers.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Paths of the soak's routes.
+const (
+	readPrefix = "/read/" // repeatable, to service alpha
+	filePrefix = "/file/" // not repeatable, to service beta
+	movePrefix = "/move/" // repeatable, to either
+)
+
+const (
+	host         = "soak.example"
+	routeTimeout = 2 * time.Second
+	callerPause  = 25 * time.Millisecond
+)
+
+func (r *sentRequest) prefix() string {
+	second := strings.IndexByte(r.path[1:], '/')
+	return r.path[:second+2]
+}
+
+// caller sends one request after the other, on connections that it keeps until
+// their process is gone.
+type caller struct {
+	number    int
+	balancers []*balancer
+	ledger    *ledger
+	rng       *rand.Rand
+	client    *http.Client
+}
+
+func newCaller(number int, balancers []*balancer, l *ledger, rng *rand.Rand) *caller {
+	return &caller{
+		number: number, balancers: balancers, ledger: l, rng: rng,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 2 * routeTimeout},
+	}
+}
+
+func (c *caller) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		if b := c.choose(); b != nil {
+			c.call(n, b)
+		}
+		select {
+		case <-time.After(time.Duration(c.rng.Int64N(int64(2 * callerPause)))):
+		case <-ctx.Done():
+		}
+	}
+	c.client.CloseIdleConnections()
+}
+
+// choose returns a balancer that takes new connections, or one that is being
+// stopped, to which a kept connection may still be open.
+func (c *caller) choose() *balancer {
+	first := c.rng.IntN(len(c.balancers))
+	for i := range c.balancers {
+		b := c.balancers[(first+i)%len(c.balancers)]
+		if b.takes() || c.rng.IntN(4) == 0 {
+			return b
+		}
+	}
+	return nil
+}
+
+func (c *caller) call(n int, b *balancer) {
+	prefix := []string{readPrefix, filePrefix, movePrefix}[c.rng.IntN(3)]
+	r := &sentRequest{
+		id: fmt.Sprintf("c%d-%d", c.number, n), method: http.MethodGet, path: fmt.Sprintf("%s%d?n=%d", prefix, c.number, n),
+		repeatable: prefix != filePrefix, balancer: b.id, at: time.Now(),
+	}
+	payload := ""
+	if !r.repeatable {
+		r.method, payload = http.MethodPost, strings.Repeat("p", c.rng.IntN(5000))
+	}
+	req, err := http.NewRequest(r.method, "http://"+b.listen+r.path, strings.NewReader(payload))
+	if err != nil {
+		panic("soak: " + err.Error())
+	}
+	req.Host = host
+	req.GetBody = nil // the caller's own transport must send nothing twice
+	req.Header.Set("Request-Id", r.id)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(routeTimeout.Milliseconds()))
+	c.ledger.begin(r)
+	status := c.exchange(req, r, payload)
+	c.ledger.end(r, status, time.Now())
+}
+
+// exchange sends a request and returns the status of a whole answer, or 0.
+func (c *caller) exchange(req *http.Request, r *sentRequest, payload string) int {
+	if r.method == http.MethodGet {
+		req.Body = nil
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0
+	}
+	if resp.StatusCode == http.StatusOK {
+		c.ledger.checkAnswer(r, resp, string(body), payload)
+	}
+	return resp.StatusCode
+}
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,300 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/lotuswing/lotuswing/platform/platformtest"
+	"github.com/lotuswing/lotuswing/tenant"
+)
+
+// endpoint is one incarnation of a back end behind a proxy.
+type endpoint struct {
+	server  *platformtest.Endpoint
+	service string
+	proxy   *Proxy
+	http    *http.Server
+	left    time.Time // when the store was told that it leaves; zero while it stays
+}
+
+// mayServe reports whether some configuration sends a path to the endpoint's
+// service.
+func (e *endpoint) mayServe(path string) bool {
+	prefix := (&sentRequest{path: path}).prefix()
+	switch e.service {
+	case serviceAlpha:
+		return prefix != filePrefix
+	case serviceBeta:
+		return prefix != readPrefix
+	}
+	return false
+}
+
+// Services of the soak.
+const (
+	serviceAlpha = "alpha"
+	serviceBeta  = "beta"
+)
+
+// fault is one kind of trouble: it begins it and returns what ends it.
+type fault struct {
+	name  string
+	begin func(*world) (detail string, end func())
+}
+
+// faults that a soak draws from. Several may overlap.
+var faults = []fault{
+	{"kill", func(w *world) (string, func()) { return w.restart(syscall.SIGKILL) }},
+	{"stop", func(w *world) (string, func()) { return w.restart(syscall.SIGTERM) }},
+	{"pause", (*world).pause},
+	{"hang-up", (*world).hangUp},
+	{"store answers 503", func(w *world) (string, func()) { return w.storeFault(platformtest.Faults{Refuse: true}) }},
+	{"store is silent", func(w *world) (string, func()) { return w.storeFault(platformtest.Faults{Silent: true}) }},
+	{"watches hear nothing", func(w *world) (string, func()) { return w.storeFault(platformtest.Faults{Mute: true}) }},
+	{"store forgets", (*world).forget},
+	{"store link", (*world).storeLink},
+	{"endpoint link", (*world).endpointLink},
+	{"endpoint slow", func(w *world) (string, func()) {
+		return w.misbehave(func(b *platformtest.Behavior, on bool) { b.Pace = map[bool]int{true: 500, false: 100}[on] })
+	}},
+	{"endpoint declines", func(w *world) (string, func()) {
+		return w.misbehave(func(b *platformtest.Behavior, on bool) { b.Decline = on })
+	}},
+	{"answers lost", func(w *world) (string, func()) {
+		return w.misbehave(func(b *platformtest.Behavior, on bool) { b.LoseAnswer = on })
+	}},
+	{"answers cut", func(w *world) (string, func()) {
+		return w.misbehave(func(b *platformtest.Behavior, on bool) { b.CutAnswer = on })
+	}},
+	{"answers of others", func(w *world) (string, func()) {
+		return w.misbehave(func(b *platformtest.Behavior, on bool) { b.Foreign = on })
+	}},
+	{"endpoint leaves", (*world).replace},
+	{"configuration", (*world).reconfigure},
+	{"configurations in series", (*world).storm},
+}
+
+func (w *world) drawBalancer() *balancer { return w.balancers[w.rng.IntN(len(w.balancers))] }
+
+// drawEndpoint returns one that has not been told to leave.
+func (w *world) drawEndpoint() *endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.current[w.rng.IntN(len(w.current))]
+}
+
+func (w *world) restart(s syscall.Signal) (string, func()) {
+	b := w.drawBalancer()
+	if !b.claim() {
+		return b.id + " is restarted already", func() {}
+	}
+	from := time.Now()
+	b.signal(syscall.SIGCONT)
+	b.signal(s)
+	return b.id, func() {
+		defer b.release()
+		b.gone()
+		if err := b.run(); err != nil {
+			w.log.Error("balancer not started again", "id", b.id, "error", err)
+		}
+		for !b.ready() && w.ctx.Err() == nil {
+			time.Sleep(20 * time.Millisecond)
+		}
+		w.calendar.disturb(b.id, from, time.Now())
+	}
+}
+
+func (w *world) pause() (string, func()) {
+	b := w.drawBalancer()
+	from := time.Now()
+	b.signal(syscall.SIGSTOP)
+	return b.id, func() {
+		b.signal(syscall.SIGCONT)
+		w.calendar.disturb(b.id, from, time.Now())
+	}
+}
+
+// hangUp changes a balancer's settings and says so.
+func (w *world) hangUp() (string, func()) {
+	b := w.drawBalancer()
+	if err := b.writeSettings(); err != nil {
+		w.log.Error("settings not written", "id", b.id, "error", err)
+	}
+	b.signal(syscall.SIGHUP)
+	return b.id, func() {}
+}
+
+func (w *world) storeFault(f platformtest.Faults) (string, func()) {
+	from := time.Now()
+	w.store.SetFaults(f)
+	return "", func() {
+		w.store.SetFaults(platformtest.Faults{})
+		w.calendar.disturb("", from, time.Now())
+	}
+}
+
+func (w *world) forget() (string, func()) {
+	from := time.Now()
+	w.store.Forget()
+	return "", func() { w.calendar.disturb("", from, time.Now()) }
+}
+
+func (w *world) drawMode() Mode { return Mode(1 + w.rng.IntN(int(modes)-1)) }
+
+func (w *world) storeLink() (string, func()) {
+	b, mode, from := w.drawBalancer(), w.drawMode(), time.Now()
+	b.store.Set(mode)
+	return fmt.Sprintf("%s %v", b.id, mode), func() {
+		b.store.Set(Pass)
+		w.calendar.disturb(b.id, from, time.Now())
+	}
+}
+
+func (w *world) endpointLink() (string, func()) {
+	e, mode, from := w.drawEndpoint(), w.drawMode(), time.Now()
+	e.proxy.Set(mode)
+	return fmt.Sprintf("%s %v", e.server.ID, mode), func() {
+		e.proxy.Set(Pass)
+		w.calendar.disturb("", from, time.Now()) // bytes held up arrive late
+	}
+}
+
+func (w *world) misbehave(change func(b *platformtest.Behavior, on bool)) (string, func()) {
+	e := w.drawEndpoint()
+	e.server.Set(func(b *platformtest.Behavior) { change(b, true) })
+	return e.server.ID, func() { e.server.Set(func(b *platformtest.Behavior) { change(b, false) }) }
+}
+
+// replace makes an endpoint leave; another incarnation takes its place, at
+// times at its address and for the other service.
+func (w *world) replace() (string, func()) {
+	old := w.drawEndpoint()
+	says := w.rng.IntN(3) > 0 // otherwise its entry goes without a word
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next, err := w.addEndpoint(old.service)
+	if err != nil {
+		w.log.Error("endpoint not started", "error", err)
+		return "", func() {}
+	}
+	w.withdraw(old)
+	old.left = time.Now()
+	if says {
+		w.store.PutServer(old.server.ID, platformtest.Server{
+			Address: old.proxy.Addr(), Service: old.service, Zone: "zone-0", Slots: endpointSlots, Draining: true,
+		})
+	} else {
+		w.store.RemoveServer(old.server.ID)
+	}
+	return old.server.ID + " for " + next.server.ID, func() { w.store.RemoveServer(old.server.ID) }
+}
+
+func (w *world) reconfigure() (string, func()) {
+	w.publish()
+	return "", func() {}
+}
+
+func (w *world) storm() (string, func()) {
+	for range 5 {
+		w.publish()
+		time.Sleep(30 * time.Millisecond)
+	}
+	return "", func() {}
+}
+
+// publish moves the route "/move/" to the other service.
+func (w *world) publish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 1 + w.rng.Uint64N(4)
+	w.moveTo = map[string]string{serviceAlpha: serviceBeta, serviceBeta: serviceAlpha}[w.moveTo]
+	route := func(name, prefix, service string, repeatable bool) tenant.PrefixRoute {
+		return tenant.PrefixRoute{
+			Name: name, Host: host, Prefix: prefix, Repeatable: repeatable, Timeout: routeTimeout,
+			Target: routeTimeout / 4, MaxAttempts: 2, Split: []tenant.Share{{Service: service, Weight: 1}},
+		}
+	}
+	w.store.Publish(w.version, []tenant.PrefixRoute{
+		route("read", readPrefix, serviceAlpha, true),
+		route("file", filePrefix, serviceBeta, false),
+		route("move", movePrefix, w.moveTo, true),
+	}, map[string]tenant.Service{
+		serviceAlpha: {ProbePath: "/health", Connections: 200}, serviceBeta: {ProbePath: "/health", Connections: 200},
+	})
+	w.calendar.publish(version{number: w.version, service: w.moveTo, at: time.Now()})
+}
+
+const (
+	endpointSlots = 3
+	endpointWork  = 20 * time.Millisecond
+)
+
+// addEndpoint starts an endpoint and lists it; w.mu is held.
+func (w *world) addEndpoint(service string) (*endpoint, error) {
+	w.started++
+	server := platformtest.NewEndpoint(fmt.Sprintf("i-%s-%d", service, w.started), platformtest.Behavior{Work: endpointWork, Slots: endpointSlots})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("soak: endpoint: %w", err)
+	}
+	proxy, err := NewProxy(l.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{server: server, service: service, proxy: proxy, http: &http.Server{Handler: server}}
+	go func() { _ = e.http.Serve(l) }()
+	w.current = append(w.current, e)
+	w.all = append(w.all, e)
+	w.store.PutServer(server.ID, platformtest.Server{Address: proxy.Addr(), Service: service, Zone: "zone-0", Slots: endpointSlots})
+	return e, nil
+}
+
+// withdraw takes an endpoint out of those that are drawn; w.mu is held.
+func (w *world) withdraw(e *endpoint) {
+	for i, c := range w.current {
+		if c == e {
+			w.current = append(w.current[:i:i], w.current[i+1:]...)
+			return
+		}
+	}
+}
+
+// disturbUntil begins faults, each with an end of its own, until ctx ends, and
+// ends them all.
+func (w *world) disturbUntil(ctx context.Context, rng *rand.Rand, report func(string)) {
+	for ctx.Err() == nil {
+		f := faults[rng.IntN(len(faults))]
+		detail, end := f.begin(w)
+		report(f.name)
+		w.log.Info("fault", "kind", f.name, "what", detail)
+		length := time.Duration(rng.Int64N(int64(mostFault)))
+		w.ends.Go(func() {
+			wait(ctx, length)
+			end()
+			w.log.Info("fault ends", "kind", f.name, "what", detail)
+		})
+		wait(ctx, time.Duration(rng.Int64N(int64(2*w.gap))))
+	}
+	w.ends.Wait()
+}
+
+// mostFault is how long a fault lasts at most.
+const mostFault = 2500 * time.Millisecond
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// removeAll removes the soak's files.
+func removeAll(dir string) { _ = os.RemoveAll(dir) }
--- /dev/null
+++ b/soak/ledger_test.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lotuswing/lotuswing/platform/platformtest"
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+// planted is an endpoint that has run requests.
+func planted(service string, requests ...string) *endpoint {
+	e := &endpoint{server: platformtest.NewEndpoint("i-1", platformtest.Behavior{}), service: service}
+	for _, request := range requests {
+		method, path, _ := strings.Cut(request, " ")
+		id, path, _ := strings.Cut(path, " ")
+		r, err := http.NewRequest(method, "http://x"+path, http.NoBody)
+		if err != nil {
+			panic(err)
+		}
+		r.RequestURI = path
+		r.Header.Set("Request-Id", id)
+		e.server.ServeHTTP(discard{}, r)
+	}
+	return e
+}
+
+// discard is an answer that nobody reads.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+func (discard) WriteHeader(int)             {}
+
+func sent(l *ledger, id, method, path string, repeatable bool, status int) {
+	r := &sentRequest{id: id, method: method, path: path, repeatable: repeatable, balancer: "vm-0", at: start}
+	l.begin(r)
+	l.end(r, status, start.Add(time.Millisecond))
+}
+
+func promises(l *ledger) string {
+	var names []string
+	for _, v := range l.violations {
+		names = append(names, string(v.Promise))
+	}
+	return strings.Join(names, "; ")
+}
+
+// TestPlantedFaultsAreCaught: each check fails where its promise is broken, and
+// only there.
+func TestPlantedFaultsAreCaught(t *testing.T) {
+	cases := []struct {
+		name string
+		runs *endpoint
+		want string
+	}{
+		{"all is well", planted(serviceBeta, "POST a /file/1"), ""},
+		{"ran twice", planted(serviceBeta, "POST a /file/1", "POST a /file/1"), string(RunsOnce)},
+		{"a read may run twice", planted(serviceAlpha, "GET r /read/1", "GET r /read/1"), ""},
+		{"refused and ran", planted(serviceBeta, "POST refused /file/2"), string(NotRunIsTrue)},
+		{"nobody sent it", planted(serviceBeta, "POST ghost /file/1"), string(NothingElse)},
+		{"another method", planted(serviceBeta, "PUT a /file/1"), string(NothingElse)},
+		{"another path", planted(serviceBeta, "POST a /file/9"), string(NothingElse)},
+		{"another service", planted(serviceAlpha, "POST a /file/1"), string(RightService)},
+	}
+	for _, c := range cases {
+		l := newLedger()
+		sent(l, "a", http.MethodPost, "/file/1", false, 200)
+		sent(l, "r", http.MethodGet, "/read/1", true, 200)
+		sent(l, "refused", http.MethodPost, "/file/2", false, http.StatusServiceUnavailable)
+		l.checkRuns([]*endpoint{c.runs})
+		assert.Equal(t, promises(l), c.want, c.name)
+	}
+}
+
+// TestPlantedAnswersAreCaught: an answer that is another's, cut or changed.
+func TestPlantedAnswersAreCaught(t *testing.T) {
+	const whole = "GET /read/1 payload from i-1"
+	cases := []struct {
+		name, id, body, signature, want string
+	}{
+		{"its own", "a", whole, platformtest.Signature("a", whole), ""},
+		{"another's name", "b", whole, platformtest.Signature("a", whole), string(OwnAnswer)},
+		{"another's body", "a", "GET /read/2 payload from i-1", "", string(OwnAnswer)},
+		{"cut", "a", whole[:8], "", string(OwnAnswer)},
+		{"changed at its end", "a", whole + "x", platformtest.Signature("a", whole), string(OwnAnswer)},
+	}
+	for _, c := range cases {
+		l := newLedger()
+		r := &sentRequest{id: "a", method: http.MethodGet, path: "/read/1"}
+		h := http.Header{"Request-Id": {c.id}, "Response-Signature": {c.signature}}
+		l.checkAnswer(r, &http.Response{Header: h}, c.body, "payload")
+		assert.Equal(t, promises(l), c.want, c.name)
+	}
+}
+
+// TestPlantedDelaysAreCaught: promises with a limit bind a balancer that was
+// left alone, and no other.
+func TestPlantedDelaysAreCaught(t *testing.T) {
+	second := func(n float64) time.Time { return time.Now().Add(time.Duration(n * float64(time.Second))) }
+	cases := []struct {
+		name    string
+		left    time.Time
+		path    string
+		service string
+		sentAt  time.Time
+		ended   time.Time
+		quiet   bool
+		want    string
+	}{
+		{"all is well", time.Time{}, "/read/1", serviceAlpha, second(-1), second(0), true, ""},
+		{"work soon after it left", second(-1), "/read/1", serviceAlpha, second(0), second(0), true, ""},
+		{"work long after it left", second(-5), "/read/1", serviceAlpha, second(0), second(0), true, string(NoLateWork)},
+		{"the same by a disturbed balancer", second(-5), "/read/1", serviceAlpha, second(0), second(0), false, ""},
+		{"the new configuration", time.Time{}, "/move/1", serviceBeta, second(-1), second(0), true, ""},
+		{"an older configuration", time.Time{}, "/move/1", serviceAlpha, second(-1), second(0), true, string(InForce)},
+		{"the same by a disturbed balancer ", time.Time{}, "/move/1", serviceAlpha, second(-1), second(0), false, ""},
+		{"a late answer", time.Time{}, "/read/1", serviceAlpha, second(-5), second(0), true, string(FinalInTime)},
+	}
+	for _, c := range cases {
+		l, cal := newLedger(), &calendar{}
+		cal.publish(version{1, serviceAlpha, second(-60)})
+		cal.publish(version{2, serviceBeta, second(-10)})
+		if !c.quiet {
+			cal.disturb("vm-0", second(-20), second(1))
+		}
+		r := &sentRequest{id: "a", method: http.MethodGet, path: c.path, repeatable: true, balancer: "vm-0", at: c.sentAt}
+		l.begin(r)
+		l.end(r, 200, c.ended)
+		e := planted(c.service, "GET a "+c.path)
+		e.left = c.left
+		l.checkTimed(cal, []*endpoint{e})
+		assert.Equal(t, promises(l), c.want, c.name)
+	}
+}
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// balancer is one balancer process with the addresses that it keeps over its
+// restarts and a proxy in front of the store.
+type balancer struct {
+	id     string
+	listen string
+	admin  string
+	file   string
+	store  *Proxy
+	start  func(settings, log string) *exec.Cmd
+	log    string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	stopped bool // no new requests go to it: it is to end, or has ended
+	busy    bool // a fault restarts it
+}
+
+// freeAddr returns an address that was free a moment ago.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("soak: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func newBalancer(dir, id, storeAddr string, start func(settings, log string) *exec.Cmd) (*balancer, error) {
+	listen, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	admin, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	proxy, err := NewProxy(storeAddr)
+	if err != nil {
+		return nil, err
+	}
+	b := &balancer{
+		id: id, listen: listen, admin: admin, store: proxy, start: start,
+		file: filepath.Join(dir, id+".jsonc"), log: filepath.Join(dir, id+".log"),
+	}
+	return b, b.writeSettings()
+}
+
+func (b *balancer) writeSettings() error {
+	raw, err := json.MarshalIndent(map[string]any{
+		"id": b.id, "zone": "zone-" + b.id[len(b.id)-1:], "listen": b.listen, "admin": b.admin,
+		"discovery": map[string]any{"kind": "platform", "url": "http://" + b.store.Addr()},
+		"retries":   map[string]any{"ratio": 0.2, "burst": 64, "window": "10s"},
+		"stop":      map[string]any{"notice": "300ms", "limit": "5s"},
+		"log_level": "info",
+	}, "", "\t")
+	if err != nil {
+		return fmt.Errorf("soak: settings: %w", err)
+	}
+	return os.WriteFile(b.file, raw, 0o600)
+}
+
+// run starts the process.
+func (b *balancer) run() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	cmd := b.start(b.file, b.log)
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("soak: start %s: %w", b.id, err)
+	}
+	exited := make(chan struct{})
+	b.cmd, b.exited, b.stopped = cmd, exited, false
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+func (b *balancer) signal(s syscall.Signal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.cmd.Process.Signal(s)
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		b.stopped = true
+	}
+}
+
+// claim makes a restart the only one; release ends it.
+func (b *balancer) claim() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.busy {
+		return false
+	}
+	b.busy = true
+	return true
+}
+
+func (b *balancer) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.busy = false
+}
+
+// gone waits for the process's end.
+func (b *balancer) gone() {
+	b.mu.Lock()
+	exited := b.exited
+	b.mu.Unlock()
+	<-exited
+}
+
+// takes reports whether new connections may go to the balancer, as the
+// platform's balancer decides it.
+func (b *balancer) takes() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.stopped
+}
+
+// ready asks the balancer.
+func (b *balancer) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + b.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// end kills the process and waits for it.
+func (b *balancer) end() {
+	b.signal(syscall.SIGCONT)
+	b.signal(syscall.SIGKILL)
+	b.gone()
+	b.store.Close()
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,204 @@
+// Package soak runs balancers as separate processes against stand-ins of the
+// platform and lets faults strike them from outside: signals, links that are
+// delayed, reset, cut one way or silenced, a store that misbehaves, endpoints
+// that lie, leave and come. Callers and endpoints note what they see, and at the
+// end the promises of the product are compared with it.
+//
+// Clocks are not disturbed: no decision of the product depends on the time of
+// day, and the steady clock of a process cannot be moved from outside.
+//
+// # Usage
+//
+//	result, err := soak.Run(ctx, soak.Config{Seed: 7, For: time.Minute, Balancers: 4, Command: command, Log: log})
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/platform/platformtest"
+)
+
+// Config of a soak.
+type Config struct {
+	Seed      uint64
+	For       time.Duration
+	Balancers int           // processes; default 4
+	Endpoints int           // of each service; default 4
+	Callers   int           // default 8
+	Gap       time.Duration // mean pause between two faults; default 300 ms
+	// Timed checks the promises that have a time limit, too. They depend on a
+	// machine that gives every process its turn.
+	Timed bool
+	// Command returns the command that runs a balancer with a settings file and
+	// writes its log to a file.
+	Command func(settings, log string) *exec.Cmd
+	// Keep is a folder for settings and logs; empty for one that is removed.
+	Keep string
+	Log  hclog.Logger
+}
+
+func (c Config) withDefaults() Config {
+	set := func(field *int, value int) {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	set(&c.Balancers, 4)
+	set(&c.Endpoints, 4)
+	set(&c.Callers, 8)
+	if c.Gap == 0 {
+		c.Gap = 300 * time.Millisecond
+	}
+	if c.Log == nil {
+		c.Log = hclog.NewNullLogger()
+	}
+	return c
+}
+
+// Result of a soak.
+type Result struct {
+	Seed       uint64
+	Requests   int
+	Statuses   map[int]int    // of whole answers; 0 for none
+	Faults     map[string]int // begun
+	Violations []Violation
+}
+
+// world is all that a soak runs.
+type world struct {
+	ctx       context.Context
+	log       hclog.Logger
+	store     *platformtest.Store
+	balancers []*balancer
+	calendar  *calendar
+	gap       time.Duration
+	ends      sync.WaitGroup // of faults
+
+	mu      sync.Mutex
+	rng     *rand.Rand // of the faults; used by one goroutine
+	current []*endpoint
+	all     []*endpoint
+	started int
+	version uint64
+	moveTo  string
+}
+
+// Run runs a soak until its time has passed or ctx ends.
+func Run(ctx context.Context, cfg Config) (result Result, err error) {
+	cfg = cfg.withDefaults()
+	dir := cfg.Keep
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "lotuswing-soak"); err != nil {
+			return Result{}, fmt.Errorf("soak: %w", err)
+		}
+		defer removeAll(dir)
+	}
+	w := &world{
+		log: cfg.Log, store: platformtest.NewStore(), calendar: &calendar{}, gap: cfg.Gap,
+		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), moveTo: serviceAlpha,
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Result{}, fmt.Errorf("soak: store: %w", err)
+	}
+	storeServer := &http.Server{Handler: w.store}
+	go func() { _ = storeServer.Serve(l) }()
+	defer func() { err = errors.Join(err, storeServer.Close()) }()
+	if err := w.begin(ctx, cfg, dir, l.Addr().String()); err != nil {
+		return Result{}, errors.Join(err, w.end())
+	}
+	sent := newLedger()
+	result = w.play(ctx, cfg, sent)
+	if err := w.end(); err != nil {
+		return Result{}, err
+	}
+	sent.checkRuns(w.all)
+	if cfg.Timed {
+		sent.checkTimed(w.calendar, w.all)
+	}
+	result.Requests, result.Statuses, result.Violations = len(sent.sent), sent.statuses, sent.violations
+	slices.SortFunc(result.Violations, func(a, b Violation) int {
+		if a.String() < b.String() {
+			return -1
+		}
+		return 1
+	})
+	return result, nil
+}
+
+// begin starts endpoints and balancers and waits until all are ready.
+func (w *world) begin(ctx context.Context, cfg Config, dir, storeAddr string) error {
+	w.ctx = ctx
+	w.mu.Lock()
+	for range cfg.Endpoints {
+		for _, service := range []string{serviceAlpha, serviceBeta} {
+			if _, err := w.addEndpoint(service); err != nil {
+				w.mu.Unlock()
+				return err
+			}
+		}
+	}
+	w.mu.Unlock()
+	w.publish()
+	for i := range cfg.Balancers {
+		b, err := newBalancer(dir, fmt.Sprintf("vm-%d", i), storeAddr, cfg.Command)
+		if err != nil {
+			return err
+		}
+		if err := b.run(); err != nil {
+			return err
+		}
+		w.balancers = append(w.balancers, b)
+	}
+	for _, b := range w.balancers {
+		for !b.ready() {
+			if ctx.Err() != nil {
+				return fmt.Errorf("soak: %s is not ready: %w", b.id, ctx.Err())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		w.calendar.disturb(b.id, time.Now().Add(-touchTime), time.Now())
+	}
+	return nil
+}
+
+// play lets callers and faults go on for the soak's time.
+func (w *world) play(ctx context.Context, cfg Config, sent *ledger) Result {
+	result := Result{Seed: cfg.Seed, Faults: map[string]int{}}
+	calling, stopCalls := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i := range cfg.Callers {
+		c := newCaller(i, w.balancers, sent, rand.New(rand.NewPCG(cfg.Seed, uint64(i)+2)))
+		callers.Go(func() { c.run(calling) })
+	}
+	disturbing, stopFaults := context.WithTimeout(ctx, cfg.For)
+	w.disturbUntil(disturbing, w.rng, func(kind string) { result.Faults[kind]++ })
+	stopFaults()
+	stopCalls()
+	callers.Wait()
+	return result
+}
+
+// end ends all that the soak started.
+func (w *world) end() error {
+	var errs []error
+	for _, b := range w.balancers {
+		b.end()
+	}
+	for _, e := range w.all {
+		e.proxy.Close()
+		errs = append(errs, e.http.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,58 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/lotuswing/lotuswing/cli"
+	"github.com/lotuswing/lotuswing/soak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(binaryVariable) != "" {
+		os.Exit(cli.Balancer(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// binaryVariable makes the test binary run a balancer instead of the tests.
+const binaryVariable = "LOTUSWING_SOAK_BALANCER"
+
+func soakOnce(t *testing.T, seed uint64, length time.Duration) soak.Result {
+	t.Helper()
+	result, err := soak.Run(context.Background(), soak.Config{
+		Seed: seed, For: length, Balancers: 3, Callers: 4, Keep: t.TempDir(),
+		Command: func(settings, log string) *exec.Cmd {
+			cmd := exec.Command(os.Args[0], "run", "--settings", settings)
+			cmd.Env = append(os.Environ(), binaryVariable+"=1")
+			return cmd
+		},
+	})
+	assert.NilError(t, err)
+	return result
+}
+
+// seeds are played in CI: two fresh ones of no history, and each seed that ever
+// failed, with its cause.
+var seeds = []struct {
+	seed  uint64
+	cause string
+}{
+	{20261202, "none: a first seed"},
+	{7, "none: a second seed"},
+}
+
+// TestSoak plays a short soak for each seed.
+func TestSoak(t *testing.T) {
+	for _, s := range seeds {
+		result := soakOnce(t, s.seed, 6*time.Second)
+		assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
+		assert.Equal(t, len(result.Violations), 0, "seed %d (%s): %s", s.seed, s.cause, fmt.Sprint(result.Violations))
+	}
+}
