No request waits at an endpoint whose slots are all taken

Ruled out: wrong averages of service times (estimates were right for the queue), ejected endpoints (none). Change: after the time to look has passed, a request takes an endpoint with a free slot that is thought to be in time, or is refused.

--- a/direct/choose.go
+++ b/direct/choose.go
@@ -116,13 +116,15 @@
 	return list
 }
 
-// acceptable reports whether a candidate is thought to answer within the
-// target, or has room where there is none.
+// acceptable reports whether a candidate has a free slot and is thought to
+// answer within the target. A request never waits at an endpoint: it would start
+// there at whatever pace the endpoint has when a slot becomes free, and an
+// endpoint whose slots are all taken is slower for everybody.
 func (c candidate) acceptable(a node.Ask, now time.Time) bool {
-	if a.Target <= 0 {
-		return !c.full
+	if c.known.load.Busy() >= c.known.load.Slots(c.Slots) {
+		return false
 	}
-	return !now.Add(c.estimate).After(a.Accepted.Add(a.Target))
+	return a.Target <= 0 || !now.Add(c.estimate).After(a.Accepted.Add(a.Target))
 }
 
 // giveUpAt returns when a request that has found no place is refused.
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -213,12 +213,27 @@
 		g, refused := r.Acquire(context.Background(), ask())
 		assert.Assert(t, refused == nil)
 		assert.Assert(t, g.Endpoint.VM != "e0")
+		r.Complete(g, node.Ending{Outcome: contract.Completed, Took: time.Millisecond})
 	}
 	g, refused := r.Acquire(context.Background(), failing)
 	assert.Assert(t, refused == nil)
 	assert.Equal(t, g.Endpoint.VM, "e0", "the last one is used whatever it did")
 }
 
+// TestNobodyWaitsAtAnEndpoint: one whose slots are all taken gets nothing, even
+// where it is thought to answer in time.
+func TestNobodyWaitsAtAnEndpoint(t *testing.T) {
+	r := newRig(1, direct.Options{RefuseShare: 1e-12, ProbeFresh: time.Nanosecond})
+	r.prober.set("e0", 3, 1)
+	_, refused := r.Acquire(context.Background(), ask())
+	assert.Assert(t, refused != nil)
+	assert.Equal(t, refused.Reason, reason.TooLate)
+	r.prober.set("e0", 2, 5)
+	g, refused := r.Acquire(context.Background(), ask())
+	assert.Assert(t, refused == nil, "its last slot is used, slow as it is")
+	assert.Equal(t, g.Choice.Busy, 3)
+}
+
 // TestSilentEndpointIsPassedOver.
 func TestSilentEndpointIsPassedOver(t *testing.T) {
 	r := newRig(3, direct.Options{ProbeBurst: 1000})
