Cheap questions to the store at a fixed period below a second

Ruled out: the longer gathering of changes (no watch returned in that time). Change: the questions come each 850 ms from question to question, whatever the answers take; in doubt the next one comes after 550 ms. Changes gather for 1.4 s. Conclusion: the period stays below the second in which cheap reads are fresh.

--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -223,7 +223,7 @@
 // TestNobodyWaitsAtAnEndpoint: one whose slots are all taken gets nothing, even
 // where it is thought to answer in time.
 func TestNobodyWaitsAtAnEndpoint(t *testing.T) {
-	r := newRig(1, direct.Options{RefuseShare: 1e-12, ProbeFresh: time.Nanosecond})
+	r := newRig(1, direct.Options{RefuseShare: 1e-12, ProbeFresh: time.Nanosecond, ProbeBurst: 1000})
 	r.prober.set("e0", 3, 1)
 	_, refused := r.Acquire(context.Background(), ask())
 	assert.Assert(t, refused != nil)
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -29,9 +29,9 @@
 type Options struct {
 	Log        hclog.Logger
 	WatchWait  time.Duration // of one watch; default 25 s
-	Gather     time.Duration // pause after changes, in which more of them gather; default 1 s
+	Gather     time.Duration // pause after changes, in which more of them gather; default 1.4 s
 	ReadWait   time.Duration // bound of reading everything; default 3 s
-	ProbeEvery time.Duration // between cheap questions; default 800 ms
+	ProbeEvery time.Duration // between cheap questions; default 850 ms
 	ProbeWait  time.Duration // bound of one; default 600 ms
 	RetryPause time.Duration // after a failure; default 250 ms
 	StuckAfter time.Duration // a watch that misses a revision known for so long is cut; default 550 ms
@@ -45,9 +45,9 @@
 		}
 	}
 	set(&o.WatchWait, 25*time.Second)
-	set(&o.Gather, time.Second)
+	set(&o.Gather, 1400*time.Millisecond)
 	set(&o.ReadWait, 3*time.Second)
-	set(&o.ProbeEvery, 800*time.Millisecond)
+	set(&o.ProbeEvery, 850*time.Millisecond)
 	set(&o.ProbeWait, 600*time.Millisecond)
 	set(&o.RetryPause, 250*time.Millisecond)
 	set(&o.StuckAfter, 550*time.Millisecond)
@@ -195,9 +195,14 @@
 // guard asks the store for its revision from time to time and gives up a watch
 // that seems to miss changes.
 func (f *Follower) guard(ctx context.Context) {
-	dog := watchdog{stuckAfter: f.opts.StuckAfter, checkEvery: f.opts.CheckEvery}
+	dog := watchdog{stuckAfter: f.opts.StuckAfter, checkEvery: f.opts.CheckEvery, askEvery: f.opts.ProbeEvery}
+	asked := time.Now()
 	for ctx.Err() == nil {
-		pause(ctx, f.opts.ProbeEvery)
+		// The period counts from question to question, however long an answer
+		// takes: while a store drops its history, cheap reads tell of a change
+		// for little more than a second.
+		pause(ctx, time.Until(asked.Add(dog.next())))
+		asked = time.Now()
 		revision, err := f.revision(ctx, false)
 		if ctx.Err() != nil {
 			return
--- a/directory/watchdog.go
+++ b/directory/watchdog.go
@@ -22,6 +22,7 @@
 type watchdog struct {
 	stuckAfter time.Duration // a revision known for so long must have come
 	checkEvery time.Duration // between exact questions while reads lag
+	askEvery   time.Duration // between cheap questions while all is well
 
 	failed     bool      // the last question was not answered
 	highest    uint64    // revision seen
@@ -58,6 +59,15 @@
 	return trustWatch
 }
 
+// next returns how long to wait for the next cheap question: less while a
+// revision is known that the watch has not brought.
+func (w *watchdog) next() time.Duration {
+	if !w.aheadSince.IsZero() {
+		return w.stuckAfter
+	}
+	return w.askEvery
+}
+
 // observeExact takes in the answer to an exact question.
 func (w *watchdog) observeExact(revision, at uint64) advice {
 	w.highest = max(w.highest, revision)
--- a/directory/watchdog_test.go
+++ b/directory/watchdog_test.go
@@ -67,3 +67,15 @@
 	assert.Equal(t, dog.observeExact(7, 7), trustWatch)
 	assert.Equal(t, dog.observeExact(8, 7), readAgain)
 }
+
+// TestDoubtAsksSooner: a revision that the watch has not brought is looked into
+// before the next ordinary question.
+func TestDoubtAsksSooner(t *testing.T) {
+	dog := watchdog{stuckAfter: 5, checkEvery: 50, askEvery: 100}
+	now := time.Unix(1000, 0)
+	assert.Equal(t, dog.next(), time.Duration(100))
+	dog.observe(now, 6, 5, true, nil)
+	assert.Equal(t, dog.next(), time.Duration(5))
+	dog.observe(now, 6, 6, true, nil)
+	assert.Equal(t, dog.next(), time.Duration(100))
+}
