--- a/balancer/policy_test.go
+++ b/balancer/policy_test.go
@@ -73,6 +73,12 @@
 }
 
 func newPlatformBench(t *testing.T, first, second scripted.Step, repeats *retry.WindowLimit) *platformBench {
+	t.Helper()
+	return newLoggedBench(t, first, second, repeats, 1000)
+}
+
+// newLoggedBench writes at most rate lines a second.
+func newLoggedBench(t *testing.T, first, second scripted.Step, repeats *retry.WindowLimit, rate int) *platformBench {
 	t.Helper()
 	b := &platformBench{}
 	fleet := newPrefixFleet()
@@ -87,7 +93,7 @@
 	assert.NilError(t, err)
 	h := balancer.New(balancer.Config{
 		Fleet: fleet, Limits: settings.Limits{BodyBytes: 1 << 20, ReplayBytes: 1 << 14}, Log: hclog.NewNullLogger(),
-		Metrics: metrics.NewRegistry(), Tracing: tracing, Recorder: telemetry.NewRecorder(&b.log, 1000),
+		Metrics: metrics.NewRegistry(), Tracing: tracing, Recorder: telemetry.NewRecorder(&b.log, rate),
 		Policy: balancer.Policy{
 			Dialect: platform.Dialect(), HoldBytes: 1 << 10, RepeatErrors: true, FreshConnections: true, OwnRefusals: true,
 			AnyPath: true, Repeats: repeats,
@@ -214,3 +220,15 @@
 		}
 	}
 }
+
+// TestFilingIsWrittenBeforeItIsSent: where a request went that must not run
+// twice is in the log before it is on its way, above any rate; the rest of its
+// lines is not.
+func TestFilingIsWrittenBeforeItIsSent(t *testing.T) {
+	b := newLoggedBench(t, scripted.Answer(signed), scripted.Answer(signed), nil, 1)
+	b.call(t, http.MethodPost, "/unsafe/x", "body")
+	b.call(t, http.MethodGet, "/safe/x", "")
+	b.server.Close()
+	assert.Equal(t, strings.Count(b.log.String(), "chosen: request=r1"), 1, b.log.String())
+	assert.Equal(t, strings.Count(b.log.String(), "ended: request=r1"), 0, b.log.String())
+}
--- a/balancer/story.go
+++ b/balancer/story.go
@@ -8,9 +8,9 @@
 	"github.com/lotuswing/lotuswing/upstream"
 )
 
-// chosen records the choice of an endpoint. Where the request must not run
-// twice, the line is written before the request goes out, so that the log tells
-// where it went even if this process dies.
+// chosen records the choice of an endpoint, before the request goes out, so that
+// the log tells where it went even if this process dies. Where the request must
+// not run twice, this is done above the rate, too.
 func (x *exchange) chosen(attempt int, g node.Grant) {
 	age := int64(-1)
 	if g.Choice.Age >= 0 {
@@ -19,7 +19,9 @@
 	x.story.Line(telemetry.EventChosen).Int("attempt", int64(attempt)).Text("endpoint", g.Endpoint.VM).Text("zone", g.Endpoint.Zone).
 		Millis("estimate_ms", g.Choice.Estimate).Float("pace", g.Choice.Pace).Int("busy", int64(g.Choice.Busy)).
 		Int("age_ms", age).Int("probes", int64(g.Choice.Probes)).Millis("waited_ms", time.Since(x.looking)).Done()
-	if !x.route.Kind.Repeatable {
+	if x.route.Kind.Repeatable {
+		x.story.FlushWithin(time.Now())
+	} else {
 		x.story.Flush()
 	}
 }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -21,7 +21,7 @@
 )
 
 // Version of the product.
-const Version = "0.1.0"
+const Version = "0.2.0"
 
 // Exit codes, as the operators' page lists them.
 const (
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -162,6 +162,20 @@
 	return true, ""
 }
 
+// readyPoll is the pause between two looks whether requests can be routed.
+const readyPoll = 2 * time.Millisecond
+
+// WaitReady waits until requests can be routed, at most as long as within.
+func (f *Fleet) WaitReady(within time.Duration) {
+	deadline := time.Now().Add(within)
+	for time.Now().Before(deadline) {
+		if ok, _ := f.Ready(); ok {
+			return
+		}
+		time.Sleep(readyPoll)
+	}
+}
+
 // Status is a fleet's account for operators.
 type Status struct {
 	ID        string
--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -232,6 +232,8 @@
 		return "a text"
 	case reflect.Bool:
 		return "true or false"
+	case reflect.Float64:
+		return "a number"
 	}
 	return "a whole number"
 }
--- a/server/server.go
+++ b/server/server.go
@@ -101,7 +101,7 @@
 		s.Kill()
 		return nil, err
 	}
-	go func() { _ = s.front.Serve(s.frontL) }()
+	go s.serveFront()
 	go func() { _ = s.admin.Serve(s.adminL) }()
 	cfg.Log.Info("started", "id", cfg.Settings.ID, "zone", cfg.Settings.Zone, "listen", s.frontL.Addr().String(),
 		"admin", s.adminL.Addr().String(), "link", s.LinkAddr(), "discovery", cfg.Settings.Discovery.Kind)
@@ -161,6 +161,19 @@
 	}
 }
 
+// firstWait is how long callers wait for the first configuration of a balancer
+// that has just started, rather than being refused.
+const firstWait = 300 * time.Millisecond
+
+// serveFront serves callers as soon as requests can be routed. Connections that
+// come before that wait in the listener's queue.
+func (s *Server) serveFront() {
+	if s.direct != nil {
+		s.direct.WaitReady(firstWait)
+	}
+	_ = s.front.Serve(s.frontL)
+}
+
 // startMetrics serves the metrics on their own address, where one is set.
 func (s *Server) startMetrics() error {
 	if s.cfg.Settings.Metrics == "" {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -15,7 +15,7 @@
 func TestFaultsAreNamed(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.jsonc")
 	assert.NilError(t, err)
-	assert.Equal(t, len(files), 3)
+	assert.Equal(t, len(files), 5)
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			_, err := settings.Load(file)
@@ -45,3 +45,14 @@
 		}
 	})
 }
+
+// TestPlatformNeedsNoPeers: with the platform's discovery, what only balancers
+// need that talk to one another may be left out.
+func TestPlatformNeedsNoPeers(t *testing.T) {
+	s, err := settings.Parse("f", []byte(`{"id": "vm-1", "zone": "medina", "listen": "127.0.0.1:1", "admin": "127.0.0.1:2",
+		"discovery": {"kind": "platform", "url": "http://127.0.0.1:3"}, "retries": {"ratio": 0.2, "burst": 64, "window": "10s"}}`))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Discovery.Kind, settings.Platform)
+	assert.Equal(t, s.Retries.Window, 10*time.Second)
+	assert.Equal(t, s.LogRate, 200)
+}
--- a/telemetry/story.go
+++ b/telemetry/story.go
@@ -11,9 +11,9 @@
 const timeFormat = "2006-01-02T15:04:05.000Z"
 
 // Recorder writes the decisions about requests as log lines, one line for each
-// decision, at a bounded rate. The lines of a request are kept together until
-// it has ended. Half of the rate is kept for requests that failed; a request
-// that finds no room is left out whole and counted.
+// decision, at a bounded rate. Lines are written when a request goes out and
+// when it has ended. Half of the rate is kept for requests that failed; lines
+// that find no room are left out, and the request is counted.
 type Recorder struct {
 	out  io.Writer
 	rate float64 // lines a second, and the most that may be saved up
@@ -63,16 +63,25 @@
 	left := r.tokens - float64(lines)
 	switch {
 	case failed && left < 0:
-		r.skipped.Failed++
 		return false
 	case !failed && left < r.rate*failedShare:
-		r.skipped.Succeeded++
 		return false
 	}
 	r.tokens = left
 	return true
 }
 
+// skip counts a request that was left out.
+func (r *Recorder) skip(failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if failed {
+		r.skipped.Failed++
+	} else {
+		r.skipped.Succeeded++
+	}
+}
+
 // failedShare is the part of the rate that is kept for requests that failed.
 const failedShare = 0.5
 
@@ -108,14 +117,24 @@
 	s.text, s.lines = s.text[:0], 0
 }
 
+// FlushWithin writes the lines so far if the rate has room for them, so that
+// they are there even if this process dies before the request has ended.
+func (s *Story) FlushWithin(now time.Time) {
+	if s != nil && s.lines > 0 && s.recorder.allow(s.lines, false, now) {
+		s.Flush()
+	}
+}
+
 // End ends the story.
 func (s *Story) End(failed bool, now time.Time) {
-	if s == nil {
+	if s == nil || s.lines == 0 {
 		return
 	}
 	if s.recorder.allow(s.lines, failed, now) {
 		s.Flush()
+		return
 	}
+	s.recorder.skip(failed)
 }
 
 // Line is a line to which fields are added. All methods do nothing on a nil
