Endpoints with an open connection first

Change: endpoints not heard of for 7 s are compared at a surcharge of 18 ms, which is what a new connection costs beside the surcharge of a zone.

--- a/direct/choose.go
+++ b/direct/choose.go
@@ -44,7 +44,7 @@
 	directory.Endpoint
 	known    *endpoint
 	estimate time.Duration // of the time until its answer
-	// surcharge stands for what traffic between zones costs.
+	// surcharge stands for what traffic between zones and new connections cost.
 	surcharge time.Duration
 	full      bool // it holds as many requests as it should
 	good      bool // nothing better is worth looking for
@@ -172,7 +172,7 @@
 }
 
 // better orders candidates: those with room first, then by the estimate with
-// the surcharge of another zone.
+// the surcharge of another zone or of a new connection.
 func better(a, b candidate) int {
 	if a.full != b.full {
 		if a.full {
@@ -198,6 +198,9 @@
 		c.estimate += f.opts.ZoneDelay
 		c.surcharge = f.opts.ZoneCost
 	}
+	if now.Sub(k.heard) > f.opts.ConnectionLife {
+		c.surcharge += f.opts.ConnectionCost
+	}
 	c.full = k.load.Busy() >= k.load.Room(view) || now.Before(k.pauseUntil)
 	c.good = !c.full && k.unheard == 0 && k.load.Pace(f.opts.Estimate, now) <= f.opts.GoodPace
 	return c
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -50,21 +50,23 @@
 
 // Options of the choice. Zero fields take the defaults.
 type Options struct {
-	Estimate      selection.Options
-	ProbeCount    int           // endpoints asked at once before a choice; default 1
-	ProbeRounds   int           // times that others are asked when none of these will do; default 6
-	ProbeWait     time.Duration // how long their answers are waited for; default 12 ms
-	ProbeFresh    time.Duration // an endpoint heard of so lately is not asked; default 4 ms
-	ProbeRate     float64       // probes a second of this process for one endpoint; default 3
-	ProbeBurst    float64       // beyond the rate; default 6
-	ZoneDelay     time.Duration // added to the estimate for an endpoint in another zone; default 4 ms
-	ZoneCost      time.Duration // added when endpoints are compared, for what traffic between zones costs; default 60 ms
-	GoodPace      float64       // an endpoint up to this pace is taken at once; default 1.6
-	RefuseShare   float64       // part of the target after which a request that found no place is refused; default 0.2
-	RefuseAfter   time.Duration // the same for a kind without a target; default 200 ms
-	LookAgain     time.Duration // pause between two looks for a place; default 10 ms
-	ComeBackShare float64       // part of the target after which a refused caller may ask again; default 0.25
-	ProbeLimit    time.Duration // after which a probe is given up; default 250 ms
+	Estimate       selection.Options
+	ProbeCount     int           // endpoints asked at once before a choice; default 1
+	ProbeRounds    int           // times that others are asked when none of these will do; default 6
+	ProbeWait      time.Duration // how long their answers are waited for; default 12 ms
+	ProbeFresh     time.Duration // an endpoint heard of so lately is not asked; default 4 ms
+	ProbeRate      float64       // probes a second of this process for one endpoint; default 3
+	ProbeBurst     float64       // beyond the rate; default 6
+	ZoneDelay      time.Duration // added to the estimate for an endpoint in another zone; default 4 ms
+	ZoneCost       time.Duration // added when endpoints are compared, for what traffic between zones costs; default 60 ms
+	ConnectionLife time.Duration // an endpoint heard of so lately has an open connection; default 7 s
+	ConnectionCost time.Duration // added when endpoints are compared, for what a new connection costs; default 18 ms
+	GoodPace       float64       // an endpoint up to this pace is taken at once; default 1.6
+	RefuseShare    float64       // part of the target after which a request that found no place is refused; default 0.2
+	RefuseAfter    time.Duration // the same for a kind without a target; default 200 ms
+	LookAgain      time.Duration // pause between two looks for a place; default 10 ms
+	ComeBackShare  float64       // part of the target after which a refused caller may ask again; default 0.25
+	ProbeLimit     time.Duration // after which a probe is given up; default 250 ms
 }
 
 func (o Options) withDefaults() Options {
@@ -77,6 +79,8 @@
 	setDefault(&o.ProbeBurst, 6)
 	setDefault(&o.ZoneDelay, 4*time.Millisecond)
 	setDefault(&o.ZoneCost, 60*time.Millisecond)
+	setDefault(&o.ConnectionLife, 7*time.Second)
+	setDefault(&o.ConnectionCost, 18*time.Millisecond)
 	setDefault(&o.GoodPace, 1.6)
 	setDefault(&o.RefuseShare, 0.2)
 	setDefault(&o.RefuseAfter, 200*time.Millisecond)
