--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -18,6 +18,7 @@
 package selection
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -31,19 +32,12 @@
 
 // WithDefaults returns the options with zero fields filled in.
 func (o Options) WithDefaults() Options {
-	setDefault(&o.PaceMemory, 150*time.Millisecond)
-	setDefault(&o.MeanPace, 1.8)
-	setDefault(&o.ColdPace, 2)
+	o.PaceMemory = cmp.Or(o.PaceMemory, 150*time.Millisecond)
+	o.MeanPace = cmp.Or(o.MeanPace, 1.8)
+	o.ColdPace = cmp.Or(o.ColdPace, 2)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Report is an endpoint's word about its load.
 type Report struct {
 	Running int
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -11,6 +11,7 @@
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/selection"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/link"
 	"github.com/lotuswing/lotuswing/node"
 )
@@ -73,7 +74,7 @@
 		case !now.Before(giveUp):
 			return node.Grant{}, f.refuse(a, list, reason.TooLate, probes)
 		}
-		pause(ctx, min(f.opts.LookAgain, giveUp.Sub(now)))
+		pause.For(ctx, min(f.opts.LookAgain, giveUp.Sub(now)))
 	}
 }
 
@@ -282,12 +283,3 @@
 	}
 	return key
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -15,6 +15,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -71,32 +72,25 @@
 
 func (o Options) withDefaults() Options {
 	o.Estimate = o.Estimate.WithDefaults()
-	setDefault(&o.ProbeCount, 1)
-	setDefault(&o.ProbeRounds, 6)
-	setDefault(&o.ProbeWait, 12*time.Millisecond)
-	setDefault(&o.ProbeFresh, 4*time.Millisecond)
-	setDefault(&o.ProbeRate, 3)
-	setDefault(&o.ProbeBurst, 6)
-	setDefault(&o.ZoneDelay, 4*time.Millisecond)
-	setDefault(&o.ZoneCost, 60*time.Millisecond)
-	setDefault(&o.ConnectionLife, 7*time.Second)
-	setDefault(&o.ConnectionCost, 18*time.Millisecond)
-	setDefault(&o.GoodPace, 1.6)
-	setDefault(&o.RefuseShare, 0.2)
-	setDefault(&o.RefuseAfter, 200*time.Millisecond)
-	setDefault(&o.LookAgain, 10*time.Millisecond)
-	setDefault(&o.ComeBackShare, 0.25)
-	setDefault(&o.ProbeLimit, 250*time.Millisecond)
+	o.ProbeCount = cmp.Or(o.ProbeCount, 1)
+	o.ProbeRounds = cmp.Or(o.ProbeRounds, 6)
+	o.ProbeWait = cmp.Or(o.ProbeWait, 12*time.Millisecond)
+	o.ProbeFresh = cmp.Or(o.ProbeFresh, 4*time.Millisecond)
+	o.ProbeRate = cmp.Or(o.ProbeRate, 3)
+	o.ProbeBurst = cmp.Or(o.ProbeBurst, 6)
+	o.ZoneDelay = cmp.Or(o.ZoneDelay, 4*time.Millisecond)
+	o.ZoneCost = cmp.Or(o.ZoneCost, 60*time.Millisecond)
+	o.ConnectionLife = cmp.Or(o.ConnectionLife, 7*time.Second)
+	o.ConnectionCost = cmp.Or(o.ConnectionCost, 18*time.Millisecond)
+	o.GoodPace = cmp.Or(o.GoodPace, 1.6)
+	o.RefuseShare = cmp.Or(o.RefuseShare, 0.2)
+	o.RefuseAfter = cmp.Or(o.RefuseAfter, 200*time.Millisecond)
+	o.LookAgain = cmp.Or(o.LookAgain, 10*time.Millisecond)
+	o.ComeBackShare = cmp.Or(o.ComeBackShare, 0.25)
+	o.ProbeLimit = cmp.Or(o.ProbeLimit, 250*time.Millisecond)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Fleet chooses endpoints.
 type Fleet struct {
 	cfg      Config
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -52,12 +52,11 @@
 // Endpoint is one incarnation of a server as the directory knows it.
 type Endpoint struct {
 	contract.Endpoint
-	Service   string
-	State     State
-	WarmAt    time.Time // until then it is slow from its start
-	Changed   time.Time // when the state was learnt
-	Revision  uint64    // of the store's entry
-	Unhealthy bool      // no address or no service: cannot be used
+	Service  string
+	State    State
+	WarmAt   time.Time // until then it is slow from its start
+	Changed  time.Time // when the state was learnt
+	Revision uint64    // of the store's entry
 }
 
 // Limits of callers, as the shared configuration sets them. Zero fields set
@@ -162,7 +161,7 @@
 	}
 	d.at = max(d.at, c.At)
 	d.forget(now)
-	d.publish(now)
+	d.publish()
 	return applied
 }
 
@@ -236,7 +235,7 @@
 	e.State = Leaving
 	e.Changed = now
 	d.endpoints[id] = e
-	d.publish(now)
+	d.publish()
 	return true
 }
 
@@ -253,7 +252,7 @@
 }
 
 // publish makes a new snapshot.
-func (d *Directory) publish(_ time.Time) {
+func (d *Directory) publish() {
 	s := &Snapshot{Config: d.config, Endpoints: map[string][]Endpoint{}, At: d.at}
 	missing := map[string][]Endpoint{}
 	for _, e := range d.endpoints {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
-// ErrCompacted: the store has forgotten the history that a watch asked for.
+// ErrCompacted says that the store has forgotten the history that a watch asked
+// for.
 var ErrCompacted = errors.New("directory: the store's history is gone")
 
 // Source is a store that holds the configuration and the endpoints.
@@ -122,7 +124,7 @@
 		default:
 			f.apply(changes)
 			if len(changes.Entries) > 0 || len(changes.Gone) > 0 || changes.Config != nil {
-				pause(ctx, f.opts.Gather)
+				pause.For(ctx, f.opts.Gather)
 			}
 		}
 	}
@@ -189,7 +191,7 @@
 	if !f.lost.Swap(true) {
 		f.opts.Log.Warn("store lost", "call", call, "error", err)
 	}
-	pause(ctx, f.opts.RetryPause/2+rand.N(f.opts.RetryPause))
+	pause.For(ctx, f.opts.RetryPause/2+rand.N(f.opts.RetryPause))
 }
 
 // guard asks the store for its revision from time to time and gives up a watch
@@ -201,7 +203,7 @@
 		// The period counts from question to question, however long an answer
 		// takes: while a store drops its history, cheap reads tell of a change
 		// for little more than a second.
-		pause(ctx, time.Until(asked.Add(dog.next())))
+		pause.For(ctx, time.Until(asked.Add(dog.next())))
 		asked = time.Now()
 		revision, err := f.revision(ctx, false)
 		if ctx.Err() != nil {
@@ -241,12 +243,3 @@
 	default:
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/directory/watchdog_test.go
+++ b/directory/watchdog_test.go
@@ -35,8 +35,10 @@
 		{"the store answers again", []step{{0, 0, 5, false, errSilent, trustWatch}, {800 * ms, 5, 5, false, nil, readAgain}, {800 * ms, 5, 5, false, nil, trustWatch}}},
 		{"reads go back", []step{{0, 5, 5, false, nil, trustWatch}, {800 * ms, 4, 5, false, nil, askExactly}}},
 		{"reads stay behind", []step{
-			{0, 5, 5, false, nil, trustWatch}, {800 * ms, 4, 5, false, nil, askExactly},
-			{800 * ms, 4, 5, false, nil, trustWatch}, {800 * ms, 4, 5, false, nil, askExactly},
+			{0, 5, 5, false, nil, trustWatch},
+			{800 * ms, 4, 5, false, nil, askExactly},
+			{800 * ms, 4, 5, false, nil, trustWatch},
+			{800 * ms, 4, 5, false, nil, askExactly},
 		}},
 	}
 	for _, c := range cases {
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -9,6 +9,7 @@
 	"github.com/lotuswing/lotuswing/coord/leaving"
 	"github.com/lotuswing/lotuswing/coord/member"
 	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/link"
 )
 
@@ -124,7 +125,7 @@
 
 // pauseForMove gives the fleet a moment to agree on the new home.
 func (n *Node) pauseForMove(ctx context.Context, end time.Time) bool {
-	pause(ctx, tickPeriod)
+	pause.For(ctx, tickPeriod)
 	return time.Now().Before(end)
 }
 
--- a/node/alone.go
+++ b/node/alone.go
@@ -9,6 +9,7 @@
 	"github.com/lotuswing/lotuswing/coord/contract"
 	"github.com/lotuswing/lotuswing/coord/pick"
 	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
 const (
@@ -37,21 +38,14 @@
 			return Grant{}, &Refusal{Reason: reason.Expired, RetryAfter: time.Second}
 		}
 		if a.Class == contract.Patient {
-			pause(ctx, alonePausePatient)
+			pause.For(ctx, alonePausePatient)
 		} else {
-			pause(ctx, alonePause)
+			pause.For(ctx, alonePause)
 		}
 		a.Avoid = nil // another may have had time to recover
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // chooseAlone compares two random choices among the endpoints not known to be
 // leaving, ejected or tried. full reports that some are usable but busy.
 func (n *Node) chooseAlone(a Ask) (g Grant, found, full bool) {
--- a/server/admin.go
+++ b/server/admin.go
@@ -94,6 +94,10 @@
 func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.GetOrRegisterGauge("requests_in_flight", s.metrics).Update(s.balancer.InFlight())
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if s.follower != nil {
+		metrics.GetOrRegisterGauge("store_calls", s.metrics).Update(s.follower.Calls())
+		metrics.GetOrRegisterGauge("store_lost", s.metrics).Update(gaugeOf(s.follower.Lost()))
+	}
 	if s.cfg.Recorder != nil {
 		skipped := s.cfg.Recorder.Skipped()
 		metrics.GetOrRegisterGauge(`log_skipped{outcome="succeeded"}`, s.metrics).Update(skipped.Succeeded)
@@ -103,6 +107,14 @@
 	s.latency.Write(w)
 }
 
+// gaugeOf is 1 for true and 0 for false.
+func gaugeOf(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // longestTrace bounds the recording of a trace.
 const longestTrace = 10 * time.Minute
 
--- a/server/server.go
+++ b/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/lotuswing/lotuswing/balancer"
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/telemetry"
@@ -54,8 +55,9 @@
 type Server struct {
 	cfg      Config
 	fleet    fleet
-	node     *node.Node    // nil with a Source
-	direct   *direct.Fleet // nil without one
+	node     *node.Node          // nil with a Source
+	direct   *direct.Fleet       // nil without one
+	follower *directory.Follower // nil without one
 	balancer *balancer.Balancer
 	tracing  *telemetry.Tracing
 	metrics  metrics.Registry
@@ -133,8 +135,8 @@
 func (s *Server) startDirect() *direct.Fleet {
 	d := directory.New()
 	ctx, stop := context.WithCancel(context.Background())
-	follower := directory.NewFollower(d, s.cfg.Source, directory.Options{Log: s.cfg.Log.Named("directory")})
-	go follower.Run(ctx)
+	s.follower = directory.NewFollower(d, s.cfg.Source, directory.Options{Log: s.cfg.Log.Named("directory")})
+	go s.follower.Run(ctx)
 	return direct.New(direct.Config{
 		ID:        s.cfg.Settings.ID,
 		Zone:      s.cfg.Settings.Zone,
@@ -216,7 +218,7 @@
 	s.balancer.Stop()
 	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
 	s.fleet.Leave(ctx)
-	wait(ctx, s.cfg.Settings.Stop.Notice)
+	pause.For(ctx, s.cfg.Settings.Stop.Notice)
 	limited, cancel := context.WithTimeout(ctx, s.cfg.Settings.Stop.Limit)
 	defer cancel()
 	err = s.front.Shutdown(limited)
@@ -263,10 +265,3 @@
 	defer cancel()
 	_ = s.tracing.Shutdown(ctx)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 	"github.com/lotuswing/lotuswing/tenant"
 )
@@ -275,11 +276,11 @@
 		w.log.Info("fault", "kind", f.name, "what", detail)
 		length := time.Duration(rng.Int64N(int64(mostFault)))
 		w.ends.Go(func() {
-			wait(ctx, length)
+			pause.For(ctx, length)
 			end()
 			w.log.Info("fault ends", "kind", f.name, "what", detail)
 		})
-		wait(ctx, time.Duration(rng.Int64N(int64(2*w.gap))))
+		pause.For(ctx, time.Duration(rng.Int64N(int64(2*w.gap))))
 	}
 	w.ends.Wait()
 }
@@ -287,14 +288,5 @@
 // mostFault is how long a fault lasts at most.
 const mostFault = 2500 * time.Millisecond
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // removeAll removes the soak's files.
 func removeAll(dir string) { _ = os.RemoveAll(dir) }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	result, err := soak.Run(context.Background(), soak.Config{
 		Seed: seed, For: length, Balancers: 3, Callers: 4, Keep: t.TempDir(),
-		Command: func(settings, log string) *exec.Cmd {
+		Command: func(settings, _ string) *exec.Cmd {
 			cmd := exec.Command(os.Args[0], "run", "--settings", settings)
 			cmd.Env = append(os.Environ(), binaryVariable+"=1")
 			return cmd
--- a/telemetry/story_test.go
+++ b/telemetry/story_test.go
@@ -77,8 +77,10 @@
 func TestNoRecorderNoStory(t *testing.T) {
 	var r *telemetry.Recorder
 	story := r.Begin("id")
+	assert.Assert(t, story == nil)
 	story.Line("chosen").Text("endpoint", "e").Done()
 	story.Flush()
+	story.FlushWithin(time.Unix(1000, 0))
 	story.End(true, time.Unix(1000, 0))
 }
 
