Settings are taken anew where that is safe; a body above the limit is 413

Cause: settings files change with or without a signal, and only the log level followed; the limit on bodies of the shared configuration was read and not used; a body above the limit was told may-have-run (left by earlier work).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -25,6 +25,7 @@
 	"github.com/go-kit/kit/endpoint"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/coord/verdict"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/settings"
@@ -75,6 +76,8 @@
 	sessions sync.WaitGroup // upgraded connections, which the server forgets
 	inFlight atomic.Int64
 
+	repeats atomic.Pointer[retry.WindowLimit] // nil for a token bucket
+
 	mu      sync.Mutex
 	clients map[clientKey]*upstream.Client
 	budgets map[string]repeats // by service
@@ -97,6 +100,7 @@
 		budgets: map[string]repeats{},
 		timers:  map[string]metrics.Timer{},
 	}
+	b.repeats.Store(cfg.Policy.Repeats)
 	b.chain = endpoint.Chain(b.hop("accept"), b.route, b.hop("route"), b.deadline, b.hop("serve"))(b.serve)
 	return b
 }
@@ -288,6 +292,19 @@
 	return planned
 }
 
+// SetRepeats changes the bound of repeats. What was counted under the old one
+// stays counted.
+func (b *Balancer) SetRepeats(limit retry.WindowLimit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.repeats.Store(&limit)
+	for service, budget := range b.budgets {
+		if w, ok := budget.(windowRepeats); ok {
+			b.budgets[service] = windowRepeats{w.WithLimit(limit)}
+		}
+	}
+}
+
 // InFlight returns the number of requests being served.
 func (b *Balancer) InFlight() int64 { return b.inFlight.Load() }
 
--- a/balancer/policy.go
+++ b/balancer/policy.go
@@ -72,11 +72,12 @@
 // budget returns a service's budget; b.mu is held.
 func (b *Balancer) budget(service string) repeats {
 	budget, ok := b.budgets[service]
+	limit := b.repeats.Load()
 	switch {
 	case ok:
 		return budget
-	case b.cfg.Policy.Repeats != nil:
-		return windowRepeats{retry.NewWindow(*b.cfg.Policy.Repeats)}
+	case limit != nil:
+		return windowRepeats{retry.NewWindow(*limit)}
 	}
 	return bucketRepeats{retry.NewBudget(retryPercent, retryLimit)}
 }
--- a/balancer/policy_test.go
+++ b/balancer/policy_test.go
@@ -47,7 +47,7 @@
 	route := func(name, prefix string, repeatable bool) tenant.PrefixRoute {
 		return tenant.PrefixRoute{
 			Name: name, Host: "desk", Prefix: prefix, Repeatable: repeatable, Timeout: 2 * time.Second,
-			Target: 400 * time.Millisecond, MaxAttempts: 2, Split: []tenant.Share{{Service: "s", Weight: 1}},
+			Target: 400 * time.Millisecond, MaxAttempts: 2, MaxBody: 1000, Split: []tenant.Share{{Service: "s", Weight: 1}},
 		}
 	}
 	return &prefixFleet{
@@ -232,3 +232,12 @@
 	assert.Equal(t, strings.Count(b.log.String(), "chosen: request=r1"), 1, b.log.String())
 	assert.Equal(t, strings.Count(b.log.String(), "ended: request=r1"), 0, b.log.String())
 }
+
+// TestBodyAboveTheLimit is refused before anything is sent.
+func TestBodyAboveTheLimit(t *testing.T) {
+	b := newPlatformBench(t, scripted.Answer(signed), scripted.Answer(signed), nil)
+	assert.Equal(t, b.call(t, http.MethodPost, "/unsafe/x", strings.Repeat("x", 1000)).status, http.StatusOK)
+	got := b.call(t, http.MethodPost, "/unsafe/x", strings.Repeat("x", 1001))
+	assert.Equal(t, got.status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, b.runs(), [2]int{1, 0})
+}
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -21,7 +22,9 @@
 // serve waits for a grant, sends, and sends again where the rules allow it.
 func (b *Balancer) serve(ctx context.Context, request any) (any, error) {
 	x := request.(*exchange)
-	b.limitBody(x)
+	if err := b.limitBody(x); err != nil {
+		return nil, err
+	}
 	prepare(x.r)
 	b.cfg.Tracing.Propagator.Inject(ctx, propagation.HeaderCarrier(x.r.Header))
 	body := upstream.NewBody(x.r.Body, b.cfg.Limits.ReplayBytes)
@@ -84,12 +87,21 @@
 	return false
 }
 
-// limitBody bounds the body and lets the answer begin before it has ended.
-func (b *Balancer) limitBody(x *exchange) {
+// limitBody bounds the body and lets the answer begin before it has ended. A
+// body that says that it is too long is refused before anything is sent.
+func (b *Balancer) limitBody(x *exchange) error {
+	limit := b.cfg.Limits.BodyBytes
+	if most := x.route.Kind.MaxBody; most > 0 {
+		limit = min(limit, most)
+	}
+	if x.r.ContentLength > limit {
+		return refusal{reason: reason.BodyTooLarge, message: fmt.Sprintf("%d bytes, at most %d", x.r.ContentLength, limit)}
+	}
 	if x.r.ProtoMajor == 1 {
 		_ = http.NewResponseController(x.w).EnableFullDuplex()
 	}
-	x.r.Body = http.MaxBytesReader(x.w, x.r.Body, b.cfg.Limits.BodyBytes)
+	x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
+	return nil
 }
 
 func (b *Balancer) acquire(ctx context.Context, x *exchange, tried []string) (node.Grant, error) {
--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -6,7 +6,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -67,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	go reload(reloads, file, s, log)
+	go (&reloader{file: file, current: s, log: log, server: srv}).run(reloads)
 	<-signals
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -143,19 +142,3 @@
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(float64(mebibytes) * heapPart * (1 << 20)))
 }
-
-// reload takes changed settings into force as far as that is possible without
-// a restart, and says what is not. Wrong settings change nothing.
-func reload(signals <-chan os.Signal, file string, current settings.Settings, log hclog.Logger) {
-	for range signals {
-		next, err := settings.Load(file)
-		if err != nil {
-			log.Error("settings not taken; the last good ones stay", "error", err)
-			continue
-		}
-		log.SetLevel(hclog.LevelFromString(next.Log))
-		same := next
-		same.Log = current.Log
-		log.Info("settings read again", "log_level", next.Log, "needs_restart", !reflect.DeepEqual(same, current))
-	}
-}
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -9,6 +9,7 @@
 	BadTimeout       Code = "LW1003"
 	BadRequest       Code = "LW1004"
 	NotReady         Code = "LW1005"
+	BodyTooLarge     Code = "LW1006"
 	QueueFull        Code = "LW2001"
 	TooLate          Code = "LW2002"
 	Expired          Code = "LW2003"
@@ -38,6 +39,7 @@
 	{BadTimeout, "unusable Lotuswing-Timeout", "The header is not a positive Go duration of at most 24h.", "Correct the caller; for example 'Lotuswing-Timeout: 250ms'.", 400, firstRelease, Info},
 	{BadRequest, "malformed request", "The request has a shape that different parsers read differently, so it was not forwarded.", "Correct the caller; the message names the field.", 400, firstRelease, Info},
 	{NotReady, "balancer not ready", "The balancer has no configuration yet: neither the store nor a peer has given it one.", "Check the store and the links to peers; see OPERATIONS.md, 'A balancer does not become ready'.", 503, firstRelease, Urgent},
+	{BodyTooLarge, "body above the limit", "The request's body is longer than the limit of the settings or of the shared configuration. Nothing was sent to an endpoint.", "Send a shorter body, or raise the limit.", 413, "0.2.0", Info},
 	{QueueFull, "waiting room full", "The service's queue for this class holds as many requests as its limit allows.", "Expected above capacity. If it lasts, add endpoints or lower the callers' rate.", 503, firstRelease, Warning},
 	{TooLate, "cannot be served in time", "The estimated wait and service time exceed the request's patience or deadline, so it was refused at once.", "Expected above capacity. The caller should come back after Retry-After.", 503, firstRelease, Warning},
 	{Expired, "patience ended while waiting", "The request waited as long as its patience allowed and no slot became free.", "Look at 'lotusctl status' for endpoints that are slow or ejected.", 503, firstRelease, Warning},
--- a/coord/retry/window.go
+++ b/coord/retry/window.go
@@ -27,6 +27,16 @@
 // NewWindow returns an empty window.
 func NewWindow(limit WindowLimit) Window { return Window{limit: limit} }
 
+// WithLimit returns the window under another limit. Counts stay where the span
+// is the same, and begin anew where it is not.
+func (w Window) WithLimit(limit WindowLimit) Window {
+	if limit.Span != w.limit.Span {
+		return NewWindow(limit)
+	}
+	w.limit = limit
+	return w
+}
+
 // WithRequest returns the window after one more request.
 func (w Window) WithRequest(now time.Time) Window {
 	w = w.at(now)
--- a/coord/retry/window_test.go
+++ b/coord/retry/window_test.go
@@ -74,3 +74,12 @@
 	assert.Assert(t, w.Covers(now))
 	assert.Assert(t, !w.WithRepeat(now).Covers(now))
 }
+
+// TestNewLimitKeepsCounts of the same span.
+func TestNewLimitKeepsCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := retry.NewWindow(retry.WindowLimit{Span: 10 * time.Second, Allowance: 2}).WithRepeat(now)
+	assert.Assert(t, w.Covers(now))
+	assert.Assert(t, !w.WithLimit(retry.WindowLimit{Span: 10 * time.Second, Allowance: 1}).Covers(now))
+	assert.Assert(t, w.WithLimit(retry.WindowLimit{Span: 20 * time.Second, Allowance: 1}).Covers(now), "another span begins anew")
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -59,21 +59,11 @@
 	Revision uint64    // of the store's entry
 }
 
-// Limits of callers, as the shared configuration sets them. Zero fields set
-// nothing.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Config is a version of the shared configuration.
 type Config struct {
 	Version  uint64
 	Routes   *tenant.PrefixTable
 	Services map[string]tenant.Service
-	Limits   Limits
 }
 
 // Entry is what the store holds of one endpoint.
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/balancer"
+	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/pause"
@@ -209,6 +210,9 @@
 // Node returns the process's part in the fleet; nil with a Source.
 func (s *Server) Node() *node.Node { return s.node }
 
+// SetRepeats changes the bound of repeats.
+func (s *Server) SetRepeats(limit retry.WindowLimit) { s.balancer.SetRepeats(limit) }
+
 // Stop is the planned stop: not ready first, then the notice for the
 // platform's balancer, then no new connections, and every request in flight
 // is served to its end. It returns how many requests were cut because ctx or
--- a/tenant/prefix.go
+++ b/tenant/prefix.go
@@ -29,6 +29,7 @@
 	Target      time.Duration // an answer within it has its full worth
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // endpoints that one request may be sent to
+	MaxBody     int64         // bytes of a request's body; 0 for the process's limit alone
 	Split       []Share       // at least one
 }
 
@@ -101,6 +102,7 @@
 			Target:      r.Target,
 			Priority:    r.Priority,
 			MaxAttempts: r.MaxAttempts,
+			MaxBody:     r.MaxBody,
 		})
 	}
 	return entry
