Periods follow the platform's bounds; endpoints get no headers nobody asked for

Cause: the gathering of changes and the stop were fixed at bounds of 2 s and 6 s; a deployment with shorter ones would break CONFIG, DRAIN or LOST. Each request carried four headers about its caller, some 150 bytes that are paid for between zones and that the platform's pages do not name.

--- a/balancer/headers.go
+++ b/balancer/headers.go
@@ -40,8 +40,9 @@
 	}
 }
 
-// prepare makes a caller's headers fit for the endpoint.
-func prepare(r *http.Request) {
+// prepare makes a caller's headers fit for the endpoint and, where told says so,
+// tells it the caller's address.
+func prepare(r *http.Request, told bool) {
 	upgrade := upgradeOf(r.Header)
 	trailers := strings.Contains(strings.ToLower(r.Header.Get("Te")), "trailers")
 	removeHopHeaders(r.Header)
@@ -55,7 +56,9 @@
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header.Set("User-Agent", "") // keeps the transport from adding its own
 	}
-	forwarded(r)
+	if told {
+		forwarded(r)
+	}
 }
 
 // forwarded adds the caller's address (RFC 7239 and the older X-Forwarded).
--- a/balancer/policy.go
+++ b/balancer/policy.go
@@ -25,6 +25,8 @@
 	// OwnRefusals: an endpoint's refusal is never passed on; the balancer
 	// answers in its own name, with when to come back.
 	OwnRefusals bool
+	// HideCaller: endpoints are not told the caller's address in headers.
+	HideCaller bool
 	// AnyPath: paths with dot segments go through as they are.
 	AnyPath bool
 	// Repeats bounds repeats in a sliding window; nil for a token bucket.
--- a/balancer/policy_test.go
+++ b/balancer/policy_test.go
@@ -96,7 +96,7 @@
 		Metrics: metrics.NewRegistry(), Tracing: tracing, Recorder: telemetry.NewRecorder(&b.log, rate),
 		Policy: balancer.Policy{
 			Dialect: platform.Dialect(), HoldBytes: 1 << 10, RepeatErrors: true, FreshConnections: true, OwnRefusals: true,
-			AnyPath: true, Repeats: repeats,
+			AnyPath: true, HideCaller: true, Repeats: repeats,
 		},
 	})
 	b.server = httptest.NewServer(h)
@@ -233,6 +233,19 @@
 	assert.Equal(t, strings.Count(b.log.String(), "ended: request=r1"), 0, b.log.String())
 }
 
+// TestCallerIsHidden: no header but the platform's is added.
+func TestCallerIsHidden(t *testing.T) {
+	b := newPlatformBench(t, scripted.Answer(signed), scripted.Answer(signed), nil)
+	b.call(t, http.MethodGet, "/safe/x", "")
+	for name := range b.endpoints[0].Requests()[0].Header {
+		switch name {
+		case "Request-Id", "Deadline-Ms", "Expected-Instance", "Accept-Encoding", "User-Agent":
+		default:
+			t.Errorf("the endpoint got %s", name)
+		}
+	}
+}
+
 // TestBodyAboveTheLimit is refused before anything is sent.
 func TestBodyAboveTheLimit(t *testing.T) {
 	b := newPlatformBench(t, scripted.Answer(signed), scripted.Answer(signed), nil)
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -25,7 +25,7 @@
 	if err := b.limitBody(x); err != nil {
 		return nil, err
 	}
-	prepare(x.r)
+	prepare(x.r, !b.cfg.Policy.HideCaller)
 	b.cfg.Tracing.Propagator.Inject(ctx, propagation.HeaderCarrier(x.r.Header))
 	body := upstream.NewBody(x.r.Body, b.cfg.Limits.ReplayBytes)
 	if err := b.fill(x, body); err != nil {
--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -96,6 +96,7 @@
 		FreshConnections: true,
 		OwnRefusals:      true,
 		AnyPath:          true,
+		HideCaller:       true,
 		DialTimeout:      dialTimeout,
 		IdleUpstream:     idleUpstream,
 	}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -40,6 +40,31 @@
 	CheckEvery time.Duration // between exact questions while cheap ones lag; default 1 s
 }
 
+// OptionsWithin returns options that bring a change into force within a bound
+// after the store has taken it, also where a watch does not bring it.
+func OptionsWithin(bound time.Duration) Options {
+	part := func(share float64) time.Duration { return time.Duration(share * float64(bound)) }
+	return Options{
+		Gather:     part(gatherShare),
+		ProbeEvery: min(part(probeShare), mostProbeEvery),
+		StuckAfter: part(stuckShare),
+		ProbeWait:  min(part(probeWaitShare), mostProbeWait),
+	}
+}
+
+// Parts of the bound. A change that a watch misses is seen by the next cheap
+// question and read after the stuck time.
+const (
+	gatherShare    = 0.7
+	probeShare     = 0.425
+	stuckShare     = 0.275
+	probeWaitShare = 0.3
+	// mostProbeEvery keeps the questions within the second in which cheap reads
+	// are fresh while a store drops its history.
+	mostProbeEvery = 850 * time.Millisecond
+	mostProbeWait  = 600 * time.Millisecond
+)
+
 func (o Options) withDefaults() Options {
 	set := func(field *time.Duration, value time.Duration) {
 		if *field == 0 {
--- a/directory/follow_test.go
+++ b/directory/follow_test.go
@@ -160,3 +160,14 @@
 	s.publish(4)
 	waitVersion(t, d, 4)
 }
+
+// TestOptionsFitTheBound: the pause after changes, and the way of a change that
+// the watch misses, leave a part of the bound for the store's answers.
+func TestOptionsFitTheBound(t *testing.T) {
+	for _, bound := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 2500 * time.Millisecond, time.Minute} {
+		o := directory.OptionsWithin(bound)
+		assert.Assert(t, o.Gather < bound*8/10, "%v", bound)
+		assert.Assert(t, o.ProbeEvery+o.StuckAfter < bound*8/10, "%v", bound)
+		assert.Assert(t, o.ProbeEvery < time.Second, "%v", bound)
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -136,7 +136,9 @@
 func (s *Server) startDirect() *direct.Fleet {
 	d := directory.New()
 	ctx, stop := context.WithCancel(context.Background())
-	s.follower = directory.NewFollower(d, s.cfg.Source, directory.Options{Log: s.cfg.Log.Named("directory")})
+	opts := directory.OptionsWithin(s.cfg.Settings.Discovery.Within())
+	opts.Log = s.cfg.Log.Named("directory")
+	s.follower = directory.NewFollower(d, s.cfg.Source, opts)
 	go s.follower.Run(ctx)
 	return direct.New(direct.Config{
 		ID:        s.cfg.Settings.ID,
@@ -222,8 +224,9 @@
 	s.balancer.Stop()
 	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
 	s.fleet.Leave(ctx)
-	pause.For(ctx, s.cfg.Settings.Stop.Notice)
-	limited, cancel := context.WithTimeout(ctx, s.cfg.Settings.Stop.Limit)
+	stop := s.cfg.Settings.Stop.Within()
+	pause.For(ctx, stop.Notice)
+	limited, cancel := context.WithTimeout(ctx, stop.Limit)
 	defer cancel()
 	err = s.front.Shutdown(limited)
 	if err == nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -55,8 +55,16 @@
 type Discovery struct {
 	Kind string `json:"kind"` // peers or platform; default peers
 	URL  string `json:"url"`  // of the platform's store
+	// ApplyWithin and DrainWithin are the platform's bounds: how long after the
+	// store has taken it a configuration must be in force, and a leaving
+	// endpoint must get no more requests. Default 2s.
+	ApplyWithin time.Duration `json:"apply_within"`
+	DrainWithin time.Duration `json:"drain_within"`
 }
 
+// Within returns the shorter of the two bounds.
+func (d Discovery) Within() time.Duration { return min(d.ApplyWithin, d.DrainWithin) }
+
 // Retries bounds the repeats of the whole fleet, for each service in any
 // window. Zero fields stand for the product's own bound of each process.
 type Retries struct {
@@ -85,6 +93,25 @@
 type Stop struct {
 	Notice time.Duration `json:"notice"` // between not ready and closing the listener; default 2s
 	Limit  time.Duration `json:"limit"`  // for requests in flight; default 1h
+	// Grace is the time after which the process is killed, where that is so;
+	// notice and limit are then shortened to fit.
+	Grace time.Duration `json:"grace"`
+}
+
+// Parts of the grace that the notice may take and that is left unused.
+const (
+	noticeShare = 0.5
+	spareShare  = 0.07
+)
+
+// Within returns the stop shortened to its grace.
+func (s Stop) Within() Stop {
+	if s.Grace == 0 {
+		return s
+	}
+	s.Notice = min(s.Notice, time.Duration(noticeShare*float64(s.Grace)))
+	s.Limit = min(s.Limit, time.Duration((1-spareShare)*float64(s.Grace))-s.Notice)
+	return s
 }
 
 // Limits of what callers may send.
@@ -108,7 +135,7 @@
 			ReplayBytes:   64 << 10,
 			IdleTimeout:   2 * time.Minute,
 		},
-		Discovery: Discovery{Kind: Peers},
+		Discovery: Discovery{Kind: Peers, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second},
 		Trace:     "none",
 		LogRate:   200,
 		Log:       "info",
@@ -144,12 +171,15 @@
 		checkPeers(dec, s)
 	case Platform:
 		checkURL(dec, "discovery.url", s.Discovery.URL)
+		checkBetween(dec, "discovery.apply_within", s.Discovery.ApplyWithin, 100*time.Millisecond, time.Hour)
+		checkBetween(dec, "discovery.drain_within", s.Discovery.DrainWithin, 100*time.Millisecond, time.Hour)
 	default:
 		dec.Check(false, "discovery.kind", "is %q; peers or platform", s.Discovery.Kind)
 	}
 	checkRetries(dec, s.Retries)
 	dec.Check(s.Memory >= 0, "memory_mb", "is %d; at least 0", s.Memory)
 	checkBetween(dec, "stop.notice", s.Stop.Notice, 0, 10*time.Minute)
+	dec.Check(s.Stop.Grace == 0 || s.Stop.Grace >= time.Second, "stop.grace", "is %v; at least 1s", s.Stop.Grace)
 	checkBetween(dec, "stop.limit", s.Stop.Limit, time.Second, 7*24*time.Hour)
 	checkBetween(dec, "limits.header_timeout", s.Limits.HeaderTimeout, time.Millisecond, time.Hour)
 	checkBetween(dec, "limits.idle_timeout", s.Limits.IdleTimeout, time.Millisecond, 24*time.Hour)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -56,3 +56,15 @@
 	assert.Equal(t, s.Retries.Window, 10*time.Second)
 	assert.Equal(t, s.LogRate, 200)
 }
+
+// TestStopFitsItsGrace: a planned stop ends before the process is killed.
+func TestStopFitsItsGrace(t *testing.T) {
+	long := settings.Stop{Notice: 3 * time.Second, Limit: time.Hour}
+	assert.Equal(t, long.Within(), long, "without a grace nothing is shortened")
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 6 * time.Second, time.Minute} {
+		long.Grace = grace
+		got := long.Within()
+		assert.Assert(t, got.Notice <= 3*time.Second && got.Limit > 0)
+		assert.Assert(t, got.Notice+got.Limit < grace, "%v: %v and %v", grace, got.Notice, got.Limit)
+	}
+}
