Header names of the platform stand in platform/ alone

Cause: the soak's callers and ledger, and the endpoint that plays raw answers, named the platform's headers themselves; nothing outside platform/ may. Change: they take the names from the platform's table. Tests of the dialect keep the recorded messages as they are on the wire.

--- a/balancer/policy_test.go
+++ b/balancer/policy_test.go
@@ -83,7 +83,7 @@
 	b := &platformBench{}
 	fleet := newPrefixFleet()
 	for i, step := range []scripted.Step{first, second} {
-		e, err := scripted.New(step)
+		e, err := scripted.New(platform.Dialect().RequestID, step)
 		assert.NilError(t, err)
 		t.Cleanup(e.Close)
 		b.endpoints[i] = e
--- a/internal/scripted/scripted.go
+++ b/internal/scripted/scripted.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	e, err := scripted.New(scripted.Answer("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\n"), scripted.Reset())
+//	e, err := scripted.New("X-Id", scripted.Answer("HTTP/1.1 200 OK\r\nX-Id: {id}\r\n\r\n"), scripted.Reset())
 //	e.Requests() // what it has read
 package scripted
 
@@ -24,7 +24,7 @@
 	close bool // the connection is closed afterwards
 }
 
-// Answer answers with a text, in which {id} stands for the request's Request-Id.
+// Answer answers with a text, in which {id} stands for the request's identity.
 func Answer(text string) Step { return Step{text: text} }
 
 // Cut answers with a text and closes the connection.
@@ -36,6 +36,7 @@
 // Endpoint serves the steps in turn, the last one again and again.
 type Endpoint struct {
 	listener net.Listener
+	idHeader string // names a request
 
 	mu       sync.Mutex
 	steps    []Step
@@ -43,13 +44,14 @@
 	conns    int
 }
 
-// New returns an endpoint that serves on a port of its own.
-func New(steps ...Step) (*Endpoint, error) {
+// New returns an endpoint that serves on a port of its own. idHeader is the
+// header that names a request.
+func New(idHeader string, steps ...Step) (*Endpoint, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("scripted: %w", err)
 	}
-	e := &Endpoint{listener: l, steps: steps}
+	e := &Endpoint{listener: l, idHeader: idHeader, steps: steps}
 	go e.accept()
 	return e, nil
 }
@@ -103,7 +105,7 @@
 			_ = c.(*net.TCPConn).SetLinger(0)
 			return
 		}
-		text := strings.ReplaceAll(step.text, "{id}", req.Header.Get("Request-Id"))
+		text := strings.ReplaceAll(step.text, "{id}", req.Header.Get(e.idHeader))
 		if _, err := io.WriteString(c, text); err != nil || step.close {
 			return
 		}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/lotuswing/lotuswing/platform"
 )
 
 // Paths of the soak's routes.
@@ -17,6 +19,9 @@
 	movePrefix = "/move/" // repeatable, to either
 )
 
+// dialect is the table of header names that callers and endpoints use.
+var dialect = platform.Dialect()
+
 const (
 	host         = "soak.example"
 	routeTimeout = 2 * time.Second
@@ -87,8 +92,8 @@
 	}
 	req.Host = host
 	req.GetBody = nil // the caller's own transport must send nothing twice
-	req.Header.Set("Request-Id", r.id)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(routeTimeout.Milliseconds()))
+	req.Header.Set(dialect.RequestID, r.id)
+	req.Header.Set(dialect.Timeout, dialect.FormatTimeout(routeTimeout))
 	c.ledger.begin(r)
 	status := c.exchange(req, r, payload)
 	c.ledger.end(r, status, time.Now())
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -81,11 +81,11 @@
 func (l *ledger) checkAnswer(r *sentRequest, resp *http.Response, body, payload string) {
 	want := fmt.Sprintf("%s %s %s from ", r.method, r.path, payload)
 	switch {
-	case resp.Header.Get("Request-Id") != r.id:
-		l.broken(OwnAnswer, r.id, "the answer names %q", resp.Header.Get("Request-Id"))
+	case resp.Header.Get(dialect.RequestID) != r.id:
+		l.broken(OwnAnswer, r.id, "the answer names %q", resp.Header.Get(dialect.RequestID))
 	case len(body) < len(want) || body[:len(want)] != want:
 		l.broken(OwnAnswer, r.id, "the answer is %q, want %q...", body, want)
-	case resp.Header.Get("Response-Signature") != platformtest.Signature(r.id, body):
+	case resp.Header.Get(dialect.Signature) != platformtest.Signature(r.id, body):
 		l.broken(OwnAnswer, r.id, "the signature does not fit the body")
 	}
 }
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -23,7 +23,7 @@
 			panic(err)
 		}
 		r.RequestURI = path
-		r.Header.Set("Request-Id", id)
+		r.Header.Set(dialect.RequestID, id)
 		e.server.ServeHTTP(discard{}, r)
 	}
 	return e
@@ -92,7 +92,7 @@
 	for _, c := range cases {
 		l := newLedger()
 		r := &sentRequest{id: "a", method: http.MethodGet, path: "/read/1"}
-		h := http.Header{"Request-Id": {c.id}, "Response-Signature": {c.signature}}
+		h := http.Header{dialect.RequestID: {c.id}, dialect.Signature: {c.signature}}
 		l.checkAnswer(r, &http.Response{Header: h}, c.body, "payload")
 		assert.Equal(t, promises(l), c.want, c.name)
 	}
--- a/upstream/dialect_test.go
+++ b/upstream/dialect_test.go
@@ -23,7 +23,7 @@
 
 func scriptedEndpoint(t *testing.T, steps ...scripted.Step) *scripted.Endpoint {
 	t.Helper()
-	e, err := scripted.New(steps...)
+	e, err := scripted.New(platform.Dialect().RequestID, steps...)
 	assert.NilError(t, err)
 	t.Cleanup(e.Close)
 	return e
