The soak gives each address once and waits for no process that has ended

Cause: one of 37 soaks never began: vm-3 listened at the address that vm-0 was to have for its admin; each had been found free by opening and closing it. The soak asked vm-3 for vm-0's readiness and got 404 for ever (its log kept 9,547 such lines). Change: addresses are given once, below the ports of outgoing connections; a balancer that ends before it is ready ends the soak with an error. Tests: TestAddressesAreGivenOnce, TestProcessThatEndsIsNotWaitedFor. Conclusion: a fault of the soak, not of the product.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -102,10 +102,10 @@
 		defer b.release()
 		b.gone()
 		if err := b.run(); err != nil {
-			w.log.Error("balancer not started again", "id", b.id, "error", err)
+			w.fail(err)
 		}
-		for !b.ready() && w.ctx.Err() == nil {
-			time.Sleep(20 * time.Millisecond)
+		if err := b.waitReady(w.ctx); err != nil {
+			w.fail(err)
 		}
 		w.calendar.disturb(b.id, from, time.Now())
 	}
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"context"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -137,3 +140,25 @@
 		assert.Equal(t, promises(l), c.want, c.name)
 	}
 }
+
+// TestAddressesAreGivenOnce: two parts of a soak never get the same address.
+func TestAddressesAreGivenOnce(t *testing.T) {
+	free := &addresses{given: map[int]bool{}}
+	seen := map[string]bool{}
+	for range 200 {
+		addr, err := free.next()
+		assert.NilError(t, err)
+		assert.Assert(t, !seen[addr], addr)
+		seen[addr] = true
+	}
+}
+
+// TestProcessThatEndsIsNotWaitedFor: a balancer that cannot start ends the soak
+// with an error that names its log.
+func TestProcessThatEndsIsNotWaitedFor(t *testing.T) {
+	_, err := Run(context.Background(), Config{
+		Seed: 1, For: time.Second, Balancers: 1,
+		Command: func(string, string) *exec.Cmd { return exec.Command(os.Args[0], "-test.run", "^$") },
+	})
+	assert.ErrorContains(t, err, "vm-0 ended before it was ready")
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -11,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
 // balancer is one balancer process with the addresses that it keeps over its
@@ -31,22 +35,42 @@
 	busy    bool // a fault restarts it
 }
 
-// freeAddr returns an address that was free a moment ago.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("soak: %w", err)
+// Ports of balancers lie below those that the system gives to outgoing
+// connections, so that none of these takes one while its process is restarted.
+const (
+	lowestPort  = 10000
+	highestPort = 32000
+	portTries   = 100
+)
+
+// addresses hands out loopback addresses, none of them twice.
+type addresses struct {
+	given map[int]bool
+}
+
+func (a *addresses) next() (string, error) {
+	for range portTries {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		if a.given[port] {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		a.given[port] = true
+		return addr, l.Close()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("soak: no free port in %d tries", portTries)
 }
 
-func newBalancer(dir, id, storeAddr string, start func(settings, log string) *exec.Cmd) (*balancer, error) {
-	listen, err := freeAddr()
+func newBalancer(dir, id, storeAddr string, free *addresses, start func(settings, log string) *exec.Cmd) (*balancer, error) {
+	listen, err := free.next()
 	if err != nil {
 		return nil, err
 	}
-	admin, err := freeAddr()
+	admin, err := free.next()
 	if err != nil {
 		return nil, err
 	}
@@ -126,6 +150,36 @@
 	<-exited
 }
 
+// hasExited reports whether the process has ended.
+func (b *balancer) hasExited() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// waitReady waits until the balancer is ready. One that ends by itself never
+// will be.
+func (b *balancer) waitReady(ctx context.Context) error {
+	for !b.ready() {
+		if b.hasExited() {
+			return fmt.Errorf("soak: %s ended before it was ready; its log is %s", b.id, b.log)
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("soak: %s is not ready: %w", b.id, ctx.Err())
+		}
+		pause.For(ctx, readyPoll)
+	}
+	return nil
+}
+
+// readyPoll is the pause between two questions whether a balancer is ready.
+const readyPoll = 20 * time.Millisecond
+
 // takes reports whether new connections may go to the balancer, as the
 // platform's balancer decides it.
 func (b *balancer) takes() bool {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,6 +92,14 @@
 	started int
 	version uint64
 	moveTo  string
+	failure error // the soak itself went wrong
+}
+
+// fail notes that the soak itself went wrong.
+func (w *world) fail(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failure = errors.Join(w.failure, err)
 }
 
 // Run runs a soak until its time has passed or ctx ends.
@@ -120,7 +128,7 @@
 	}
 	sent := newLedger()
 	result = w.play(ctx, cfg, sent)
-	if err := w.end(); err != nil {
+	if err := errors.Join(w.failure, w.end()); err != nil {
 		return Result{}, err
 	}
 	sent.checkRuns(w.all)
@@ -151,8 +159,9 @@
 	}
 	w.mu.Unlock()
 	w.publish()
+	free := &addresses{given: map[int]bool{}}
 	for i := range cfg.Balancers {
-		b, err := newBalancer(dir, fmt.Sprintf("vm-%d", i), storeAddr, cfg.Command)
+		b, err := newBalancer(dir, fmt.Sprintf("vm-%d", i), storeAddr, free, cfg.Command)
 		if err != nil {
 			return err
 		}
@@ -162,11 +171,8 @@
 		w.balancers = append(w.balancers, b)
 	}
 	for _, b := range w.balancers {
-		for !b.ready() {
-			if ctx.Err() != nil {
-				return fmt.Errorf("soak: %s is not ready: %w", b.id, ctx.Err())
-			}
-			time.Sleep(20 * time.Millisecond)
+		if err := b.waitReady(ctx); err != nil {
+			return err
 		}
 		w.calendar.disturb(b.id, time.Now().Add(-touchTime), time.Now())
 	}
