A backlog in the store is read without pauses

The store bounds its answers; with 3,000 servers' entries written in the lead the watch was some answers behind, and 1.75 s were left to gather after each, so the configuration stood in line. Change: after an answer with 100 changes or more the next watch begins at once. Tests: TestConfigurationBehindABacklog, seen to fail without; a mutant.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -90,6 +90,15 @@
 	Faults  []error // of what could not be read, and so changes nothing
 }
 
+// count returns how many changes there are.
+func (c Changes) count() int {
+	n := len(c.Entries) + len(c.Gone)
+	if c.Config != nil {
+		n++
+	}
+	return n
+}
+
 // Snapshot is what the request path reads. It is never changed.
 type Snapshot struct {
 	Config    *Config               // nil until one is known
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -148,13 +148,18 @@
 			f.failed(ctx, "watch", err)
 		default:
 			f.apply(changes)
-			if len(changes.Entries) > 0 || len(changes.Gone) > 0 || changes.Config != nil {
+			if n := changes.count(); n > 0 && n < backlog {
 				pause.For(ctx, f.opts.Gather)
 			}
 		}
 	}
 }
 
+// backlog is the number of changes in one answer from which more of them are
+// thought to wait: a store bounds its answers, and a configuration may stand
+// behind thousands of entries, so nothing is left to gather then.
+const backlog = 100
+
 // errResync: a watch was given up because it seems to miss changes.
 var errResync = errors.New("directory: watch given up")
 
--- a/directory/follow_test.go
+++ b/directory/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -171,3 +172,45 @@
 		assert.Assert(t, o.ProbeEvery < time.Second, "%v", bound)
 	}
 }
+
+// boundedSource is a store with a backlog of entries and a configuration behind
+// them, whose answers to watches are bounded.
+type boundedSource struct {
+	entries int // that were written before the configuration
+	most    int // in one answer
+}
+
+func (s *boundedSource) ReadAll(context.Context) (directory.Changes, error) {
+	return directory.Changes{At: 0, Whole: true}, nil
+}
+
+func (s *boundedSource) Watch(ctx context.Context, after uint64, _ time.Duration) (directory.Changes, error) {
+	changes := directory.Changes{At: after}
+	for changes.At < uint64(s.entries) && len(changes.Entries) < s.most {
+		changes.At++
+		changes.Entries = append(changes.Entries, entry(fmt.Sprint("e", changes.At), changes.At))
+	}
+	if len(changes.Entries) > 0 {
+		return changes, nil
+	}
+	if after == uint64(s.entries) {
+		return directory.Changes{Config: &directory.Config{Version: 7}, At: after + 1}, nil
+	}
+	<-ctx.Done()
+	return directory.Changes{}, ctx.Err()
+}
+
+func (s *boundedSource) Revision(context.Context, bool) (uint64, error) {
+	return uint64(s.entries) + 1, nil
+}
+
+// TestConfigurationBehindABacklog is not held up by the pause in which changes
+// gather, which here would last for ever.
+func TestConfigurationBehindABacklog(t *testing.T) {
+	d := directory.New()
+	f := directory.NewFollower(d, &boundedSource{entries: 3000, most: 500}, directory.Options{Gather: 1000 * time.Hour, ProbeEvery: 1000 * time.Hour})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go f.Run(ctx)
+	waitVersion(t, d, 7)
+}
