Relays: one balancer a zone follows the platform's store for all

Change: package relay. One balancer of each zone registers its address in the store under a lease of 3 s and goes on following; the others put a long question to it (0.4 s) and hear the store's own records with their revisions. A relay that is turned away, silent or gone is left for one of another zone, and where none is settled a balancer follows the store itself. Nothing about correctness rests on the lease. A first reading is a cheap one, corrected by what follows it; failing calls are tried at growing pauses. A restarted relay renews the lease under its own address. directory.Follower can stand by and says whether it is settled.

--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -88,7 +88,8 @@
 	if s.Discovery.Kind != settings.Platform {
 		return cfg
 	}
-	cfg.Source = platform.NewStore(s.Discovery.URL)
+	store := platform.NewStore(s.Discovery.URL)
+	cfg.Source, cfg.Relays = store, store
 	cfg.Policy = balancer.Policy{
 		Dialect:          platform.Dialect(),
 		HoldBytes:        holdBytes,
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -41,7 +41,8 @@
 	Log       hclog.Logger
 	Metrics   metrics.Registry
 	Options   Options
-	Stop      func() // ends what keeps the directory up to date; may be nil
+	Handover  func(context.Context) // hands duties to other balancers before a planned stop; may be nil
+	Stop      func()                // ends what keeps the directory up to date; may be nil
 }
 
 // Prober asks an endpoint for its load.
@@ -230,8 +231,12 @@
 	}
 }
 
-// Leave does nothing: no other balancer counts on this one.
-func (f *Fleet) Leave(context.Context) {}
+// Leave hands duties for other balancers over, where there are any.
+func (f *Fleet) Leave(ctx context.Context) {
+	if f.cfg.Handover != nil {
+		f.cfg.Handover(ctx)
+	}
+}
 
 // Close ends the following of the directory.
 func (f *Fleet) Close() {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -80,14 +80,28 @@
 	Revision uint64
 }
 
+// Record is a key of the store, or its end. Its meaning is the source's alone;
+// processes hand it on to one another as it is.
+type Record struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Lease    uint64 // with which the key ends; 0 for none
+	Gone     bool
+}
+
 // Changes are news from the store. Config is nil when it has not changed.
 type Changes struct {
 	Config  *Config
 	Entries []Entry
 	Gone    []Gone
-	At      uint64  // revision up to which all changes are known
-	Whole   bool    // the entries are all there are; others have gone
-	Faults  []error // of what could not be read, and so changes nothing
+	// Registrations are the keys that balancers keep, by the names that they
+	// gave them.
+	Registrations []Record
+	At            uint64   // revision up to which all changes are known
+	Whole         bool     // the entries are all there are; others have gone
+	Faults        []error  // of what could not be read, and so changes nothing
+	Records       []Record // all of the above as the store holds it
 }
 
 // count returns how many changes there are.
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
@@ -17,8 +16,9 @@
 
 // Source is a store that holds the configuration and the endpoints.
 type Source interface {
-	// ReadAll reads everything that there is.
-	ReadAll(ctx context.Context) (Changes, error)
+	// ReadAll reads everything that there is: cheaply, and then perhaps seconds
+	// old, or exactly.
+	ReadAll(ctx context.Context, exact bool) (Changes, error)
 	// Watch waits for changes after a revision, at most as long as wait. It
 	// returns ErrCompacted when they are not known any more.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
@@ -27,79 +27,31 @@
 	Revision(ctx context.Context, exact bool) (uint64, error)
 }
 
-// Options of a Follower. Zero fields take the defaults.
-type Options struct {
-	Log        hclog.Logger
-	WatchWait  time.Duration // of one watch; default 25 s
-	Gather     time.Duration // pause after changes, in which more of them gather; default 1.4 s
-	ReadWait   time.Duration // bound of reading everything; default 3 s
-	ProbeEvery time.Duration // between cheap questions; default 850 ms
-	ProbeWait  time.Duration // bound of one; default 600 ms
-	RetryPause time.Duration // after a failure; default 250 ms
-	StuckAfter time.Duration // a watch that misses a revision known for so long is cut; default 550 ms
-	CheckEvery time.Duration // between exact questions while cheap ones lag; default 1 s
-}
-
-// OptionsWithin returns options that bring a change into force within a bound
-// after the store has taken it, also where a watch does not bring it.
-func OptionsWithin(bound time.Duration) Options {
-	part := func(share float64) time.Duration { return time.Duration(share * float64(bound)) }
-	return Options{
-		Gather:     part(gatherShare),
-		ProbeEvery: min(part(probeShare), mostProbeEvery),
-		StuckAfter: part(stuckShare),
-		ProbeWait:  min(part(probeWaitShare), mostProbeWait),
-	}
-}
-
-// Parts of the bound. A change that a watch misses is seen by the next cheap
-// question and read after the stuck time.
-const (
-	gatherShare    = 0.7
-	probeShare     = 0.425
-	stuckShare     = 0.275
-	probeWaitShare = 0.3
-	// mostProbeEvery keeps the questions within the second in which cheap reads
-	// are fresh while a store drops its history.
-	mostProbeEvery = 850 * time.Millisecond
-	mostProbeWait  = 600 * time.Millisecond
-)
-
-func (o Options) withDefaults() Options {
-	set := func(field *time.Duration, value time.Duration) {
-		if *field == 0 {
-			*field = value
-		}
-	}
-	set(&o.WatchWait, 25*time.Second)
-	set(&o.Gather, 1400*time.Millisecond)
-	set(&o.ReadWait, 3*time.Second)
-	set(&o.ProbeEvery, 850*time.Millisecond)
-	set(&o.ProbeWait, 600*time.Millisecond)
-	set(&o.RetryPause, 250*time.Millisecond)
-	set(&o.StuckAfter, 550*time.Millisecond)
-	set(&o.CheckEvery, time.Second)
-	if o.Log == nil {
-		o.Log = hclog.NewNullLogger()
-	}
-	return o
-}
-
-// Follower keeps a directory up to date.
+// Follower keeps a directory up to date from a store. It can be told to leave
+// the store alone while something else brings the changes.
 type Follower struct {
 	directory *Directory
 	source    Source
 	opts      Options
+	active    *gate         // whether the store is followed
+	serving   atomic.Bool   // others rely on this follower
 	lost      atomic.Bool   // the store does not answer
+	failures  atomic.Int64  // calls in a row that failed
+	answered  atomic.Int64  // when the store last answered, in ns since began
+	began     time.Time     // of the steady clock
 	calls     atomic.Int64  // made so far
 	resync    chan struct{} // asks for everything to be read again
-	watching  atomic.Bool   // a watch waits
+	watching  atomic.Int64  // since when a watch waits, in ns since began; 0 for none
 	compacted atomic.Bool   // the history went since the guard last looked
 }
 
 // NewFollower returns a follower of a source.
 func NewFollower(d *Directory, source Source, opts Options) *Follower {
-	return &Follower{directory: d, source: source, opts: opts.withDefaults(), resync: make(chan struct{}, 1)}
+	opts = opts.withDefaults()
+	return &Follower{
+		directory: d, source: source, opts: opts, active: newGate(!opts.Standby), began: time.Now(),
+		resync: make(chan struct{}, 1),
+	}
 }
 
 // Lost reports whether the store does not answer at the moment.
@@ -108,33 +60,82 @@
 // Calls returns how many calls were made to the store.
 func (f *Follower) Calls() int64 { return f.calls.Load() }
 
+// SetActive says whether the store is to be followed. A watch that waits when
+// the following ends is left to its end.
+func (f *Follower) SetActive(active bool) {
+	if f.active.set(active) {
+		f.opts.Log.Info("following the store", "active", active, "revision", f.directory.Snapshot().At)
+	}
+}
+
+// SetServing says whether other processes rely on this follower, which then
+// shortens its pauses.
+func (f *Follower) SetServing(serving bool) { f.serving.Store(serving) }
+
+// Settled reports whether the store is followed and has answered lately, so
+// that what is in force may be handed on as the store's present state.
+func (f *Follower) Settled(now time.Time) bool {
+	answered := f.answered.Load()
+	age := now.Sub(f.began) - time.Duration(answered)
+	return answered > 0 && f.active.open() && f.failures.Load() < unsettledFailures &&
+		age < f.pace(f.opts.ProbeEvery)+f.opts.ProbeWait+settledSlack
+}
+
+// Watching returns for how long the present watch has waited at the store, 0
+// where there is none. What the store had to tell has come after some
+// milliseconds of waiting.
+func (f *Follower) Watching(now time.Time) time.Duration {
+	since := f.watching.Load()
+	if since == 0 {
+		return 0
+	}
+	return now.Sub(f.began) - time.Duration(since)
+}
+
+const (
+	unsettledFailures = 2                      // in a row
+	settledSlack      = 150 * time.Millisecond // beyond the time of a question and its answer
+)
+
+// pace shortens a pause where others rely on this follower.
+func (f *Follower) pace(d time.Duration) time.Duration {
+	if f.serving.Load() {
+		return time.Duration(servingShare * float64(d))
+	}
+	return d
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.guard(ctx)
-	for ctx.Err() == nil {
-		if err := f.readAll(ctx); err != nil {
+	first := true
+	for first || f.active.wait(ctx) {
+		if err := f.readAll(ctx, !first); err != nil {
 			f.failed(ctx, "read", err)
+			first = first && ctx.Err() == nil
 			continue
 		}
+		first = false
 		f.follow(ctx)
 	}
 }
 
-func (f *Follower) readAll(ctx context.Context) error {
+func (f *Follower) readAll(ctx context.Context, exact bool) error {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.ReadWait)
 	defer cancel()
 	f.calls.Add(1)
-	changes, err := f.source.ReadAll(ctx)
+	changes, err := f.source.ReadAll(ctx, exact)
 	if err != nil {
 		return err
 	}
-	f.apply(changes)
+	f.answeredNow()
+	f.Apply(changes)
 	return nil
 }
 
 // follow watches until the history is gone.
 func (f *Follower) follow(ctx context.Context) {
-	for ctx.Err() == nil {
+	for f.active.wait(ctx) {
 		changes, err := f.watch(ctx)
 		switch {
 		case errors.Is(err, ErrCompacted):
@@ -147,9 +148,10 @@
 		case err != nil:
 			f.failed(ctx, "watch", err)
 		default:
-			f.apply(changes)
+			f.answeredNow()
+			f.Apply(changes)
 			if n := changes.count(); n > 0 && n < backlog {
-				pause.For(ctx, f.opts.Gather)
+				pause.For(ctx, f.pace(f.opts.Gather))
 			}
 		}
 	}
@@ -182,8 +184,8 @@
 		}
 	}()
 	f.calls.Add(1)
-	f.watching.Store(true)
-	defer f.watching.Store(false)
+	f.watching.Store(int64(time.Since(f.began)))
+	defer f.watching.Store(0)
 	changes, err := f.source.Watch(ctx, f.directory.Snapshot().At, f.opts.WatchWait)
 	if err != nil && cut.Load() {
 		return Changes{}, errResync
@@ -191,8 +193,9 @@
 	return changes, err
 }
 
-func (f *Follower) apply(changes Changes) {
-	f.answered()
+// Apply brings changes into force, whoever brought them, and says so in the
+// log.
+func (f *Follower) Apply(changes Changes) {
 	applied := f.directory.Apply(changes, time.Now())
 	if applied.Version > 0 {
 		f.opts.Log.Info("configuration in force", "version", applied.Version, "revision", changes.At)
@@ -206,70 +209,32 @@
 	for _, c := range applied.Moved {
 		f.opts.Log.Info("endpoint", "id", c.ID, "service", c.Service, "state", c.State.String(), "revision", changes.At)
 	}
+	f.opts.Observe(changes)
 }
 
-func (f *Follower) answered() {
+// answeredNow notes that the store has answered.
+func (f *Follower) answeredNow() {
+	f.answered.Store(int64(time.Since(f.began)))
+	f.failures.Store(0)
 	if f.lost.Swap(false) {
 		f.opts.Log.Info("store regained")
 	}
 }
 
+// failed notes that the store has not answered, and pauses: longer with each
+// failure in a row, since refused calls are paid for too.
 func (f *Follower) failed(ctx context.Context, call string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	failures := f.failures.Add(1)
 	if !f.lost.Swap(true) {
 		f.opts.Log.Warn("store lost", "call", call, "error", err)
 	}
-	pause.For(ctx, f.opts.RetryPause/2+rand.N(f.opts.RetryPause))
-}
-
-// guard asks the store for its revision from time to time and gives up a watch
-// that seems to miss changes.
-func (f *Follower) guard(ctx context.Context) {
-	dog := watchdog{stuckAfter: f.opts.StuckAfter, checkEvery: f.opts.CheckEvery, askEvery: f.opts.ProbeEvery}
-	asked := time.Now()
-	for ctx.Err() == nil {
-		// The period counts from question to question, however long an answer
-		// takes: while a store drops its history, cheap reads tell of a change
-		// for little more than a second.
-		pause.For(ctx, time.Until(asked.Add(dog.next())))
-		asked = time.Now()
-		revision, err := f.revision(ctx, false)
-		if ctx.Err() != nil {
-			return
-		}
-		if f.compacted.Swap(false) {
-			dog.observeCompaction()
-		}
-		do := dog.observe(time.Now(), revision, f.directory.Snapshot().At, f.watching.Load(), err)
-		if do == askExactly {
-			do = f.checkExactly(ctx, &dog)
-		}
-		if do == readAgain {
-			f.askResync()
-		}
-	}
+	most := min(f.opts.RetryPause<<min(failures-1, mostDoublings), f.pace(f.opts.ProbeEvery))
+	pause.For(ctx, most/2+rand.N(most/2+1))
 }
 
-func (f *Follower) checkExactly(ctx context.Context, dog *watchdog) advice {
-	revision, err := f.revision(ctx, true)
-	if err != nil {
-		return trustWatch
-	}
-	return dog.observeExact(revision, f.directory.Snapshot().At)
-}
-
-func (f *Follower) revision(ctx context.Context, exact bool) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.opts.ProbeWait)
-	defer cancel()
-	f.calls.Add(1)
-	return f.source.Revision(ctx, exact)
-}
-
-func (f *Follower) askResync() {
-	select {
-	case f.resync <- struct{}{}:
-	default:
-	}
-}
+// mostDoublings bounds the pause after failures before the period of questions
+// does.
+const mostDoublings = 10
--- a/directory/follow_test.go
+++ b/directory/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 
 var errDown = errors.New("store is down")
 
-func (s *fakeSource) ReadAll(context.Context) (directory.Changes, error) {
+func (s *fakeSource) ReadAll(context.Context, bool) (directory.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -180,7 +181,7 @@
 	most    int // in one answer
 }
 
-func (s *boundedSource) ReadAll(context.Context) (directory.Changes, error) {
+func (s *boundedSource) ReadAll(context.Context, bool) (directory.Changes, error) {
 	return directory.Changes{At: 0, Whole: true}, nil
 }
 
@@ -214,3 +215,63 @@
 	go f.Run(ctx)
 	waitVersion(t, d, 7)
 }
+
+// countingSource counts the calls to a store, and which readings are cheap.
+type countingSource struct {
+	*fakeSource
+	cheap, exact, watches, questions atomic.Int64
+}
+
+func (s *countingSource) ReadAll(ctx context.Context, exact bool) (directory.Changes, error) {
+	if exact {
+		s.exact.Add(1)
+	} else {
+		s.cheap.Add(1)
+	}
+	return s.fakeSource.ReadAll(ctx, exact)
+}
+
+func (s *countingSource) Watch(ctx context.Context, after uint64, wait time.Duration) (directory.Changes, error) {
+	s.watches.Add(1)
+	return s.fakeSource.Watch(ctx, after, wait)
+}
+
+func (s *countingSource) Revision(ctx context.Context, exact bool) (uint64, error) {
+	s.questions.Add(1)
+	return s.fakeSource.Revision(ctx, exact)
+}
+
+// TestStandbyLeavesTheStoreAlone but for a first, cheap reading, and follows it
+// when it is told to.
+func TestStandbyLeavesTheStoreAlone(t *testing.T) {
+	s := &countingSource{fakeSource: newFakeSource()}
+	s.publish(1)
+	d := directory.New()
+	f := directory.NewFollower(d, s, directory.Options{
+		Gather: time.Millisecond, ProbeEvery: time.Millisecond, StuckAfter: time.Millisecond, Standby: true,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go f.Run(ctx)
+	waitVersion(t, d, 1)
+	assert.Assert(t, !f.Settled(time.Now()))
+	s.publish(2)
+	f.Apply(directory.Changes{Config: &directory.Config{Version: 2}, At: 2}) // as a relay brings it
+	assert.DeepEqual(t, []int64{s.cheap.Load(), s.exact.Load(), s.watches.Load(), s.questions.Load()}, []int64{1, 0, 0, 0})
+	f.SetActive(true)
+	s.publish(3)
+	waitVersion(t, d, 3)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.Settled(time.Now()) && f.Watching(time.Now()) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not settled")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	s.set(func(s *fakeSource) { s.down = true })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !f.Settled(time.Now()) {
+			return poll.Success()
+		}
+		return poll.Continue("still settled")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+}
--- /dev/null
+++ b/directory/gate.go
@@ -0,0 +1,54 @@
+package directory
+
+import (
+	"context"
+	"sync"
+)
+
+// gate lets goroutines pass while it is open.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{} // closed while the gate is open
+	isOpen bool
+}
+
+func newGate(open bool) *gate {
+	g := &gate{opened: make(chan struct{})}
+	g.set(open)
+	return g
+}
+
+// set opens or closes the gate and reports whether that changed it.
+func (g *gate) set(open bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.isOpen == open {
+		return false
+	}
+	g.isOpen = open
+	if open {
+		close(g.opened)
+	} else {
+		g.opened = make(chan struct{})
+	}
+	return true
+}
+
+func (g *gate) open() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isOpen
+}
+
+// wait waits until the gate is open, and returns false if ctx ends before.
+func (g *gate) wait(ctx context.Context) bool {
+	g.mu.Lock()
+	opened := g.opened
+	g.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-opened:
+		return ctx.Err() == nil
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -22,19 +22,19 @@
 
 // Names of the methods, as net/rpc wants them.
 const (
-	service = "Balancer"
-
-	Acquire     = service + ".Acquire"
-	Await       = service + ".Await"
-	Complete    = service + ".Complete"
-	Cancel      = service + ".Cancel"
-	Renew       = service + ".Renew"
-	Exchange    = service + ".Exchange"
-	Reach       = service + ".Reach"
-	Fetch       = service + ".Fetch"
-	Offer       = service + ".Offer"
-	Unconfirmed = service + ".Unconfirmed"
-	Sign        = service + ".Sign"
+	Service = "Balancer"
+
+	Acquire     = Service + ".Acquire"
+	Await       = Service + ".Await"
+	Complete    = Service + ".Complete"
+	Cancel      = Service + ".Cancel"
+	Renew       = Service + ".Renew"
+	Exchange    = Service + ".Exchange"
+	Reach       = Service + ".Reach"
+	Fetch       = Service + ".Fetch"
+	Offer       = Service + ".Offer"
+	Unconfirmed = Service + ".Unconfirmed"
+	Sign        = Service + ".Sign"
 )
 
 // AcquireArgs asks the home of a service for a contract. Times are durations,
--- a/link/server.go
+++ b/link/server.go
@@ -23,7 +23,7 @@
 // the form that net/rpc asks for. A nil config means plain TCP.
 func Serve(l net.Listener, config *tls.Config, receiver any) (*Server, error) {
 	s := &Server{rpc: rpc.NewServer(), listener: l, conns: map[net.Conn]struct{}{}}
-	if err := s.rpc.RegisterName(service, receiver); err != nil {
+	if err := s.rpc.RegisterName(Service, receiver); err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
 	if config != nil {
--- a/link/tls.go
+++ b/link/tls.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
 )
 
 // Files names the PEM files of a balancer's certificate, its key and the
@@ -46,6 +48,16 @@
 	return r.cert, nil
 }
 
+// Secure returns the configuration that the settings ask for; nil means plain
+// TCP, which is logged.
+func Secure(insecure bool, files Files, log hclog.Logger) (*tls.Config, error) {
+	if insecure {
+		log.Warn("links are not secured", "setting", "link_tls.insecure")
+		return nil, nil
+	}
+	return TLSConfig(files)
+}
+
 // TLSConfig returns the configuration for both directions of a link: each side
 // shows a certificate signed by the authority. Names are not compared, since
 // machines are known by IP numbers that change; the authority signs balancers
--- a/node/node.go
+++ b/node/node.go
@@ -84,14 +84,10 @@
 
 // Start joins the fleet.
 func Start(cfg Config) (*Node, error) {
-	var tlsConfig *tls.Config
-	if t := cfg.Settings.TLS; t.Insecure {
-		cfg.Log.Warn("links are not secured", "setting", "link_tls.insecure")
-	} else {
-		var err error
-		if tlsConfig, err = link.TLSConfig(link.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}); err != nil {
-			return nil, err
-		}
+	t := cfg.Settings.TLS
+	tlsConfig, err := link.Secure(t.Insecure, link.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}, cfg.Log)
+	if err != nil {
+		return nil, err
 	}
 	if cfg.Listener == nil {
 		l, err := net.Listen("tcp", cfg.Settings.Link)
--- /dev/null
+++ b/relay/journal_test.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lotuswing/lotuswing/directory"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// live returns the content that a journal holds.
+func (j *journal) live() map[string]string {
+	content := map[string]string{}
+	for key, r := range j.records {
+		if !r.Gone {
+			content[key] = string(r.Value)
+		}
+	}
+	return content
+}
+
+// storeModel is a store whose changes are drawn at random.
+type storeModel struct {
+	revision uint64
+	records  map[string]directory.Record
+}
+
+func (s *storeModel) change(t *rapid.T) directory.Changes {
+	s.revision++
+	key := fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))
+	r := directory.Record{Key: key, Revision: s.revision, Gone: rapid.Bool().Draw(t, "gone")}
+	if !r.Gone {
+		r.Value = []byte(fmt.Sprint("v", s.revision))
+	}
+	s.records[key] = r
+	return directory.Changes{Records: []directory.Record{r}, At: s.revision}
+}
+
+func (s *storeModel) whole() directory.Changes {
+	c := directory.Changes{At: s.revision, Whole: true}
+	for _, r := range s.records {
+		if !r.Gone {
+			c.Records = append(c.Records, r)
+		}
+	}
+	return c
+}
+
+func (s *storeModel) live() map[string]string {
+	content := map[string]string{}
+	for key, r := range s.records {
+		if !r.Gone {
+			content[key] = string(r.Value)
+		}
+	}
+	return content
+}
+
+// TestReplicaHasWhatTheRelayHas, however seldom it asks, whatever it missed and
+// however long ago a key went.
+func TestReplicaHasWhatTheRelayHas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &storeModel{revision: 1, records: map[string]directory.Record{}}
+		relay, replica := newJournal(), newJournal()
+		now := start
+		relay.take(s.whole(), now)
+		replica.take(s.whole(), now)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				relay.take(s.change(t), now)
+			case 2: // changes that the relay learns by reading everything
+				s.change(t)
+				relay.take(s.whole(), now)
+			case 3:
+				now = now.Add(goneFor / 2)
+			case 4:
+				at, _ := replica.revision()
+				d := relay.since(at)
+				packed, err := newPacker().pack(d)
+				assert.NilError(t, err)
+				records, err := unpack(packed)
+				assert.NilError(t, err)
+				replica.take(directory.Changes{Records: records, At: d.at, Whole: d.whole}, now)
+				assert.DeepEqual(t, replica.live(), relay.live())
+			}
+			assert.DeepEqual(t, relay.live(), s.live())
+		}
+	})
+}
+
+// TestLateRecordChangesNothing, and nothing is told to one who knows it all.
+func TestLateRecordChangesNothing(t *testing.T) {
+	j := newJournal()
+	j.take(directory.Changes{Whole: true, At: 3, Records: []directory.Record{{Key: "a", Revision: 3, Value: []byte("new")}}}, start)
+	j.take(directory.Changes{At: 2, Records: []directory.Record{{Key: "a", Revision: 2, Value: []byte("old")}}}, start)
+	assert.DeepEqual(t, j.live(), map[string]string{"a": "new"})
+	assert.Equal(t, len(j.since(3).records), 0)
+	assert.Equal(t, j.since(3).at, uint64(3))
+	assert.Assert(t, j.since(2).whole, "what happened before the first reading is not known")
+}
+
+// TestRelaysFollowTheirRegistrations.
+func TestRelaysFollowTheirRegistrations(t *testing.T) {
+	j := newJournal()
+	registration := func(zone, addr string, revision uint64) directory.Record {
+		return directory.Record{Key: "relays/" + zone, Value: []byte(fmt.Sprintf(`{"id":"vm","addr":%q}`, addr)), Revision: revision, Lease: 7}
+	}
+	take := func(whole bool, at uint64, list ...directory.Record) []error {
+		return j.take(directory.Changes{Registrations: list, At: at, Whole: whole}, start)
+	}
+	assert.Equal(t, len(take(true, 2, registration("medina", "10.0.0.1:1", 2))), 0)
+	r, ok := j.relay("medina")
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, []any{r.Addr, r.Zone, r.lease}, []any{"10.0.0.1:1", "medina", uint64(7)})
+	take(false, 5, directory.Record{Key: "relays/medina", Revision: 5, Gone: true}, registration("tribunal", "10.0.0.2:1", 4))
+	take(false, 5, registration("medina", "10.0.0.1:1", 3)) // late
+	_, ok = j.relay("medina")
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(j.allRelays()), 1)
+	assert.Equal(t, len(take(false, 6, directory.Record{Key: "relays/medina", Value: []byte("no json"), Revision: 6})), 1)
+	take(true, 9)
+	assert.Equal(t, len(j.allRelays()), 0, "a whole reading names all there are")
+}
+
+// TestSameChangesArePackedOnce for all who ask for them.
+func TestSameChangesArePackedOnce(t *testing.T) {
+	p := newPacker()
+	d := delta{after: 1, at: 2, records: []directory.Record{{Key: "a", Revision: 2, Value: make([]byte, 10000)}}}
+	first, err := p.pack(d)
+	assert.NilError(t, err)
+	assert.Assert(t, len(first) < 1000, "%d bytes", len(first))
+	second, err := p.pack(d)
+	assert.NilError(t, err)
+	assert.Assert(t, &first[0] == &second[0])
+	d.whole = true
+	third, err := p.pack(d)
+	assert.NilError(t, err)
+	assert.Assert(t, &first[0] != &third[0])
+	_, err = unpack([]byte("neither"))
+	assert.ErrorContains(t, err, "unpack")
+}
--- /dev/null
+++ b/relay/packer.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/lotuswing/lotuswing/directory"
+)
+
+// packer encodes changes for other balancers. Most of them ask for the same
+// changes, so the last result is kept.
+type packer struct {
+	mu     sync.Mutex
+	after  uint64
+	at     uint64
+	whole  bool
+	packed []byte
+}
+
+func newPacker() *packer { return &packer{} }
+
+// maxPacked bounds what is unpacked of one answer, in bytes.
+const maxPacked = 64 << 20
+
+// pack encodes the records of a delta; nil where there are none.
+func (p *packer) pack(d delta) ([]byte, error) {
+	if len(d.records) == 0 {
+		return nil, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.packed != nil && p.after == d.after && p.at == d.at && p.whole == d.whole {
+		return p.packed, nil
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("relay: pack: %w", err)
+	}
+	if err := json.NewEncoder(w).Encode(d.records); err != nil {
+		return nil, fmt.Errorf("relay: pack: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("relay: pack: %w", err)
+	}
+	p.after, p.at, p.whole, p.packed = d.after, d.at, d.whole, out.Bytes()
+	return p.packed, nil
+}
+
+// unpack decodes what pack has encoded.
+func unpack(packed []byte) ([]directory.Record, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	r := flate.NewReader(bytes.NewReader(packed))
+	defer func() { _ = r.Close() }()
+	var records []directory.Record
+	if err := json.NewDecoder(io.LimitReader(r, maxPacked)).Decode(&records); err != nil {
+		return nil, fmt.Errorf("relay: unpack: %w", err)
+	}
+	return records, nil
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,286 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/contract"
+	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/platform"
+	"github.com/lotuswing/lotuswing/platform/platformtest"
+	"github.com/lotuswing/lotuswing/relay"
+	"github.com/lotuswing/lotuswing/tenant"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// vm is a balancer's part in the group, with its own way to the store.
+type vm struct {
+	directory *directory.Directory
+	follower  *directory.Follower
+	group     *relay.Group
+	source    *platform.Store
+	addr      string
+	refused   atomic.Bool // the store turns this balancer away
+	calls     atomic.Int64
+	end       func()
+}
+
+const (
+	short = 5 * time.Millisecond
+	long  = 20 * time.Second // no wait of a test that passes comes near it
+)
+
+// listen returns a listener for links.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
+// begin starts a balancer in a zone.
+func begin(t *testing.T, store *platformtest.Store, zone string) *vm {
+	t.Helper()
+	return beginAt(t, store, zone, listen(t))
+}
+
+func beginAt(t *testing.T, store *platformtest.Store, zone string, l net.Listener) *vm {
+	t.Helper()
+	m := &vm{directory: directory.New(), addr: l.Addr().String()}
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.calls.Add(1)
+		if m.refused.Load() {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	m.source = platform.NewStore(front.URL)
+	log := hclog.NewNullLogger()
+	m.group = relay.New(relay.Config{
+		ID: "vm " + m.addr, Zone: zone, Addr: m.addr, Cores: 1, Registry: m.source, Decoder: m.source, Log: log,
+		Options: relay.Options{
+			TTL: 300 * time.Millisecond, Wait: 20 * time.Millisecond, Slack: 500 * time.Millisecond,
+			Penalty: 100 * time.Millisecond, StandFirst: short, StandWithin: 4 * short,
+		},
+	})
+	m.follower = directory.NewFollower(m.directory, m.source, directory.Options{
+		Log: log, Gather: short, RetryPause: short, ProbeEvery: 100 * time.Millisecond, StuckAfter: 50 * time.Millisecond,
+		Standby: true, Observe: m.group.Observe,
+	})
+	assert.NilError(t, m.group.Start(l, m.follower))
+	ctx, stop := context.WithCancel(context.Background())
+	go m.follower.Run(ctx)
+	m.end = func() {
+		stop()
+		m.group.Close()
+		front.CloseClientConnections()
+		front.Close()
+	}
+	t.Cleanup(func() {
+		if m.end != nil {
+			m.end()
+		}
+	})
+	return m
+}
+
+// kill ends a balancer without a word.
+func (m *vm) kill() {
+	m.end()
+	m.end = nil
+}
+
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(long), poll.WithDelay(time.Millisecond))
+}
+
+func publish(store *platformtest.Store, version uint64) {
+	store.Publish(version, []tenant.PrefixRoute{{
+		Name: "r", Host: "a.example", Prefix: "/x/", Timeout: time.Second, Target: time.Second, MaxAttempts: 1,
+		Split: []tenant.Share{{Service: "s", Weight: 1}},
+	}}, map[string]tenant.Service{"s": {Connections: 10, ProbePath: "/health"}})
+}
+
+func (m *vm) version() uint64 {
+	if c := m.directory.Snapshot().Config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// inForce publishes a version and waits until all have it.
+func inForce(t *testing.T, store *platformtest.Store, version uint64, all ...*vm) {
+	t.Helper()
+	publish(store, version)
+	for i, m := range all {
+		until(t, fmt.Sprintf("version %d at %d", version, i), func() bool { return m.version() == version })
+	}
+}
+
+// active returns those that follow the store.
+func active(all []*vm) (list []*vm) {
+	for _, m := range all {
+		if m.follower.Settled(time.Now()) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// settled starts balancers in one zone and waits until one of them is the relay
+// of the others.
+func settled(t *testing.T, store *platformtest.Store, count int) (all []*vm, chosen *vm, others []*vm) {
+	t.Helper()
+	for range count {
+		all = append(all, begin(t, store, "medina"))
+	}
+	until(t, "one relay", func() bool { return store.Calls()["kv-keep"] > 0 && len(active(all)) == 1 })
+	chosen = active(all)[0]
+	for _, m := range all {
+		if m != chosen {
+			others = append(others, m)
+		}
+	}
+	return all, chosen, others
+}
+
+// TestOneFollowsTheStoreForAll: changes reach everybody, and only the relay goes
+// on calling the store.
+func TestOneFollowsTheStoreForAll(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	all, _, others := settled(t, store, 4)
+	inForce(t, store, 3, all...) // the watches that the others left behind end with it
+	var before int64
+	for _, m := range others {
+		before += m.calls.Load()
+	}
+	for version := uint64(5); version < 30; version += 2 {
+		inForce(t, store, version, all...)
+	}
+	store.PutServer("i-1", platformtest.Server{Address: "127.0.0.1:1", Service: "s", Slots: 3})
+	for _, m := range all {
+		until(t, "an endpoint", func() bool { return m.directory.Snapshot().Known == 1 })
+	}
+	store.RemoveServer("i-1")
+	for _, m := range all {
+		until(t, "no endpoint", func() bool { return m.directory.Snapshot().Known == 0 })
+	}
+	var after int64
+	for _, m := range others {
+		after += m.calls.Load()
+	}
+	assert.Equal(t, after-before, int64(0), "calls of those that follow a relay")
+}
+
+// TestRelayThatEndsIsReplaced, and meanwhile changes come all the same.
+func TestRelayThatEndsIsReplaced(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	_, chosen, others := settled(t, store, 3)
+	chosen.kill()
+	inForce(t, store, 3, others...)
+	until(t, "a new relay", func() bool { return len(active(others)) == 1 })
+	inForce(t, store, 5, others...)
+}
+
+// TestRelayThatIsTurnedAway hears of changes from a balancer that the store
+// serves, and its followers do too.
+func TestRelayThatIsTurnedAway(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	all, chosen, _ := settled(t, store, 3)
+	chosen.refused.Store(true)
+	inForce(t, store, 3, all...)
+}
+
+// TestSilentRelay: one that takes questions and answers none is left, for the
+// store if there is no other.
+func TestSilentRelay(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	l := listen(t)
+	t.Cleanup(func() { _ = l.Close() })
+	silent := beginAt(t, store, "tribunal", listen(t)) // registers the silent one's address
+	assert.NilError(t, silent.source.Register(context.Background(), "relays/medina",
+		[]byte(`{"id":"silent","addr":"`+l.Addr().String()+`"}`), time.Hour))
+	silent.kill()
+	follower := begin(t, store, "medina")
+	inForce(t, store, 3, follower)
+}
+
+// TestRevokedRegistrationIsMadeAgain.
+func TestRevokedRegistrationIsMadeAgain(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	all, _, _ := settled(t, store, 3)
+	for version := uint64(3); version < 9; version += 2 {
+		store.Revoke()
+		inForce(t, store, version, all...)
+		until(t, "one relay", func() bool { return len(active(all)) == 1 })
+	}
+}
+
+// TestRestartedRelayKeepsItsRegistration: the process that starts again at the
+// same address renews the lease of its predecessor.
+func TestRestartedRelayKeepsItsRegistration(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	first := begin(t, store, "medina")
+	until(t, "a lease", func() bool { return store.Calls()["kv-keep"] > 0 })
+	first.kill()
+	l, err := net.Listen("tcp", first.addr)
+	assert.NilError(t, err)
+	second := beginAt(t, store, "medina", l)
+	renewed := store.Calls()["kv-keep"]
+	until(t, "renewals", func() bool { return store.Calls()["kv-keep"] > renewed+2 })
+	inForce(t, store, 3, second)
+}
+
+// TestPlannedStopHandsOver: the registration ends at once, and another balancer
+// takes over while the first still answers.
+func TestPlannedStopHandsOver(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	_, chosen, others := settled(t, store, 2)
+	chosen.group.Leave(context.Background())
+	until(t, "a new relay", func() bool { return len(active(others)) == 1 })
+	assert.Equal(t, store.Calls()["kv-lease-end"], 1)
+	inForce(t, store, 3, others...)
+}
+
+// TestStoreDown: nobody changes anything, and all come back with it.
+func TestStoreDown(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	store.PutServer("i-1", platformtest.Server{Address: "127.0.0.1:1", Service: "s", Slots: 3})
+	all, _, _ := settled(t, store, 3)
+	for _, f := range []platformtest.Faults{{Refuse: true}, {Silent: true}, {Mute: true}} {
+		store.SetFaults(f)
+		until(t, "unsettled or mute", func() bool { return f.Mute || len(active(all)) == 0 })
+		for _, m := range all {
+			assert.DeepEqual(t, m.directory.Snapshot().Endpoints["s"][0].Endpoint,
+				contract.Endpoint{VM: "i-1", Addr: "127.0.0.1:1", Slots: 3})
+		}
+		if f.Mute {
+			inForce(t, store, 9, all...)
+		}
+		store.SetFaults(platformtest.Faults{})
+	}
+	inForce(t, store, 11, all...)
+}
--- /dev/null
+++ b/relay/stand.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/lotuswing/lotuswing/internal/pause"
+)
+
+// renewals is how often a registration is renewed within its time to live.
+const renewals = 3
+
+// watchedFor is how long a watch must have waited, at the least, for a vacancy
+// that it has not contradicted to be believed.
+const watchedFor = 30 * time.Millisecond
+
+// smallestShare bounds the time that a small VM leaves a vacancy to larger
+// ones.
+const smallestShare = 0.1
+
+// stand registers this balancer as its zone's relay while there is none, and
+// renews its registration, until ctx ends.
+func (g *Group) stand(ctx context.Context) {
+	value, err := json.Marshal(Relay{ID: g.cfg.ID, Addr: g.cfg.Addr})
+	if err != nil {
+		g.cfg.Log.Error("no registration", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		current, ok := g.journal.relay(g.cfg.Zone)
+		switch {
+		case ok && current.Addr == g.cfg.Addr:
+			g.renew(ctx, current)
+			pause.For(ctx, g.opts.TTL/renewals)
+		case ok:
+			g.journal.waitChange(ctx, g.opts.TTL)
+		default:
+			if g.waitVacant(ctx) {
+				g.register(ctx, value)
+			}
+		}
+	}
+}
+
+// waitVacant waits as long as a vacancy is left to others, and reports whether it
+// still stands.
+func (g *Group) waitVacant(ctx context.Context) bool {
+	if g.leaving.Load() {
+		pause.For(ctx, g.opts.TTL)
+		return false
+	}
+	within := g.opts.StandWithin
+	if len(g.journal.allRelays()) > 0 {
+		within *= otherRelays
+	}
+	wait := time.Duration(float64(g.opts.StandFirst)/max(g.cfg.Cores, smallestShare)) + jitter(within)
+	deadline := time.Now().Add(wait)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		g.journal.waitChange(ctx, time.Until(deadline))
+		if _, ok := g.journal.relay(g.cfg.Zone); ok {
+			return false
+		}
+	}
+	for ctx.Err() == nil && !g.upToDate(time.Now()) {
+		g.journal.waitChange(ctx, watchedFor)
+	}
+	_, taken := g.journal.relay(g.cfg.Zone)
+	return !taken && ctx.Err() == nil && !g.leaving.Load()
+}
+
+// otherRelays lengthens the wait while relays of other zones serve meanwhile.
+const otherRelays = 3
+
+// upToDate reports whether a registration would be known here if it existed.
+func (g *Group) upToDate(now time.Time) bool {
+	if g.follower.Settled(now) {
+		return g.follower.Watching(now) >= watchedFor
+	}
+	return g.followed.Load()
+}
+
+func (g *Group) register(ctx context.Context, value []byte) {
+	limited, cancel := context.WithTimeout(ctx, g.opts.TTL)
+	defer cancel()
+	err := g.cfg.Registry.Register(limited, namePrefix+g.cfg.Zone, value, g.opts.TTL)
+	switch {
+	case errors.Is(err, ErrTaken):
+		g.cfg.Log.Info("registration taken by another", "zone", g.cfg.Zone)
+	case err != nil:
+		g.cfg.Log.Warn("not registered", "zone", g.cfg.Zone, "error", err)
+	default:
+		g.cfg.Log.Info("registered as relay", "zone", g.cfg.Zone)
+	}
+	g.journal.waitRegistration(ctx, g.cfg.Zone, g.opts.TTL)
+}
+
+// renew extends the own registration. That it has ended is told by the store's
+// changes.
+func (g *Group) renew(ctx context.Context, own Relay) {
+	ctx, cancel := context.WithTimeout(ctx, g.opts.TTL/renewals)
+	defer cancel()
+	if err := g.cfg.Registry.Renew(ctx, own.lease); err != nil {
+		g.cfg.Log.Warn("registration not renewed", "zone", g.cfg.Zone, "lease", own.lease, "error", err)
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -23,7 +23,9 @@
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/pause"
+	"github.com/lotuswing/lotuswing/link"
 	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/relay"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/rcrowley/go-metrics"
@@ -38,12 +40,21 @@
 	Alone bool
 	// Source of configuration and endpoints; nil for those of peers.
 	Source directory.Source
+	// Relays says what balancers need that hand on the source's changes; nil
+	// where each of them follows the source.
+	Relays Relays
 	// Recorder writes the decisions about requests; nil for none.
 	Recorder *telemetry.Recorder
 	// Policy towards callers and endpoints; the zero value is the product's.
 	Policy balancer.Policy
 }
 
+// Relays keeps registrations of balancers and reads the source's records.
+type Relays interface {
+	relay.Registry
+	relay.Decoder
+}
+
 // fleet is the process's view of endpoints and of other balancers.
 type fleet interface {
 	balancer.Fleet
@@ -57,6 +68,7 @@
 	cfg      Config
 	fleet    fleet
 	node     *node.Node          // nil with a Source
+	relays   *relay.Group        // nil where no changes are handed on
 	direct   *direct.Fleet       // nil without one
 	follower *directory.Follower // nil without one
 	balancer *balancer.Balancer
@@ -116,7 +128,10 @@
 func (s *Server) startFleet() error {
 	cfg := s.cfg
 	if cfg.Source != nil {
-		s.direct = s.startDirect()
+		var err error
+		if s.direct, err = s.startDirect(); err != nil {
+			return err
+		}
 		s.fleet = s.direct
 		return nil
 	}
@@ -133,22 +148,70 @@
 	return nil
 }
 
-func (s *Server) startDirect() *direct.Fleet {
+func (s *Server) startDirect() (*direct.Fleet, error) {
+	settings := s.cfg.Settings
 	d := directory.New()
-	ctx, stop := context.WithCancel(context.Background())
-	opts := directory.OptionsWithin(s.cfg.Settings.Discovery.Within())
+	opts := directory.OptionsWithin(settings.Discovery.Within())
 	opts.Log = s.cfg.Log.Named("directory")
+	if s.cfg.Relays != nil && settings.Link != "" {
+		var err error
+		if s.relays, err = s.newRelays(); err != nil {
+			return nil, err
+		}
+		opts.Standby, opts.Observe = true, s.relays.Observe
+	}
 	s.follower = directory.NewFollower(d, s.cfg.Source, opts)
-	go s.follower.Run(ctx)
-	return direct.New(direct.Config{
-		ID:        s.cfg.Settings.ID,
-		Zone:      s.cfg.Settings.Zone,
+	ctx, stop := context.WithCancel(context.Background())
+	cfg := direct.Config{
+		ID:        settings.ID,
+		Zone:      settings.Zone,
 		Directory: d,
 		Client:    s.cfg.Policy.Client,
 		Log:       s.cfg.Log.Named("choice"),
 		Metrics:   s.metrics,
 		Stop:      stop,
-	})
+	}
+	if s.relays != nil {
+		if err := s.startRelays(&cfg); err != nil {
+			stop()
+			return nil, err
+		}
+	}
+	go s.follower.Run(ctx)
+	return direct.New(cfg), nil
+}
+
+// newRelays returns this balancer's part in handing changes on.
+func (s *Server) newRelays() (*relay.Group, error) {
+	settings, log := s.cfg.Settings, s.cfg.Log.Named("relay")
+	t := settings.TLS
+	secured, err := link.Secure(t.Insecure, link.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}, log)
+	if err != nil {
+		return nil, err
+	}
+	return relay.New(relay.Config{
+		ID: settings.ID, Zone: settings.Zone, Addr: settings.Link, Cores: settings.Cores,
+		Registry: s.cfg.Relays, Decoder: s.cfg.Relays, Log: log, TLS: secured,
+		Options: relay.OptionsWithin(settings.Discovery.Within()),
+	}), nil
+}
+
+// startRelays starts it and lets it end with the fleet.
+func (s *Server) startRelays(cfg *direct.Config) error {
+	l, err := net.Listen("tcp", s.cfg.Settings.Link)
+	if err != nil {
+		return fmt.Errorf("server: link address: %w", err)
+	}
+	if err := s.relays.Start(l, s.follower); err != nil {
+		return errors.Join(err, l.Close())
+	}
+	stop := cfg.Stop
+	cfg.Handover = s.relays.Leave
+	cfg.Stop = func() {
+		stop()
+		s.relays.Close()
+	}
+	return nil
 }
 
 func (s *Server) frontServer() *http.Server {
@@ -201,12 +264,15 @@
 // AdminAddr returns the operators' address.
 func (s *Server) AdminAddr() string { return s.adminL.Addr().String() }
 
-// LinkAddr returns the peers' address; empty with a Source, where there is none.
+// LinkAddr returns the peers' address; empty where there is none.
 func (s *Server) LinkAddr() string {
-	if s.node == nil {
-		return ""
+	switch {
+	case s.node != nil:
+		return s.node.LinkAddr()
+	case s.relays != nil:
+		return s.cfg.Settings.Link
 	}
-	return s.node.LinkAddr()
+	return ""
 }
 
 // Node returns the process's part in the fleet; nil with a Source.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,7 +26,7 @@
 	Tenants   []string  `json:"tenants"` // tenants that the balancer serves
 	Listen    string    `json:"listen"`  // callers
 	Admin     string    `json:"admin"`   // operators and the platform's balancer
-	Link      string    `json:"link"`    // other balancers
+	Link      string    `json:"link"`    // other balancers; with discovery platform it may be empty, and each balancer then follows the store
 	Peers     []string  `json:"peers"`   // link addresses to start from; the VM list gives more
 	Store     Store     `json:"store"`
 	TLS       LinkTLS   `json:"link_tls"`
@@ -34,6 +34,7 @@
 	Limits    Limits    `json:"limits"`
 	Discovery Discovery `json:"discovery"`
 	Retries   Retries   `json:"retries"`
+	Cores     float64   `json:"cores"`     // processor share of the VM; larger ones take duties first; default 1
 	Memory    int       `json:"memory_mb"` // what the process may use, in MiB; 0 for no limit
 	Trace     string    `json:"trace"`     // none or stderr; default none
 	Metrics   string    `json:"metrics"`   // address of metrics alone; empty for none beside the admin address
@@ -136,6 +137,7 @@
 			IdleTimeout:   2 * time.Minute,
 		},
 		Discovery: Discovery{Kind: Peers, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second},
+		Cores:     1,
 		Trace:     "none",
 		LogRate:   200,
 		Log:       "info",
@@ -161,6 +163,9 @@
 	return s, dec.Err()
 }
 
+// mostCores bounds the processor share of a VM.
+const mostCores = 4096
+
 func check(dec *jsonc.Decoder, s Settings) {
 	dec.Check(s.ID != "", "id", "is missing; give the identity of the VM")
 	dec.Check(s.Zone != "", "zone", "is missing; give the availability zone")
@@ -173,10 +178,15 @@
 		checkURL(dec, "discovery.url", s.Discovery.URL)
 		checkBetween(dec, "discovery.apply_within", s.Discovery.ApplyWithin, 100*time.Millisecond, time.Hour)
 		checkBetween(dec, "discovery.drain_within", s.Discovery.DrainWithin, 100*time.Millisecond, time.Hour)
+		if s.Link != "" {
+			checkAddr(dec, "link", s.Link)
+			checkTLS(dec, s.TLS)
+		}
 	default:
 		dec.Check(false, "discovery.kind", "is %q; peers or platform", s.Discovery.Kind)
 	}
 	checkRetries(dec, s.Retries)
+	dec.Check(s.Cores > 0 && s.Cores <= mostCores, "cores", "is %v; above 0, at most %d", s.Cores, mostCores)
 	dec.Check(s.Memory >= 0, "memory_mb", "is %d; at least 0", s.Memory)
 	checkBetween(dec, "stop.notice", s.Stop.Notice, 0, 10*time.Minute)
 	dec.Check(s.Stop.Grace == 0 || s.Stop.Grace >= time.Second, "stop.grace", "is %v; at least 1s", s.Stop.Grace)
