An old report says nothing of other callers' requests

Cause: the requests that an endpoint reported as running counted until its next report, however old. One that was full when last heard of stayed behind all others, was not asked again while any other had room, and lost its connection; others took its place on new connections and in other zones. Ruled out: requests that are not repeatable (3,055, as intended), connections closed early by endpoints.

Change: after 400 ms a report counts for its pace alone; what the endpoint holds is then what this process has in flight there.

--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -27,6 +27,7 @@
 type Options struct {
 	PaceMemory time.Duration // time constant with which a reported pace loses its weight; default 150 ms
 	MeanPace   float64       // pace of an endpoint of which nothing fresh is known; default 1.8
+	BusyMemory time.Duration // age from which a report says nothing of other callers' requests; default 400 ms
 	ColdPace   float64       // factor of the work while an endpoint warms up; default 2
 }
 
@@ -34,6 +35,7 @@
 func (o Options) WithDefaults() Options {
 	o.PaceMemory = cmp.Or(o.PaceMemory, 150*time.Millisecond)
 	o.MeanPace = cmp.Or(o.MeanPace, 1.8)
+	o.BusyMemory = cmp.Or(o.BusyMemory, 400*time.Millisecond)
 	o.ColdPace = cmp.Or(o.ColdPace, 2)
 	return o
 }
@@ -95,8 +97,13 @@
 	return now.Sub(s.report.At)
 }
 
-// Busy returns how many requests the endpoint is thought to hold.
-func (s State) Busy() int {
+// Busy returns how many requests the endpoint is thought to hold at now. What an
+// old report said of other callers' requests is over: an endpoint that was full
+// then is as good as one that was never heard of.
+func (s State) Busy(o Options, now time.Time) int {
+	if s.Age(now) > o.BusyMemory {
+		return s.inFlight
+	}
 	return max(s.inFlight, s.report.Running+s.report.Waiting+s.since-s.ended)
 }
 
@@ -125,7 +132,7 @@
 	if !e.Warm {
 		pace *= o.ColdPace
 	}
-	busy := s.Busy()
+	busy := s.Busy(o, now)
 	if busy+1 >= slots {
 		pace *= max(1, e.Crowded)
 	}
--- a/coord/selection/selection_test.go
+++ b/coord/selection/selection_test.go
@@ -68,12 +68,13 @@
 // TestOwnRequestsCountFromTheReport: requests sent since a report are added to
 // it until the next report, which knows them.
 func TestOwnRequestsCountFromTheReport(t *testing.T) {
+	now := start.Add(time.Millisecond)
 	s := reported(1, 0, 1).WithSent().WithSent()
-	assert.Equal(t, s.Busy(), 3)
+	assert.Equal(t, s.Busy(opts, now), 3)
 	s = s.WithReport(selection.Report{Running: 2, Slots: 3, Pace: 1, At: start.Add(time.Millisecond)})
-	assert.Equal(t, s.Busy(), 2)
+	assert.Equal(t, s.Busy(opts, now), 2)
 	s = s.WithReport(selection.Report{Running: 0, Slots: 3, Pace: 1, At: start})
-	assert.Equal(t, s.Busy(), 2, "an older report changes nothing")
+	assert.Equal(t, s.Busy(opts, now), 2, "an older report changes nothing")
 	assert.Equal(t, s.WithEnded().WithEnded().InFlight(), 0)
 }
 
@@ -92,8 +93,20 @@
 			case 2:
 				s = s.WithReport(selection.Report{Running: rapid.IntRange(0, 5).Draw(t, "running"), Slots: 3, Pace: 1, At: now})
 			}
-			assert.Assert(t, s.Busy() >= own, "busy %d below own %d", s.Busy(), own)
+			assert.Assert(t, s.Busy(opts, now) >= own, "busy %d below own %d", s.Busy(opts, now), own)
 			assert.Equal(t, s.InFlight(), own)
 		}
 	})
 }
+
+// TestOldReportSaysNothingOfOthers: an endpoint that was full a while ago is
+// thought free again, but for this process's own requests.
+func TestOldReportSaysNothingOfOthers(t *testing.T) {
+	s := reported(3, 2, 1).WithSent()
+	soon, later := start.Add(opts.BusyMemory), start.Add(opts.BusyMemory+time.Millisecond)
+	assert.Equal(t, s.Busy(opts, soon), 6)
+	assert.Equal(t, s.Busy(opts, later), 1)
+	e := warm
+	e.Crowded = 2
+	assert.Assert(t, s.Estimate(e, work, opts, later) < s.Estimate(e, work, opts, soon))
+}
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -49,6 +49,7 @@
 	estimate time.Duration   // of the time until its answer
 	// surcharge stands for what traffic between zones and new connections cost.
 	surcharge time.Duration
+	busy      int  // requests that it is thought to hold
 	full      bool // it holds as many requests as it should
 	good      bool // nothing better is worth looking for
 }
@@ -123,7 +124,7 @@
 // there at whatever pace the endpoint has when a slot becomes free, and an
 // endpoint whose slots are all taken is slower for everybody.
 func (c candidate) acceptable(a node.Ask, now time.Time) bool {
-	if c.load.Busy() >= c.load.Slots(c.Slots) {
+	if c.busy >= c.load.Slots(c.Slots) {
 		return false
 	}
 	return a.Target <= 0 || !now.Add(c.estimate).After(a.Accepted.Add(a.Target))
@@ -203,7 +204,8 @@
 	if now.Sub(k.heard) > f.opts.ConnectionLife {
 		c.surcharge += f.opts.ConnectionCost
 	}
-	c.full = k.load.Busy() >= k.load.Room(view) || now.Before(k.pauseUntil)
+	c.busy = k.load.Busy(f.opts.Estimate, now)
+	c.full = c.busy >= k.load.Room(view) || now.Before(k.pauseUntil)
 	c.good = !c.full && k.unheard == 0 && k.load.Pace(f.opts.Estimate, now) <= f.opts.GoodPace
 	return c
 }
@@ -222,7 +224,7 @@
 	defer f.mu.Unlock()
 	c.known.load = c.known.load.WithSent()
 	choice := node.Choice{
-		Pace: c.known.load.Report().Pace, Busy: c.known.load.Busy(), Estimate: c.estimate, Age: -1, Probes: probes,
+		Pace: c.known.load.Report().Pace, Busy: c.known.load.Busy(f.opts.Estimate, time.Now()), Estimate: c.estimate, Age: -1, Probes: probes,
 	}
 	if age := c.known.load.Age(time.Now()); age < oldestAge {
 		choice.Age = age
