--- a/directory/follow.go
+++ b/directory/follow.go
@@ -76,6 +76,9 @@
 	}
 }
 
+// Active reports whether the store is followed.
+func (f *Follower) Active() bool { return f.active.open() }
+
 // SetServing says whether other processes rely on this follower, which then
 // shortens its pauses.
 func (f *Follower) SetServing(serving bool) { f.serving.Store(serving) }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -226,6 +226,7 @@
 		[]byte(`{"id":"silent","addr":"`+l.Addr().String()+`"}`), time.Hour))
 	silent.kill()
 	follower := begin(t, store, "medina")
+	until(t, "a first reading", func() bool { return follower.version() == 1 })
 	inForce(t, store, 3, follower)
 }
 
--- a/server/admin.go
+++ b/server/admin.go
@@ -96,6 +96,7 @@
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if s.follower != nil {
 		metrics.GetOrRegisterGauge("store_calls", s.metrics).Update(s.follower.Calls())
+		metrics.GetOrRegisterGauge("following_store", s.metrics).Update(gaugeOf(s.follower.Active()))
 		metrics.GetOrRegisterGauge("store_lost", s.metrics).Update(gaugeOf(s.follower.Lost()))
 	}
 	if s.cfg.Recorder != nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -59,6 +59,7 @@
 	{"store is silent", func(w *world) (string, func()) { return w.storeFault(platformtest.Faults{Silent: true}) }},
 	{"watches hear nothing", func(w *world) (string, func()) { return w.storeFault(platformtest.Faults{Mute: true}) }},
 	{"store forgets", (*world).forget},
+	{"leases end", (*world).revoke},
 	{"store link", (*world).storeLink},
 	{"endpoint link", (*world).endpointLink},
 	{"endpoint slow", func(w *world) (string, func()) {
@@ -146,6 +147,12 @@
 	return "", func() { w.calendar.disturb("", from, time.Now()) }
 }
 
+// revoke ends the leases of all relays; nobody may notice.
+func (w *world) revoke() (string, func()) {
+	w.store.Revoke()
+	return "", func() {}
+}
+
 func (w *world) drawMode() Mode { return Mode(1 + w.rng.IntN(int(modes)-1)) }
 
 func (w *world) storeLink() (string, func()) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -21,8 +21,10 @@
 // restarts and a proxy in front of the store.
 type balancer struct {
 	id     string
+	zone   string
 	listen string
 	admin  string
+	link   string // where other balancers ask for changes
 	file   string
 	store  *Proxy
 	start  func(settings, log string) *exec.Cmd
@@ -65,7 +67,7 @@
 	return "", fmt.Errorf("soak: no free port in %d tries", portTries)
 }
 
-func newBalancer(dir, id, storeAddr string, free *addresses, start func(settings, log string) *exec.Cmd) (*balancer, error) {
+func newBalancer(dir, id, zone, storeAddr string, free *addresses, start func(settings, log string) *exec.Cmd) (*balancer, error) {
 	listen, err := free.next()
 	if err != nil {
 		return nil, err
@@ -74,12 +76,16 @@
 	if err != nil {
 		return nil, err
 	}
+	linkAddr, err := free.next()
+	if err != nil {
+		return nil, err
+	}
 	proxy, err := NewProxy(storeAddr)
 	if err != nil {
 		return nil, err
 	}
 	b := &balancer{
-		id: id, listen: listen, admin: admin, store: proxy, start: start,
+		id: id, zone: zone, listen: listen, admin: admin, link: linkAddr, store: proxy, start: start,
 		file: filepath.Join(dir, id+".jsonc"), log: filepath.Join(dir, id+".log"),
 	}
 	return b, b.writeSettings()
@@ -87,8 +93,10 @@
 
 func (b *balancer) writeSettings() error {
 	raw, err := json.MarshalIndent(map[string]any{
-		"id": b.id, "zone": "zone-" + b.id[len(b.id)-1:], "listen": b.listen, "admin": b.admin,
+		"id": b.id, "zone": b.zone, "listen": b.listen, "admin": b.admin,
 		"discovery": map[string]any{"kind": "platform", "url": "http://" + b.store.Addr()},
+		"link":      b.link,
+		"link_tls":  map[string]any{"insecure": true},
 		"retries":   map[string]any{"ratio": 0.2, "burst": 64, "window": "10s"},
 		"stop":      map[string]any{"notice": "300ms", "limit": "5s"},
 		"log_level": "info",
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -75,6 +75,10 @@
 	Violations []Violation
 }
 
+// zones is how many zones the balancers are divided among; in each of them one
+// follows the store for the others.
+const zones = 2
+
 // world is all that a soak runs.
 type world struct {
 	ctx       context.Context
@@ -161,7 +165,7 @@
 	w.publish()
 	free := &addresses{given: map[int]bool{}}
 	for i := range cfg.Balancers {
-		b, err := newBalancer(dir, fmt.Sprintf("vm-%d", i), storeAddr, free, cfg.Command)
+		b, err := newBalancer(dir, fmt.Sprintf("vm-%d", i), fmt.Sprintf("zone-%d", i%zones), storeAddr, free, cfg.Command)
 		if err != nil {
 			return err
 		}
