Vacant registrations are left to others for longer while other relays serve

Change: ten times the random wait while relays of other zones serve; relays pass registrations on without a pause; a balancer that was blind waits anew.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -163,13 +163,24 @@
 		default:
 			f.answeredNow()
 			f.Apply(changes)
-			if n := changes.count(); n > 0 && n < backlog {
-				pause.For(ctx, f.pace(f.opts.Gather))
-			}
+			f.gather(ctx, changes)
 		}
 	}
 }
 
+// gather pauses after changes, so that more of them come with the next answer. A
+// balancer on which others rely passes registrations on at once: what these do not
+// know of, they make again.
+func (f *Follower) gather(ctx context.Context, changes Changes) {
+	n := changes.count()
+	if f.serving.Load() {
+		n -= len(changes.Registrations)
+	}
+	if n > 0 && n < backlog {
+		pause.For(ctx, f.pace(f.opts.Gather))
+	}
+}
+
 // backlog is the number of changes in one answer from which more of them are
 // thought to wait: a store bounds its answers, and a configuration may stand
 // behind thousands of entries, so nothing is left to gather then.
--- a/relay/stand.go
+++ b/relay/stand.go
@@ -55,6 +55,27 @@
 		pause.For(ctx, g.opts.TTL)
 		return false
 	}
+	if !g.leaveToOthers(ctx) {
+		return false
+	}
+	if g.starting.Load() {
+		g.follower.Refresh(ctx)
+	}
+	// Balancers that were blind to changes for a moment see again at the same
+	// time: each waits anew, lest all of them register then.
+	for ctx.Err() == nil && !g.starting.Load() && !g.upToDate(time.Now()) {
+		g.journal.waitChange(ctx, watchedFor)
+		if g.upToDate(time.Now()) && !g.leaveToOthers(ctx) {
+			return false
+		}
+	}
+	_, taken := g.journal.relay(g.cfg.Zone)
+	return !taken && ctx.Err() == nil && !g.leaving.Load()
+}
+
+// leaveToOthers waits as long as a balancer of this size leaves a vacancy to
+// others, and reports whether it still stands.
+func (g *Group) leaveToOthers(ctx context.Context) bool {
 	within := g.opts.StandWithin
 	if len(g.journal.allRelays()) > 0 {
 		within *= otherRelays
@@ -67,18 +88,12 @@
 			return false
 		}
 	}
-	if g.starting.Load() {
-		g.follower.Refresh(ctx)
-	}
-	for ctx.Err() == nil && !g.starting.Load() && !g.upToDate(time.Now()) {
-		g.journal.waitChange(ctx, watchedFor)
-	}
-	_, taken := g.journal.relay(g.cfg.Zone)
-	return !taken && ctx.Err() == nil && !g.leaving.Load()
+	return ctx.Err() == nil
 }
 
-// otherRelays lengthens the wait while relays of other zones serve meanwhile.
-const otherRelays = 3
+// otherRelays lengthens the wait while relays of other zones serve meanwhile:
+// nothing presses then, and what another balancer registers becomes known late.
+const otherRelays = 10
 
 // upToDate reports whether a registration would be known here if it existed.
 func (g *Group) upToDate(now time.Time) bool {
