The balancer's binary links no operators' commands; gone endpoints are forgotten

The choice kept the state of every endpoint that ever was; it is dropped now once the directory does not list the endpoint and no request is there (TestGoneEndpointsAreForgotten). A relay keeps its compressor.

--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -1,3 +1,9 @@
+// Package cli is the command line of lotuswing, one balancer process. It links
+// nothing that only operators and developers need.
+//
+// # Usage
+//
+//	os.Exit(cli.Balancer(os.Args[1:], os.Stdout, os.Stderr))
 package cli
 
 import (
@@ -13,6 +19,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/balancer"
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/platform"
 	"github.com/lotuswing/lotuswing/server"
@@ -23,37 +30,37 @@
 
 // Balancer runs the command line of lotuswing and returns its exit code.
 func Balancer(args []string, out, errOut io.Writer) int {
-	a := newApp("lotuswing", "A load balancer for long sessions that must never be dropped.", out, errOut)
-	a.add("run", "Run a balancer until SIGTERM, which is a planned stop.", func(c *kingpin.CmdClause) func() error {
+	a := command.NewApp("lotuswing", "A load balancer for long sessions that must never be dropped.", out, errOut)
+	a.Add("run", "Run a balancer until SIGTERM, which is a planned stop.", func(c *kingpin.CmdClause) func() error {
 		file := c.Flag("settings", "the settings file").Envar(platform.SettingsVariable).Required().String()
-		return func() error { return runBalancer(a.env, *file) }
+		return func() error { return runBalancer(a.Env, *file) }
 	})
-	a.add("check", "Check a settings file.", func(c *kingpin.CmdClause) func() error {
+	a.Add("check", "Check a settings file.", func(c *kingpin.CmdClause) func() error {
 		file := c.Flag("settings", "the settings file").Required().String()
 		return func() error {
 			if _, err := settings.Load(*file); err != nil {
-				return exitError{exitUsage, err}
+				return command.ExitError{Code: command.ExitUsage, Err: err}
 			}
 			_, err := fmt.Fprintf(out, "%s: ok\n", *file)
 			return err
 		}
 	})
-	return a.main(args)
+	return a.Main(args)
 }
 
-func runBalancer(e *env, file string) error {
+func runBalancer(e *command.Env, file string) error {
 	s, err := settings.Load(file)
 	if err != nil {
-		return exitError{exitUsage, err}
+		return command.ExitError{Code: command.ExitUsage, Err: err}
 	}
-	if e.level == "info" {
-		e.level = s.Log
+	if e.Level == "info" {
+		e.Level = s.Log
 	}
-	queue := telemetry.NewQueue(e.out)
+	queue := telemetry.NewQueue(e.Out)
 	defer queue.Close(logFlushWait)
-	log, err := telemetry.Logger("lotuswing", e.level, queue)
+	log, err := telemetry.Logger("lotuswing", e.Level, queue)
 	if err != nil {
-		return exitError{exitUsage, err}
+		return command.ExitError{Code: command.ExitUsage, Err: err}
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -83,8 +90,8 @@
 const logFlushWait = 500 * time.Millisecond
 
 // serverConfig chooses the source and the policy that the settings ask for.
-func serverConfig(s settings.Settings, log hclog.Logger, e *env) server.Config {
-	cfg := server.Config{Settings: s, Log: log, Traces: e.err}
+func serverConfig(s settings.Settings, log hclog.Logger, e *command.Env) server.Config {
+	cfg := server.Config{Settings: s, Log: log, Traces: e.Err}
 	if s.Discovery.Kind != settings.Platform {
 		return cfg
 	}
--- a/cmd/lotusctl/main.go
+++ b/cmd/lotusctl/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"github.com/lotuswing/lotuswing/cli"
+	"github.com/lotuswing/lotuswing/control"
 )
 
 func main() {
-	os.Exit(cli.Control(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cli/control.go
+++ b/control/control.go
@@ -1,4 +1,10 @@
-package cli
+// Package control is the command line of lotusctl, with which operators and
+// developers use the product.
+//
+// # Usage
+//
+//	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr))
+package control
 
 import (
 	"context"
@@ -11,33 +17,34 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/load"
 	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/lotuswing/lotuswing/tenant"
 )
 
-// Control runs the command line of lotusctl and returns its exit code.
-func Control(args []string, out, errOut io.Writer) int {
-	a := newApp("lotusctl", "The operators' command line of lotuswing.", out, errOut)
-	a.add("check", "Check a tenant's document and print what each team becomes.", func(c *kingpin.CmdClause) func() error {
+// Main runs the command line of lotusctl and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	a := command.NewApp("lotusctl", "The operators' command line of lotuswing.", out, errOut)
+	a.Add("check", "Check a tenant's document and print what each team becomes.", func(c *kingpin.CmdClause) func() error {
 		file := c.Arg("file", "the document").Required().String()
-		return func() error { return checkTenant(a.env, *file) }
+		return func() error { return checkTenant(a.Env, *file) }
 	})
-	a.add("explain", "Explain a reason code, or list all.", func(c *kingpin.CmdClause) func() error {
+	a.Add("explain", "Explain a reason code, or list all.", func(c *kingpin.CmdClause) func() error {
 		code := c.Arg("code", "such as LW2002").String()
 		markdown := c.Flag("markdown", "print the whole table as a page").Bool()
 		events := c.Flag("events", "list the log lines about requests and their fields").Bool()
 		return func() error {
 			if *events {
-				_, err := io.WriteString(a.env.out, telemetry.EventsText())
+				_, err := io.WriteString(a.Env.Out, telemetry.EventsText())
 				return err
 			}
-			return explain(a.env, *code, *markdown)
+			return explain(a.Env, *code, *markdown)
 		}
 	})
-	a.add("load", "Make open-loop load and print a table of latencies.", func(c *kingpin.CmdClause) func() error {
-		return loadCommand(a.env, c)
+	a.Add("load", "Make open-loop load and print a table of latencies.", func(c *kingpin.CmdClause) func() error {
+		return loadCommand(a.Env, c)
 	})
 	addStandins(a)
 	addEditing(a)
@@ -47,19 +54,19 @@
 	addReplay(a)
 	addTrace(a)
 	addSoak(a)
-	return a.main(args)
+	return a.Main(args)
 }
 
 func untilSignal() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-func checkTenant(e *env, file string) error {
+func checkTenant(e *command.Env, file string) error {
 	cfg, err := tenant.Load(file)
 	if err != nil {
-		return exitError{exitUsage, err}
+		return command.ExitError{Code: command.ExitUsage, Err: err}
 	}
-	return e.table(teamRows(cfg))
+	return e.Table(teamRows(cfg))
 }
 
 func teamRows(cfg *tenant.Config) (header []string, rows [][]string) {
@@ -75,9 +82,9 @@
 	return header, rows
 }
 
-func explain(e *env, code string, markdown bool) error {
+func explain(e *command.Env, code string, markdown bool) error {
 	if markdown {
-		_, err := io.WriteString(e.out, reason.Markdown())
+		_, err := io.WriteString(e.Out, reason.Markdown())
 		return err
 	}
 	if code == "" {
@@ -85,17 +92,17 @@
 		for _, d := range reason.Table {
 			rows = append(rows, []string{string(d.Code), strconv.Itoa(d.Status), string(d.Severity), d.Title})
 		}
-		return e.table([]string{"code", "status", "severity", "title"}, rows)
+		return e.Table([]string{"code", "status", "severity", "title"}, rows)
 	}
 	doc, ok := reason.Lookup(reason.Code(code))
 	if !ok {
-		return exitError{exitUsage, fmt.Errorf("explain: no code %q; 'lotusctl explain' lists all", code)}
+		return command.ExitError{Code: command.ExitUsage, Err: fmt.Errorf("explain: no code %q; 'lotusctl explain' lists all", code)}
 	}
-	_, err := io.WriteString(e.out, doc.String())
+	_, err := io.WriteString(e.Out, doc.String())
 	return err
 }
 
-func loadCommand(e *env, c *kingpin.CmdClause) func() error {
+func loadCommand(e *command.Env, c *kingpin.CmdClause) func() error {
 	var p load.Plan
 	c.Flag("target", "base URL of a balancer; may be repeated").Required().StringsVar(&p.Targets)
 	c.Flag("host", "the Host header, which names the team").Default("medina.bennani").StringVar(&p.Host)
@@ -111,9 +118,9 @@
 		p.Name = fmt.Sprintf("load-%d", os.Getpid())
 		r, err := load.Run(ctx, p)
 		if err != nil {
-			return exitError{exitUsage, err}
+			return command.ExitError{Code: command.ExitUsage, Err: err}
 		}
-		return e.table(loadHeader, [][]string{loadRow(p.Host, p.Method+" "+p.Path, r)})
+		return e.Table(loadHeader, [][]string{loadRow(p.Host, p.Method+" "+p.Path, r)})
 	}
 }
 
--- a/cli/demo.go
+++ b/control/demo.go
@@ -1,38 +1,39 @@
-package cli
+package control
 
 import (
 	"fmt"
 	"strconv"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/demo"
 )
 
 // addDemo declares the demonstration in one process.
-func addDemo(a *app) {
-	a.add("demo", "Run the whole product in one process and check its promises: exit 1 on a violation.", func(c *kingpin.CmdClause) func() error {
+func addDemo(a *command.App) {
+	a.Add("demo", "Run the whole product in one process and check its promises: exit 1 on a violation.", func(c *kingpin.CmdClause) func() error {
 		span := c.Flag("for", "how long; without it, until interrupted").Duration()
 		return func() error {
-			if a.env.level == "info" {
-				a.env.level = "warn" // the table is what a newcomer looks for
+			if a.Env.Level == "info" {
+				a.Env.Level = "warn" // the table is what a newcomer looks for
 			}
-			log, err := a.env.logger("demo")
+			log, err := a.Env.Logger("demo")
 			if err != nil {
-				return exitError{exitUsage, err}
+				return command.ExitError{Code: command.ExitUsage, Err: err}
 			}
 			ctx, stop := untilSignal()
 			defer stop()
-			_, _ = fmt.Fprintln(a.env.err, "demo: 2 tenants, 65 endpoints, 3 balancers; one endpoint of each tenant drains, one turns slow, the configuration changes")
+			_, _ = fmt.Fprintln(a.Env.Err, "demo: 2 tenants, 65 endpoints, 3 balancers; one endpoint of each tenant drains, one turns slow, the configuration changes")
 			report, err := demo.Run(ctx, demo.Options{For: *span, Log: log})
 			if err != nil {
 				return err
 			}
-			return printDemo(a.env, report)
+			return printDemo(a.Env, report)
 		}
 	})
 }
 
-func printDemo(e *env, r *demo.Report) error {
+func printDemo(e *command.Env, r *demo.Report) error {
 	header := []string{"tenant", "kind", "calls", "ran", "not run", "may have run", "p50", "p99", "p99.9", "measuring", "allowed"}
 	var rows [][]string
 	for _, row := range r.Rows {
@@ -49,15 +50,15 @@
 			quantile(l, 0.5), quantile(l, 0.99), quantile(l, 0.999), spent, allowed,
 		})
 	}
-	if err := e.table(header, rows); err != nil {
+	if err := e.Table(header, rows); err != nil {
 		return err
 	}
 	for _, v := range r.Violations {
-		_, _ = fmt.Fprintln(e.err, "violation:", v)
+		_, _ = fmt.Fprintln(e.Err, "violation:", v)
 	}
-	_, _ = fmt.Fprintf(e.out, "violations: %d\n", len(r.Violations))
+	_, _ = fmt.Fprintf(e.Out, "violations: %d\n", len(r.Violations))
 	if len(r.Violations) > 0 {
-		return exitError{exitFailed, fmt.Errorf("demo: %d violations", len(r.Violations))}
+		return command.ExitError{Code: command.ExitFailed, Err: fmt.Errorf("demo: %d violations", len(r.Violations))}
 	}
 	return nil
 }
--- a/cli/editing.go
+++ b/control/editing.go
@@ -1,4 +1,4 @@
-package cli
+package control
 
 import (
 	"bytes"
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/coord/document"
 	"github.com/lotuswing/lotuswing/coord/store"
 	"github.com/lotuswing/lotuswing/tenant"
@@ -25,40 +26,40 @@
 )
 
 // addEditing declares the commands that read and edit shared configuration.
-func addEditing(a *app) {
-	a.add("apply", "Write a tenant's document: exit 3 on a lost race, 4 where the outcome cannot be learnt yet.", func(c *kingpin.CmdClause) func() error {
+func addEditing(a *command.App) {
+	a.Add("apply", "Write a tenant's document: exit 3 on a lost race, 4 where the outcome cannot be learnt yet.", func(c *kingpin.CmdClause) func() error {
 		url := c.Flag("store", "URL of the store").Required().String()
 		base := c.Flag("base", "the version that the edit started from; -1 for the present one").Default("-1").Int64()
 		editor := c.Flag("editor", "who edits").Default(os.Getenv("USER")).String()
 		id := c.Flag("edit-id", "identity of the edit, to try again after an unknown outcome").String()
 		file := c.Arg("file", "the document").Required().String()
-		return func() error { return apply(a.env, *url, *file, *editor, *id, *base) }
+		return func() error { return apply(a.Env, *url, *file, *editor, *id, *base) }
 	})
-	a.add("get", "Print the document in the store.", func(c *kingpin.CmdClause) func() error {
+	a.Add("get", "Print the document in the store.", func(c *kingpin.CmdClause) func() error {
 		url := c.Flag("store", "URL of the store").Required().String()
 		name := c.Arg("tenant", "the tenant").Required().String()
-		return func() error { return get(a.env, *url, *name) }
+		return func() error { return get(a.Env, *url, *name) }
 	})
-	a.add("history", "Print the last edits.", func(c *kingpin.CmdClause) func() error {
+	a.Add("history", "Print the last edits.", func(c *kingpin.CmdClause) func() error {
 		url := c.Flag("store", "URL of the store").Required().String()
 		name := c.Arg("tenant", "the tenant").Required().String()
-		return func() error { return history(a.env, *url, *name) }
+		return func() error { return history(a.Env, *url, *name) }
 	})
-	a.add("watch", "Print each new version as it appears.", func(c *kingpin.CmdClause) func() error {
+	a.Add("watch", "Print each new version as it appears.", func(c *kingpin.CmdClause) func() error {
 		url := c.Flag("store", "URL of the store").Required().String()
 		name := c.Arg("tenant", "the tenant").Required().String()
-		return func() error { return watch(a.env, *url, *name) }
+		return func() error { return watch(a.Env, *url, *name) }
 	})
 }
 
-func apply(e *env, url, file, editor, id string, base int64) error {
+func apply(e *command.Env, url, file, editor, id string, base int64) error {
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return fmt.Errorf("apply: %w", err)
 	}
 	cfg, err := tenant.Parse(file, raw)
 	if err != nil {
-		return exitError{exitUsage, err}
+		return command.ExitError{Code: command.ExitUsage, Err: err}
 	}
 	body, err := tenant.Standard(raw)
 	if err != nil {
@@ -70,7 +71,7 @@
 	key := configPrefix + cfg.Tenant
 	current, err := fetch(ctx, client, key)
 	if err != nil {
-		return exitError{exitUnknown, err}
+		return command.ExitError{Code: command.ExitUnknown, Err: err}
 	}
 	if base < 0 {
 		base = int64(current.Version)
@@ -84,22 +85,22 @@
 	return reportApply(e, p, cfg, out, err)
 }
 
-func reportApply(e *env, p document.Proposal, cfg *tenant.Config, out document.Outcome, err error) error {
+func reportApply(e *command.Env, p document.Proposal, cfg *tenant.Config, out document.Outcome, err error) error {
 	switch out.Result {
 	case document.Won:
-		_, err = fmt.Fprintf(e.out, "%s: version %d is yours (edit %s)\n", cfg.Tenant, out.Version, p.ID)
+		_, err = fmt.Fprintf(e.Out, "%s: version %d is yours (edit %s)\n", cfg.Tenant, out.Version, p.ID)
 		return err
 	case document.Lost:
 		w := out.Winner
 		printChange(e, out.Current, cfg)
-		return exitError{exitLost, fmt.Errorf("apply: lost the race: version %d is the edit of %q (edit %s, %s); yours had no effect. Look at the difference above and apply again",
+		return command.ExitError{Code: command.ExitLost, Err: fmt.Errorf("apply: lost the race: version %d is the edit of %q (edit %s, %s); yours had no effect. Look at the difference above and apply again",
 			w.Version, w.Editor, w.ID, w.At.Format(time.RFC3339))}
 	}
-	return exitError{exitUnknown, fmt.Errorf("apply: outcome unknown; run again with --edit-id %s --base %d, which cannot apply the edit twice: %w", p.ID, p.Base, err)}
+	return command.ExitError{Code: command.ExitUnknown, Err: fmt.Errorf("apply: outcome unknown; run again with --edit-id %s --base %d, which cannot apply the edit twice: %w", p.ID, p.Base, err)}
 }
 
 // printChange shows what the edit changes for each team against a version.
-func printChange(e *env, current document.Document, next *tenant.Config) {
+func printChange(e *command.Env, current document.Document, next *tenant.Config) {
 	var before [][]string
 	if current.Version > 0 {
 		if cfg, err := tenant.Parse("store", current.Body); err == nil {
@@ -111,14 +112,14 @@
 	printMissing(e, "+ ", after, before)
 }
 
-func printMissing(e *env, mark string, rows, others [][]string) {
+func printMissing(e *command.Env, mark string, rows, others [][]string) {
 	known := map[string]bool{}
 	for _, row := range others {
 		known[strings.Join(row, " ")] = true
 	}
 	for _, row := range rows {
 		if text := strings.Join(row, " "); !known[text] {
-			_, _ = fmt.Fprintln(e.out, mark+text)
+			_, _ = fmt.Fprintln(e.Out, mark+text)
 		}
 	}
 }
@@ -135,7 +136,7 @@
 	return document.Parse(entry.Value)
 }
 
-func get(e *env, url, name string) error {
+func get(e *command.Env, url, name string) error {
 	doc, err := fetch(context.Background(), store.NewClient(url, store.Options{}), configPrefix+name)
 	if err != nil {
 		return err
@@ -147,11 +148,11 @@
 	if err := json.Indent(&pretty, doc.Body, "", "\t"); err != nil {
 		return fmt.Errorf("get: %w", err)
 	}
-	_, err = fmt.Fprintf(e.out, "// version %d by %s\n%s\n", doc.Version, doc.Last().Editor, pretty.String())
+	_, err = fmt.Fprintf(e.Out, "// version %d by %s\n%s\n", doc.Version, doc.Last().Editor, pretty.String())
 	return err
 }
 
-func history(e *env, url, name string) error {
+func history(e *command.Env, url, name string) error {
 	doc, err := fetch(context.Background(), store.NewClient(url, store.Options{}), configPrefix+name)
 	if err != nil {
 		return err
@@ -160,10 +161,10 @@
 	for _, edit := range doc.Edits {
 		rows = append(rows, []string{strconv.FormatUint(edit.Version, 10), edit.Editor, edit.ID, edit.At.Format(time.RFC3339)})
 	}
-	return e.table([]string{"version", "editor", "edit", "at"}, rows)
+	return e.Table([]string{"version", "editor", "edit", "at"}, rows)
 }
 
-func watch(e *env, url, name string) error {
+func watch(e *command.Env, url, name string) error {
 	ctx, stop := untilSignal()
 	defer stop()
 	client := store.NewClient(url, store.Options{})
@@ -179,7 +180,7 @@
 		if err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(e.out, "version %d by %s (edit %s)\n", doc.Version, doc.Last().Editor, doc.Last().ID)
+		_, _ = fmt.Fprintf(e.Out, "version %d by %s (edit %s)\n", doc.Version, doc.Last().Editor, doc.Last().ID)
 	}
 	return nil
 }
--- a/cli/experiment.go
+++ b/control/experiment.go
@@ -1,4 +1,4 @@
-package cli
+package control
 
 import (
 	"bytes"
@@ -9,21 +9,22 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/lotuswing/lotuswing/capacity"
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/experiment"
 )
 
 // addExperiment declares the measurement of policies in virtual time.
-func addExperiment(a *app) {
-	a.add("experiment", "Measure the policies in virtual time.", func(c *kingpin.CmdClause) func() error {
+func addExperiment(a *command.App) {
+	a.Add("experiment", "Measure the policies in virtual time.", func(c *kingpin.CmdClause) func() error {
 		quick := c.Flag("quick", "a smaller matrix, within 20 s").Bool()
 		dir := c.Flag("out", "also write tables and plots to this directory").String()
 		what := c.Arg("what", "policies, or capacity for the slopes of docs/CAPACITY.md").Default("policies").Enum("policies", "capacity")
 		page := c.Flag("page", "with capacity: a page whose tables are rewritten").String()
 		return func() error {
 			if *what == "capacity" {
-				return measureCapacity(a.env, *page)
+				return measureCapacity(a.Env, *page)
 			}
-			return runExperiment(a.env, *quick, *dir)
+			return runExperiment(a.Env, *quick, *dir)
 		}
 	})
 }
@@ -34,13 +35,13 @@
 	tablesEnd   = "<!-- end of tables -->\n"
 )
 
-func measureCapacity(e *env, page string) error {
+func measureCapacity(e *command.Env, page string) error {
 	var tables bytes.Buffer
 	if err := capacity.WriteMarkdown(&tables, capacity.Measure()); err != nil {
 		return err
 	}
 	if page == "" {
-		_, err := e.out.Write(tables.Bytes())
+		_, err := e.Out.Write(tables.Bytes())
 		return err
 	}
 	raw, err := os.ReadFile(page)
@@ -59,7 +60,7 @@
 	return nil
 }
 
-func runExperiment(e *env, quick bool, dir string) error {
+func runExperiment(e *command.Env, quick bool, dir string) error {
 	size := experiment.Full
 	if quick {
 		size = experiment.Quick
@@ -70,14 +71,14 @@
 			return err
 		}
 	}
-	if e.format == "json" {
-		return experiment.WriteJSON(e.out, results)
+	if e.Format == "json" {
+		return experiment.WriteJSON(e.Out, results)
 	}
-	if err := experiment.WriteTable(e.out, results); err != nil {
+	if err := experiment.WriteTable(e.Out, results); err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintln(e.out)
-	return experiment.WriteComparison(e.out, results)
+	_, _ = fmt.Fprintln(e.Out)
+	return experiment.WriteComparison(e.Out, results)
 }
 
 func writeResults(dir string, results []experiment.Result) error {
--- a/cli/soak.go
+++ b/control/soak.go
@@ -1,4 +1,4 @@
-package cli
+package control
 
 import (
 	"fmt"
@@ -8,12 +8,13 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/soak"
 )
 
 // addSoak declares the command that runs a fault soak.
-func addSoak(a *app) {
-	a.add("soak", "Run balancers as processes under faults and check the product's promises: exit 1 where one is broken.", func(c *kingpin.CmdClause) func() error {
+func addSoak(a *command.App) {
+	a.Add("soak", "Run balancers as processes under faults and check the product's promises: exit 1 where one is broken.", func(c *kingpin.CmdClause) func() error {
 		cfg := soak.Config{Timed: true}
 		c.Flag("seed", "seed of the faults; 0 for a fresh one").Uint64Var(&cfg.Seed)
 		c.Flag("for", "how long faults go on").Default("20s").DurationVar(&cfg.For)
@@ -22,14 +23,14 @@
 		c.Flag("gap", "mean pause between two faults").Default("300ms").DurationVar(&cfg.Gap)
 		c.Flag("keep", "folder for the logs of all processes").StringVar(&cfg.Keep)
 		binary := c.Flag("binary", "the balancer's program").Default("target/lotuswing").ExistingFile()
-		return func() error { return runSoak(a.env, cfg, *binary) }
+		return func() error { return runSoak(a.Env, cfg, *binary) }
 	})
 }
 
-func runSoak(e *env, cfg soak.Config, binary string) error {
-	log, err := e.logger("soak")
+func runSoak(e *command.Env, cfg soak.Config, binary string) error {
+	log, err := e.Logger("soak")
 	if err != nil {
-		return exitError{exitUsage, err}
+		return command.ExitError{Code: command.ExitUsage, Err: err}
 	}
 	cfg.Log = log
 	if cfg.Seed == 0 {
@@ -48,10 +49,10 @@
 	if err != nil {
 		return err
 	}
-	return e.printSoak(result)
+	return printSoak(e, result)
 }
 
-func (e *env) printSoak(r soak.Result) error {
+func printSoak(e *command.Env, r soak.Result) error {
 	var rows [][]string
 	for status, n := range r.Statuses {
 		rows = append(rows, []string{"status", fmt.Sprint(status), fmt.Sprint(n)})
@@ -60,15 +61,15 @@
 		rows = append(rows, []string{"fault", kind, fmt.Sprint(n)})
 	}
 	slices.SortFunc(rows, slices.Compare[[]string])
-	if err := e.table([]string{"what", "kind", "count"}, rows); err != nil {
+	if err := e.Table([]string{"what", "kind", "count"}, rows); err != nil {
 		return err
 	}
 	for _, v := range r.Violations {
-		_, _ = fmt.Fprintln(e.out, v)
+		_, _ = fmt.Fprintln(e.Out, v)
 	}
-	_, _ = fmt.Fprintf(e.out, "seed %d, requests %d, violations: %d\n", r.Seed, r.Requests, len(r.Violations))
+	_, _ = fmt.Fprintf(e.Out, "seed %d, requests %d, violations: %d\n", r.Seed, r.Requests, len(r.Violations))
 	if len(r.Violations) > 0 {
-		return exitError{exitFailed, fmt.Errorf("soak: %d promises broken with seed %d", len(r.Violations), r.Seed)}
+		return command.ExitError{Code: command.ExitFailed, Err: fmt.Errorf("soak: %d promises broken with seed %d", len(r.Violations), r.Seed)}
 	}
 	return nil
 }
--- a/cli/standins.go
+++ b/control/standins.go
@@ -1,4 +1,4 @@
-package cli
+package control
 
 import (
 	"errors"
@@ -7,17 +7,18 @@
 	"net/http"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/standin"
 )
 
 // addStandins declares the stand-ins of what surrounds the balancers.
-func addStandins(a *app) {
-	parent := a.kingpin.Command("standin", "Run a stand-in of the platform's store or of an endpoint.")
-	a.sub(parent, "store", "The key-value service and the list of VMs.", func(c *kingpin.CmdClause) func() error {
+func addStandins(a *command.App) {
+	parent := a.Group("standin", "Run a stand-in of the platform's store or of an endpoint.")
+	a.Sub(parent, "store", "The key-value service and the list of VMs.", func(c *kingpin.CmdClause) func() error {
 		addr := c.Flag("listen", "address").Required().String()
-		return func() error { return serveUntilSignal(a.env, *addr, standin.NewStore(standin.StoreOptions{})) }
+		return func() error { return serveUntilSignal(a.Env, *addr, standin.NewStore(standin.StoreOptions{})) }
 	})
-	a.sub(parent, "endpoint", "A server behind the balancer.", func(c *kingpin.CmdClause) func() error {
+	a.Sub(parent, "endpoint", "A server behind the balancer.", func(c *kingpin.CmdClause) func() error {
 		var opts standin.EndpointOptions
 		addr := c.Flag("listen", "address").Required().String()
 		c.Flag("slots", "requests served at a time").Default("3").IntVar(&opts.Slots)
@@ -26,11 +27,11 @@
 		c.Flag("spread", "of the logarithm of service times").Default("0").Float64Var(&opts.Spread)
 		c.Flag("cold-for", "how long it reports to be cold").DurationVar(&opts.ColdFor)
 		c.Flag("probe-time", "time of a probe").Default("6ms").DurationVar(&opts.ProbeTime)
-		return func() error { return serveUntilSignal(a.env, *addr, standin.NewEndpoint(opts)) }
+		return func() error { return serveUntilSignal(a.Env, *addr, standin.NewEndpoint(opts)) }
 	})
 }
 
-func serveUntilSignal(e *env, addr string, h http.Handler) error {
+func serveUntilSignal(e *command.Env, addr string, h http.Handler) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("standin: %w", err)
@@ -42,7 +43,7 @@
 		<-ctx.Done()
 		_ = srv.Close()
 	}()
-	_, _ = fmt.Fprintf(e.out, "listening on %s\n", l.Addr())
+	_, _ = fmt.Fprintf(e.Out, "listening on %s\n", l.Addr())
 	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("standin: %w", err)
 	}
--- a/cli/status.go
+++ b/control/status.go
@@ -1,4 +1,4 @@
-package cli
+package control
 
 import (
 	"encoding/json"
@@ -9,18 +9,19 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/server"
 )
 
 // addStatus declares the command that shows a balancer's account.
-func addStatus(a *app) {
-	a.add("status", "Show a balancer's endpoints, contracts, queues, versions and measuring.", func(c *kingpin.CmdClause) func() error {
+func addStatus(a *command.App) {
+	a.Add("status", "Show a balancer's endpoints, contracts, queues, versions and measuring.", func(c *kingpin.CmdClause) func() error {
 		addr := c.Flag("balancer", "admin address of a balancer").Required().String()
-		return func() error { return status(a.env, *addr) }
+		return func() error { return status(a.Env, *addr) }
 	})
 }
 
-func status(e *env, addr string) error {
+func status(e *command.Env, addr string) error {
 	client := &http.Client{Timeout: readHeaderTimeout}
 	resp, err := client.Get("http://" + addr + "/status")
 	if err != nil {
@@ -31,14 +32,14 @@
 	if err := json.NewDecoder(resp.Body).Decode(&st); err != nil {
 		return fmt.Errorf("status: %w", err)
 	}
-	if e.format == "json" {
-		return e.json(st)
+	if e.Format == "json" {
+		return e.JSON(st)
 	}
 	return printStatus(e, st)
 }
 
-func printStatus(e *env, st server.Status) error {
-	_, _ = fmt.Fprintf(e.out, "balancer %s in %s: ready %v %s\nin flight %d, contracts held %d, members %v\nversions %v rejected %v\nleaving %v\n\n",
+func printStatus(e *command.Env, st server.Status) error {
+	_, _ = fmt.Fprintf(e.Out, "balancer %s in %s: ready %v %s\nin flight %d, contracts held %d, members %v\nversions %v rejected %v\nleaving %v\n\n",
 		st.ID, st.Zone, st.Ready, st.Why, st.InFlight, st.Held, st.Members, st.Versions, st.Rejected, st.Leaving)
 	var rows [][]string
 	for _, service := range sortedServices(st) {
@@ -49,7 +50,7 @@
 			})
 		}
 	}
-	if err := e.table([]string{"service", "vm", "addr", "zone", "state", "in flight", "capacity", "slowness"}, rows); err != nil {
+	if err := e.Table([]string{"service", "vm", "addr", "zone", "state", "in flight", "capacity", "slowness"}, rows); err != nil {
 		return err
 	}
 	var queues, measuring [][]string
@@ -58,8 +59,8 @@
 		queues = append(queues, []string{service, home, strconv.Itoa(q.Waiting["interactive"]), strconv.Itoa(q.Waiting["patient"])})
 	}
 	sort.Slice(queues, func(i, j int) bool { return queues[i][0] < queues[j][0] })
-	_, _ = fmt.Fprintln(e.out)
-	if err := e.table([]string{"service", "home", "interactive waiting", "patient waiting"}, queues); err != nil {
+	_, _ = fmt.Fprintln(e.Out)
+	if err := e.Table([]string{"service", "home", "interactive waiting", "patient waiting"}, queues); err != nil {
 		return err
 	}
 	for _, m := range st.Measuring {
@@ -68,8 +69,8 @@
 			m.Spent.Round(time.Millisecond).String(), m.Allowed.String(),
 		})
 	}
-	_, _ = fmt.Fprintln(e.out)
-	return e.table([]string{"tenant", "measures", "probes", "spent", "allowed in 1s"}, measuring)
+	_, _ = fmt.Fprintln(e.Out)
+	return e.Table([]string{"tenant", "measures", "probes", "spent", "allowed in 1s"}, measuring)
 }
 
 func sortedServices(st server.Status) []string {
--- a/cli/trace.go
+++ b/control/trace.go
@@ -1,4 +1,4 @@
-package cli
+package control
 
 import (
 	"errors"
@@ -8,26 +8,27 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/logread"
 )
 
 // addTrace declares the command that finds a request in logs.
-func addTrace(a *app) {
-	a.add("trace", "Print what the logs of balancers say of one request, and what the balancers believed meanwhile.", func(c *kingpin.CmdClause) func() error {
+func addTrace(a *command.App) {
+	a.Add("trace", "Print what the logs of balancers say of one request, and what the balancers believed meanwhile.", func(c *kingpin.CmdClause) func() error {
 		request := c.Flag("request", "identity of the request").Required().String()
 		before := c.Flag("before", "how long before the request other lines are told").Default("10s").Duration()
 		files := c.Arg("file", "logs of one or more balancers").Required().Strings()
-		return func() error { return trace(a.env, *request, *before, *files) }
+		return func() error { return trace(a.Env, *request, *before, *files) }
 	})
 }
 
-func trace(e *env, request string, before time.Duration, files []string) (err error) {
+func trace(e *command.Env, request string, before time.Duration, files []string) (err error) {
 	var sources []logread.Source
 	for _, file := range files {
 		f, openErr := os.Open(file)
 		if openErr != nil {
-			return exitError{exitUsage, fmt.Errorf("trace: %w", openErr)}
+			return command.ExitError{Code: command.ExitUsage, Err: fmt.Errorf("trace: %w", openErr)}
 		}
 		defer func() { err = errors.Join(err, f.Close()) }()
 		sources = append(sources, logread.Source{Name: file, Log: f})
@@ -37,10 +38,10 @@
 		return fmt.Errorf("trace: %w", err)
 	}
 	if len(parts) == 0 {
-		return exitError{exitFailed, fmt.Errorf("trace: no line names request %q; it was left out as a success under load, or another balancer had it", request)}
+		return command.ExitError{Code: command.ExitFailed, Err: fmt.Errorf("trace: no line names request %q; it was left out as a success under load, or another balancer had it", request)}
 	}
 	for _, p := range parts {
-		writePart(e.out, p)
+		writePart(e.Out, p)
 	}
 	return nil
 }
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -153,6 +153,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer f.prune(now)
 	k, ok := f.endpoints[g.Endpoint.VM]
 	if !ok {
 		return
@@ -199,3 +200,23 @@
 	}
 	return key
 }
+
+// prune drops the states of endpoints that the directory does not list any more
+// and that hold no request; f.mu is held.
+func (f *Fleet) prune(now time.Time) {
+	if now.Sub(f.pruned) < f.opts.PruneEvery {
+		return
+	}
+	f.pruned = now
+	listed := map[string]bool{}
+	for _, list := range f.cfg.Directory.Snapshot().Endpoints {
+		for _, e := range list {
+			listed[e.VM] = true
+		}
+	}
+	for id, k := range f.endpoints {
+		if !listed[id] && k.load.InFlight() == 0 {
+			delete(f.endpoints, id)
+		}
+	}
+}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -68,6 +68,7 @@
 	RefuseAfter    time.Duration // the same for a kind without a target; default 200 ms
 	LookAgain      time.Duration // pause between two looks for a place; default 10 ms
 	ComeBackShare  float64       // part of the target after which a refused caller may ask again; default 0.25
+	PruneEvery     time.Duration // between two looks for endpoints that are gone; default 1 min
 	ProbeLimit     time.Duration // after which a probe is given up; default 250 ms
 }
 
@@ -88,6 +89,7 @@
 	o.RefuseAfter = cmp.Or(o.RefuseAfter, 200*time.Millisecond)
 	o.LookAgain = cmp.Or(o.LookAgain, 10*time.Millisecond)
 	o.ComeBackShare = cmp.Or(o.ComeBackShare, 0.25)
+	o.PruneEvery = cmp.Or(o.PruneEvery, time.Minute)
 	o.ProbeLimit = cmp.Or(o.ProbeLimit, 250*time.Millisecond)
 	return o
 }
@@ -102,6 +104,7 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint // by identity
+	pruned    time.Time            // when the states of gone endpoints were last dropped
 	work      map[string]workload  // by request kind
 	crowds    map[string]crowding  // by service
 	rng       *rand.Rand
@@ -231,6 +234,13 @@
 	}
 }
 
+// Remembered returns of how many endpoints something is remembered.
+func (f *Fleet) Remembered() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.endpoints)
+}
+
 // Leave hands duties for other balancers over, where there are any.
 func (f *Fleet) Leave(ctx context.Context) {
 	if f.cfg.Handover != nil {
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -326,3 +326,20 @@
 		})
 	}
 }
+
+// TestGoneEndpointsAreForgotten once they hold no request.
+func TestGoneEndpointsAreForgotten(t *testing.T) {
+	r := newRig(3, direct.Options{PruneEvery: time.Nanosecond})
+	held, refused := r.Acquire(context.Background(), ask())
+	assert.Assert(t, refused == nil)
+	other, refused := r.Acquire(context.Background(), node.Ask{ID: "b", Service: "t/s", Avoid: []string{held.Endpoint.VM}, Target: time.Hour, Deadline: time.Now().Add(time.Hour), Accepted: time.Now()})
+	assert.Assert(t, refused == nil)
+	r.directory.Apply(directory.Changes{At: 9, Entries: []directory.Entry{{
+		Endpoint: directory.Endpoint{Endpoint: contract.Endpoint{VM: "new", Slots: 3}, Service: "s"}, Revision: 9,
+	}}, Whole: true}, time.Now().Add(-time.Hour))
+	r.directory.Apply(directory.Changes{At: 10}, time.Now())
+	r.Complete(other, node.Ending{Outcome: contract.Completed, Took: time.Millisecond})
+	assert.Equal(t, r.Remembered(), 1, "the endpoint that still holds a request")
+	r.Complete(held, node.Ending{Outcome: contract.Completed, Took: time.Millisecond})
+	assert.Equal(t, r.Remembered(), 0)
+}
--- a/relay/packer.go
+++ b/relay/packer.go
@@ -15,6 +15,7 @@
 // changes, so the last result is kept.
 type packer struct {
 	mu     sync.Mutex
+	writer *flate.Writer // kept, because a new one takes most of a megabyte; nil until the first use
 	after  uint64
 	at     uint64
 	whole  bool
@@ -37,7 +38,7 @@
 		return p.packed, nil
 	}
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	w, err := p.writerTo(&out)
 	if err != nil {
 		return nil, fmt.Errorf("relay: pack: %w", err)
 	}
@@ -51,6 +52,17 @@
 	return p.packed, nil
 }
 
+// writerTo returns the writer, set to write to out; p.mu is held.
+func (p *packer) writerTo(out io.Writer) (*flate.Writer, error) {
+	if p.writer != nil {
+		p.writer.Reset(out)
+		return p.writer, nil
+	}
+	w, err := flate.NewWriter(out, flate.BestSpeed)
+	p.writer = w
+	return w, err
+}
+
 // unpack decodes what pack has encoded.
 func unpack(packed []byte) ([]directory.Record, error) {
 	if len(packed) == 0 {
--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/cli"
+	"github.com/lotuswing/lotuswing/control"
 	"github.com/lotuswing/lotuswing/server"
 	"github.com/lotuswing/lotuswing/standin"
 	"github.com/lotuswing/lotuswing/vm"
@@ -34,7 +35,7 @@
 	case "lotuswing":
 		os.Exit(cli.Balancer(os.Args[1:], os.Stdout, os.Stderr))
 	case "lotusctl":
-		os.Exit(cli.Control(os.Args[1:], os.Stdout, os.Stderr))
+		os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
