--- a/server/server.go
+++ b/server/server.go
@@ -289,9 +289,8 @@
 	close(s.stopping)
 	s.balancer.Stop()
 	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
-	s.fleet.Leave(ctx)
 	stop := s.cfg.Settings.Stop.Within()
-	pause.For(ctx, stop.Notice)
+	s.announce(ctx, stop.Notice)
 	limited, cancel := context.WithTimeout(ctx, stop.Limit)
 	defer cancel()
 	err = s.front.Shutdown(limited)
@@ -307,6 +306,19 @@
 	return cut, err
 }
 
+// announce hands duties over and gives the platform's balancer its notice, both
+// at the same time: the process may be killed when its grace has passed, however
+// long a store or a peer takes to answer.
+func (s *Server) announce(ctx context.Context, notice time.Duration) {
+	left := make(chan struct{})
+	go func() {
+		s.fleet.Leave(ctx)
+		close(left)
+	}()
+	pause.For(ctx, notice)
+	<-left
+}
+
 // waitSessions waits for upgraded connections, which Shutdown does not know.
 func (s *Server) waitSessions(ctx context.Context) error {
 	done := make(chan struct{})
--- /dev/null
+++ b/server/stop_test.go
@@ -0,0 +1,33 @@
+package server
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// slowFleet takes its time to hand duties over.
+type slowFleet struct {
+	fleet
+	takes time.Duration
+}
+
+func (f slowFleet) Leave(context.Context) { time.Sleep(f.takes) }
+
+// TestHandingOverTakesNoPartOfTheGrace, and is waited for. Time is virtual.
+func TestHandingOverTakesNoPartOfTheGrace(t *testing.T) {
+	for _, c := range []struct{ takes, want time.Duration }{
+		{400 * time.Millisecond, 3 * time.Second},
+		{4 * time.Second, 4 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &Server{fleet: slowFleet{takes: c.takes}}
+			began := time.Now()
+			s.announce(context.Background(), 3*time.Second)
+			assert.Equal(t, time.Since(began), c.want)
+		})
+	}
+}
