--- a/relay/follow.go
+++ b/relay/follow.go
@@ -37,8 +37,8 @@
 	if !g.follower.Settled(time.Now()) {
 		return nil
 	}
-	g.journal.waitAfter(context.Background(), args.After, min(args.Wait, maxWait))
-	d := g.journal.since(args.After)
+	g.replica.waitAfter(context.Background(), args.After, min(args.Wait, maxWait))
+	d := g.replica.since(args.After)
 	packed, err := g.packer.pack(d)
 	if err != nil {
 		return err
@@ -60,10 +60,10 @@
 // while none of them is settled.
 func (g *Group) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, known := g.journal.revision(); known {
+		if _, known := g.replica.revision(); known {
 			break
 		}
-		g.journal.waitChange(ctx, idle)
+		g.replica.waitChange(ctx, idle)
 	}
 	started := time.Now()
 	g.starting.Store(true)
@@ -90,7 +90,7 @@
 		g.starting.Store(false)
 		g.follower.SetActive(true)
 		if g.follower.Settled(time.Now()) {
-			g.journal.waitChange(ctx, idle)
+			g.replica.waitChange(ctx, idle)
 			return
 		}
 	}
@@ -110,7 +110,7 @@
 	g.followed.Store(true)
 	if s.relay != target.Addr {
 		s.relay = target.Addr
-		revision, _ := g.journal.revision()
+		revision, _ := g.replica.revision()
 		g.cfg.Log.Info("following a relay", "relay", target.ID, "zone", target.Zone, "revision", revision)
 	}
 	if !g.isRelay(time.Now()) {
@@ -124,11 +124,11 @@
 func (g *Group) withoutRelay(ctx context.Context) {
 	if !g.starting.Load() {
 		g.follower.SetActive(true)
-		g.journal.waitChange(ctx, idle)
+		g.replica.waitChange(ctx, idle)
 		return
 	}
-	g.journal.waitChange(ctx, g.opts.StartPoll)
-	if g.starting.Load() && len(g.journal.allRelays()) == 0 {
+	g.replica.waitChange(ctx, g.opts.StartPoll)
+	if g.starting.Load() && len(g.replica.allRelays()) == 0 {
 		g.follower.Refresh(ctx)
 	}
 }
@@ -151,7 +151,7 @@
 
 // isRelay reports whether this balancer is the one that its zone asks.
 func (g *Group) isRelay(now time.Time) bool {
-	own, ok := g.journal.relay(g.cfg.Zone)
+	own, ok := g.replica.relay(g.cfg.Zone)
 	if ok {
 		return own.Addr == g.cfg.Addr
 	}
@@ -164,7 +164,7 @@
 func (g *Group) choose(now time.Time) (Relay, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	candidates := slices.DeleteFunc(g.journal.allRelays(), func(r Relay) bool {
+	candidates := slices.DeleteFunc(g.replica.allRelays(), func(r Relay) bool {
 		return r.Addr == g.cfg.Addr || now.Before(g.penalized[r.Addr])
 	})
 	if len(candidates) == 0 {
@@ -202,7 +202,7 @@
 func (g *Group) ask(ctx context.Context, r Relay) error {
 	ctx, cancel := context.WithTimeout(ctx, g.opts.Wait+g.opts.Slack)
 	defer cancel()
-	after, _ := g.journal.revision()
+	after, _ := g.replica.revision()
 	var reply ChangesReply
 	err := g.client.Call(ctx, r.Addr, methodChanges, ChangesArgs{After: after, Wait: g.opts.Wait}, &reply)
 	switch {
--- a/relay/stand.go
+++ b/relay/registration.go
@@ -17,29 +17,29 @@
 const watchedFor = 30 * time.Millisecond
 
 const (
-	// plainShare is the processor share of a VM that leaves a vacancy to others
+	// referenceCores is the processor share of a VM that leaves a vacancy to others
 	// for just the times of the options.
-	plainShare = 0.2
-	// smallestShare bounds the time that a small VM leaves it to larger ones.
-	smallestShare = 0.1
+	referenceCores = 0.2
+	// smallestCores bounds the time that a small VM leaves it to larger ones.
+	smallestCores = 0.1
 )
 
-// stand registers this balancer as its zone's relay while there is none, and
-// renews its registration, until ctx ends.
-func (g *Group) stand(ctx context.Context) {
+// maintainRegistration registers this balancer as its zone's relay while there is
+// none, and renews its registration, until ctx ends.
+func (g *Group) maintainRegistration(ctx context.Context) {
 	value, err := json.Marshal(Relay{ID: g.cfg.ID, Addr: g.cfg.Addr})
 	if err != nil {
 		g.cfg.Log.Error("no registration", "error", err)
 		return
 	}
 	for ctx.Err() == nil {
-		current, ok := g.journal.relay(g.cfg.Zone)
+		current, ok := g.replica.relay(g.cfg.Zone)
 		switch {
 		case ok && current.Addr == g.cfg.Addr:
 			g.renew(ctx, current)
 			pause.For(ctx, g.opts.TTL/renewals)
 		case ok:
-			g.journal.waitChange(ctx, g.opts.TTL)
+			g.replica.waitChange(ctx, g.opts.TTL)
 		default:
 			if g.waitVacant(ctx) {
 				g.register(ctx, value)
@@ -55,7 +55,7 @@
 		pause.For(ctx, g.opts.TTL)
 		return false
 	}
-	if !g.leaveToOthers(ctx) {
+	if !g.backOff(ctx) {
 		return false
 	}
 	if g.starting.Load() {
@@ -64,27 +64,27 @@
 	// Balancers that were blind to changes for a moment see again at the same
 	// time: each waits anew, lest all of them register then.
 	for ctx.Err() == nil && !g.starting.Load() && !g.upToDate(time.Now()) {
-		g.journal.waitChange(ctx, watchedFor)
-		if g.upToDate(time.Now()) && !g.leaveToOthers(ctx) {
+		g.replica.waitChange(ctx, watchedFor)
+		if g.upToDate(time.Now()) && !g.backOff(ctx) {
 			return false
 		}
 	}
-	_, taken := g.journal.relay(g.cfg.Zone)
+	_, taken := g.replica.relay(g.cfg.Zone)
 	return !taken && ctx.Err() == nil && !g.leaving.Load()
 }
 
-// leaveToOthers waits as long as a balancer of this size leaves a vacancy to
+// backOff waits as long as a balancer of this size leaves a vacancy to
 // others, and reports whether it still stands.
-func (g *Group) leaveToOthers(ctx context.Context) bool {
-	within := g.opts.StandWithin
-	if len(g.journal.allRelays()) > 0 {
+func (g *Group) backOff(ctx context.Context) bool {
+	within := g.opts.BackoffJitter
+	if len(g.replica.allRelays()) > 0 {
 		within *= otherRelays
 	}
-	wait := float64(g.opts.StandFirst+jitter(within)) * plainShare / max(g.cfg.Cores, smallestShare)
+	wait := float64(g.opts.BackoffBase+jitter(within)) * referenceCores / max(g.cfg.Cores, smallestCores)
 	deadline := time.Now().Add(time.Duration(wait))
 	for ctx.Err() == nil && time.Now().Before(deadline) {
-		g.journal.waitChange(ctx, time.Until(deadline))
-		if _, ok := g.journal.relay(g.cfg.Zone); ok {
+		g.replica.waitChange(ctx, time.Until(deadline))
+		if _, ok := g.replica.relay(g.cfg.Zone); ok {
 			return false
 		}
 	}
@@ -118,7 +118,7 @@
 		g.follower.SetServing(true)
 		g.follower.SetActive(true)
 	}
-	g.journal.waitRegistration(ctx, g.cfg.Zone, g.opts.TTL)
+	g.replica.waitRegistration(ctx, g.cfg.Zone, g.opts.TTL)
 }
 
 // renew extends the own registration. That it has ended is told by the store's
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -86,10 +86,10 @@
 	Wait    time.Duration // after which a relay answers though nothing changed; default 400 ms
 	Slack   time.Duration // after which an answer counts as missing; default 250 ms
 	Penalty time.Duration // for which a relay that failed is left alone; default 3 s
-	// A vacancy is left to others for StandFirst and a random part of
-	// StandWithin, and for longer by VMs with a small processor share.
-	StandFirst  time.Duration // default 300 ms
-	StandWithin time.Duration // default 1 s
+	// A vacancy is left to others for BackoffBase and a random part of
+	// BackoffJitter, and for longer by VMs with a small processor share.
+	BackoffBase   time.Duration // default 300 ms
+	BackoffJitter time.Duration // default 1 s
 	// StartWithin is how long a balancer that starts waits for a relay before it
 	// follows the store, reading it cheaply each StartPoll.
 	StartWithin time.Duration // default 2 s
@@ -118,8 +118,8 @@
 	o.Wait = cmp.Or(o.Wait, 400*time.Millisecond)
 	o.Slack = cmp.Or(o.Slack, 250*time.Millisecond)
 	o.Penalty = cmp.Or(o.Penalty, 3*time.Second)
-	o.StandFirst = cmp.Or(o.StandFirst, 300*time.Millisecond)
-	o.StandWithin = cmp.Or(o.StandWithin, time.Second)
+	o.BackoffBase = cmp.Or(o.BackoffBase, 300*time.Millisecond)
+	o.BackoffJitter = cmp.Or(o.BackoffJitter, time.Second)
 	o.StartWithin = cmp.Or(o.StartWithin, 2*time.Second)
 	o.StartPoll = cmp.Or(o.StartPoll, 400*time.Millisecond)
 	return o
@@ -152,7 +152,7 @@
 	cfg      Config
 	opts     Options
 	follower Follower
-	journal  *journal
+	replica  *replica
 	packer   *packer
 	client   *link.Client
 	server   *link.Server
@@ -174,14 +174,14 @@
 // New returns a group that does nothing before Start.
 func New(cfg Config) *Group {
 	return &Group{
-		cfg: cfg, opts: cfg.Options.withDefaults(), journal: newJournal(), packer: newPacker(),
+		cfg: cfg, opts: cfg.Options.withDefaults(), replica: newReplica(), packer: newPacker(),
 		began: time.Now(), client: link.NewClient(cfg.TLS), turn: rand.IntN(maxTurns), penalized: map[string]time.Time{},
 	}
 }
 
 // Observe takes in changes that are in force; give it to the follower.
 func (g *Group) Observe(c directory.Changes) {
-	for _, err := range g.journal.take(c, time.Now()) {
+	for _, err := range g.replica.take(c, time.Now()) {
 		g.cfg.Log.Error("registration not read", "error", err)
 	}
 }
@@ -198,7 +198,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	g.stop = stop
 	g.done.Go(func() { g.follow(ctx) })
-	g.done.Go(func() { g.stand(ctx) })
+	g.done.Go(func() { g.maintainRegistration(ctx) })
 	return nil
 }
 
@@ -209,7 +209,7 @@
 // this one stops.
 func (g *Group) Leave(ctx context.Context) {
 	g.leaving.Store(true)
-	own, ok := g.journal.relay(g.cfg.Zone)
+	own, ok := g.replica.relay(g.cfg.Zone)
 	if !ok || own.Addr != g.cfg.Addr {
 		return
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -69,7 +69,7 @@
 		ID: "vm " + m.addr, Zone: zone, Addr: m.addr, Cores: 1, Registry: m.source, Decoder: m.source, Log: log,
 		Options: relay.Options{
 			TTL: 300 * time.Millisecond, Wait: 20 * time.Millisecond, Slack: 500 * time.Millisecond,
-			Penalty: 100 * time.Millisecond, StandFirst: 10 * short, StandWithin: 40 * short,
+			Penalty: 100 * time.Millisecond, BackoffBase: 10 * short, BackoffJitter: 40 * short,
 			StartWithin: time.Second, StartPoll: 4 * short,
 		},
 	})
--- a/relay/journal.go
+++ b/relay/replica.go
@@ -15,10 +15,10 @@
 // nothing for longer is told everything.
 const goneFor = 30 * time.Second
 
-// journal is the store's content as this process knows it: the last record of
+// replica is the store's content as this process knows it: the last record of
 // each key, with the ends of keys that went lately. It is safe for concurrent
 // use.
-type journal struct {
+type replica struct {
 	mu      sync.Mutex
 	records map[string]directory.Record
 	ended   map[string]time.Time // keys that went, and when that was learnt
@@ -29,82 +29,82 @@
 	changed chan struct{}        // closed and replaced at each change
 }
 
-func newJournal() *journal {
-	return &journal{
+func newReplica() *replica {
+	return &replica{
 		records: map[string]directory.Record{}, ended: map[string]time.Time{}, relays: map[string]Relay{},
 		changed: make(chan struct{}),
 	}
 }
 
 // take notes changes and returns the registrations that could not be read.
-func (j *journal) take(c directory.Changes, now time.Time) []error {
-	j.mu.Lock()
-	defer j.mu.Unlock()
+func (rep *replica) take(c directory.Changes, now time.Time) []error {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
 	for _, r := range c.Records {
-		j.takeRecord(r, now)
+		rep.takeRecord(r, now)
 	}
 	if c.Whole {
-		j.takeAbsent(c, now)
+		rep.takeAbsent(c, now)
 	}
-	if !j.known && c.Whole {
-		j.known, j.floor = true, c.At
+	if !rep.known && c.Whole {
+		rep.known, rep.floor = true, c.At
 	}
-	j.at = max(j.at, c.At)
-	j.forget(now)
-	faults := j.takeRegistrations(c)
-	close(j.changed)
-	j.changed = make(chan struct{})
+	rep.at = max(rep.at, c.At)
+	rep.forget(now)
+	faults := rep.takeRegistrations(c)
+	close(rep.changed)
+	rep.changed = make(chan struct{})
 	return faults
 }
 
-func (j *journal) takeRecord(r directory.Record, now time.Time) {
-	if old, ok := j.records[r.Key]; ok && old.Revision >= r.Revision {
+func (rep *replica) takeRecord(r directory.Record, now time.Time) {
+	if old, ok := rep.records[r.Key]; ok && old.Revision >= r.Revision {
 		return
 	}
-	j.records[r.Key] = r
+	rep.records[r.Key] = r
 	if r.Gone {
-		j.ended[r.Key] = now
+		rep.ended[r.Key] = now
 		return
 	}
-	delete(j.ended, r.Key)
+	delete(rep.ended, r.Key)
 }
 
 // takeAbsent notes the end of what a whole reading does not name.
-func (j *journal) takeAbsent(c directory.Changes, now time.Time) {
+func (rep *replica) takeAbsent(c directory.Changes, now time.Time) {
 	named := make(map[string]bool, len(c.Records))
 	for _, r := range c.Records {
 		named[r.Key] = true
 	}
-	for key, r := range j.records {
+	for key, r := range rep.records {
 		if !named[key] && !r.Gone && r.Revision <= c.At {
-			j.takeRecord(directory.Record{Key: key, Revision: c.At, Gone: true}, now)
+			rep.takeRecord(directory.Record{Key: key, Revision: c.At, Gone: true}, now)
 		}
 	}
 }
 
 // forget drops the ends of keys that went long ago.
-func (j *journal) forget(now time.Time) {
-	for key, at := range j.ended {
+func (rep *replica) forget(now time.Time) {
+	for key, at := range rep.ended {
 		if now.Sub(at) > goneFor {
-			j.floor = max(j.floor, j.records[key].Revision)
-			delete(j.records, key)
-			delete(j.ended, key)
+			rep.floor = max(rep.floor, rep.records[key].Revision)
+			delete(rep.records, key)
+			delete(rep.ended, key)
 		}
 	}
 }
 
 // takeRegistrations keeps the list of relays.
-func (j *journal) takeRegistrations(c directory.Changes) (faults []error) {
-	if c.Whole && c.At >= j.at {
-		clear(j.relays)
+func (rep *replica) takeRegistrations(c directory.Changes) (faults []error) {
+	if c.Whole && c.At >= rep.at {
+		clear(rep.relays)
 	}
 	for _, r := range c.Registrations {
 		zone, ok := strings.CutPrefix(r.Key, namePrefix)
 		switch {
-		case !ok || r.Revision < j.relays[zone].revision:
+		case !ok || r.Revision < rep.relays[zone].revision:
 			continue
 		case r.Gone:
-			j.relays[zone] = Relay{revision: r.Revision}
+			rep.relays[zone] = Relay{revision: r.Revision}
 			continue
 		}
 		relay, err := parseRelay(r)
@@ -112,25 +112,25 @@
 			faults = append(faults, err)
 			continue
 		}
-		j.relays[zone] = relay
+		rep.relays[zone] = relay
 	}
 	return faults
 }
 
 // relay returns the relay of a zone.
-func (j *journal) relay(zone string) (Relay, bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	r, ok := j.relays[zone]
+func (rep *replica) relay(zone string) (Relay, bool) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	r, ok := rep.relays[zone]
 	return r, ok && r.Addr != ""
 }
 
 // allRelays returns the relays of all zones, in the order of the zones.
-func (j *journal) allRelays() []Relay {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	all := make([]Relay, 0, len(j.relays))
-	for _, r := range j.relays {
+func (rep *replica) allRelays() []Relay {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	all := make([]Relay, 0, len(rep.relays))
+	for _, r := range rep.relays {
 		if r.Addr != "" {
 			all = append(all, r)
 		}
@@ -148,17 +148,17 @@
 }
 
 // since returns what changed after a revision, in the order of revisions.
-func (j *journal) since(after uint64) delta {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	d := delta{after: after, at: j.at}
-	if after >= j.at {
+func (rep *replica) since(after uint64) delta {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	d := delta{after: after, at: rep.at}
+	if after >= rep.at {
 		return d
 	}
-	if after < j.floor {
+	if after < rep.floor {
 		d.after, d.whole = 0, true
 	}
-	for _, r := range j.records {
+	for _, r := range rep.records {
 		if r.Revision > d.after && !(d.whole && r.Gone) {
 			d.records = append(d.records, r)
 		}
@@ -169,20 +169,20 @@
 
 // revision returns the revision up to which all is known, and whether anything
 // is.
-func (j *journal) revision() (uint64, bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.at, j.known
+func (rep *replica) revision() (uint64, bool) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.at, rep.known
 }
 
 // waitAfter waits for changes beyond a revision, at most as long as limit.
-func (j *journal) waitAfter(ctx context.Context, after uint64, limit time.Duration) {
+func (rep *replica) waitAfter(ctx context.Context, after uint64, limit time.Duration) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
-		j.mu.Lock()
-		changed, news := j.changed, j.at > after
-		j.mu.Unlock()
+		rep.mu.Lock()
+		changed, news := rep.changed, rep.at > after
+		rep.mu.Unlock()
 		if news {
 			return
 		}
@@ -197,10 +197,10 @@
 }
 
 // waitChange waits until anything is taken in, at most as long as limit.
-func (j *journal) waitChange(ctx context.Context, limit time.Duration) {
-	j.mu.Lock()
-	changed := j.changed
-	j.mu.Unlock()
+func (rep *replica) waitChange(ctx context.Context, limit time.Duration) {
+	rep.mu.Lock()
+	changed := rep.changed
+	rep.mu.Unlock()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -211,12 +211,12 @@
 }
 
 // waitRegistration waits until a zone has a relay, at most as long as limit.
-func (j *journal) waitRegistration(ctx context.Context, zone string, limit time.Duration) {
+func (rep *replica) waitRegistration(ctx context.Context, zone string, limit time.Duration) {
 	deadline := time.Now().Add(limit)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
-		if _, ok := j.relay(zone); ok {
+		if _, ok := rep.relay(zone); ok {
 			return
 		}
-		j.waitChange(ctx, time.Until(deadline))
+		rep.waitChange(ctx, time.Until(deadline))
 	}
 }
--- a/relay/journal_test.go
+++ b/relay/replica_test.go
@@ -12,10 +12,10 @@
 
 var start = time.Unix(1000, 0)
 
-// live returns the content that a journal holds.
-func (j *journal) live() map[string]string {
+// live returns the content that a replica holds.
+func (rep *replica) live() map[string]string {
 	content := map[string]string{}
-	for key, r := range j.records {
+	for key, r := range rep.records {
 		if !r.Gone {
 			content[key] = string(r.Value)
 		}
@@ -65,7 +65,7 @@
 func TestReplicaHasWhatTheRelayHas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &storeModel{revision: 1, records: map[string]directory.Record{}}
-		relay, replica := newJournal(), newJournal()
+		relay, replica := newReplica(), newReplica()
 		now := start
 		relay.take(s.whole(), now)
 		replica.take(s.whole(), now)
@@ -95,36 +95,36 @@
 
 // TestLateRecordChangesNothing, and nothing is told to one who knows it all.
 func TestLateRecordChangesNothing(t *testing.T) {
-	j := newJournal()
-	j.take(directory.Changes{Whole: true, At: 3, Records: []directory.Record{{Key: "a", Revision: 3, Value: []byte("new")}}}, start)
-	j.take(directory.Changes{At: 2, Records: []directory.Record{{Key: "a", Revision: 2, Value: []byte("old")}}}, start)
-	assert.DeepEqual(t, j.live(), map[string]string{"a": "new"})
-	assert.Equal(t, len(j.since(3).records), 0)
-	assert.Equal(t, j.since(3).at, uint64(3))
-	assert.Assert(t, j.since(2).whole, "what happened before the first reading is not known")
+	rep := newReplica()
+	rep.take(directory.Changes{Whole: true, At: 3, Records: []directory.Record{{Key: "a", Revision: 3, Value: []byte("new")}}}, start)
+	rep.take(directory.Changes{At: 2, Records: []directory.Record{{Key: "a", Revision: 2, Value: []byte("old")}}}, start)
+	assert.DeepEqual(t, rep.live(), map[string]string{"a": "new"})
+	assert.Equal(t, len(rep.since(3).records), 0)
+	assert.Equal(t, rep.since(3).at, uint64(3))
+	assert.Assert(t, rep.since(2).whole, "what happened before the first reading is not known")
 }
 
 // TestRelaysFollowTheirRegistrations.
 func TestRelaysFollowTheirRegistrations(t *testing.T) {
-	j := newJournal()
+	rep := newReplica()
 	registration := func(zone, addr string, revision uint64) directory.Record {
 		return directory.Record{Key: "relays/" + zone, Value: []byte(fmt.Sprintf(`{"id":"vm","addr":%q}`, addr)), Revision: revision, Lease: 7}
 	}
 	take := func(whole bool, at uint64, list ...directory.Record) []error {
-		return j.take(directory.Changes{Registrations: list, At: at, Whole: whole}, start)
+		return rep.take(directory.Changes{Registrations: list, At: at, Whole: whole}, start)
 	}
 	assert.Equal(t, len(take(true, 2, registration("medina", "10.0.0.1:1", 2))), 0)
-	r, ok := j.relay("medina")
+	r, ok := rep.relay("medina")
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, []any{r.Addr, r.Zone, r.lease}, []any{"10.0.0.1:1", "medina", uint64(7)})
 	take(false, 5, directory.Record{Key: "relays/medina", Revision: 5, Gone: true}, registration("tribunal", "10.0.0.2:1", 4))
 	take(false, 5, registration("medina", "10.0.0.1:1", 3)) // late
-	_, ok = j.relay("medina")
+	_, ok = rep.relay("medina")
 	assert.Assert(t, !ok)
-	assert.Equal(t, len(j.allRelays()), 1)
+	assert.Equal(t, len(rep.allRelays()), 1)
 	assert.Equal(t, len(take(false, 6, directory.Record{Key: "relays/medina", Value: []byte("no json"), Revision: 6})), 1)
 	take(true, 9)
-	assert.Equal(t, len(j.allRelays()), 0, "a whole reading names all there are")
+	assert.Equal(t, len(rep.allRelays()), 0, "a whole reading names all there are")
 }
 
 // TestSameChangesArePackedOnce for all who ask for them.
