--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -144,3 +144,18 @@
 	_, err = unpack([]byte("neither"))
 	assert.ErrorContains(t, err, "unpack")
 }
+
+// TestForgottenEndsAreTold: one who has not heard for so long that ends of keys
+// were forgotten meanwhile is told everything.
+func TestForgottenEndsAreTold(t *testing.T) {
+	rep := newReplica()
+	rep.take(directory.Changes{Whole: true, At: 5, Records: []directory.Record{{Key: "a", Revision: 4}, {Key: "b", Revision: 5}}}, start)
+	rep.take(directory.Changes{At: 7, Records: []directory.Record{{Key: "a", Revision: 7, Gone: true}}}, start)
+	assert.Assert(t, !rep.since(6).whole)
+	assert.Equal(t, len(rep.since(6).records), 1, "the end of a")
+	rep.take(directory.Changes{At: 8, Records: []directory.Record{{Key: "c", Revision: 8}}}, start.Add(2*goneFor))
+	late := rep.since(6)
+	assert.Assert(t, late.whole)
+	assert.Equal(t, len(late.records), 2, "b and c")
+	assert.Assert(t, !rep.since(7).whole, "knows of the end")
+}
