One wait for a registration instead of two

backOff had the loop of waitRegistration a second time: the latter now says whether the zone has a relay, and the former asks it. A line of a package comment is wrapped.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -9,8 +9,8 @@
 // never goes back within the life of a process, and an endpoint that has said
 // that it leaves, or whose entry has gone, never comes back under the same
 // identity as draining; only an entry that went while more than three quarters of
-// its service's entries went is kept as a last resort for some seconds, because then it is the
-// store that lost them.
+// its service's entries went is kept as a last resort for some seconds, because
+// then it is the store that lost them.
 //
 // # Usage
 //
--- a/relay/registration.go
+++ b/relay/registration.go
@@ -81,14 +81,7 @@
 		within *= otherRelays
 	}
 	wait := float64(g.opts.BackoffBase+jitter(within)) * referenceCores / max(g.cfg.Cores, smallestCores)
-	deadline := time.Now().Add(time.Duration(wait))
-	for ctx.Err() == nil && time.Now().Before(deadline) {
-		g.replica.waitChange(ctx, time.Until(deadline))
-		if _, ok := g.replica.relay(g.cfg.Zone); ok {
-			return false
-		}
-	}
-	return ctx.Err() == nil
+	return !g.replica.waitRegistration(ctx, g.cfg.Zone, time.Duration(wait)) && ctx.Err() == nil
 }
 
 // otherRelays lengthens the wait while relays of other zones serve meanwhile:
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -210,12 +210,16 @@
 	}
 }
 
-// waitRegistration waits until a zone has a relay, at most as long as limit.
-func (rep *replica) waitRegistration(ctx context.Context, zone string, limit time.Duration) {
+// waitRegistration waits until a zone has a relay, at most as long as limit, and
+// reports whether it has one.
+func (rep *replica) waitRegistration(ctx context.Context, zone string, limit time.Duration) bool {
 	deadline := time.Now().Add(limit)
-	for ctx.Err() == nil && time.Now().Before(deadline) {
+	for {
 		if _, ok := rep.relay(zone); ok {
-			return
+			return true
+		}
+		if ctx.Err() != nil || !time.Now().Before(deadline) {
+			return false
 		}
 		rep.waitChange(ctx, time.Until(deadline))
 	}
