Requests behind others on a connection are served at once

Cause: net/http reads a connection's next request when the last one has its response.

Ruled out: a reader of our own over http.ReadRequest, which would have to write responses as net/http does (chunks, dates, sniffed types, 100-continue, limits); a second http.Server for all requests, which costs a lone request a connection object.

Change: package pipeline, a layer under net/http. A simple request (GET or HEAD without body) that comes while another is served goes to the same http.Server as a connection of its own; its response is written when all before it are. Everything else is left to net/http and to its turn. A request that must run once waits until all before it are answered. Of a planned stop, the last response closes a connection, so that nothing that endpoints work on is cut. Latency counts from when the request was read; behind_ms says how long a response waited for those before it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -29,6 +29,7 @@
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/retry"
+	"github.com/lotuswing/lotuswing/pipeline"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/lotuswing/lotuswing/tenant"
@@ -97,10 +98,8 @@
 	b.inFlight.Add(1)
 	defer b.inFlight.Add(-1)
 	x := newExchange(w, r, b.requestID(r), time.Now())
+	x.place = pipeline.PlaceOf(r.Context())
 	x.log = b.cfg.Requests.Begin(x.id)
-	if b.stopping.Load() && r.ProtoMajor == 1 {
-		w.Header().Set("Connection", "close") // moves the caller to another balancer
-	}
 	ctx := b.cfg.Tracing.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	defer b.finish(x) // also where a response is cut off by a panic
 	if _, err := b.chain(ctx, x); err != nil {
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -82,7 +82,7 @@
 	}
 	left := x.callerLeft()
 	x.log.Line(telemetry.EventEnded).Text("verdict", x.verdict.String()).Text("reason", string(x.reason)).
-		Int("status", int64(x.status)).Millis("took_ms", took).Millis("target_ms", target).Bool("caller_left", left).Text("message", x.message).Done()
+		Int("status", int64(x.status)).Millis("took_ms", took).Millis("target_ms", target).Millis("behind_ms", x.behind).Bool("caller_left", left).Text("message", x.message).Done()
 	failed := x.verdict != verdict.Ran || x.status >= http.StatusInternalServerError || left
 	late := target > 0 && took > target
 	x.log.End(failed || late, now)
--- a/balancer/exchange.go
+++ b/balancer/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/pipeline"
 	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
@@ -20,6 +21,7 @@
 	r        *http.Request
 	accepted time.Time
 	log      *telemetry.RequestLog
+	place    pipeline.Place // among the requests of its connection
 
 	// Set by route and deadline.
 	route    tenant.Route // its Kind is nil until then
@@ -27,9 +29,10 @@
 
 	// Kept by serve from attempt to attempt.
 	body       *upstream.Body
-	tried      []string  // VMs that got the request
-	mayHaveRun bool      // an attempt may have run, whatever later ones say
-	searching  time.Time // since when an endpoint is looked for
+	tried      []string      // VMs that got the request
+	mayHaveRun bool          // an attempt may have run, whatever later ones say
+	searching  time.Time     // since when an endpoint is looked for
+	behind     time.Duration // how long it has waited for those before it on its connection
 
 	// What the caller is told.
 	verdict verdict.Verdict
--- a/balancer/forward.go
+++ b/balancer/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/lotuswing/lotuswing/coord/verdict"
 	"github.com/lotuswing/lotuswing/upstream"
@@ -23,9 +24,35 @@
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
 
+// takeTurn waits until the requests before this one on its connection have their
+// responses.
+func (x *exchange) takeTurn() error {
+	began := time.Now()
+	if err := x.place.Wait(); err != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	x.behind += time.Since(began)
+	return nil
+}
+
+// beginResponse waits for the turn of the request. In a planned stop the last response
+// on a connection closes it, which moves the caller to another balancer.
+func (b *Balancer) beginResponse(x *exchange) error {
+	if err := x.takeTurn(); err != nil {
+		return err
+	}
+	if b.stopping.Load() && x.r.ProtoMajor == 1 && x.place.Last() {
+		x.w.Header().Set("Connection", "close")
+	}
+	return nil
+}
+
 // forward passes a response on as it arrives.
 func (b *Balancer) forward(x *exchange, res *upstream.Result) error {
 	defer res.Close()
+	if err := b.beginResponse(x); err != nil {
+		return err
+	}
 	response := res.Response
 	h := x.w.Header()
 	removeHopHeaders(response.Header)
--- /dev/null
+++ b/balancer/pipelined_test.go
@@ -0,0 +1,166 @@
+package balancer_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/balancer"
+	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/pipeline"
+	"github.com/lotuswing/lotuswing/platform"
+	"github.com/lotuswing/lotuswing/settings"
+	"github.com/lotuswing/lotuswing/telemetry"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+)
+
+// lockedBuffer takes lines of several requests at once.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write appends to the buffer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns what was written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// pipelinedBench is a balancer that reads ahead, in front of an endpoint that works on
+// a path until it is told to answer.
+type pipelinedBench struct {
+	balancer *balancer.Balancer
+	server   *pipeline.Server
+	log      lockedBuffer
+	reached  chan string
+	release  map[string]chan struct{}
+	conn     net.Conn
+	in       *bufio.Reader
+}
+
+func newPipelinedBench(t *testing.T, held ...string) *pipelinedBench {
+	t.Helper()
+	b := &pipelinedBench{reached: make(chan string, 10), release: map[string]chan struct{}{}}
+	for _, p := range held {
+		b.release[p] = make(chan struct{})
+	}
+	endpoint := httptest.NewServer(http.HandlerFunc(b.work))
+	t.Cleanup(endpoint.Close)
+	chooser := newPrefixChooser()
+	chooser.endpoints = []placement.Endpoint{{VM: "e0", Addr: endpoint.Listener.Addr().String()}}
+	tracing, err := telemetry.NewTracing("none", io.Discard)
+	assert.NilError(t, err)
+	b.balancer = balancer.New(balancer.Config{
+		Chooser: chooser, Limits: settings.Limits{BodyBytes: 1 << 20, ReplayBytes: 1 << 14}, Log: hclog.NewNullLogger(),
+		Metrics: metrics.NewRegistry(), Tracing: tracing, Requests: telemetry.NewRequestLogger(&b.log, 1000),
+		Policy: platform.Policy(settings.Retries{}),
+	})
+	b.server = pipeline.New(&http.Server{Handler: b.balancer})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = b.server.Serve(l) }() // ends with the test
+	t.Cleanup(func() { _ = b.server.Close() })
+	b.conn, err = net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = b.conn.Close() })
+	b.in = bufio.NewReader(b.conn)
+	return b
+}
+
+func (b *pipelinedBench) work(w http.ResponseWriter, r *http.Request) {
+	b.reached <- r.URL.Path
+	if held, ok := b.release[r.URL.Path]; ok {
+		<-held
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Signature", "s")
+	_, _ = io.WriteString(w, r.URL.Path) // the balancer reads it
+}
+
+func (b *pipelinedBench) get(t *testing.T, paths ...string) {
+	t.Helper()
+	var all strings.Builder
+	for _, p := range paths {
+		fmt.Fprintf(&all, "GET %s HTTP/1.1\r\nHost: desk\r\nRequest-Id: %s\r\n\r\n", p, p)
+	}
+	_, err := io.WriteString(b.conn, all.String())
+	assert.NilError(t, err)
+}
+
+func (b *pipelinedBench) answer(t *testing.T) (body string, closes bool) {
+	t.Helper()
+	r, err := http.ReadResponse(b.in, nil)
+	assert.NilError(t, err)
+	raw, err := io.ReadAll(r.Body)
+	assert.NilError(t, err)
+	return string(raw), r.Close
+}
+
+// TestRequestsBehindOthersReachEndpoints at once; the log tells how long their
+// responses waited.
+func TestRequestsBehindOthersReachEndpoints(t *testing.T) {
+	b := newPipelinedBench(t, "/safe/1")
+	b.get(t, "/safe/1", "/safe/2")
+	<-b.reached
+	<-b.reached // net/http alone would wait for the first response
+	close(b.release["/safe/1"])
+	for _, want := range []string{"/safe/1", "/safe/2"} {
+		body, closes := b.answer(t)
+		assert.Equal(t, body, want)
+		assert.Assert(t, !closes)
+	}
+	assert.NilError(t, b.server.Shutdown(context.Background()))
+	assert.Assert(t, strings.Contains(b.log.String(), "behind_ms="))
+}
+
+// TestFilingBehindOthersWaits until they are answered, before anything of it is sent.
+func TestFilingBehindOthersWaits(t *testing.T) {
+	b := newPipelinedBench(t, "/safe/1", "/safe/2")
+	b.get(t, "/safe/1", "/unsafe/1", "/safe/2")
+	first := map[string]bool{<-b.reached: true, <-b.reached: true}
+	assert.DeepEqual(t, first, map[string]bool{"/safe/1": true, "/safe/2": true})
+	close(b.release["/safe/1"])
+	assert.Equal(t, <-b.reached, "/unsafe/1")
+	close(b.release["/safe/2"])
+	for _, want := range []string{"/safe/1", "/unsafe/1", "/safe/2"} {
+		body, _ := b.answer(t)
+		assert.Equal(t, body, want)
+	}
+}
+
+// TestPlannedStopCutsNothingThatWasSent: the last response closes the connection, not
+// one with others behind it that endpoints work on.
+func TestPlannedStopCutsNothingThatWasSent(t *testing.T) {
+	b := newPipelinedBench(t, "/safe/1", "/safe/2")
+	b.get(t, "/safe/1", "/safe/2")
+	<-b.reached
+	<-b.reached
+	b.server.StopAhead()
+	b.balancer.Stop()
+	close(b.release["/safe/1"])
+	body, closes := b.answer(t)
+	assert.Equal(t, body, "/safe/1")
+	assert.Assert(t, !closes)
+	close(b.release["/safe/2"])
+	body, closes = b.answer(t)
+	assert.Equal(t, body, "/safe/2")
+	assert.Assert(t, closes)
+}
--- a/balancer/refuse.go
+++ b/balancer/refuse.go
@@ -57,6 +57,9 @@
 		panic(fmt.Sprintf("balancer: unreachable error %v", err))
 	}
 	r = r.settled(x.mayHaveRun)
+	if err := b.beginResponse(x); err != nil {
+		b.cfg.Log.Debug("nobody to answer", "id", x.id, "error", err)
+	}
 	doc := reason.MustLookup(r.reason)
 	x.verdict, x.reason, x.status, x.message = r.verdict, r.reason, doc.Status, r.message
 	h := x.w.Header()
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/upstream"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
@@ -16,6 +17,12 @@
 // allow no other attempt.
 func (b *Balancer) serve(ctx context.Context, request any) (any, error) {
 	x := request.(*exchange)
+	if !x.route.Kind.Repeatable {
+		// A response before it may yet close the connection; then it must not have begun.
+		if err := x.takeTurn(); err != nil {
+			return nil, refusal{reason: reason.CallerLeft, message: err.Error()}
+		}
+	}
 	if err := b.receive(ctx, x); err != nil {
 		return nil, err
 	}
@@ -129,10 +136,15 @@
 func (b *Balancer) passOn(x *exchange, a *attempt) error {
 	status := a.result.Response.StatusCode
 	result := placement.Result{Outcome: outcomeOf(status, false, nil), Load: loadReport(&b.cfg.Policy.Dialect, &a.result)}
-	defer func() {
+	complete := func() {
 		result.Took = time.Since(a.sent)
-		go b.cfg.Chooser.Complete(a.grant, result) // the caller's last bytes go first
-	}()
+		go b.cfg.Chooser.Complete(a.grant, result) // the caller's bytes go first
+	}
+	if a.result.Buffered {
+		complete() // its endpoint has done with it, even where it has to wait for its turn
+	} else {
+		defer complete()
+	}
 	if status == http.StatusSwitchingProtocols {
 		return b.upgrade(x, &a.result)
 	}
--- /dev/null
+++ b/pipeline/conn.go
@@ -0,0 +1,302 @@
+package pipeline
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+)
+
+// conn is a caller's connection. Towards net/http it carries the requests that are
+// not served ahead, one at a time. The request that net/http has of it stands before
+// all that are served ahead, because it gets another one only when all before that are
+// answered.
+type conn struct {
+	net.Conn
+	queue      *queue
+	writeLimit time.Duration
+	reader     reader // used by Read alone, of which net/http has one at a time
+
+	mu       sync.Mutex
+	changed  sync.Cond
+	busy     bool     // net/http serves a request of this connection itself
+	served   []*ahead // those served ahead, in order
+	ending   bool     // no other one begins ahead
+	closing  bool     // it ends when the last one served ahead has its response
+	dead     bool     // it has ended
+	deadline deadline
+
+	readEnded bool // nothing more comes from the caller
+}
+
+// deadline is what net/http has set for reading. While requests are served ahead, the
+// connection is not idle and its deadline is not in force.
+type deadline struct {
+	at      time.Time
+	span    time.Duration // from when it was set
+	aborted bool          // it was past when it was set: a read is to return
+}
+
+// longAgo is a deadline that ends a read at once.
+var longAgo = time.Unix(1, 0)
+
+// errAgain is returned by a read of the caller's connection that ended because the
+// state of the connection changed.
+var errAgain = errors.New("pipeline: connection changed during a read")
+
+func newConn(c net.Conn, q *queue, writeLimit time.Duration) *conn {
+	fc := &conn{Conn: c, queue: q, writeLimit: writeLimit}
+	fc.changed.L = &fc.mu
+	return fc
+}
+
+// isPast reports whether a deadline has passed. net/http sets one far in the past to
+// end a read.
+func isPast(t, now time.Time) bool { return !t.IsZero() && !t.After(now) }
+
+// Read reads what net/http is to read of the connection: requests, when all before
+// them are answered. Those that can be served ahead are handed to the queue instead.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.reader.read(c, p)
+		if errors.Is(err, errAgain) {
+			continue
+		}
+		return n, err
+	}
+}
+
+// receive reads from the caller.
+func (c *conn) receive(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	switch {
+	case n > 0:
+		return n, nil // an error comes again with the next read
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return 0, c.timedOut(time.Now())
+	case err != nil:
+		c.ended(errors.Is(err, io.EOF))
+	}
+	return n, err
+}
+
+// ended notes that nothing more comes from the caller. One that has only ended its own
+// direction still gets its responses.
+func (c *conn) ended(halfClosed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readEnded = true
+	c.changed.Broadcast()
+	if !halfClosed {
+		c.end()
+	}
+}
+
+// timedOut returns the error for a read whose deadline passed: errAgain where that was
+// not the deadline that net/http has set, or does not hold now.
+func (c *conn) timedOut(now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.dead:
+		return net.ErrClosed
+	case c.deadline.aborted:
+		return os.ErrDeadlineExceeded
+	case len(c.served) > 0:
+		return c.arm(time.Time{})
+	case isPast(c.deadline.at, now):
+		return os.ErrDeadlineExceeded
+	}
+	return c.arm(c.deadline.at)
+}
+
+// arm sets the connection's own deadline, for another read; c.mu is held.
+func (c *conn) arm(t time.Time) error {
+	if err := c.Conn.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return errAgain
+}
+
+// isFree reports whether net/http can be given a request.
+func (c *conn) isFree() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.busy && len(c.served) == 0
+}
+
+// isBusy reports whether net/http serves a request itself.
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
+// begin notes that net/http is given a request.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+	c.ending = c.closing
+}
+
+// hold waits until net/http can be given a request, another one can be served ahead,
+// or the read is to return.
+func (c *conn) hold() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := len(c.served)
+	for {
+		switch {
+		case c.dead:
+			return net.ErrClosed
+		case c.deadline.aborted:
+			return os.ErrDeadlineExceeded
+		case !c.busy && len(c.served) == 0, len(c.served) < before:
+			return nil
+		}
+		c.changed.Wait()
+	}
+}
+
+// serveAhead lets a request be served ahead. It returns false if there are too many
+// or no other one may begin.
+func (c *conn) serveAhead(request []byte) bool {
+	a := &ahead{conn: c, request: slices.Clone(request)}
+	c.mu.Lock()
+	if c.ending || c.dead || len(c.served) >= maxAhead {
+		c.mu.Unlock()
+		return false
+	}
+	c.served = append(c.served, a)
+	c.mu.Unlock()
+	if c.queue.push(a) {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true // the server stops
+	c.served = slices.DeleteFunc(c.served, func(o *ahead) bool { return o == a })
+	return false
+}
+
+// idle notes that net/http has served its request.
+func (c *conn) idle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+	c.advance()
+}
+
+// answered notes that a request served ahead has its response.
+func (c *conn) answered(a *ahead) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.done = true
+	c.advance()
+}
+
+// advance lets the next request write its response; c.mu is held.
+func (c *conn) advance() {
+	before := len(c.served)
+	for !c.busy && len(c.served) > 0 && c.served[0].done {
+		c.served = c.served[1:]
+	}
+	if !c.busy && len(c.served) > 0 && c.served[0].broken {
+		c.end()
+	}
+	if before > 0 && len(c.served) == 0 {
+		c.drained(time.Now())
+	}
+	c.changed.Broadcast()
+}
+
+// drained puts the connection's deadline in force when the last request served ahead
+// has its response, and lets a read look at what is left to read; c.mu is held.
+func (c *conn) drained(now time.Time) {
+	if c.closing {
+		c.end()
+		return
+	}
+	if !c.deadline.at.IsZero() && !c.deadline.aborted {
+		c.deadline.at = now.Add(c.deadline.span)
+	}
+	_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection, whose read returns anyway
+}
+
+// end ends the connection for all its requests; c.mu is held.
+func (c *conn) end() {
+	c.dead = true
+	_ = c.Conn.Close() // whatever it says, nothing is read or written any more
+	c.changed.Broadcast()
+}
+
+// writeAhead writes a part of the response of a request served ahead.
+func (c *conn) writeAhead(p []byte) (int, error) {
+	if c.writeLimit > 0 {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeLimit)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.end()
+	}
+	return n, err
+}
+
+// Close closes the connection. While it is idle towards net/http and requests are
+// served ahead, which is when the caller has ended its own direction, it ends after
+// them.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy && len(c.served) > 0 && !c.dead {
+		c.ending, c.closing = true, true
+		return nil
+	}
+	c.dead = true
+	c.changed.Broadcast()
+	return c.Conn.Close()
+}
+
+// errNoHalfClose: the connection cannot end one direction only.
+var errNoHalfClose = errors.New("pipeline: connection has no half close")
+
+// CloseWrite ends the sending direction, as upgraded sessions need.
+func (c *conn) CloseWrite() error {
+	if h, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return h.CloseWrite()
+	}
+	return errNoHalfClose
+}
+
+// SetReadDeadline sets the deadline of reads.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline{at: t, span: t.Sub(now), aborted: isPast(t, now)}
+	c.changed.Broadcast()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// wait returns at once: nothing stands before net/http's request.
+func (c *conn) wait() error { return nil }
+
+// last reports whether nothing is served behind net/http's request, and sees to it
+// that it stays so.
+func (c *conn) last() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.served) > 0 {
+		return false
+	}
+	c.ending = true
+	return true
+}
--- /dev/null
+++ b/pipeline/pipeline.go
@@ -0,0 +1,123 @@
+// Package pipeline serves the requests that a caller sends on one connection before
+// the first has its response (HTTP/1.1 pipelining) at the same time, and passes their
+// responses on in the order of the requests.
+//
+// Package net/http reads a connection's next request when the last one has its
+// response, so that a request behind a slow one waits for it. Here each connection is
+// read ahead: while a request is served, the ones behind it that are simple (a GET or
+// HEAD without a body; see frame.go) are served at once, each by the same http.Server
+// as if it had come on a connection of its own (ahead.go). What is not simple waits
+// until all before it are answered and is then read by net/http as ever, so that
+// bodies, upgrades, HTTP/1.0, HTTP/2 and everything malformed are treated as they are
+// without this package.
+//
+// The package owns the callers' connections, their read-ahead and the order of their
+// responses. It decides nothing about requests: a handler whose request must not
+// begin before those in front of it have ended asks for its Place and waits there.
+//
+// A connection ends for all its requests at once: when the caller is gone, the
+// contexts of all are cancelled, and when a response closes the connection, those
+// behind it are cut off and count as not read.
+//
+// # Usage
+//
+//	server := pipeline.New(&http.Server{Handler: h})
+//	err := server.Serve(listener)
+//
+// and in the handler:
+//
+//	place := pipeline.PlaceOf(r.Context())
+//	if err := place.Wait(); err != nil { return } // the caller is gone
+//	if stopping && place.Last() { w.Header().Set("Connection", "close") }
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxAhead is how many requests of a connection are served beside the first; more
+	// wait unread. Chosen without a measurement.
+	maxAhead = 16
+	// maxHead is how long, in bytes, a request may be that is served ahead, and how
+	// much of a connection is read ahead. One that is longer waits for its turn. It is
+	// net/http's own read buffer.
+	maxHead = 4 << 10
+)
+
+// Server is an http.Server that reads ahead.
+type Server struct {
+	*http.Server
+	ahead *queue
+}
+
+// New makes a server read ahead. It takes over the hooks ConnState and ConnContext,
+// which must not be set.
+func New(s *http.Server) *Server {
+	s.ConnState = connState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if p, ok := c.(place); ok {
+			return context.WithValue(ctx, placeKey{}, p)
+		}
+		return ctx
+	}
+	return &Server{Server: s, ahead: newQueue()}
+}
+
+// Serve serves a listener until the server is shut down or closed.
+func (s *Server) Serve(l net.Listener) error {
+	ahead := make(chan error, 1)
+	go func() { ahead <- s.Server.Serve(s.ahead) }()
+	err := s.Server.Serve(&listener{Listener: l, server: s})
+	_ = s.ahead.Close() // always nil
+	<-ahead
+	return err
+}
+
+// StopAhead lets no other request be served ahead; those that are have their
+// responses first. It is the first step of a planned stop.
+func (s *Server) StopAhead() { s.ahead.stop() }
+
+// Shutdown ends the server when all requests that were read have their responses, or
+// when ctx ends. net/http closes a connection with the next response; so those served
+// ahead are waited for before.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.ahead.stop()
+	return errors.Join(s.ahead.drain(ctx), s.Server.Shutdown(ctx))
+}
+
+// connState tells connections when net/http has ended a request.
+func connState(c net.Conn, state http.ConnState) {
+	if state != http.StateIdle {
+		return
+	}
+	switch c := c.(type) {
+	case *conn:
+		c.idle()
+	case *ahead:
+		c.conn.answered(c)
+	}
+}
+
+// listener gives the connections that it accepts their read-ahead.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept accepts a connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c, l.server.ahead, l.server.writeLimit()), nil
+}
+
+// writeLimit bounds a write for a caller that does not read its responses, while
+// others wait behind; 0 for none.
+func (s *Server) writeLimit() time.Duration { return s.IdleTimeout }
--- /dev/null
+++ b/pipeline/place.go
@@ -0,0 +1,43 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+)
+
+// ErrGone is returned to a request whose connection has ended: nobody reads its
+// response.
+var ErrGone = errors.New("pipeline: connection ended")
+
+// Place is a request's place among those of its connection. The zero value is that of
+// a request that came in another way than through this package, which has its
+// connection for itself.
+type Place struct{ place place }
+
+// place is a connection as net/http sees it.
+type place interface {
+	wait() error
+	last() bool
+}
+
+type placeKey struct{}
+
+// PlaceOf returns the place of the request with a context.
+func PlaceOf(ctx context.Context) Place {
+	p, _ := ctx.Value(placeKey{}).(place) // nil where it came in another way
+	return Place{place: p}
+}
+
+// Wait waits until all requests before this one have their responses. It returns
+// ErrGone if the connection ended before.
+func (p Place) Wait() error {
+	if p.place == nil {
+		return nil
+	}
+	return p.place.wait()
+}
+
+// Last reports whether nothing behind this request is being served. If so, nothing
+// will be: the response may close the connection, and what comes behind it is not
+// read.
+func (p Place) Last() bool { return p.place == nil || p.place.last() }
--- /dev/null
+++ b/pipeline/reader.go
@@ -0,0 +1,183 @@
+package pipeline
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+// reader splits what a caller sends into requests and decides who reads each of them:
+// net/http, or a connection of its own.
+type reader struct {
+	unread []byte  // read from the caller and not handed on; a part of *buffer
+	buffer *[]byte // of the pool; nil while nothing is unread
+	rest   int64   // of the request that net/http is reading, in bytes, or forever
+	inHead bool    // net/http is reading a request whose header has not come whole
+	head   []byte  // of it, as far as it was handed on
+	ended  bool    // nothing more comes behind what is unread
+}
+
+const (
+	// forever is the rest of a connection that net/http reads to its end.
+	forever = -1
+	// directBytes is the size of a read from which on it takes what comes without a
+	// copy.
+	directBytes = 512
+)
+
+// buffers are for what is read ahead.
+var buffers = sync.Pool{New: func() any { b := make([]byte, maxHead); return &b }}
+
+// read reads for net/http, or returns errAgain after something has changed.
+func (r *reader) read(c *conn, p []byte) (int, error) {
+	switch {
+	case r.rest != 0:
+		return r.readRest(c, p)
+	case r.inHead:
+		return r.readHead(c, p)
+	case len(r.unread) == 0 && c.isFree() && len(p) >= directBytes:
+		return r.readDirect(c, p[:min(len(p), maxHead)])
+	case len(r.unread) == 0:
+		return 0, r.fill(c)
+	case c.isFree():
+		return 0, r.begin(c)
+	}
+	return 0, r.readAhead(c)
+}
+
+// readRest reads bytes of a request whose end is known.
+func (r *reader) readRest(c *conn, p []byte) (int, error) {
+	if r.rest > 0 {
+		p = p[:min(int64(len(p)), r.rest)]
+	}
+	n, err := r.take(c, p)
+	if r.rest > 0 {
+		r.rest -= int64(n)
+	}
+	return n, err
+}
+
+// take reads what is unread, else from the caller.
+func (r *reader) take(c *conn, p []byte) (int, error) {
+	if len(r.unread) == 0 {
+		return c.receive(p)
+	}
+	n := copy(p, r.unread)
+	r.drop(n)
+	return n, nil
+}
+
+// readHead reads bytes of a request until its header is whole.
+func (r *reader) readHead(c *conn, p []byte) (int, error) {
+	if len(r.unread) == 0 {
+		if err := r.fill(c); len(r.unread) == 0 {
+			return 0, err
+		}
+	}
+	whole := append(r.head, r.unread...)
+	f := frameOf(whole)
+	switch {
+	case f.form == opaque, f.form == partial && len(whole) >= maxHead:
+		r.inHead, r.head, r.rest = false, nil, forever
+	case f.form == partial:
+		n := copy(p, r.unread)
+		r.head = append(r.head, r.unread[:n]...)
+		r.drop(n)
+		return n, nil
+	default:
+		r.rest = f.length - int64(len(r.head))
+		r.inHead, r.head = false, nil
+	}
+	return 0, errAgain
+}
+
+// readDirect reads the start of a request from the caller into net/http's buffer.
+func (r *reader) readDirect(c *conn, p []byte) (int, error) {
+	n, err := c.receive(p)
+	if n == 0 {
+		return 0, err
+	}
+	c.begin()
+	f := frameOf(p[:n])
+	switch {
+	case f.form == opaque, f.form == partial && n >= maxHead:
+		r.rest = forever
+	case f.form == partial:
+		r.inHead, r.head = true, append([]byte(nil), p[:n]...)
+	case f.length < int64(n):
+		r.keep(p[f.length:n])
+		n = int(f.length)
+	default:
+		r.rest = f.length - int64(n)
+	}
+	return n, nil
+}
+
+// begin gives net/http the request that is unread.
+func (r *reader) begin(c *conn) error {
+	c.begin()
+	f := frameOf(r.unread)
+	switch {
+	case f.form == opaque, f.form == partial && len(r.unread) >= maxHead:
+		r.rest = forever
+	case f.form == partial:
+		r.inHead = true
+	default:
+		r.rest = f.length
+	}
+	return errAgain
+}
+
+// readAhead lets the request that is unread be served ahead, or waits until it has its
+// turn.
+func (r *reader) readAhead(c *conn) error {
+	f := frameOf(r.unread)
+	switch {
+	case f.form == partial && len(r.unread) < maxHead && !r.ended:
+		return r.fill(c)
+	case f.form == simple && c.serveAhead(r.unread[:f.length]):
+		r.drop(int(f.length))
+		return errAgain
+	}
+	if err := c.hold(); err != nil {
+		return err
+	}
+	return errAgain
+}
+
+// fill reads more from the caller, to be looked at: it returns errAgain.
+func (r *reader) fill(c *conn) error {
+	if r.buffer == nil {
+		r.buffer = buffers.Get().(*[]byte)
+	}
+	kept := copy(*r.buffer, r.unread)
+	r.unread = (*r.buffer)[:kept]
+	n, err := c.receive((*r.buffer)[kept:])
+	r.unread = (*r.buffer)[:kept+n]
+	if errors.Is(err, io.EOF) && kept > 0 {
+		r.ended = true // net/http is to see what is unread, when it is its turn
+		if !c.isBusy() {
+			return errAgain
+		}
+	}
+	r.drop(0)
+	if err != nil {
+		return err
+	}
+	return errAgain
+}
+
+// keep keeps bytes that were read and belong to what comes next.
+func (r *reader) keep(p []byte) {
+	r.buffer = buffers.Get().(*[]byte)
+	r.unread = (*r.buffer)[:copy(*r.buffer, p)]
+}
+
+// drop drops bytes that were handed on, and the buffer with the last one.
+func (r *reader) drop(n int) {
+	r.unread = r.unread[n:]
+	if len(r.unread) == 0 && r.buffer != nil {
+		buffers.Put(r.buffer)
+		r.unread, r.buffer = nil, nil
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -26,6 +26,7 @@
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/node"
+	"github.com/lotuswing/lotuswing/pipeline"
 	"github.com/lotuswing/lotuswing/relay"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/telemetry"
@@ -66,7 +67,7 @@
 	tracing  *telemetry.Tracing
 	metrics  metrics.Registry
 	latency  *telemetry.Histograms
-	front    *http.Server
+	front    *pipeline.Server
 	admin    *http.Server
 	scrapes  *http.Server // nil without a metrics address
 	frontL   net.Listener
@@ -114,19 +115,19 @@
 	return s, nil
 }
 
-func (s *Server) frontServer() *http.Server {
+func (s *Server) frontServer() *pipeline.Server {
 	limits := s.cfg.Settings.Limits
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
+	return pipeline.New(&http.Server{
 		Handler:           s.balancer,
 		Protocols:         protocols,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		ErrorLog:          s.cfg.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
+	})
 }
 
 // firstWait is how long callers wait for the first configuration of a balancer
@@ -143,9 +144,14 @@
 	s.serveUntilClosed(s.front, s.frontL)
 }
 
+// serving is a server of package net/http or pipeline.
+type serving interface {
+	Serve(l net.Listener) error
+}
+
 // serveUntilClosed serves a listener. It ends by itself only where the listener
 // fails.
-func (s *Server) serveUntilClosed(server *http.Server, l net.Listener) {
+func (s *Server) serveUntilClosed(server serving, l net.Listener) {
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		s.cfg.Log.Error("listener failed", "listen", l.Addr().String(), "error", err)
 	}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -80,6 +80,7 @@
 		{"status", "HTTP status"},
 		{"took_ms", "time since the request came"},
 		{"target_ms", "time within which the answer has its full worth, 0 for none"},
+		{"behind_ms", "of took_ms, time for which others on its connection were answered first"},
 		{"caller_left", "whether the caller left before the answer"},
 		{"message", "what the balancer's own answer says; empty for an endpoint's"},
 	}},
