Endpoints that joined are tried once they are warm

Cause: an endpoint of which nothing is known counts as slower than a known one that is well and without a connection, so that at calm load it is never probed.

Change: one that appears after the others of its service counts as idle until something is heard of it, once it has warmed up, at balancers of its zone, and at as many of these as use each of the others.

--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -63,9 +63,11 @@
 
 // NewCandidate makes a candidate of an endpoint, which it does not change.
 func NewCandidate(e *Endpoint, index int, l Listing, usual *Usual, tie uint32, now time.Time) Candidate {
+	untried := e.untried(l)
 	conditions := Conditions{
 		Slots:    l.Slots,
 		Warm:     l.Warm,
+		Untried:  untried,
 		Slowness: max(1, e.health.Slowness()/slownessGrace),
 		Crowding: &usual.Crowding,
 	}
@@ -82,7 +84,7 @@
 		c.Estimate += zoneDelay
 		c.cost = zoneCost
 	}
-	if now.Sub(e.heardAt) > connectionLife {
+	if !untried && !e.InUse(now) {
 		c.cost += connectionCost
 	}
 	c.cost += c.Estimate
--- a/coord/selection/decide_test.go
+++ b/coord/selection/decide_test.go
@@ -153,3 +153,30 @@
 	assert.Assert(t, (w.Usual(0)-40*time.Millisecond).Abs() < time.Millisecond, "%v: the crowding is divided out", w.Usual(0))
 	assert.Assert(t, c.Factor(3, 3) > 1.95 && c.Factor(3, 3) < 2.05, "%v", c.Factor(3, 3))
 }
+
+// TestJoinedEndpointIsTried once it is warm and as long as nothing was heard of it,
+// before a known one whose report is old, by balancers of its zone.
+func TestJoinedEndpointIsTried(t *testing.T) {
+	now := start.Add(time.Second)
+	cold := near
+	cold.Warm = false
+	for _, c := range []struct {
+		name    string
+		joined  selection.Endpoint
+		listing selection.Listing
+		first   bool
+	}{
+		{"joined", selection.NewJoined(), near, true},
+		{"listed from the start", selection.NewEndpoint(), near, false},
+		{"still cold", selection.NewJoined(), cold, false},
+		{"of another zone", selection.NewJoined(), far, false},
+		{"without a response to a probe", selection.NewJoined().WithoutProbe(), near, false},
+		{"on its way to being known", selection.NewJoined().WithSent(), near, false},
+	} {
+		known := probed(0, 1)
+		var r selection.Ranking
+		r.Add(selection.NewCandidate(&known, 0, near, &usual, 0, now))
+		r.Add(selection.NewCandidate(&c.joined, 1, c.listing, &usual, 1, now))
+		assert.Equal(t, r.Best().Index == 1, c.first, c.name)
+	}
+}
--- a/coord/selection/endpoint.go
+++ b/coord/selection/endpoint.go
@@ -18,11 +18,30 @@
 	pausedUntil time.Time // it refused a request and counts as full until then
 	heardAt     time.Time // last response or probe that told its load
 	unanswered  int       // probes in a row without a response
+	joined      bool      // it joined a service that was known already
 }
 
 // NewEndpoint returns what is known of an endpoint at first: nothing.
 func NewEndpoint() Endpoint { return Endpoint{health: health.New(health.Options{})} }
 
+// NewJoined returns what is known of an endpoint that joined a service whose others
+// are known already. It is tried once it has warmed up: as long as nothing has been
+// heard of it, it counts as idle at its usual pace with a connection open. Otherwise
+// those that are known would be chosen before it for as long as they are well.
+func NewJoined() Endpoint {
+	e := NewEndpoint()
+	e.joined = true
+	return e
+}
+
+// InUse reports whether a connection to the endpoint is probably open.
+func (e *Endpoint) InUse(now time.Time) bool { return now.Sub(e.heardAt) <= connectionLife }
+
+// untried reports whether a request or a probe should find out how the endpoint is.
+func (e *Endpoint) untried(l Listing) bool {
+	return e.joined && e.heardAt.IsZero() && e.unanswered == 0 && e.load.inFlight == 0 && l.SameZone && l.Warm
+}
+
 // Load returns what is known of the endpoint's load.
 func (e Endpoint) Load() Load { return e.load }
 
--- a/coord/selection/estimate.go
+++ b/coord/selection/estimate.go
@@ -10,6 +10,7 @@
 type Conditions struct {
 	Slots    int     // as listed
 	Warm     bool    // no longer warming up
+	Untried  bool    // thought to be at its usual pace
 	Slowness float64 // of the endpoint's completions against the usual time, 1 as usual
 	Crowding *Crowding
 }
@@ -21,6 +22,9 @@
 func (l Load) Estimate(c Conditions, work time.Duration, now time.Time) time.Duration {
 	slots := l.Slots(c.Slots)
 	pace := l.Pace(now) * max(1, c.Slowness)
+	if c.Untried {
+		pace = 1
+	}
 	if !c.Warm {
 		pace *= coldPace
 	}
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -75,10 +75,39 @@
 		if !e.Usable(now) || slices.Contains(s.request.Avoid, e.VM) {
 			continue
 		}
+		known := c.knownOf(s, e.VM, now)
 		listing := selection.Listing{Slots: e.Slots, SameZone: e.Zone == c.cfg.Zone, Warm: !now.Before(e.WarmAt)}
-		s.ranking.Add(selection.NewCandidate(&c.known(e.VM).state, i, listing, &usual, c.rng.Uint32(), now))
+		s.ranking.Add(selection.NewCandidate(&known.state, i, listing, &usual, c.rng.Uint32(), now))
 	}
 	s.ranking.DropEjected()
+	c.listed[s.service] = c.listed[s.service] || len(s.listed) > 0
+}
+
+// knownOf returns what is remembered of an endpoint. One that appears after the
+// service's others has joined it, and is tried by as many balancers as use each of the
+// others. c.mu is held.
+func (c *Chooser) knownOf(s *search, id string, now time.Time) *endpoint {
+	if _, ok := c.endpoints[id]; !ok && c.listed[s.service] && c.rng.Float64() < c.shareInUse(s.listed, now) {
+		c.endpoints[id] = &endpoint{state: selection.NewJoined(), probes: c.opts.NewProbeBudget()}
+	}
+	return c.known(id)
+}
+
+// shareInUse returns which part of the endpoints that are known in the own zone this process has used
+// lately; c.mu is held.
+func (c *Chooser) shareInUse(listed []directory.Endpoint, now time.Time) float64 {
+	near, used := 0, 0
+	for i := range listed {
+		e, ok := c.endpoints[listed[i].VM]
+		if !ok || listed[i].Zone != c.cfg.Zone {
+			continue
+		}
+		near++
+		if e.state.InUse(now) {
+			used++
+		}
+	}
+	return float64(used) / float64(max(1, near))
 }
 
 // known returns what is remembered of an endpoint; c.mu is held.
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -71,6 +71,7 @@
 	workloads map[string]selection.Workload // by request kind
 	crowding  map[string]selection.Crowding // by service
 	waiters   map[string]waiters            // by service
+	listed    map[string]bool               // services whose endpoints were ranked before
 	rng       *rand.Rand
 }
 
@@ -94,6 +95,7 @@
 		workloads: map[string]selection.Workload{},
 		crowding:  map[string]selection.Crowding{},
 		waiters:   map[string]waiters{},
+		listed:    map[string]bool{},
 		rng:       rand.New(rand.NewPCG(uint64(now), rand.Uint64())),
 	}
 }
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -185,6 +186,27 @@
 	assert.Equal(t, r.Waiting("s"), 0)
 }
 
+// TestEndpointThatJoinedGetsRequests though all others are well and known. Time is
+// virtual.
+func TestEndpointThatJoinedGetsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(2, selection.Options{ProbeBurst: 1e6})
+		use := func() string {
+			time.Sleep(time.Second)
+			g, refused := r.Acquire(context.Background(), ask())
+			assert.Assert(t, refused == nil)
+			r.Complete(g, placement.Result{Outcome: placement.Completed, Took: time.Millisecond})
+			return g.Endpoint.VM
+		}
+		assert.Equal(t, use(), "e0", "the one of the own zone")
+		r.prober.set("new", 0, 1)
+		r.directory.Apply(directory.Changes{At: 9, Entries: []directory.Entry{{
+			Endpoint: directory.Endpoint{Endpoint: placement.Endpoint{VM: "new", Addr: "new", Zone: "near", Slots: 3}, Service: "s"}, Revision: 9,
+		}}}, time.Now())
+		assert.Equal(t, use(), "new")
+	})
+}
+
 // TestUnknownKindIsTriedAfterAll: where the first guess of its work is too long for
 // every endpoint, refusals make it shorter until one is sent.
 func TestUnknownKindIsTriedAfterAll(t *testing.T) {
