--- a/soak/callers.go
+++ b/soak/callers.go
@@ -53,7 +53,7 @@
 func (c *caller) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		if b := c.choose(); b != nil {
-			c.call(n, b)
+			c.send(n, b)
 		}
 		select {
 		case <-time.After(time.Duration(c.rng.Int64N(int64(2 * callerPause)))):
@@ -63,6 +63,17 @@
 	c.client.CloseIdleConnections()
 }
 
+// pipelinedOf is one in how many times a caller sends several requests at once.
+const pipelinedOf = 4
+
+func (c *caller) send(n int, b *balancer) {
+	if c.rng.IntN(pipelinedOf) == 0 {
+		c.callPipelined(n, b)
+		return
+	}
+	c.call(n, b)
+}
+
 // choose returns a balancer that takes new connections, or one that is being
 // stopped, to which a kept connection may still be open.
 func (c *caller) choose() *balancer {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -15,7 +15,7 @@
 // The promises, as callers and back ends can see them.
 const (
 	RunsOnce     Promise = "a request that is not repeatable runs at most once"
-	NotRunIsTrue Promise = "a request that was answered with 429 or 503 never runs"
+	NotRunIsTrue Promise = "a request that was answered with 429 or 503, or counts as not read, never runs"
 	OwnAnswer    Promise = "a success is the endpoint's whole answer to its own request"
 	NothingElse  Promise = "endpoints run only what callers sent, unchanged"
 	RightService Promise = "a request runs only where some configuration sent it"
@@ -43,7 +43,8 @@
 	balancer   string
 	at         time.Time
 	ended      time.Time
-	status     int // 0 where no whole answer came
+	status     int  // 0 where no whole answer came
+	unread     bool // it stood behind an answer that closed the connection
 }
 
 // ledger holds what callers sent and got, and what endpoints ran.
@@ -71,6 +72,15 @@
 	l.statuses[status]++
 }
 
+// endUnread notes a request without an answer; unread says that callers may take it for
+// never read and send it again, whatever its kind.
+func (l *ledger) endUnread(r *sentRequest, unread bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.unread = unread
+	l.statuses[0]++
+}
+
 func (l *ledger) broken(p Promise, request, format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,6 +117,9 @@
 			l.violations = append(l.violations, Violation{RunsOnce, id, fmt.Sprintf("it ran %d times", n)})
 		}
 		promised := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
+		if !r.repeatable && r.unread && n > 0 {
+			l.violations = append(l.violations, Violation{NotRunIsTrue, id, fmt.Sprintf("behind an answer of %s that closed the connection, and it ran", r.balancer)})
+		}
 		if !r.repeatable && promised && n > 0 {
 			l.violations = append(l.violations, Violation{NotRunIsTrue, id, fmt.Sprintf("answered with %d by %s, and it ran", r.status, r.balancer)})
 		}
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -65,6 +65,7 @@
 		{"ran twice", planted(serviceBeta, "POST a /file/1", "POST a /file/1"), string(RunsOnce)},
 		{"a read may run twice", planted(serviceAlpha, "GET r /read/1", "GET r /read/1"), ""},
 		{"refused and ran", planted(serviceBeta, "POST refused /file/2"), string(NotRunIsTrue)},
+		{"counts as not read and ran", planted(serviceBeta, "GET unread /file/3"), string(NotRunIsTrue)},
 		{"nobody sent it", planted(serviceBeta, "POST ghost /file/1"), string(NothingElse)},
 		{"another method", planted(serviceBeta, "PUT a /file/1"), string(NothingElse)},
 		{"another path", planted(serviceBeta, "POST a /file/9"), string(NothingElse)},
@@ -75,6 +76,9 @@
 		sent(l, "a", http.MethodPost, "/file/1", false, 200)
 		sent(l, "r", http.MethodGet, "/read/1", true, 200)
 		sent(l, "refused", http.MethodPost, "/file/2", false, http.StatusServiceUnavailable)
+		unread := &sentRequest{id: "unread", method: http.MethodGet, path: "/file/3", balancer: "vm-0", at: start}
+		l.begin(unread)
+		l.endUnread(unread, true)
 		l.checkRuns([]*endpoint{c.runs})
 		assert.Equal(t, promises(l), c.want, c.name)
 	}
