The limit of a write ahead does not cut a later response

Cause: writing the response of a request that was served ahead sets a deadline for writes, for callers that read nothing, and nothing took it back. A response of net/http's own that came more than an idle timeout later on that connection was cut: a long stream or an upgraded session.

Change: the deadline is taken back when net/http is given the next request. TestLimitOfWritesIsNotLeftBehind, in virtual time, failed before; TestServedAheadIsNotIdle pins the idle timeout.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -29,7 +29,8 @@
 	dead     bool     // it has ended
 	deadline deadline
 
-	readEnded bool // nothing more comes from the caller
+	readEnded    bool // nothing more comes from the caller
+	writeLimited bool // a response written ahead has set a deadline for writing
 }
 
 // deadline is what net/http has set for reading. While requests are served ahead, the
@@ -141,6 +142,10 @@
 	defer c.mu.Unlock()
 	c.busy = true
 	c.ending = c.closing
+	if c.writeLimited {
+		c.writeLimited = false
+		_ = c.Conn.SetWriteDeadline(time.Time{}) // fails on a closed connection only
+	}
 }
 
 // hold waits until net/http can be given a request, another one can be served ahead,
@@ -236,10 +241,8 @@
 
 // writeAhead writes a part of the response of a request served ahead.
 func (c *conn) writeAhead(p []byte) (int, error) {
-	if c.writeLimit > 0 {
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeLimit)); err != nil {
-			return 0, err
-		}
+	if err := c.limitWrite(time.Now()); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Write(p)
 	if err != nil {
@@ -250,6 +253,17 @@
 	return n, err
 }
 
+// limitWrite bounds the next write.
+func (c *conn) limitWrite(now time.Time) error {
+	if c.writeLimit <= 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeLimited = true
+	return c.Conn.SetWriteDeadline(now.Add(c.writeLimit))
+}
+
 // Close closes the connection. While it is idle towards net/http and requests are
 // served ahead, which is when the caller has ended its own direction, it ends after
 // them.
