A planned stop closes its listener before it waits for what is served ahead

Cause: found by reading. Shutdown waited for requests served ahead before net/http's own began, which closes the listener; until then new connections were accepted, later than before read-ahead, and the stop's limit could have ended while they were served.

Ruled out: net/http's Shutdown at the same time, which closes a connection with its next response and cuts those behind it.

Change: Shutdown closes the listeners to callers first; net/http learns it when it closes them itself. TestShutdownWaitsForAll waits until no connection is accepted while requests are held, and tests of the package check how Serve ends.

--- a/pipeline/limits_test.go
+++ b/pipeline/limits_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,3 +90,30 @@
 		assert.Equal(t, time.Since(began), time.Minute) // of virtual time
 	})
 }
+
+// TestBoundedDepth: what is beyond it waits, and is served all the same. Time is
+// virtual, so that all that could begin has begun when it is counted.
+func TestBoundedDepth(t *testing.T) {
+	paths := make([]string, 50)
+	for i := range paths {
+		paths[i] = fmt.Sprintf("/%d", i)
+	}
+	var began atomic.Int64
+	pass := make(chan struct{})
+	hold := func(w http.ResponseWriter, r *http.Request) {
+		began.Add(1)
+		<-pass
+		_, _ = io.WriteString(w, r.URL.Path) // the test reads it
+	}
+	inMemory(t, hold, func(c *caller) {
+		pass = make(chan struct{}) // of the test's virtual time
+		go c.get(t, paths...)
+		synctest.Wait()
+		assert.Equal(t, began.Load(), int64(17), "one of net/http's and 16 ahead")
+		close(pass)
+		for _, p := range paths {
+			assert.Equal(t, c.answer(t), p)
+		}
+		assert.Equal(t, began.Load(), int64(len(paths)))
+	})
+}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -36,6 +36,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -53,6 +54,9 @@
 type Server struct {
 	*http.Server
 	ahead *queue
+
+	mu        sync.Mutex
+	listeners []*listener
 }
 
 // New makes a server read ahead. It takes over the hooks ConnState and ConnContext,
@@ -72,7 +76,7 @@
 func (s *Server) Serve(l net.Listener) error {
 	ahead := make(chan error, 1)
 	go func() { ahead <- s.Server.Serve(s.ahead) }()
-	err := s.Server.Serve(&listener{Listener: l, server: s})
+	err := s.Server.Serve(s.listen(l))
 	_ = s.ahead.Close() // always nil
 	<-ahead
 	return err
@@ -82,11 +86,12 @@
 // responses first. It is the first step of a planned stop.
 func (s *Server) StopAhead() { s.ahead.stop() }
 
-// Shutdown ends the server when all requests that were read have their responses, or
-// when ctx ends. net/http closes a connection with the next response; so those served
-// ahead are waited for before.
+// Shutdown accepts no other connection and ends the server when all requests that were
+// read have their responses, or when ctx ends. net/http closes a connection with the
+// next response; so those served ahead are waited for before it begins.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.ahead.stop()
+	s.stopAccepting()
 	return errors.Join(s.ahead.drain(ctx), s.Server.Shutdown(ctx))
 }
 
@@ -103,21 +108,6 @@
 	}
 }
 
-// listener gives the connections that it accepts their read-ahead.
-type listener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept accepts a connection.
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return newConn(c, l.server.ahead, l.server.writeLimit()), nil
-}
-
 // writeLimit bounds a write for a caller that does not read its responses, while
 // others wait behind; 0 for none.
 func (s *Server) writeLimit() time.Duration { return s.IdleTimeout }
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -23,11 +23,32 @@
 func serve(t testing.TB, h http.HandlerFunc) (*pipeline.Server, string) {
 	t.Helper()
 	s := pipeline.New(&http.Server{Handler: h, ReadHeaderTimeout: limit})
+	return s, listen(t, s)
+}
+
+// servePlain serves a handler by net/http alone and returns its address.
+func servePlain(t testing.TB, h http.HandlerFunc) string {
+	t.Helper()
+	return listen(t, &http.Server{Handler: h, ReadHeaderTimeout: limit})
+}
+
+// listen lets a server serve until the test ends and returns its address. Its end must
+// be one that the test asked for.
+func listen(t testing.TB, s interface {
+	Serve(l net.Listener) error
+	Close() error
+},
+) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	go func() { _ = s.Serve(l) }() // ends with the test
-	t.Cleanup(func() { _ = s.Close() })
-	return s, l.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = s.Close() // the test is over
+		assert.ErrorIs(t, <-served, http.ErrServerClosed)
+	})
+	return l.Addr().String()
 }
 
 // caller is a caller's connection.
@@ -184,7 +205,7 @@
 	assert.DeepEqual(t, g.wait(t, 2), map[string]bool{"left /a": true, "left /b": true})
 }
 
-// TestShutdownWaitsForAll that were read, and reads no other.
+// TestShutdownWaitsForAll that were read, and accepts no other connection meanwhile.
 func TestShutdownWaitsForAll(t *testing.T) {
 	g := newGates("/b", "/c")
 	s, addr := serve(t, g.ServeHTTP)
@@ -194,6 +215,7 @@
 	assert.Equal(t, c.answer(t), "/a")
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.Shutdown(context.Background()) }()
+	waitUntilRefused(t, addr)
 	close(g.pass["/c"])
 	close(g.pass["/b"])
 	assert.Equal(t, c.answer(t), "/b")
@@ -203,6 +225,20 @@
 	assert.ErrorIs(t, err, io.EOF)
 }
 
+// waitUntilRefused waits until no connection is accepted at an address.
+func waitUntilRefused(t *testing.T, addr string) {
+	t.Helper()
+	hangs := time.Now().Add(limit)
+	for time.Now().Before(hangs) {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		_ = c.Close() // it was only to see
+	}
+	t.Fatal("connections are still accepted")
+}
+
 // TestLastClosesBehindNothing: a place is the last one only while nothing behind it is
 // served, and stays so.
 func TestLastClosesBehindNothing(t *testing.T) {
@@ -221,34 +257,6 @@
 	assert.Equal(t, <-last, "/b true")
 }
 
-// TestBoundedDepth: what is beyond it waits, and is served all the same.
-func TestBoundedDepth(t *testing.T) {
-	var running, above atomic.Int64
-	full := make(chan struct{})
-	_, addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		n := running.Add(1)
-		defer running.Add(-1)
-		switch {
-		case n == 17:
-			close(full)
-		case n > 17:
-			above.Add(1)
-		}
-		<-full
-		_, _ = io.WriteString(w, r.URL.Path) // the test reads it
-	})
-	c := dial(t, addr)
-	paths := make([]string, 50)
-	for i := range paths {
-		paths[i] = fmt.Sprintf("/%d", i)
-	}
-	c.get(t, paths...)
-	for _, p := range paths {
-		assert.Equal(t, c.answer(t), p)
-	}
-	assert.Equal(t, above.Load(), int64(0), "beside one of net/http's and 16 ahead")
-}
-
 // TestBodiesBetween: requests with bodies keep their place and their bytes.
 func TestBodiesBetween(t *testing.T) {
 	_, addr := serve(t, echo)
@@ -309,31 +317,22 @@
 	f.Add([]byte(get+"GET /b HTTP/1.1\nHost: a\n\n"+get), 70)
 	f.Add([]byte(get+"GET /b HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab"+get), 70)
 	f.Add([]byte(get+"junk\r\n\r\n"+get), 1)
-	plain := &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: limit}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(f, err)
-	go func() { _ = plain.Serve(l) }() // ends with the test
-	f.Cleanup(func() { _ = plain.Close() })
+	plain := servePlain(f, echo)
 	_, addr := serve(f, echo)
 	f.Fuzz(func(t *testing.T, p []byte, cut int) {
 		if len(p) > 1<<16 || strings.Contains(strings.ToLower(string(p)), "upgrade") {
 			return
 		}
 		cut = min(max(cut, 0), len(p))
-		want := conversation(t, l.Addr().String(), p, cut)
+		want := conversation(t, plain, p, cut)
 		assert.Equal(t, conversation(t, addr, p, cut), want, "%q", p)
 	})
 }
 
 // BenchmarkLone is a request with nothing behind it, with and without this package.
 func BenchmarkLone(b *testing.B) {
-	plain := &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: limit}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(b, err)
-	go func() { _ = plain.Serve(l) }() // ends with the benchmark
-	b.Cleanup(func() { _ = plain.Close() })
 	_, ahead := serve(b, echo)
-	for name, addr := range map[string]string{"net-http": l.Addr().String(), "pipeline": ahead} {
+	for name, addr := range map[string]string{"net-http": servePlain(b, echo), "pipeline": ahead} {
 		b.Run(name, func(b *testing.B) {
 			c := dial(b, addr)
 			assert.NilError(b, c.SetDeadline(time.Time{}))
