Balancers that start know three others: a start while the store is down serves

Cause: a balancer learns of others from the store alone, so one that starts while the store does not answer refused everything (LW1005) until its return and tried it two times a second; and nobody could be asked before a relay was registered. They are asked for a first copy where no relay is known, and read the store themselves then.

--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -7,7 +7,9 @@
 // whoever asks after them on to these, so that the copies spread as a tree whose depth
 // is the logarithm of the fleet's size (Recipients). Nobody waits for a single
 // machine: whoever hears nothing asks the next one meanwhile (Order), and reads the
-// store itself in the end (ReadAfter).
+// store itself in the end (ReadAfter). Where the store tells of no relay, or nothing at
+// all, the seeds of the settings are asked, so that a balancer that starts while the
+// store is down serves with what the others know.
 //
 // What is handed on are the store's own records with their revisions. A copy that is
 // old, comes twice or comes late is no worse than a read of the store that may be
@@ -69,7 +71,8 @@
 // Config of a Starter.
 type Config struct {
 	Self  Peer
-	Cores float64 // processor share; balancers with more of it read the store first
+	Seeds []string // addresses of balancers to ask where no relay is known, this one's perhaps among them
+	Cores float64  // processor share; balancers with more of it read the store first
 	State State
 	Store Store
 	Peers Peers
@@ -167,10 +170,10 @@
 func (s *Starter) newProgress(now time.Time) *progress {
 	return &progress{
 		Starter: s,
-		order:   NewOrder(s.cfg.Self, rand.Uint64(), s.opts.AskAgainAfter),
+		order:   NewOrder(s.cfg.Self, s.cfg.Seeds, rand.Uint64(), s.opts.AskAgainAfter),
 		random:  rand.Float64(),
 		lookAt:  now,
-		askAt:   now,
+		askAt:   now.Add(s.opts.AskNextAfter), // seeds, where the relays are not known by then
 		events:  make(chan event),
 	}
 }
--- a/bootstrap/bootstrap_test.go
+++ b/bootstrap/bootstrap_test.go
@@ -21,6 +21,7 @@
 	relays  []bootstrap.Peer // as the store has them
 	dead    map[string]bool  // balancers that answer nothing
 	members map[string]*member
+	seeds   []string
 	reads   int           // of everything
 	took    time.Duration // of one reading
 }
@@ -53,7 +54,7 @@
 	f.mu.Lock()
 	f.members[self.Addr] = m
 	f.mu.Unlock()
-	s := bootstrap.New(bootstrap.Config{Self: self, Cores: cores, State: m, Store: m, Peers: m, Giver: m.giver})
+	s := bootstrap.New(bootstrap.Config{Self: self, Seeds: f.seeds, Cores: cores, State: m, Store: m, Peers: m, Giver: m.giver})
 	go s.Run(ctx)
 	return m
 }
@@ -209,6 +210,40 @@
 	})
 }
 
+// TestFirstStartWithSeeds: with no relay registered only the seeds read the store.
+func TestFirstStartWithSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := begin(t)
+		defer stop()
+		f := newFleet()
+		f.seeds = []string{"a0", "a1", "gone"}
+		var all []*member
+		for _, p := range peers("a", 100) {
+			all = append(all, f.begin(ctx, p, 0.16))
+		}
+		assert.Assert(t, slowest(t, all) < 300*time.Millisecond, "%v", slowest(t, all))
+		assert.Assert(t, f.reads < 30, "%d readings", f.reads) // those whose random time comes first
+	})
+}
+
+// TestStartWhileTheStoreIsDown: a balancer has its copy from a seed that runs, though
+// the store answers nothing, or not at all.
+func TestStartWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := begin(t)
+		defer stop()
+		f := newFleet()
+		f.seeds = []string{"gone", "a0"}
+		first := f.begin(ctx, bootstrap.Peer{Addr: "a0", Zone: "a"}, 0.2)
+		<-first.known
+		f.mu.Lock()
+		f.down = true
+		f.mu.Unlock()
+		late := f.begin(ctx, bootstrap.Peer{Addr: "b0", Zone: "b"}, 0.2)
+		assert.Assert(t, slowest(t, []*member{late}) < 300*time.Millisecond, "%v", late.since)
+	})
+}
+
 // TestStoreDownAtTheStart: nobody gives up, and all have a copy soon after its return.
 func TestStoreDownAtTheStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/bootstrap/progress.go
+++ b/bootstrap/progress.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"time"
 )
 
@@ -123,6 +124,7 @@
 	p.looking = false
 	if e.err != nil {
 		p.lookAt = now.Add(p.pause())
+		p.askAt = now
 		p.cfg.Log.Warn("relays not read", "error", e.err)
 		return
 	}
@@ -132,19 +134,15 @@
 	p.lookedUp = true
 	p.order = p.order.WithRelays(relays)
 	if first {
-		p.readAt = now.Add(p.opts.ReadAfter(isRelay(relays, p.cfg.Self), len(relays) > 0, p.random, p.cfg.Cores))
+		isSeed := slices.Contains(p.cfg.Seeds, p.cfg.Self.Addr)
+		p.readAt = now.Add(p.opts.ReadAfter(isRelay(relays, p.cfg.Self), isSeed, len(relays) > 0, p.random, p.cfg.Cores))
 		p.askAt = now
 	}
 }
 
 // isRelay reports whether a balancer is registered.
 func isRelay(relays []Peer, self Peer) bool {
-	for _, r := range relays {
-		if r.Addr == self.Addr {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(relays, func(r Peer) bool { return r.Addr == self.Addr })
 }
 
 func (e read) apply(p *progress, now time.Time) {
--- a/bootstrap/rules.go
+++ b/bootstrap/rules.go
@@ -1,7 +1,6 @@
 package bootstrap
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -59,18 +58,36 @@
 }
 
 // Order is whom a balancer that starts asks for a copy: those to whom it is sent on,
-// the relay of its own zone, the relays of others. It is an immutable value.
+// the relay of its own zone, the relays of others, the seeds of its settings. It is an
+// immutable value.
 type Order struct {
 	self  Peer
 	turn  uint64        // where the relays of other zones begin, so that balancers spread
 	again time.Duration // after which a balancer may be asked again
 	next  []Peer
+	seeds []Peer               // asked when nobody else is left, and again
 	asked map[string]time.Time // when a balancer was asked last
 }
 
-// NewOrder returns an empty order of a balancer. turn is a random number.
-func NewOrder(self Peer, turn uint64, again time.Duration) Order {
-	return Order{self: self, turn: turn, again: again}
+// NewOrder returns an order of a balancer that knows nobody but its seeds. turn is a
+// random number.
+func NewOrder(self Peer, seeds []string, turn uint64, again time.Duration) Order {
+	o := Order{self: self, turn: turn, again: again}
+	var peers []Peer
+	for _, addr := range seeds {
+		peers = append(peers, Peer{Addr: addr})
+	}
+	o.seeds = rotated(o.distinct(peers), turn)
+	return o
+}
+
+// rotated returns a list that begins at a place.
+func rotated(list []Peer, place uint64) []Peer {
+	if len(list) == 0 {
+		return nil
+	}
+	first := int(place % uint64(len(list)))
+	return slices.Concat(list[first:], list[:first])
 }
 
 // WithRelays returns the order with the registered relays behind those that are asked
@@ -78,11 +95,7 @@
 func (o Order) WithRelays(relays []Peer) Order {
 	others := slices.DeleteFunc(slices.Clone(relays), func(p Peer) bool { return p.Zone == o.self.Zone })
 	own := slices.DeleteFunc(slices.Clone(relays), func(p Peer) bool { return p.Zone != o.self.Zone })
-	if len(others) > 0 {
-		first := int(o.turn % uint64(len(others)))
-		others = slices.Concat(others[first:], others[:first])
-	}
-	o.next = o.distinct(slices.Concat(o.next, own, others))
+	o.next = o.distinct(slices.Concat(o.next, own, rotated(others, o.turn)))
 	return o
 }
 
@@ -110,16 +123,18 @@
 // WithNext returns the balancer to ask at now, and the order without it. One that was
 // asked a moment ago is passed over.
 func (o Order) WithNext(now time.Time) (Peer, Order, bool) {
-	for i, p := range o.next {
+	for _, p := range slices.Concat(o.next, o.seeds) {
 		if at, ok := o.asked[p.Addr]; ok && now.Sub(at) < o.again {
 			continue
 		}
-		asked := maps.Clone(o.asked)
-		if asked == nil {
-			asked = map[string]time.Time{}
+		asked := map[string]time.Time{p.Addr: now}
+		for addr, at := range o.asked {
+			if addr != p.Addr {
+				asked[addr] = at
+			}
 		}
-		asked[p.Addr] = now
-		o.next, o.asked = slices.Concat(o.next[:i], o.next[i+1:]), asked
+		o.asked = asked
+		o.next = slices.DeleteFunc(slices.Clone(o.next), func(q Peer) bool { return q.Addr == p.Addr })
 		return p, o, true
 	}
 	return Peer{}, o, false
@@ -138,10 +153,11 @@
 )
 
 // ReadAfter returns how long after its start a balancer with a processor share, in
-// cores, reads the store itself, if no copy has come before. A registered relay does so
-// at once: others wait for its copy. random is from 0 to 1.
-func (o Options) ReadAfter(isRelay, relaysKnown bool, random, cores float64) time.Duration {
-	if isRelay {
+// cores, reads the store itself, if no copy has come before. Those whom others ask first
+// do so at once: a registered relay, and where none is known, a seed. random is from 0
+// to 1.
+func (o Options) ReadAfter(isRelay, isSeed, relaysKnown bool, random, cores float64) time.Duration {
+	if isRelay || isSeed && !relaysKnown {
 		return 0
 	}
 	wait := time.Duration(random * float64(o.ReadSpread) * referenceCores / max(cores, smallestCores))
--- a/bootstrap/rules_test.go
+++ b/bootstrap/rules_test.go
@@ -27,10 +27,10 @@
 		}
 		return got, o
 	}
-	o := bootstrap.NewOrder(self, 0, time.Second).WithRelays(relays)
+	o := bootstrap.NewOrder(self, nil, 0, time.Second).WithRelays(relays)
 	got, _ := take(o, 9, start)
 	assert.DeepEqual(t, got, []string{"a", "b", "c"})
-	got, _ = take(bootstrap.NewOrder(self, 1, time.Second).WithRelays(relays), 9, start)
+	got, _ = take(bootstrap.NewOrder(self, nil, 1, time.Second).WithRelays(relays), 9, start)
 	assert.DeepEqual(t, got, []string{"a", "c", "b"})
 	got, o = take(o, 1, start)
 	assert.DeepEqual(t, got, []string{"a"})
@@ -43,6 +43,20 @@
 	assert.DeepEqual(t, got, []string{"a", "b", "c"})
 }
 
+// TestSeeds are asked when nobody else is left, and again after a time.
+func TestSeeds(t *testing.T) {
+	o := bootstrap.NewOrder(bootstrap.Peer{Addr: "self", Zone: "a"}, []string{"s1", "self", "s2"}, 1, time.Second)
+	o = o.WithRelays([]bootstrap.Peer{{Addr: "a", Zone: "a"}, {Addr: "s1", Zone: "b"}})
+	var got []string
+	for now := start; len(got) < 6; now = now.Add(300 * time.Millisecond) {
+		peer, rest, ok := o.WithNext(now)
+		if o = rest; ok {
+			got = append(got, peer.Addr)
+		}
+	}
+	assert.DeepEqual(t, got, []string{"a", "s1", "s2", "s1", "s2", "s1"})
+}
+
 // TestRecipients: a few are given a copy, the others are sent on to these in turn, and
 // after a time new ones are given one.
 func TestRecipients(t *testing.T) {
@@ -102,10 +116,12 @@
 // relays are known nobody else reads in the first half second.
 func TestReadAfter(t *testing.T) {
 	o := bootstrap.Options{ReadSpread: time.Second}
-	assert.Equal(t, o.ReadAfter(true, true, 0.9, 0.1), time.Duration(0))
-	assert.Equal(t, o.ReadAfter(false, false, 0.5, 0.2), 500*time.Millisecond)
-	assert.Equal(t, o.ReadAfter(false, false, 0.5, 0.8), 125*time.Millisecond)
-	assert.Equal(t, o.ReadAfter(false, false, 0.5, 0.01), o.ReadAfter(false, false, 0.5, 0.1))
-	assert.Equal(t, o.ReadAfter(false, true, 0, 0.8), 500*time.Millisecond)
-	assert.Equal(t, o.ReadAfter(false, true, 0.5, 0.2), 2500*time.Millisecond)
+	assert.Equal(t, o.ReadAfter(true, false, true, 0.9, 0.1), time.Duration(0))
+	assert.Equal(t, o.ReadAfter(false, true, false, 0.9, 0.1), time.Duration(0), "a seed is asked where no relay is known")
+	assert.Equal(t, o.ReadAfter(false, true, true, 0.5, 0.2), 2500*time.Millisecond)
+	assert.Equal(t, o.ReadAfter(false, false, false, 0.5, 0.2), 500*time.Millisecond)
+	assert.Equal(t, o.ReadAfter(false, false, false, 0.5, 0.8), 125*time.Millisecond)
+	assert.Equal(t, o.ReadAfter(false, false, false, 0.5, 0.01), o.ReadAfter(false, false, false, 0.5, 0.1))
+	assert.Equal(t, o.ReadAfter(false, false, true, 0, 0.8), 500*time.Millisecond)
+	assert.Equal(t, o.ReadAfter(false, false, true, 0.5, 0.2), 2500*time.Millisecond)
 }
--- a/relay/first.go
+++ b/relay/first.go
@@ -11,7 +11,7 @@
 // or from the store; give it to the follower.
 func (g *Group) Begin(ctx context.Context) {
 	first := bootstrap.New(bootstrap.Config{
-		Self: bootstrap.Peer{Addr: g.cfg.Addr, Zone: g.cfg.Zone}, Cores: g.cfg.Cores,
+		Self: bootstrap.Peer{Addr: g.cfg.Addr, Zone: g.cfg.Zone}, Seeds: g.cfg.Seeds, Cores: g.cfg.Cores,
 		State: firstState{g}, Store: g.follower, Peers: firstPeers{g}, Giver: g.giver,
 		Log: g.cfg.Log.Named("bootstrap"), Options: g.opts.Bootstrap,
 	}).Run(ctx)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,8 +78,9 @@
 type Config struct {
 	ID       string
 	Zone     string
-	Addr     string  // at which other balancers reach this one
-	Cores    float64 // processor share; balancers with more of it become relays first
+	Addr     string   // at which other balancers reach this one
+	Seeds    []string // addresses of some others, for the start
+	Cores    float64  // processor share; balancers with more of it become relays first
 	Registry Registry
 	Decoder  Decoder
 	Log      hclog.Logger
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	return relay.New(relay.Config{
-		ID: settings.ID, Zone: settings.Zone, Addr: settings.Link, Cores: settings.Cores,
+		ID: settings.ID, Zone: settings.Zone, Addr: settings.Link, Seeds: settings.Peers, Cores: settings.Cores,
 		Registry: s.cfg.Relays, Decoder: s.cfg.Relays, Log: log, TLS: secured,
 		Options: relay.OptionsWithin(settings.Discovery.Within()),
 	}), nil
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,7 +30,7 @@
 	Listen    string    `json:"listen"`  // callers
 	Admin     string    `json:"admin"`   // operators and the platform's balancer
 	Link      string    `json:"link"`    // other balancers; with discovery platform it may be empty, and each balancer then follows the store
-	Peers     []string  `json:"peers"`   // link addresses to start from; the VM list gives more
+	Peers     []string  `json:"peers"`   // link addresses to start from; the VM list, or the store, gives more
 	Store     Store     `json:"store"`
 	TLS       LinkTLS   `json:"link_tls"`
 	Stop      Stop      `json:"stop"`
@@ -187,6 +187,7 @@
 			checkAddr(dec, "link", s.Link)
 			checkTLS(dec, s.TLS)
 		}
+		checkPeerAddrs(dec, s.Peers)
 	default:
 		dec.Check(false, "discovery.kind", "is %q; peers or platform", s.Discovery.Kind)
 	}
@@ -212,9 +213,7 @@
 func checkPeers(dec *jsonc.Decoder, s Settings) {
 	dec.Check(len(s.Tenants) > 0, "tenants", "is missing; name at least one tenant")
 	checkAddr(dec, "link", s.Link)
-	for i, p := range s.Peers {
-		checkAddr(dec, fmt.Sprintf("peers[%d]", i), p)
-	}
+	checkPeerAddrs(dec, s.Peers)
 	checkURL(dec, "store.url", s.Store.URL)
 	checkURL(dec, "store.vm_list_url", s.Store.VMs)
 	checkBetween(dec, "store.timeout", s.Store.Timeout, time.Millisecond, time.Minute)
@@ -222,6 +221,12 @@
 	checkTLS(dec, s.TLS)
 }
 
+func checkPeerAddrs(dec *jsonc.Decoder, peers []string) {
+	for i, p := range peers {
+		checkAddr(dec, fmt.Sprintf("peers[%d]", i), p)
+	}
+}
+
 func checkRetries(dec *jsonc.Decoder, r Retries) {
 	if r == (Retries{}) {
 		return
