While the store is down its relays say so, and their followers ask it by turns

Ruled out: longer pauses (a store that turns only some balancers away is to be found out soon, and its return too). Change: a relay says that the store is lost and how many ask it; followers wait in a call that ends with its return, and read the registrations by turns, two calls a second for all followers of a relay. The first one that is served is named to the others. A relay whose registration ended is asked while there is no other. Fields of Changes are added; balancers of earlier versions neither send nor read them.

--- a/compat/wire_test.go
+++ b/compat/wire_test.go
@@ -40,27 +40,53 @@
 	"CopiedRecord":     directory.Record{},
 }
 
+// addedLater lists the fields that a call gained after its first version. A balancer of
+// that version does not send them: they are read as zero. A second stream, NAME.2, holds
+// all of them.
+var addedLater = map[string][]string{
+	"ChangesArgs":  {"From", "Patient", "InTouch"},
+	"ChangesReply": {"StoreLost", "Askers", "Instead"},
+}
+
+// withoutLater returns a value with the fields zero that its first version lacks.
+func withoutLater(name string, v any) any {
+	out := reflect.New(reflect.TypeOf(v)).Elem()
+	out.Set(reflect.ValueOf(v))
+	for _, field := range addedLater[name] {
+		out.FieldByName(field).SetZero()
+	}
+	return out.Interface()
+}
+
 // TestCallsBetweenBalancers: what a balancer of 3ccb4a4 sent is read without
 // loss, and what is sent now has the fields that it reads.
 func TestCallsBetweenBalancers(t *testing.T) {
 	for name, v := range sent {
 		t.Run(name, func(t *testing.T) {
 			golden.Assert(t, shape(reflect.TypeOf(v), 0), name+".shape.golden")
-			want := filled(v)
-			// A stream that an earlier version wrote is never written again: this
-			// version could only read its own.
-			if _, err := os.Stat(golden.Path(name + ".gob.golden")); golden.FlagUpdate() && os.IsNotExist(err) {
-				assert.NilError(t, os.WriteFile(golden.Path(name+".gob.golden"), encoded(t, want), 0o600))
+			checkStream(t, name, withoutLater(name, filled(v)))
+			if len(addedLater[name]) > 0 {
+				checkStream(t, name+".2", filled(v))
 			}
-			raw, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(golden.Get(t, name+".gob.golden"))))
-			assert.NilError(t, err)
-			got := reflect.New(reflect.TypeOf(v))
-			assert.NilError(t, gob.NewDecoder(bytes.NewReader(raw)).Decode(got.Interface()))
-			assert.DeepEqual(t, got.Elem().Interface(), want)
 		})
 	}
 }
 
+// checkStream reads what an earlier version wrote of a value. Such a stream is never
+// written again: this version could only read its own.
+func checkStream(t *testing.T, name string, want any) {
+	t.Helper()
+	file := name + ".gob.golden"
+	if _, err := os.Stat(golden.Path(file)); golden.FlagUpdate() && os.IsNotExist(err) {
+		assert.NilError(t, os.WriteFile(golden.Path(file), encoded(t, want), 0o600))
+	}
+	raw, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(golden.Get(t, file))))
+	assert.NilError(t, err)
+	got := reflect.New(reflect.TypeOf(want))
+	assert.NilError(t, gob.NewDecoder(bytes.NewReader(raw)).Decode(got.Interface()))
+	assert.DeepEqual(t, got.Elem().Interface(), want)
+}
+
 // encoded returns the gob stream of a value in base64.
 func encoded(t *testing.T, v any) []byte {
 	t.Helper()
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -273,6 +273,7 @@
 	if f.lost.Swap(false) {
 		f.opts.Log.Info("store regained")
 	}
+	f.opts.OnAnswer()
 }
 
 // failed notes that the store has not answered, and pauses: longer with each
--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -87,4 +87,5 @@
 		return
 	}
 	f.answered.Store(int64(now.Sub(f.began)))
+	f.opts.OnAnswer()
 }
--- a/directory/options.go
+++ b/directory/options.go
@@ -34,6 +34,8 @@
 	// when ctx has ended; nil to read it from the store, which each process of a
 	// fleet that starts at once would do at the same time.
 	Begin func(ctx context.Context)
+	// OnAnswer is called after each answer of the store; may be nil.
+	OnAnswer func()
 	// Standby makes a follower that asks the store for nothing but its first
 	// reading until SetActive tells it to.
 	Standby bool
@@ -105,6 +107,9 @@
 	if o.Observe == nil {
 		o.Observe = func(Changes) {}
 	}
+	if o.OnAnswer == nil {
+		o.OnAnswer = func() {}
+	}
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
--- a/relay/first_test.go
+++ b/relay/first_test.go
@@ -118,3 +118,13 @@
 		}
 	})
 }
+
+// TestOutdatedReadingBringsNoKeyBack whose end came before what is known was read.
+func TestOutdatedReadingBringsNoKeyBack(t *testing.T) {
+	rep := newReplica()
+	a, gone := directory.Record{Key: "a", Revision: 2}, directory.Record{Key: "gone", Revision: 3}
+	rep.apply(directory.Changes{Whole: true, At: 6, Records: []directory.Record{a}}, start)
+	rep.apply(directory.Changes{Whole: true, At: 4, Records: []directory.Record{a, gone}}, start)
+	assert.Equal(t, len(rep.live()), 1)
+	assert.Equal(t, rep.at, uint64(6))
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,6 +19,9 @@
 type subscription struct {
 	lastGood time.Time // when a relay last answered that was settled
 	relay    string    // address of the one that is followed; empty for none
+	outage   outage    // what relays say of the store
+	instead  string    // address of a balancer that one that was not settled named; empty for none
+	last     Relay     // the registered relay that was followed last
 }
 
 // follow asks relays for changes until ctx ends, and has the store followed
@@ -44,21 +49,49 @@
 		g.replica.waitChange(ctx, idle)
 		return
 	}
-	target, ok := g.choose(time.Now())
-	if !ok {
-		g.withoutRelay(ctx)
-		return
+	now := time.Now()
+	inOutage := s.outage.believed(now)
+	if inOutage && !now.Before(s.outage.probeAt) && !g.isRelay(now) && !g.follower.Settled(now) {
+		g.probeStore(ctx, s)
 	}
-	err := g.ask(ctx, target)
+	target, ok := g.choose(s, now)
+	switch {
+	case ok:
+		g.askOnce(ctx, target, s)
+	case inOutage && !g.isRelay(now):
+		g.sitOut(ctx, s)
+	default:
+		g.withoutRelay(ctx, s)
+	}
+}
+
+// askOnce asks a relay, or a balancer that one named, and notes how that ended.
+func (g *Group) askOnce(ctx context.Context, target Relay, s *subscription) {
+	err := g.ask(ctx, target, false)
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
+		s.noteWord(target, err, time.Now())
 		g.left(target, s, err, time.Now())
 	default:
 		g.followedRelay(target, s, time.Now())
 	}
 }
 
+// noteWord notes what a balancer that gave no changes said of the store and of others.
+func (s *subscription) noteWord(from Relay, err error, now time.Time) {
+	var unsettled unsettledError
+	if !errors.As(err, &unsettled) {
+		unsettled = unsettledError{} // it said nothing
+	}
+	s.instead = unsettled.instead
+	if unsettled.lost {
+		s.outage = s.outage.withWord(from.Addr, unsettled.askers, rand.Float64(), now)
+		return
+	}
+	s.outage = s.outage.without(from.Addr)
+}
+
 // serve has the store followed where this balancer is its zone's relay, and
 // reports whether it is and is settled.
 func (g *Group) serve(now time.Time) bool {
@@ -82,20 +115,38 @@
 	return registered > 0 && now.Sub(g.began)-time.Duration(registered) < g.opts.TTL
 }
 
-// choose returns the relay to ask.
-func (g *Group) choose(now time.Time) (Relay, bool) {
+// choose returns the relay to ask, or the balancer that one of them named.
+func (g *Group) choose(s *subscription, now time.Time) (Relay, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// A relay that has lost the store follows one of its own followers that has not.
+	instead := cmp.Or(s.instead, g.askers.instead(now))
+	if instead != "" && instead != g.cfg.Addr && !now.Before(g.penalized[instead]) {
+		return Relay{ID: instead, Addr: instead, Zone: g.cfg.Zone}, true
+	}
 	own := Relay{Addr: g.cfg.Addr, Zone: g.cfg.Zone}
-	return nextRelay(g.replica.allRelays(), own, g.penalized, g.turn, now)
+	return nextRelay(g.relaysFor(s), own, g.penalized, g.turn, now)
+}
+
+// relaysFor returns the relays that may be asked: the registered ones, and where there
+// is none any more, the one that was followed last. It follows the store still, and
+// tells of the next registration: not everybody has to look for it in the store.
+func (g *Group) relaysFor(s *subscription) []Relay {
+	all := g.replica.allRelays()
+	if len(all) == 0 && s.last.Addr != "" {
+		all = append(all, s.last)
+	}
+	return all
 }
 
-// withoutRelay has the store followed; but a balancer that has just started
-// waits for a relay first, so that not every balancer of a fleet that starts
-// follows the store for a moment.
-func (g *Group) withoutRelay(ctx context.Context) {
+// withoutRelay has the store followed; but a balancer that heard of a settled relay a
+// moment ago, or has just started, waits for a relay first, so that not every balancer
+// of a fleet follows the store for a moment.
+func (g *Group) withoutRelay(ctx context.Context, s *subscription) {
 	if !g.starting.Load() {
-		g.follower.SetActive(true)
+		if g.opts.outOfTouch(s.lastGood, time.Now()) {
+			g.follower.SetActive(true)
+		}
 		g.replica.waitChange(ctx, idle)
 		return
 	}
@@ -113,12 +164,15 @@
 }
 
 // ask waits for a relay's changes and brings them into force.
-func (g *Group) ask(ctx context.Context, r Relay) error {
+// patient waits at one that is not settled.
+func (g *Group) ask(ctx context.Context, r Relay, patient bool) error {
 	ctx, cancel := context.WithTimeout(ctx, g.opts.Wait+g.opts.Slack)
 	defer cancel()
 	after, _ := g.replica.revision() // 0 while nothing is known, which asks for everything
 	var reply ChangesReply
-	err := g.client.Call(ctx, r.Addr, methodChanges, ChangesArgs{After: after, Wait: g.opts.Wait}, &reply)
+	err := g.client.Call(ctx, r.Addr, methodChanges, ChangesArgs{
+		After: after, Wait: g.opts.Wait, From: g.cfg.Addr, Patient: patient, InTouch: g.follower.Settled(time.Now()),
+	}, &reply)
 	switch {
 	case errors.Is(err, link.ErrSilent):
 		g.client.Forget(r.Addr) // a connection that is cut stays silent
@@ -126,7 +180,7 @@
 	case err != nil:
 		return err
 	case !reply.Settled:
-		return errUnsettled
+		return unsettledError{lost: reply.StoreLost, askers: reply.Askers, instead: reply.Instead}
 	}
 	records, err := unpack(reply.Packed)
 	if err != nil {
@@ -142,9 +196,13 @@
 // alone then, unless this balancer is a relay itself.
 func (g *Group) followedRelay(r Relay, s *subscription, now time.Time) {
 	s.lastGood = now
+	s.outage = outage{}
+	if r.revision > 0 { // as the store has it, not one that another balancer named
+		s.last = r
+	}
 	g.starting.Store(false)
 	g.followed.Store(true)
-	g.noteFollowed(r.ID, now)
+	g.noteFollowed(r, now)
 	if s.relay != r.Addr {
 		s.relay = r.Addr
 		revision, _ := g.replica.revision()
@@ -159,6 +217,9 @@
 // answered for long.
 func (g *Group) left(r Relay, s *subscription, err error, now time.Time) {
 	g.penalize(r, now.Add(g.opts.penalty(err)), now)
+	if r.revision == 0 { // it was named while the relays had lost the store; they may have it again
+		g.forgiveRelays(s)
+	}
 	level := hclog.Debug
 	if s.relay == r.Addr {
 		level = hclog.Info
@@ -166,18 +227,33 @@
 	g.cfg.Log.Log(level, "relay left", "relay", r.ID, "zone", r.Zone, "error", err, "age", now.Sub(s.lastGood))
 	s.relay = ""
 	g.followed.Store(false)
-	g.noteFollowed("", s.lastGood)
-	if g.opts.outOfTouch(s.lastGood, now) && !g.starting.Load() {
+	g.noteFollowed(Relay{}, s.lastGood)
+	switch {
+	case s.outage.believed(now) && !g.isRelay(now):
+		if !g.follower.Settled(now) {
+			g.follower.SetActive(false)
+		}
+	case g.opts.outOfTouch(s.lastGood, now) && !g.starting.Load():
 		g.follower.SetActive(true)
 	}
 }
 
-// noteFollowed notes for the status whom the balancer follows, and when that one last
-// told the store's present state.
-func (g *Group) noteFollowed(id string, confirmed time.Time) {
+// forgiveRelays lets the relays be asked at once that were left alone.
+func (g *Group) forgiveRelays(s *subscription) {
+	relays := g.relaysFor(s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range relays {
+		delete(g.penalized, r.Addr)
+	}
+}
+
+// noteFollowed notes whom the balancer follows, for the status and for those that ask
+// it, and when that one last told the store's present state.
+func (g *Group) noteFollowed(r Relay, confirmed time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.relayID, g.confirmed = id, confirmed
+	g.relayed, g.confirmed = r, confirmed
 }
 
 // penalize leaves a relay alone until a time.
--- /dev/null
+++ b/relay/outage_test.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestCallsOfAnOutageDoNotGrowWithTheFleet: the followers of one relay together call a
+// lost store as often whatever their number, and soon for the first time.
+func TestCallsOfAnOutageDoNotGrowWithTheFleet(t *testing.T) {
+	const lasts = 20 * time.Second
+	for _, followers := range []int{3, 30, 300, 3000} {
+		rng := rand.New(rand.NewPCG(7, 9))
+		calls, first := 0, lasts
+		for range followers {
+			o := outage{}.withWord("relay", followers, rng.Float64(), start)
+			for now := o.probeAt; now.Sub(start) < lasts; now = o.probeAt {
+				calls, first = calls+1, min(first, now.Sub(start))
+				o = o.withWord("relay", followers, rng.Float64(), now) // it goes on saying so
+				o = o.withProbe(rng.Float64(), now)
+			}
+		}
+		perSecond := float64(calls) / lasts.Seconds()
+		assert.Assert(t, perSecond > 0.5 && perSecond < 6, "%d followers: %.1f calls a second", followers, perSecond)
+		assert.Assert(t, first < time.Second, "%d followers: the first call after %v", followers, first)
+	}
+}
+
+// TestWordOfALostStore holds for a time, for each relay alone.
+func TestWordOfALostStore(t *testing.T) {
+	var o outage
+	assert.Assert(t, !o.believed(start))
+	o = o.withWord("a", 10, 0.5, start)
+	assert.Assert(t, o.believed(start) && o.said("a", start) && !o.said("b", start))
+	assert.Equal(t, o.probeAt, start.Add(firstProbe*10/2))
+	later := o.withWord("b", 10, 0.9, start.Add(time.Second))
+	assert.Equal(t, later.probeAt, o.probeAt, "only the first word sets the time of the first call")
+	assert.Assert(t, !later.said("a", start.Add(lostFor)) && later.said("b", start.Add(lostFor)))
+	assert.Assert(t, !later.without("b").believed(start.Add(lostFor)))
+	assert.Assert(t, !later.believed(start.Add(time.Second+lostFor)))
+	assert.Equal(t, o.withProbe(0, start).probeAt, start.Add(laterProbe*10/2))
+}
+
+// TestAskers: those that asked lately are counted, and the one that is in touch with the
+// store is named until it is not, or asks no more.
+func TestAskers(t *testing.T) {
+	var a askers
+	for i := range 5 {
+		assert.Assert(t, !a.note(ChangesArgs{From: fmt.Sprint(i)}, start))
+	}
+	assert.Assert(t, !a.note(ChangesArgs{}, start), "of an earlier version")
+	assert.Equal(t, len(a.asked), 5)
+	assert.Equal(t, a.instead(start), "")
+	assert.Assert(t, a.note(ChangesArgs{From: "3", InTouch: true}, start.Add(time.Second)))
+	assert.Equal(t, a.instead(start.Add(time.Second)), "3")
+	a.note(ChangesArgs{From: "2"}, start.Add(askedFor))
+	assert.Equal(t, len(a.asked), 2)
+	assert.Equal(t, a.instead(start.Add(askedFor)), "3")
+	assert.Equal(t, a.instead(start.Add(askedFor+time.Second)), "")
+	a.note(ChangesArgs{From: "3", InTouch: true}, start.Add(askedFor))
+	a.note(ChangesArgs{From: "3"}, start.Add(askedFor))
+	assert.Equal(t, a.instead(start.Add(askedFor)), "")
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,7 +18,7 @@
 // # Usage
 //
 //	g := relay.New(relay.Config{ID: id, Zone: zone, Addr: addr, Registry: store, Decoder: store, Log: log})
-//	follower := directory.NewFollower(d, store, directory.Options{Standby: true, Observe: g.Observe, Begin: g.Begin})
+//	follower := directory.NewFollower(d, store, directory.Options{Standby: true, Observe: g.Observe, Begin: g.Begin, OnAnswer: g.OnAnswer})
 //	err := g.Start(listener, follower)
 //	defer g.Close()
 package relay
@@ -103,9 +103,10 @@
 	began    time.Time // of the steady clock
 	turn     int       // which of other zones' relays is asked
 
-	leaving  atomic.Bool // a planned stop has begun
-	starting atomic.Bool // waits for a first relay that is settled
-	followed atomic.Bool // the last relay that was asked is settled
+	leaving  atomic.Bool  // a planned stop has begun
+	starting atomic.Bool  // waits for a first relay that is settled
+	followed atomic.Bool  // the last relay that was asked is settled
+	patient  atomic.Int64 // questions that wait for this balancer to be settled
 	// registered is when this balancer registered, until the store tells so; in
 	// ns since began, 0 for never.
 	registered atomic.Int64
@@ -113,8 +114,9 @@
 	mu        sync.Mutex
 	penalized map[string]time.Time // relays that failed, by address, until when they are left alone
 	first     bootstrap.Result     // how the first copy came
-	relayID   string               // identity of the relay that is followed; empty for none
+	relayed   Relay                // the relay that is followed; zero for none
 	confirmed time.Time            // when a settled relay last answered
+	askers    askers               // who asks this balancer
 }
 
 // maxTurns spreads the balancers of a zone without a relay over those of others.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -92,7 +92,7 @@
 	})
 	m.follower = directory.NewFollower(m.directory, m.source, directory.Options{
 		Log: log, Gather: short, RetryPause: short, CheckEvery: 100 * time.Millisecond, StuckAfter: 50 * time.Millisecond,
-		Standby: true, Observe: m.group.Observe, Begin: m.group.Begin,
+		Standby: true, Observe: m.group.Observe, Begin: m.group.Begin, OnAnswer: m.group.OnAnswer,
 	})
 	assert.NilError(t, m.group.Start(l, m.follower))
 	ctx, stop := context.WithCancel(context.Background())
@@ -344,3 +344,49 @@
 	assert.Equal(t, readers, 2)
 	inForce(t, store, 5, again...)
 }
+
+// TestStoreDownIsAskedByFew: while the store answers nobody, the followers stay with
+// their relay and hardly call it, and what changes after its return comes to all.
+func TestStoreDownIsAskedByFew(t *testing.T) {
+	const followers = 12
+	store := platformtest.NewStore()
+	publish(store, 1)
+	all, chosen, others := settled(t, store, followers+1)
+	inForce(t, store, 3, all...)
+	calls := func() (n int64) {
+		for _, m := range others {
+			n += m.calls.Load()
+		}
+		return n
+	}
+	store.SetFaults(platformtest.Faults{Refuse: true})
+	until(t, "unsettled", func() bool { return len(active(all)) == 0 })
+	before, relayBefore := calls(), chosen.calls.Load()
+	until(t, "tries of the relay", func() bool { return chosen.calls.Load() > relayBefore+8 })
+	made := calls() - before
+	assert.Assert(t, made <= 2*followers, "%d calls of %d followers during %d of the relay", made, followers, chosen.calls.Load()-relayBefore)
+	store.SetFaults(platformtest.Faults{})
+	inForce(t, store, 5, all...)
+	until(t, "one follows the store", func() bool { return len(active(all)) == 1 })
+	inForce(t, store, 7, all...)
+	made = calls() - before
+	assert.Assert(t, made <= 6*followers, "%d calls of %d followers until all was well", made, followers)
+}
+
+// TestRelayAloneIsTurnedAway: in a deployment of one zone the balancers that the store
+// serves find that out by turns, and the others follow the first of them, until the
+// relay is served again.
+func TestRelayAloneIsTurnedAway(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	all, chosen, others := settled(t, store, 6)
+	inForce(t, store, 2, all...)
+	chosen.refused.Store(true)
+	others[0].refused.Store(true)
+	inForce(t, store, 3, all...)
+	inForce(t, store, 5, all...)
+	chosen.refused.Store(false)
+	others[0].refused.Store(false)
+	inForce(t, store, 7, all...)
+	until(t, "one follows the store", func() bool { return len(active(all)) == 1 })
+}
--- a/relay/rules.go
+++ b/relay/rules.go
@@ -24,8 +24,20 @@
 	otherRelaysFactor = 10
 )
 
-// errUnsettled says that a relay is not up to date itself.
-var errUnsettled = errors.New("relay: not settled")
+// unsettledError says that a balancer that was asked is not up to date itself.
+type unsettledError struct {
+	lost    bool   // because the store does not answer it
+	askers  int    // balancers that asked it lately
+	instead string // address of one that may be asked; empty for none
+}
+
+// Error tells it.
+func (e unsettledError) Error() string {
+	if e.lost {
+		return "relay: not settled, store lost"
+	}
+	return "relay: not settled"
+}
 
 // nextRelay returns the relay to ask: that of the own zone first, then others in
 // an order of this balancer's own, so that the balancers of a zone without a relay
@@ -48,9 +60,11 @@
 	return candidates[turn%len(candidates)], true
 }
 
-// penalty returns for how long a relay that failed with err is left alone.
+// penalty returns for how long a relay that failed with err is left alone. One that has
+// lost the store is asked seldom: its followers wait at the relay of their own zone.
 func (o Options) penalty(err error) time.Duration {
-	if errors.Is(err, errUnsettled) {
+	var unsettled unsettledError
+	if errors.As(err, &unsettled) && !unsettled.lost {
 		return o.Penalty / unsettledDivisor
 	}
 	return o.Penalty
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,16 +11,22 @@
 // ChangesArgs asks a relay for what changed after a revision. It answers after
 // Wait at the latest. Package gob sends the names of the fields.
 type ChangesArgs struct {
-	After uint64
-	Wait  time.Duration
+	After   uint64
+	Wait    time.Duration
+	From    string // address of the one that asks; empty from those that do not tell it
+	Patient bool   // a relay that is not settled answers when it is again, or after Wait
+	InTouch bool   // the one that asks follows the store itself, and is settled
 }
 
 // ChangesReply tells it.
 type ChangesReply struct {
-	Settled bool   // the relay follows the store and is up to date
-	Whole   bool   // the records are all there are
-	At      uint64 // revision up to which the relay knows all changes
-	Packed  []byte // records of the store, see packer; empty for none
+	Settled   bool   // the relay follows the store and is up to date
+	Whole     bool   // the records are all there are
+	At        uint64 // revision up to which the relay knows all changes
+	Packed    []byte // records of the store, see packer; empty for none
+	StoreLost bool   // the relay is not settled because the store does not answer it
+	Askers    int    // how many balancers asked it lately
+	Instead   string // the address of one of these that is in touch with the store; empty for none
 }
 
 // methodChanges is the name under which net/rpc knows receiver.Changes.
@@ -38,16 +44,25 @@
 // Changes waits for changes and tells them.
 func (r *receiver) Changes(args ChangesArgs, reply *ChangesReply) error {
 	g := r.group
+	g.noteAsker(args, time.Now())
+	wait := min(args.Wait, maxWait)
+	if args.Patient {
+		g.waitSettled(args.From, wait)
+	}
 	if !g.follower.Settled(time.Now()) {
+		*reply = g.unsettledReply(time.Now())
 		return nil
 	}
-	g.replica.waitAfter(context.Background(), args.After, min(args.Wait, maxWait))
+	g.replica.waitAfter(context.Background(), args.After, wait)
 	d := g.replica.since(args.After)
 	packed, err := g.packer.pack(d)
 	if err != nil {
 		return err
 	}
 	*reply = ChangesReply{Settled: g.follower.Settled(time.Now()), Whole: d.whole, At: d.at, Packed: packed}
+	if !reply.Settled {
+		*reply = g.unsettledReply(time.Now())
+	}
 	return nil
 }
 
--- a/relay/status.go
+++ b/relay/status.go
@@ -18,7 +18,7 @@
 func (g *Group) Status(now time.Time) Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	st := Status{FirstFrom: g.first.From, FirstAfter: g.first.After, Following: g.relayID}
+	st := Status{FirstFrom: g.first.From, FirstAfter: g.first.After, Following: g.relayed.ID}
 	confirmed := g.confirmed
 	if g.follower.Active() {
 		st.Following = followsStore
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -26,6 +26,14 @@
 	}
 }
 
+// wake lets those look again that wait for a change.
+func (rep *replica) wake() {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	close(rep.changed)
+	rep.changed = make(chan struct{})
+}
+
 // waitChange waits until any change is noted, at most as long as limit.
 func (rep *replica) waitChange(ctx context.Context, limit time.Duration) {
 	rep.mu.Lock()
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -57,7 +57,7 @@
 		if s.relays, err = s.newRelays(); err != nil {
 			return nil, err
 		}
-		opts.Standby, opts.Observe, opts.Begin = true, s.relays.Observe, s.relays.Begin
+		opts.Standby, opts.Observe, opts.Begin, opts.OnAnswer = true, s.relays.Observe, s.relays.Begin, s.relays.OnAnswer
 	}
 	s.follower = directory.NewFollower(d, s.cfg.Source, opts)
 	ctx, stop := context.WithCancel(context.Background())
