--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -47,6 +47,7 @@
 type Usual struct {
 	Work     time.Duration // usual service time of the kind
 	Crowding Crowding      // of the service
+	Prospect Prospect      // of the service
 
 	slots, room int // that was asked for last, and its room
 }
@@ -148,6 +149,17 @@
 	}
 }
 
+// Find returns the candidate that was made of an endpoint, by its index in the list that
+// the candidates were made of.
+func (r *Ranking) Find(index int) (*Candidate, bool) {
+	for i := range r.list {
+		if r.list[i].Index == index {
+			return &r.list[i], true
+		}
+	}
+	return nil, false
+}
+
 // Len returns the number of candidates.
 func (r *Ranking) Len() int { return len(r.list) }
 
--- a/coord/selection/decide_test.go
+++ b/coord/selection/decide_test.go
@@ -107,9 +107,9 @@
 func TestWhoIsProbed(t *testing.T) {
 	always := func(int) bool { return true }
 	fresh, never := probed(0, 1), selection.NewEndpoint()
-	assert.Assert(t, !options.NeedsProbe(ranked(fresh, never)), "a good endpoint with a fresh report is taken as it is")
-	assert.Assert(t, options.NeedsProbe(ranked(never)))
-	assert.Assert(t, !options.NeedsProbe(ranked()))
+	assert.Assert(t, !options.NeedsProbe(ranked(fresh, never), &usual), "a good endpoint with a fresh report is taken as it is")
+	assert.Assert(t, options.NeedsProbe(ranked(never), &usual))
+	assert.Assert(t, !options.NeedsProbe(ranked(), &usual))
 	index, ok := options.NextProbe(ranked(fresh, never), always)
 	assert.Assert(t, ok)
 	assert.Equal(t, index, 1)
--- a/coord/selection/probe.go
+++ b/coord/selection/probe.go
@@ -9,13 +9,14 @@
 const ProbeRounds = 6
 
 // NeedsProbe reports whether an endpoint should be probed before a decision: the
-// best candidate is not good, or its report is no longer fresh.
-func (o Options) NeedsProbe(list *Ranking) bool {
+// best candidate is not good, its report is no longer fresh, or another one is likely to
+// be better by more than the probe costs.
+func (o Options) NeedsProbe(list *Ranking, usual *Usual) bool {
 	if list.Len() == 0 {
 		return false
 	}
 	best := list.Best()
-	return !best.Good || best.Age > o.ProbeFresh
+	return !best.Good || best.Age > o.ProbeFresh || usual.looksFurther(best)
 }
 
 // NextProbe returns the best candidate whose report is not fresh and that
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -20,7 +20,9 @@
 	service string // without the tenant
 	listed  []directory.Endpoint
 	ranking selection.Ranking
-	probes  int // so far
+	usual   selection.Usual // of the kind and the service, as of the ranking
+	probes  int             // so far
+	probed  int             // the last one probed, by its index in listed
 }
 
 // Acquire chooses an endpoint for a request: it looks at the endpoints, decides and
@@ -48,28 +50,43 @@
 }
 
 // look ranks the endpoints and probes the best ones, one at a time, until one is
-// good, none may be probed, or the rounds are over.
+// good and no better one is expected, none may be probed, or the rounds are over.
 func (c *Chooser) look(ctx context.Context, s *search) {
 	c.rank(s, time.Now())
 	for range selection.ProbeRounds {
-		if !c.opts.NeedsProbe(&s.ranking) || !c.probe(ctx, s, time.Now()) {
+		if !c.opts.NeedsProbe(&s.ranking, &s.usual) || !c.probe(ctx, s, time.Now()) {
 			return
 		}
 		s.probes++
 		c.rank(s, time.Now())
-		if s.ranking.Len() == 0 || s.ranking.Best().Good || ctx.Err() != nil {
+		c.noteProspect(s)
+		if s.ranking.Len() == 0 || ctx.Err() != nil {
 			return
 		}
 	}
 }
 
+// noteProspect notes what the endpoint is like that was probed last, where it told its
+// load in time.
+func (c *Chooser) noteProspect(s *search) {
+	probed, ok := s.ranking.Find(s.probed)
+	if !ok || probed.Age > c.opts.ProbeFresh {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.prospects[s.service] = c.prospects[s.service].With(probed.Estimate, s.usual.Work)
+}
+
 // rank makes candidates of the endpoints that the request may go to.
 func (c *Chooser) rank(s *search, now time.Time) {
 	s.listed = c.cfg.Directory.Snapshot().Endpoints[s.service]
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.ranking.Reset(len(s.listed))
-	usual := selection.Usual{Work: c.workloads[s.request.Kind].Usual(s.request.Target), Crowding: c.crowding[s.service]}
+	s.usual = selection.Usual{
+		Work: c.workloads[s.request.Kind].Usual(s.request.Target), Crowding: c.crowding[s.service], Prospect: c.prospects[s.service],
+	}
 	for i := range s.listed {
 		e := &s.listed[i]
 		if !e.Usable(now) || slices.Contains(s.request.Avoid, e.VM) {
@@ -77,7 +94,7 @@
 		}
 		known := c.knownOf(s, e.VM, now)
 		listing := selection.Listing{Slots: e.Slots, SameZone: e.Zone == c.cfg.Zone, Warm: !now.Before(e.WarmAt)}
-		s.ranking.Add(selection.NewCandidate(&known.state, i, listing, &usual, c.rng.Uint32(), now))
+		s.ranking.Add(selection.NewCandidate(&known.state, i, listing, &s.usual, c.rng.Uint32(), now))
 	}
 	s.ranking.DropEjected()
 	c.listed[s.service] = c.listed[s.service] || len(s.listed) > 0
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -70,6 +70,7 @@
 	forgotten time.Time                     // when endpoints that are gone were last dropped
 	workloads map[string]selection.Workload // by request kind
 	crowding  map[string]selection.Crowding // by service
+	prospects map[string]selection.Prospect // by service
 	waiters   map[string]waiters            // by service
 	listed    map[string]bool               // services whose endpoints were ranked before
 	rng       *rand.Rand
@@ -94,6 +95,7 @@
 		endpoints: map[string]*endpoint{},
 		workloads: map[string]selection.Workload{},
 		crowding:  map[string]selection.Crowding{},
+		prospects: map[string]selection.Prospect{},
 		waiters:   map[string]waiters{},
 		listed:    map[string]bool{},
 		rng:       rand.New(rand.NewPCG(uint64(now), rand.Uint64())),
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -411,3 +411,32 @@
 	r.Complete(held, placement.Result{Outcome: placement.Completed, Took: time.Millisecond})
 	assert.Equal(t, r.Remembered(), 0)
 }
+
+// TestLooksPastTheLastSlot: an endpoint with its last slot free is good, but is not
+// taken while those probed lately were idle, and is when they are as busy.
+func TestLooksPastTheLastSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(8, selection.Options{ProbeBurst: 1000})
+		take := func() placement.Grant {
+			time.Sleep(time.Second) // no report is fresh any more
+			g, refused := r.Acquire(context.Background(), ask())
+			assert.Assert(t, refused == nil)
+			r.Complete(g, placement.Result{Outcome: placement.Completed, Took: 100 * time.Millisecond})
+			return g
+		}
+		for range 20 {
+			assert.Equal(t, take().Choice.Probes, 1)
+		}
+		r.prober.set("e0", 2, 1)
+		for range 30 {
+			assert.Assert(t, take().Endpoint.VM != "e0")
+		}
+		for i := range 8 {
+			r.prober.set(fmt.Sprint("e", i), 2, 1)
+		}
+		for range 30 {
+			take()
+		}
+		assert.Equal(t, take().Choice.Probes, 1, "no other one is expected to be better")
+	})
+}
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -71,6 +71,7 @@
 	if !ok {
 		return target{}, false
 	}
+	s.probed = index
 	return target{listed: s.listed[index], known: c.known(s.listed[index].VM)}, true
 }
 
