A balancer hands on as many first copies as take a tenth of a second of its link

Cause: eight copies of 37 KB take 0.12 s of a small VM's link of 20 Mbit/s, which was the largest part of what was left of a fleet's start, while a relay's link of 200 Mbit/s was idle after its eight. Ruled out: processor time of decoding (50 ms on 0.16 core). Change: setting link_mbps, filled in by the platform; the number of copies follows from the rate and the copy's size.

--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -22,7 +22,7 @@
 //
 // # Usage
 //
-//	giver := bootstrap.NewGiver(state)                     // answers Copy calls of others
+//	giver := bootstrap.NewGiver(state, rate)                     // answers Copy calls of others
 //	starter := bootstrap.New(bootstrap.Config{State: state, Store: store, Peers: peers, Giver: giver, Log: log})
 //	result := starter.Run(ctx)                             // until a first copy is in force
 package bootstrap
--- a/bootstrap/bootstrap_test.go
+++ b/bootstrap/bootstrap_test.go
@@ -50,7 +50,7 @@
 // begin starts a balancer.
 func (f *fleet) begin(ctx context.Context, self bootstrap.Peer, cores float64) *member {
 	m := &member{fleet: f, self: self, known: make(chan struct{}), from: time.Now()}
-	m.giver = bootstrap.NewGiver(m)
+	m.giver = bootstrap.NewGiver(m, 0)
 	f.mu.Lock()
 	f.members[self.Addr] = m
 	f.mu.Unlock()
--- /dev/null
+++ b/bootstrap/fanout_test.go
@@ -0,0 +1,26 @@
+package bootstrap
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestFanOut: a tenth of a second of the link, within bounds.
+func TestFanOut(t *testing.T) {
+	const mbit = 1e6 / 8
+	for _, c := range []struct {
+		size int
+		rate float64
+		want int
+	}{
+		{37 << 10, 20 * mbit, 6},
+		{37 << 10, 200 * mbit, 64},
+		{100 << 10, 200 * mbit, 24},
+		{1 << 20, 20 * mbit, 2},
+		{37 << 10, 0, 8},
+		{0, 20 * mbit, 8},
+	} {
+		assert.Equal(t, fanOut(c.size, c.rate), c.want, "%d bytes at %v", c.size, c.rate)
+	}
+}
--- a/bootstrap/giver.go
+++ b/bootstrap/giver.go
@@ -33,6 +33,7 @@
 // Giver hands this balancer's copy to others. It is safe for concurrent use.
 type Giver struct {
 	state State
+	rate  float64 // of the link, in bytes a second; 0 where it is not known
 
 	received   chan struct{} // closed when there is a copy to hand on
 	mu         sync.Mutex
@@ -41,9 +42,10 @@
 	keptAt     time.Time // since when
 }
 
-// NewGiver returns a giver of what a state holds.
-func NewGiver(state State) *Giver {
-	return &Giver{state: state, received: make(chan struct{})}
+// NewGiver returns a giver of what a state holds. rate is that of the balancer's link, in
+// bytes a second; 0 where it is not known.
+func NewGiver(state State, rate float64) *Giver {
+	return &Giver{state: state, rate: rate, received: make(chan struct{})}
 }
 
 // Keep takes a copy that was received to be handed on as it is.
@@ -75,15 +77,16 @@
 func (g *Giver) answer(addr string, now time.Time) (reply CopyReply, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.recipients, reply.Instead = g.recipients.WithQuestion(addr, now); len(reply.Instead) > 0 {
-		return reply, nil
-	}
 	if now.Sub(g.keptAt) >= keptFor && isClosed(g.state.Known()) {
 		if g.copy, err = Pack(g.state.Records()); err != nil {
 			return CopyReply{}, err
 		}
 		g.keptAt = now
 	}
+	most := fanOut(len(g.copy.Packed), g.rate)
+	if g.recipients, reply.Instead = g.recipients.WithQuestion(addr, most, now); len(reply.Instead) > 0 {
+		return reply, nil
+	}
 	reply.At, reply.Packed = g.copy.At, g.copy.Packed
 	return reply, nil
 }
--- a/bootstrap/rules.go
+++ b/bootstrap/rules.go
@@ -8,10 +8,17 @@
 // The rules of handing a first copy on, as functions of their arguments.
 
 const (
-	// fanOut is to how many others a balancer hands its copy within recipientsFor. A
-	// copy of 40 KB for eight takes 0.13 s of a link of 20 Mbit/s, and the copies for
-	// n balancers spread over log8(n) such steps.
-	fanOut = 8
+	// givingTime is of how long its link a balancer gives to copies for others within
+	// recipientsFor; whoever comes later is sent on. Eight copies of 37 KB each took
+	// 0.12 s of links of 20 Mbit/s, while a relay's link of 200 Mbit/s was idle. Chosen
+	// without a measurement of its own.
+	givingTime = 100 * time.Millisecond
+	// unknownFanOut is to how many others a balancer gives its copy whose link is not
+	// known, and fewest and most bound the number for any link: with one only, the
+	// copies would go along a chain. Chosen without a measurement.
+	unknownFanOut = 8
+	fewestGiven   = 2
+	mostGiven     = 64
 	// recipientsFor is how long those that were given a copy are remembered: a fleet
 	// that starts at once has its copies well within it. Chosen without a measurement.
 	recipientsFor = time.Second
@@ -20,6 +27,15 @@
 	alternatives = 2
 )
 
+// fanOut returns to how many others a balancer gives copies of a size, in bytes, at the
+// rate of its link, in bytes a second; 0 where that is not known.
+func fanOut(size int, rate float64) int {
+	if rate <= 0 || size <= 0 {
+		return unknownFanOut
+	}
+	return max(fewestGiven, min(mostGiven, int(rate*givingTime.Seconds())/size))
+}
+
 // Recipients are the balancers that were given a copy lately. It is an immutable
 // value; the zero value is empty.
 type Recipients struct {
@@ -32,9 +48,9 @@
 	at   time.Time
 }
 
-// WithQuestion returns the recipients after a balancer asked for a copy, and where it
-// is sent on to; nowhere means that it is given one.
-func (r Recipients) WithQuestion(addr string, now time.Time) (next Recipients, instead []string) {
+// WithQuestion returns the recipients after a balancer asked for a copy, of which so many
+// are given at most, and where it is sent on to; nowhere means that it is given one.
+func (r Recipients) WithQuestion(addr string, most int, now time.Time) (next Recipients, instead []string) {
 	next.turn = r.turn
 	again := false
 	for _, known := range r.given {
@@ -46,7 +62,7 @@
 	switch {
 	case again: // its copy may have been lost on the way
 		return next, nil
-	case len(next.given) < fanOut:
+	case len(next.given) < most:
 		next.given = append(next.given, recipient{addr: addr, at: now})
 		return next, nil
 	}
--- a/bootstrap/rules_test.go
+++ b/bootstrap/rules_test.go
@@ -65,13 +65,13 @@
 	given := map[string]bool{}
 	for i := range 8 {
 		addr := fmt.Sprint("given", i)
-		r, instead = r.WithQuestion(addr, start)
+		r, instead = r.WithQuestion(addr, 8, start)
 		assert.Equal(t, len(instead), 0)
 		given[addr] = true
 	}
 	sentTo := map[string]int{}
 	for i := range 16 {
-		r, instead = r.WithQuestion(fmt.Sprint("late", i), start.Add(time.Millisecond))
+		r, instead = r.WithQuestion(fmt.Sprint("late", i), 8, start.Add(time.Millisecond))
 		assert.Equal(t, len(instead), 2)
 		assert.Assert(t, given[instead[0]] && given[instead[1]] && instead[0] != instead[1])
 		sentTo[instead[0]]++
@@ -80,9 +80,9 @@
 	for addr, n := range sentTo {
 		assert.Equal(t, n, 2, addr)
 	}
-	_, instead = r.WithQuestion("given3", start.Add(time.Millisecond))
+	_, instead = r.WithQuestion("given3", 8, start.Add(time.Millisecond))
 	assert.Equal(t, len(instead), 0, "a copy may be lost on the way")
-	_, instead = r.WithQuestion("late1", start.Add(time.Second))
+	_, instead = r.WithQuestion("late1", 8, start.Add(time.Second))
 	assert.Equal(t, len(instead), 0)
 }
 
@@ -97,7 +97,7 @@
 			self := fmt.Sprint(i)
 			peer := "relay"
 			for {
-				next, instead := books[peer].WithQuestion(self, start)
+				next, instead := books[peer].WithQuestion(self, 8, start)
 				books[peer] = next
 				if len(instead) == 0 {
 					break
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,6 +81,7 @@
 	Addr     string   // at which other balancers reach this one
 	Seeds    []string // addresses of some others, for the start
 	Cores    float64  // processor share; balancers with more of it become relays first
+	LinkRate float64  // of the VM's link, in bytes a second; 0 where it is not known
 	Registry Registry
 	Decoder  Decoder
 	Log      hclog.Logger
@@ -128,7 +129,7 @@
 		cfg: cfg, opts: cfg.Options.withDefaults(), replica: newReplica(), packer: newPacker(),
 		began: time.Now(), client: link.NewClient(cfg.TLS), turn: rand.IntN(maxTurns), penalized: map[string]time.Time{},
 	}
-	g.giver = bootstrap.NewGiver(firstState{g})
+	g.giver = bootstrap.NewGiver(firstState{g}, cfg.LinkRate)
 	return g
 }
 
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -80,6 +80,9 @@
 	return direct.New(cfg), nil
 }
 
+// bytesPerMegabit turns a rate in Mbit/s into bytes a second.
+const bytesPerMegabit = 1e6 / 8
+
 // newRelays returns this balancer's part in handing changes on.
 func (s *Server) newRelays() (*relay.Group, error) {
 	settings, log := s.cfg.Settings, s.cfg.Log.Named("relay")
@@ -90,6 +93,7 @@
 	}
 	return relay.New(relay.Config{
 		ID: settings.ID, Zone: settings.Zone, Addr: settings.Link, Seeds: settings.Peers, Cores: settings.Cores,
+		LinkRate: settings.LinkRate * bytesPerMegabit,
 		Registry: s.cfg.Relays, Decoder: s.cfg.Relays, Log: log, TLS: secured,
 		Options: relay.OptionsWithin(settings.Discovery.Within()),
 	}), nil
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,7 @@
 	Discovery Discovery `json:"discovery"`
 	Retries   Retries   `json:"retries"`
 	Cores     float64   `json:"cores"`     // processor share of the VM; larger ones take duties first; default 1
+	LinkRate  float64   `json:"link_mbps"` // of the VM's link, in Mbit/s; a balancer with a faster one hands more copies on; 0 where it is not known
 	Memory    int       `json:"memory_mb"` // what the process may use, in MiB; 0 for no limit
 	Trace     string    `json:"trace"`     // none or stderr; default none
 	Metrics   string    `json:"metrics"`   // address of metrics alone; empty for none beside the admin address
@@ -193,6 +194,7 @@
 	}
 	checkRetries(dec, s.Retries)
 	dec.Check(s.Cores > 0 && s.Cores <= mostCores, "cores", "is %v; above 0, at most %d", s.Cores, mostCores)
+	dec.Check(s.LinkRate >= 0, "link_mbps", "is %v; at least 0", s.LinkRate)
 	dec.Check(s.Memory >= 0, "memory_mb", "is %d; at least 0", s.Memory)
 	checkBetween(dec, "stop.notice", s.Stop.Notice, 0, 10*time.Minute)
 	dec.Check(s.Stop.Grace == 0 || s.Stop.Grace >= time.Second, "stop.grace", "is %v; at least 1s", s.Stop.Grace)
