A connection on which nothing is acknowledged any more is given up after 1.5 s

Cause: open connections may go silent for good while new ones work; a request written to one waited for its route's whole time. Ruled out: keep-alive probes on idle connections (a packet a second for each of some ten thousand connections). What was acknowledged before the silence still waits. Change: package internal/dial sets TCP_USER_TIMEOUT on connections to endpoints, other balancers and the store.

--- a/link/client.go
+++ b/link/client.go
@@ -9,6 +9,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"github.com/lotuswing/lotuswing/internal/dial"
 )
 
 // dialTimeout bounds the opening of a connection to a peer; calls have bounds of
@@ -102,11 +104,10 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	if c.tls != nil {
-		d := tls.Dialer{Config: c.tls}
+		d := tls.Dialer{NetDialer: dial.Dialer(dialTimeout), Config: c.tls}
 		return d.DialContext(ctx, "tcp", addr)
 	}
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr)
+	return dial.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
 }
 
 func (c *Client) drop(addr string, peer *rpc.Client) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -25,6 +25,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/lotuswing/lotuswing/internal/dial"
 )
 
 // Defaults of Options and bounds of a client. They were chosen without a
@@ -61,7 +63,7 @@
 		native := Native()
 		opts.Dialect = &native
 	}
-	dialer := &net.Dialer{Timeout: opts.DialTimeout}
+	dialer := dial.Dialer(opts.DialTimeout)
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
