A soak in which all balancers are lost at once, the store away meanwhile

Cause: no run of separate processes struck a whole fleet at once, which is what first copies and seeds are for. Its numbers are drawn apart, so that plays of kept seeds stay what they were.

--- a/soak/process.go
+++ b/soak/process.go
@@ -25,6 +25,7 @@
 	listen string
 	admin  string
 	link   string // where other balancers ask for changes
+	peers  []string
 	file   string
 	store  *Proxy
 	start  func(settings, log string) *exec.Cmd
@@ -84,11 +85,10 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &balancer{
+	return &balancer{
 		id: id, zone: zone, listen: listen, admin: admin, link: linkAddr, store: proxy, start: start,
 		file: filepath.Join(dir, id+".jsonc"), log: filepath.Join(dir, id+".log"),
-	}
-	return b, b.writeSettings()
+	}, nil
 }
 
 func (b *balancer) writeSettings() error {
@@ -96,6 +96,7 @@
 		"id": b.id, "zone": b.zone, "listen": b.listen, "admin": b.admin,
 		"discovery": map[string]any{"kind": "platform", "url": "http://" + b.store.Addr()},
 		"link":      b.link,
+		"peers":     b.peers,
 		"link_tls":  map[string]any{"insecure": true},
 		"retries":   map[string]any{"ratio": 0.2, "burst": 64, "window": "10s"},
 		"stop":      map[string]any{"notice": "300ms", "limit": "5s"},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -22,6 +22,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -43,6 +44,8 @@
 	Endpoints int           // of each service; default 4
 	Callers   int           // default 8
 	Gap       time.Duration // mean pause between two faults; default 300 ms
+	// Together is the mean time between two losses of all balancers at once; 0 for none.
+	Together time.Duration
 	// Timed checks the promises that have a time limit, too. They depend on a
 	// machine that gives every process its turn.
 	Timed bool
@@ -74,6 +77,9 @@
 	Violations []Violation
 }
 
+// peersGiven is of how many others the settings of each balancer tell.
+const peersGiven = 3
+
 // zones is how many zones the balancers are divided among; in each of them one
 // follows the store for the others.
 const zones = 2
@@ -168,10 +174,15 @@
 		if err != nil {
 			return err
 		}
-		if err := b.run(); err != nil {
+		w.balancers = append(w.balancers, b)
+	}
+	for _, b := range w.balancers {
+		for _, peer := range w.balancers[:min(peersGiven, len(w.balancers))] {
+			b.peers = append(b.peers, peer.link)
+		}
+		if err := errors.Join(b.writeSettings(), b.run()); err != nil {
 			return err
 		}
-		w.balancers = append(w.balancers, b)
 	}
 	for _, b := range w.balancers {
 		if err := b.waitReady(ctx); err != nil {
@@ -192,7 +203,15 @@
 		callers.Go(func() { c.run(calling) })
 	}
 	disturbing, stopFaults := context.WithTimeout(ctx, cfg.For)
+	var together sync.WaitGroup
+	struck := map[string]int{}
+	if cfg.Together > 0 {
+		rng := rand.New(rand.NewPCG(cfg.Seed, 0))
+		together.Go(func() { w.strikeTogether(disturbing, cfg.Together, rng, func(kind string) { struck[kind]++ }) })
+	}
 	w.disturbUntil(disturbing, w.rng, func(kind string) { result.Faults[kind]++ })
+	together.Wait()
+	maps.Copy(result.Faults, struck)
 	stopFaults()
 	stopCalls()
 	callers.Wait()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// TestSoakOfAllAtOnce plays a soak in which all balancers are lost at once, some of the
+// time with the store away while they start again.
+func TestSoakOfAllAtOnce(t *testing.T) {
+	result, err := soak.Run(t.Context(), soak.Config{
+		Seed: 5, For: 8 * time.Second, Balancers: 6, Together: 2 * time.Second, Gap: time.Second, Command: present,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, result.Faults["all are killed"] > 0, "%v", result.Faults)
+	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
+	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
+}
+
 // olderVariable names a lotuswing binary of an earlier version; where it is not
 // set, both versions of a fleet are the present one. .ci/older sets it.
 const olderVariable = "LOTUSWING_OLDER_BINARY"
--- /dev/null
+++ b/soak/together.go
@@ -0,0 +1,72 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lotuswing/lotuswing/internal/pause"
+	"github.com/lotuswing/lotuswing/platform/platformtest"
+)
+
+// A loss of power takes all balancers at once, and what they would read to start again
+// may be away as well. This fault strikes beside the others, drawn from numbers of its
+// own, so that the plays of seeds without it stay what they were.
+
+const (
+	// darkFor is how long all balancers are gone at most.
+	darkFor = time.Second
+	// awayFor is how long the store stays away at most once they start again.
+	awayFor = 1500 * time.Millisecond
+)
+
+// strikeTogether kills all balancers at times, a mean gap apart, until ctx ends.
+func (w *world) strikeTogether(ctx context.Context, gap time.Duration, rng *rand.Rand, report func(string)) {
+	for pause.For(ctx, time.Duration(rng.Int64N(int64(2*gap)))); ctx.Err() == nil; pause.For(ctx, time.Duration(rng.Int64N(int64(2*gap)))) {
+		away := platformtest.Faults{Refuse: rng.IntN(2) == 0}
+		away.Silent = !away.Refuse && rng.IntN(2) == 0
+		report("all are killed")
+		w.log.Info("fault", "kind", "all are killed", "store refuses", away.Refuse, "store silent", away.Silent)
+		w.killTogether(away, time.Duration(rng.Int64N(int64(darkFor))), time.Duration(rng.Int64N(int64(awayFor))))
+		w.log.Info("fault ends", "kind", "all are killed")
+	}
+}
+
+// killTogether kills all balancers that no other fault restarts, starts them again after
+// a while and waits until they are ready. The store is away from the kill until a while
+// after the start.
+func (w *world) killTogether(away platformtest.Faults, dark, awayFor time.Duration) {
+	from := time.Now()
+	w.store.SetFaults(away)
+	var struck []*balancer
+	for _, b := range w.balancers {
+		if b.claim() {
+			b.signal(syscall.SIGCONT)
+			b.signal(syscall.SIGKILL)
+			struck = append(struck, b)
+		}
+	}
+	pause.For(w.ctx, dark)
+	for _, b := range struck {
+		b.gone()
+		if err := b.run(); err != nil {
+			w.fail(err)
+		}
+	}
+	pause.For(w.ctx, awayFor)
+	w.store.SetFaults(platformtest.Faults{})
+	var ready sync.WaitGroup
+	for _, b := range struck {
+		ready.Go(func() {
+			defer b.release()
+			if err := b.waitReady(w.ctx); err != nil {
+				w.fail(err)
+			}
+			w.calendar.disturb(b.id, from, time.Now())
+		})
+	}
+	ready.Wait()
+	w.calendar.disturb("", from, time.Now())
+}
