Only a relay follows one of its askers

Cause: found by reading. A balancer that is in touch with a lost store and is asked by another one that is, too, would follow it; the two could follow each other and both leave the store, until the next balancer's turn half a second later. Change: only a relay that has lost the store follows an asker.

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -117,10 +116,15 @@
 
 // choose returns the relay to ask, or the balancer that one of them named.
 func (g *Group) choose(s *subscription, now time.Time) (Relay, bool) {
+	isRelay := g.isRelay(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	// A relay that has lost the store follows one of its own followers that has not.
-	instead := cmp.Or(s.instead, g.askers.instead(now))
+	instead := s.instead
+	if isRelay && instead == "" {
+		// A relay that has lost the store follows one of its own followers that has not.
+		// Nobody else does: two that are in touch would follow each other.
+		instead = g.askers.instead(now)
+	}
 	if instead != "" && instead != g.cfg.Addr && !now.Before(g.penalized[instead]) {
 		return Relay{ID: instead, Addr: instead, Zone: g.cfg.Zone}, true
 	}
--- a/relay/outage_test.go
+++ b/relay/outage_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/lotuswing/lotuswing/directory"
 	"gotest.tools/v3/assert"
 )
 
@@ -65,3 +66,18 @@
 	a.note(ChangesArgs{From: "3"}, start.Add(askedFor))
 	assert.Equal(t, a.instead(start.Add(askedFor)), "")
 }
+
+// TestWhoFollowsAnAsker: a relay that has lost the store follows an asker that is in
+// touch with it; a balancer that is no relay does not, lest two follow each other.
+func TestWhoFollowsAnAsker(t *testing.T) {
+	for own, want := range map[string]string{"10.0.0.1:1": "10.0.0.9:1", "10.0.0.2:1": "10.0.0.1:1"} {
+		g := New(Config{Zone: "medina", Addr: own})
+		g.replica.apply(directory.Changes{At: 2, Whole: true, Registrations: []directory.Record{
+			{Key: "relays/medina", Value: []byte(`{"id":"vm","addr":"10.0.0.1:1"}`), Revision: 2},
+		}}, start)
+		g.askers.note(ChangesArgs{From: "10.0.0.9:1", InTouch: true}, start)
+		got, ok := g.choose(&subscription{}, start)
+		assert.Assert(t, ok)
+		assert.Equal(t, got.Addr, want, own)
+	}
+}
