--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -9,13 +9,14 @@
 //
 // One choice goes like this. Rank makes a Candidate of each endpoint and orders
 // them by cost (candidate.go). Whether the best one should be probed first is told
-// by NeedsProbe and NextProbe (probe.go). Decide then says whether to take the best
+// by NeedsProbe and NextProbe (probe.go), and whether to probe another one though it will
+// do by what those probed lately were like (prospect.go). Decide then says whether to take the best
 // one, to wait and look again, or to refuse (decide.go). What an endpoint's report
 // and its results change is in endpoint.go and load.go, what they teach about the
 // usual time of work in learn.go.
 //
-// The package decides and owns no state: Endpoint, ProbeBudget, Workload and Crowding
-// are immutable values that the caller keeps. It has no clock, does no input or output
+// The package decides and owns no state: Endpoint, ProbeBudget, Workload, Crowding and
+// Prospect are immutable values that the caller keeps. It has no clock, does no input or output
 // and starts no goroutine; times are arguments, and so are random numbers.
 //
 // # Usage
