A soak that cannot begin ends with an error

Cause: a soak whose folder for logs did not exist panicked, because balancers are made before they are run since their settings name each other. Change: the folder is made; what was never started is not ended. Test first seen to panic.

--- a/soak/process.go
+++ b/soak/process.go
@@ -210,6 +210,10 @@
 
 // end kills the process and waits for it.
 func (b *balancer) end() {
+	if b.cmd == nil { // the soak could not begin
+		b.store.Close()
+		return
+	}
 	b.signal(syscall.SIGCONT)
 	b.signal(syscall.SIGKILL)
 	b.gone()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -121,6 +121,9 @@
 		}
 		defer removeAll(dir)
 	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return Result{}, fmt.Errorf("soak: %w", err)
+	}
 	w := &world{
 		log: cfg.Log, store: platformtest.NewStore(), calendar: &calendar{}, gap: cfg.Gap,
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), moveTo: serviceAlpha,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -60,6 +61,15 @@
 	}
 }
 
+// TestSoakThatCannotBegin ends with an error, and ends what it started.
+func TestSoakThatCannotBegin(t *testing.T) {
+	_, err := soak.Run(t.Context(), soak.Config{
+		Seed: 1, For: time.Second, Balancers: 3, Keep: filepath.Join(t.TempDir(), "new"),
+		Command: func(string, string) *exec.Cmd { return exec.Command("/does/not/exist") },
+	})
+	assert.ErrorContains(t, err, "soak: start vm-0")
+}
+
 // TestSoakOfAllAtOnce plays a soak in which all balancers are lost at once, some of the
 // time with the store away while they start again.
 func TestSoakOfAllAtOnce(t *testing.T) {
