--- /dev/null
+++ b/directory/apply.go
@@ -0,0 +1,40 @@
+package directory
+
+import "time"
+
+// Apply brings changes into force, whoever brought them, and says so in the
+// log.
+func (f *Follower) Apply(changes Changes) {
+	applied := f.directory.Apply(changes, time.Now())
+	if applied.Version > 0 {
+		f.opts.Log.Info("configuration in force", "version", applied.Version, "revision", changes.At)
+	}
+	if applied.Ignored > 0 {
+		f.opts.Log.Warn("older configuration ignored", "version", applied.Ignored, "revision", changes.At)
+	}
+	for _, err := range changes.Faults {
+		f.opts.Log.Error("unusable entry; what was known stays", "error", err, "revision", changes.At)
+	}
+	f.logMoved(applied.Moved, changes)
+	f.opts.Observe(changes)
+}
+
+// logMoved writes a line for each endpoint whose state changed. A first copy names all
+// there are: a line for each of 719 is 95 KB, which pushed all lines that followed out of
+// the queue of the log (BenchmarkFirstCopy: 1.6 ms for 1.0 ms of processor time).
+func (f *Follower) logMoved(moved []Change, changes Changes) {
+	if changes.Whole && len(moved) > mostLines {
+		count := map[State]int{}
+		for _, c := range moved {
+			count[c.State]++
+		}
+		f.opts.Log.Info("endpoints", "listed", count[Listed], "missing", count[Missing], "leaving", count[Leaving], "revision", changes.At)
+		return
+	}
+	for _, c := range moved {
+		f.opts.Log.Info("endpoint", "id", c.ID, "service", c.Service, "state", c.State.String(), "revision", changes.At)
+	}
+}
+
+// mostLines is how many endpoints of a whole reading are told one by one.
+const mostLines = 64
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -57,25 +57,6 @@
 	}
 }
 
-// Read reads everything cheaply and brings it into force. It may tell things that
-// are seconds old; following tells what it lacks.
-func (f *Follower) Read(ctx context.Context) error { return f.readAll(ctx, false) }
-
-// ReadRegistrations reads the registrations of balancers alone, cheaply, and brings
-// them into force.
-func (f *Follower) ReadRegistrations(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.opts.CheckWait)
-	defer cancel()
-	f.calls.Add(1)
-	changes, err := f.source.ReadRegistrations(ctx)
-	if err != nil {
-		return err
-	}
-	f.noteAnswer()
-	f.Apply(changes)
-	return nil
-}
-
 // Lost reports whether the store does not answer at the moment.
 func (f *Follower) Lost() bool { return f.lost.Load() }
 
@@ -156,36 +137,6 @@
 	}
 }
 
-// begin reads everything for the first time. A balancer that knows nothing refuses
-// everything: it tries without growing pauses.
-func (f *Follower) begin(ctx context.Context) {
-	for err := f.Read(ctx); err != nil && ctx.Err() == nil; err = f.Read(ctx) {
-		f.failures.Store(0)
-		f.failed(ctx, "read", err)
-	}
-}
-
-// readAgain reads everything exactly, after the history went or a watch missed
-// changes.
-func (f *Follower) readAgain(ctx context.Context) {
-	for err := f.readAll(ctx, true); err != nil && ctx.Err() == nil; err = f.readAll(ctx, true) {
-		f.failed(ctx, "read", err)
-	}
-}
-
-func (f *Follower) readAll(ctx context.Context, exact bool) error {
-	ctx, cancel := context.WithTimeout(ctx, readWait)
-	defer cancel()
-	f.calls.Add(1)
-	changes, err := f.source.ReadAll(ctx, exact)
-	if err != nil {
-		return err
-	}
-	f.noteAnswer()
-	f.Apply(changes)
-	return nil
-}
-
 // follow watches until the history is gone.
 func (f *Follower) follow(ctx context.Context) {
 	for f.active.wait(ctx) {
@@ -229,43 +180,6 @@
 // changes of the configuration came late on a simulated day of 300 balancers.
 const backlog = 100
 
-// Apply brings changes into force, whoever brought them, and says so in the
-// log.
-func (f *Follower) Apply(changes Changes) {
-	applied := f.directory.Apply(changes, time.Now())
-	if applied.Version > 0 {
-		f.opts.Log.Info("configuration in force", "version", applied.Version, "revision", changes.At)
-	}
-	if applied.Ignored > 0 {
-		f.opts.Log.Warn("older configuration ignored", "version", applied.Ignored, "revision", changes.At)
-	}
-	for _, err := range changes.Faults {
-		f.opts.Log.Error("unusable entry; what was known stays", "error", err, "revision", changes.At)
-	}
-	f.logMoved(applied.Moved, changes)
-	f.opts.Observe(changes)
-}
-
-// logMoved writes a line for each endpoint whose state changed. A first copy names all
-// there are: a line for each of 719 is 95 KB, which pushed all lines that followed out of
-// the queue of the log (BenchmarkFirstCopy: 1.6 ms for 1.0 ms of processor time).
-func (f *Follower) logMoved(moved []Change, changes Changes) {
-	if changes.Whole && len(moved) > mostLines {
-		count := map[State]int{}
-		for _, c := range moved {
-			count[c.State]++
-		}
-		f.opts.Log.Info("endpoints", "listed", count[Listed], "missing", count[Missing], "leaving", count[Leaving], "revision", changes.At)
-		return
-	}
-	for _, c := range moved {
-		f.opts.Log.Info("endpoint", "id", c.ID, "service", c.Service, "state", c.State.String(), "revision", changes.At)
-	}
-}
-
-// mostLines is how many endpoints of a whole reading are told one by one.
-const mostLines = 64
-
 // noteAnswer notes that the store has answered.
 func (f *Follower) noteAnswer() {
 	f.answered.Store(int64(time.Since(f.began)))
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -91,58 +91,6 @@
 	s.outage = s.outage.without(from.Addr)
 }
 
-// serve has the store followed where this balancer is its zone's relay, and
-// reports whether it is and is settled.
-func (g *Group) serve(now time.Time) bool {
-	relay := g.isRelay(now)
-	g.follower.SetServing(relay)
-	if !relay {
-		return false
-	}
-	g.starting.Store(false)
-	g.follower.SetActive(true)
-	return g.follower.Settled(now)
-}
-
-// isRelay reports whether this balancer is the one that its zone asks.
-func (g *Group) isRelay(now time.Time) bool {
-	own, ok := g.replica.relay(g.cfg.Zone)
-	if ok {
-		return own.Addr == g.cfg.Addr
-	}
-	registered := g.registered.Load()
-	return registered > 0 && now.Sub(g.began)-time.Duration(registered) < g.opts.TTL
-}
-
-// choose returns the relay to ask, or the balancer that one of them named.
-func (g *Group) choose(s *subscription, now time.Time) (Relay, bool) {
-	isRelay := g.isRelay(now)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	instead := s.instead
-	if isRelay && instead == "" {
-		// A relay that has lost the store follows one of its own followers that has not.
-		// Nobody else does: two that are in touch would follow each other.
-		instead = g.askers.instead(now)
-	}
-	if instead != "" && instead != g.cfg.Addr && !now.Before(g.penalized[instead]) {
-		return Relay{ID: instead, Addr: instead, Zone: g.cfg.Zone}, true
-	}
-	own := Relay{Addr: g.cfg.Addr, Zone: g.cfg.Zone}
-	return nextRelay(g.relaysFor(s), own, g.penalized, g.turn, now)
-}
-
-// relaysFor returns the relays that may be asked: the registered ones, and where there
-// is none any more, the one that was followed last. It follows the store still, and
-// tells of the next registration: not everybody has to look for it in the store.
-func (g *Group) relaysFor(s *subscription) []Relay {
-	all := g.replica.allRelays()
-	if len(all) == 0 && s.last.Addr != "" {
-		all = append(all, s.last)
-	}
-	return all
-}
-
 // withoutRelay has the store followed; but a balancer that heard of a settled relay a
 // moment ago, or has just started, waits for a relay first, so that not every balancer
 // of a fleet follows the store for a moment.
@@ -242,16 +190,6 @@
 	}
 }
 
-// forgiveRelays lets the relays be asked at once that were left alone.
-func (g *Group) forgiveRelays(s *subscription) {
-	relays := g.relaysFor(s)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, r := range relays {
-		delete(g.penalized, r.Addr)
-	}
-}
-
 // noteFollowed notes whom the balancer follows, for the status and for those that ask
 // it, and when that one last told the store's present state.
 func (g *Group) noteFollowed(r Relay, confirmed time.Time) {
@@ -259,15 +197,3 @@
 	defer g.mu.Unlock()
 	g.relayed, g.confirmed = r, confirmed
 }
-
-// penalize leaves a relay alone until a time.
-func (g *Group) penalize(r Relay, until, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for addr, end := range g.penalized {
-		if now.After(end) {
-			delete(g.penalized, addr)
-		}
-	}
-	g.penalized[r.Addr] = until
-}
