The answer to a call that was given up is not written to the caller's value

Cause: a data race that TestDemo showed once, beside load: net/rpc decodes a late answer into the value that the caller gave, which askHome reads after it has given the call up; a balancer could take a home's late answer for none. Change: link.Client.Call receives into a value of its own and copies it on success. TestLateAnswerIsNotSeen failed before.

--- a/link/client.go
+++ b/link/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -34,13 +35,16 @@
 	return &Client{tls: config, peers: map[string]*rpc.Client{}}
 }
 
-// Call calls a method of the peer at addr and waits until ctx ends.
+// Call calls a method of the peer at addr and waits until ctx ends. reply is written
+// before a call returns without an error, and never otherwise: the answer to one that was
+// given up may still come.
 func (c *Client) Call(ctx context.Context, addr, method string, args, reply any) error {
 	peer, err := c.peer(ctx, addr)
 	if err != nil {
 		return err
 	}
-	call := peer.Go(method, args, reply, make(chan *rpc.Call, 1))
+	received := reflect.New(reflect.TypeOf(reply).Elem())
+	call := peer.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -53,6 +57,7 @@
 	if call.Error != nil {
 		return fmt.Errorf("link: %s at %s: %w", method, addr, call.Error)
 	}
+	reflect.ValueOf(reply).Elem().Set(received.Elem())
 	return nil
 }
 
--- a/relay/first.go
+++ b/relay/first.go
@@ -52,8 +52,6 @@
 // Copy asks the balancer at addr for its copy.
 func (p firstPeers) Copy(ctx context.Context, addr string, args bootstrap.CopyArgs) (bootstrap.CopyReply, error) {
 	var reply bootstrap.CopyReply
-	if err := p.group.client.Call(ctx, addr, methodCopy, args, &reply); err != nil {
-		return bootstrap.CopyReply{}, err // the answer to a call that was given up may still be written
-	}
-	return reply, nil
+	err := p.group.client.Call(ctx, addr, methodCopy, args, &reply)
+	return reply, err
 }
