TestLooksPastTheLastSlot sees a choice that never looks further more surely

Cause: a mutant that keeps no prospects was missed once: the endpoint that the test made busy was not among those probed first. Change: the one taken last is made busy, thirty times over. No code of a balancer has changed.

--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -427,9 +427,14 @@
 		for range 20 {
 			assert.Equal(t, take().Choice.Probes, 1)
 		}
-		r.prober.set("e0", 2, 1)
-		for range 30 {
-			assert.Assert(t, take().Endpoint.VM != "e0")
+		for range 30 { // the one that was taken last is among the first to be probed
+			last := take().Endpoint.VM
+			r.prober.set(last, 2, 1)
+			assert.Assert(t, take().Endpoint.VM != last)
+			r.prober.set(last, 0, 1)
+			for range 6 { // most of those seen lately are idle
+				take()
+			}
 		}
 		for i := range 8 {
 			r.prober.set(fmt.Sprint("e", i), 2, 1)
