One piece of code where the change had two

One comment is wrapped, a loop of the soak says its pause once. Behaviour is as it was; the tests keep their assertions. Measured: all tests under -race, formatter and linters.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -3,13 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +19,7 @@
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/internal/fixedseed"
 	"github.com/lotuswing/lotuswing/internal/rawendpoint"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/telemetry"
@@ -30,13 +29,7 @@
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261202"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Run(m) }
 
 // fakeChooser grants the endpoints in turn, leaving out those to be avoided.
 type fakeChooser struct {
--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -1,15 +1,16 @@
 // Package bootstrap brings a balancer that has just started its first copy of what
 // the store holds, so that a fleet that starts at once is back in service at once.
 //
-// A store has one link for all. If each balancer read everything from it, a fleet
-// would wait for that link: 473 balancers and 500 KB each, at 1,000 Mbit/s, for 1.9 s. So the few registered relays read the store, and the others ask a relay for
-// its copy, packed to 20 to 50 KB. A balancer hands a copy to a few others and sends
-// whoever asks after them on to these, so that the copies spread as a tree whose depth
-// is the logarithm of the fleet's size (Recipients). Nobody waits for a single
-// machine: whoever hears nothing asks the next one meanwhile (Order), and reads the
-// store itself in the end (ReadAfter). Where the store tells of no relay, or nothing at
-// all, the seeds of the settings are asked, so that a balancer that starts while the
-// store is down serves with what the others know.
+// A store has one link for all. If each balancer read everything from it, a fleet would
+// wait for that link: 473 balancers and 500 KB each, at 1,000 Mbit/s, for 1.9 s. So the
+// few registered relays read the store, and the others ask a relay for its copy, packed
+// to 20 to 50 KB. A balancer hands a copy to a few others and sends whoever asks after
+// them on to these, so that the copies spread as a tree whose depth is the logarithm of
+// the fleet's size (Recipients). Nobody waits for a single machine: whoever hears nothing
+// asks the next one meanwhile (Order), and reads the store itself in the end (ReadAfter).
+// Where the store tells of no relay, or nothing at all, the seeds of the settings are
+// asked, so that a balancer that starts while the store is down serves with what the
+// others know.
 //
 // What is handed on are the store's own records with their revisions. A copy that is
 // old, comes twice or comes late is no worse than a read of the store that may be
@@ -22,9 +23,9 @@
 //
 // # Usage
 //
-//	giver := bootstrap.NewGiver(state, rate)                     // answers Copy calls of others
+//	giver := bootstrap.NewGiver(state, rate) // answers Copy calls of others
 //	starter := bootstrap.New(bootstrap.Config{State: state, Store: store, Peers: peers, Giver: giver, Log: log})
-//	result := starter.Run(ctx)                             // until a first copy is in force
+//	result := starter.Run(ctx) // until a first copy is in force
 package bootstrap
 
 import (
--- a/bootstrap/rules.go
+++ b/bootstrap/rules.go
@@ -157,8 +157,8 @@
 }
 
 const (
-	// referenceCores is the processor share, in cores, of a VM that spreads its reading
-	// over just the time of the options. Chosen without a measurement.
+	// referenceCores is the processor share, in cores, of a VM that leaves a duty to
+	// others for just the time given. Chosen without a measurement.
 	referenceCores = 0.2
 	// smallestCores bounds the time that a small VM leaves it to larger ones. Chosen
 	// without a measurement.
@@ -168,6 +168,12 @@
 	relaysFactor = 4
 )
 
+// BySize returns how long a balancer with a processor share, in cores, leaves a duty to
+// others that a VM of referenceCores leaves to them for d: larger ones take it first.
+func BySize(d time.Duration, cores float64) time.Duration {
+	return time.Duration(float64(d) * referenceCores / max(cores, smallestCores))
+}
+
 // ReadAfter returns how long after its start a balancer with a processor share, in
 // cores, reads the store itself, if no copy has come before. Those whom others ask first
 // do so at once: a registered relay, and where none is known, a seed. random is from 0
@@ -176,7 +182,7 @@
 	if isRelay || isSeed && !relaysKnown {
 		return 0
 	}
-	wait := time.Duration(random * float64(o.ReadSpread) * referenceCores / max(cores, smallestCores))
+	wait := BySize(time.Duration(random*float64(o.ReadSpread)), cores)
 	if !relaysKnown {
 		return wait
 	}
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
 // Chosen without a measurement.
@@ -32,13 +33,7 @@
 		c.ask(context.WithoutCancel(ctx), next, path)
 		close(done)
 	}()
-	timer := time.NewTimer(probeWait)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.Until(ctx, done, probeWait)
 	return true
 }
 
--- a/direct/waiting.go
+++ b/direct/waiting.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
 // waiters are the requests of a service that found no good endpoint and will look
@@ -20,13 +22,7 @@
 	c.mu.Lock()
 	c.waiters[service] = append(c.waiters[service], woken)
 	c.mu.Unlock()
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-woken:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.Until(ctx, woken, d)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiters[service] = slices.DeleteFunc(c.waiters[service], func(o chan struct{}) bool { return o == woken })
--- a/directory/read.go
+++ b/directory/read.go
@@ -1,6 +1,9 @@
 package directory
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Read reads everything cheaply and brings it into force. It may tell things that
 // are seconds old; following tells what it lacks.
@@ -9,16 +12,7 @@
 // ReadRegistrations reads the registrations of balancers alone, cheaply, and brings
 // them into force.
 func (f *Follower) ReadRegistrations(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.opts.CheckWait)
-	defer cancel()
-	f.calls.Add(1)
-	changes, err := f.source.ReadRegistrations(ctx)
-	if err != nil {
-		return err
-	}
-	f.noteAnswer()
-	f.Apply(changes)
-	return nil
+	return f.read(ctx, f.opts.CheckWait, f.source.ReadRegistrations)
 }
 
 // begin reads everything for the first time. A balancer that knows nothing refuses
@@ -39,10 +33,15 @@
 }
 
 func (f *Follower) readAll(ctx context.Context, exact bool) error {
-	ctx, cancel := context.WithTimeout(ctx, readWait)
+	return f.read(ctx, readWait, func(ctx context.Context) (Changes, error) { return f.source.ReadAll(ctx, exact) })
+}
+
+// read makes a call that reads, for at most within, and brings what it tells into force.
+func (f *Follower) read(ctx context.Context, within time.Duration, call func(context.Context) (Changes, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	f.calls.Add(1)
-	changes, err := f.source.ReadAll(ctx, exact)
+	changes, err := call(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	pause.For(ctx, 10*time.Millisecond)
+//	pause.Until(ctx, changed, time.Second)
 package pause
 
 import (
@@ -16,9 +17,16 @@
 	if d <= 0 {
 		return
 	}
+	Until(ctx, nil, d)
+}
+
+// Until waits until something comes on a channel, or it is closed, at most as long as d
+// or until ctx ends.
+func Until(ctx context.Context, c <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
+	case <-c:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -49,15 +49,15 @@
 		return
 	}
 	now := time.Now()
-	inOutage := s.outage.believed(now)
-	if inOutage && !now.Before(s.outage.probeAt) && !g.isRelay(now) && !g.follower.Settled(now) {
+	inOutage := s.outage.believed(now) && !g.isRelay(now)
+	if inOutage && !now.Before(s.outage.probeAt) && !g.follower.Settled(now) {
 		g.probeStore(ctx, s)
 	}
 	target, ok := g.choose(s, now)
 	switch {
 	case ok:
 		g.askOnce(ctx, target, s)
-	case inOutage && !g.isRelay(now):
+	case inOutage:
 		g.sitOut(ctx, s)
 	default:
 		g.withoutRelay(ctx, s)
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -55,8 +55,7 @@
 	rep.at = max(rep.at, c.At)
 	rep.forget(now)
 	faults := rep.applyRegistrations(c)
-	close(rep.changed)
-	rep.changed = make(chan struct{})
+	rep.noteChange()
 	return faults
 }
 
--- a/relay/rules.go
+++ b/relay/rules.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/lotuswing/lotuswing/bootstrap"
 )
 
 // The rules of following and registering, as functions of their arguments.
@@ -11,12 +13,6 @@
 	// unsettledDivisor shortens the penalty of a relay that answers but is not
 	// settled: asking it again costs little. Chosen without a measurement.
 	unsettledDivisor = 4
-	// referenceCores is the processor share, in cores, of a VM that leaves a vacancy
-	// to others for just the times of the options. Chosen without a measurement.
-	referenceCores = 0.2
-	// smallestCores bounds the time that a small VM leaves it to larger ones. Chosen
-	// without a measurement.
-	smallestCores = 0.1
 	// otherRelaysFactor lengthens the random wait while relays of other zones serve:
 	// nothing presses then, and what another balancer registers becomes known late.
 	// Calls of a simulated day of 142 balancers 932 before, 740 and 781 after.
@@ -86,5 +82,5 @@
 // backoff returns how long a balancer with a processor share, in cores, leaves a
 // vacancy to others. random is the random part.
 func (o Options) backoff(random time.Duration, cores float64) time.Duration {
-	return time.Duration(float64(o.BackoffBase+random) * referenceCores / max(cores, smallestCores))
+	return bootstrap.BySize(o.BackoffBase+random, cores)
 }
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
 // waitAfter waits for changes beyond a revision, at most as long as limit.
@@ -30,6 +32,11 @@
 func (rep *replica) wake() {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
+	rep.noteChange()
+}
+
+// noteChange tells those that wait of a change; rep.mu is held.
+func (rep *replica) noteChange() {
 	close(rep.changed)
 	rep.changed = make(chan struct{})
 }
@@ -39,13 +46,7 @@
 	rep.mu.Lock()
 	changed := rep.changed
 	rep.mu.Unlock()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.Until(ctx, changed, limit)
 }
 
 // waitRegistration waits until a zone has a relay, at most as long as limit, and
--- a/soak/together.go
+++ b/soak/together.go
@@ -24,7 +24,8 @@
 
 // strikeTogether kills all balancers at times, a mean gap apart, until ctx ends.
 func (w *world) strikeTogether(ctx context.Context, gap time.Duration, rng *rand.Rand, report func(string)) {
-	for pause.For(ctx, time.Duration(rng.Int64N(int64(2*gap)))); ctx.Err() == nil; pause.For(ctx, time.Duration(rng.Int64N(int64(2*gap)))) {
+	rest := func() { pause.For(ctx, time.Duration(rng.Int64N(int64(2*gap)))) }
+	for rest(); ctx.Err() == nil; rest() {
 		away := platformtest.Faults{Refuse: rng.IntN(2) == 0}
 		away.Silent = !away.Refuse && rng.IntN(2) == 0
 		report("all are killed")
--- a/upstream/main_test.go
+++ b/upstream/main_test.go
@@ -1,17 +1,9 @@
 package upstream_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/lotuswing/lotuswing/internal/fixedseed"
 )
 
-// TestMain fixes the seed of generated tests, so that each run has the same
-// verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261202"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Run(m) }
