Followers ask a relay again that has answered; its successor tells it who it is

Cause: TestStoreDownIsAskedByFew failed once, 84 calls of 12 followers where 72 are allowed. Found by the calls of 38 runs beside load: (a) the test counted the renewals and checks of the follower that had registered in the relay's place, for up to 2 s until the old relay tried the store again; (b) a relay that answered a waiting question at the store's return stayed penalized, so all followers left it alone, registered or followed the store; (c) a relay whose registration ended in the outage was told of its successor by nobody.

Ruled out: load alone. The calls of the runs name each cause.

Change: (a) the test leaves out the balancer that is the relay at the end and allows the others 48 calls, not 72; (b) an answer ends the penalty; (c) the successor tells its predecessor, and a relay without a registration follows askers that are in touch while nobody is registered.

Conclusion: the failure was a fault of the product and one of its test.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -27,13 +27,11 @@
 
 // choose returns the relay to ask, or the balancer that one of them named.
 func (g *Group) choose(s *subscription, now time.Time) (Relay, bool) {
-	isRelay := g.isRelay(now)
+	followsAsker := g.followsAsker(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	instead := s.instead
-	if isRelay && instead == "" {
-		// A relay that has lost the store follows one of its own followers that has not.
-		// Nobody else does: two that are in touch would follow each other.
+	if followsAsker && instead == "" {
 		instead = g.askers.instead(now)
 	}
 	if instead != "" && instead != g.cfg.Addr && !now.Before(g.penalized[instead]) {
@@ -43,6 +41,14 @@
 	return nextRelay(g.relaysFor(s), own, g.penalized, g.turn, now)
 }
 
+// followsAsker reports whether this balancer follows one of those that ask it and are in
+// touch with the store: as a relay that has lost it, and as one whose registration has
+// ended while nobody else is registered. Nobody else does, and none that is settled: two
+// that are in touch would follow each other.
+func (g *Group) followsAsker(now time.Time) bool {
+	return g.isRelay(now) || len(g.replica.allRelays()) == 0 && !g.follower.Settled(now)
+}
+
 // relaysFor returns the relays that may be asked: the registered ones, and where there
 // is none any more, the one that was followed last. It follows the store still, and
 // tells of the next registration: not everybody has to look for it in the store.
@@ -66,12 +72,18 @@
 	g.penalized[r.Addr] = until
 }
 
-// forgiveRelays lets the relays be asked at once that were left alone.
-func (g *Group) forgiveRelays(s *subscription) {
-	relays := g.relaysFor(s)
+// forgive lets a relay be asked at once again that was left alone. One that has answered
+// a question that waited there for the store's return is well: without this its
+// followers left it alone for what remained of the penalty, and each followed the store.
+func (g *Group) forgive(r Relay) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, r := range relays {
-		delete(g.penalized, r.Addr)
+	delete(g.penalized, r.Addr)
+}
+
+// forgiveRelays lets the relays be asked at once that were left alone.
+func (g *Group) forgiveRelays(s *subscription) {
+	for _, r := range g.relaysFor(s) {
+		g.forgive(r)
 	}
 }
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -45,6 +45,7 @@
 // followOnce asks a relay once, or waits a moment where there is nothing to ask.
 func (g *Group) followOnce(ctx context.Context, s *subscription) {
 	if g.serve(time.Now()) {
+		g.tellPredecessor(ctx, s)
 		g.replica.waitChange(ctx, idle)
 		return
 	}
@@ -154,6 +155,7 @@
 	}
 	g.starting.Store(false)
 	g.followed.Store(true)
+	g.forgive(r)
 	g.noteFollowed(r, now)
 	if s.relay != r.Addr {
 		s.relay = r.Addr
--- a/relay/outage.go
+++ b/relay/outage.go
@@ -92,6 +92,18 @@
 	g.follower.SetActive(true)
 }
 
+// tellPredecessor tells the relay that was followed before this balancer became one that
+// this one is in touch with the store, as long as that one says that it has lost it. The
+// predecessor names it to those that still wait there, and follows it itself: where its
+// registration has ended and the store turns it away, nothing else tells it of the next.
+func (g *Group) tellPredecessor(ctx context.Context, s *subscription) {
+	if !s.outage.said(s.last.Addr, time.Now()) {
+		return
+	}
+	err := g.ask(ctx, s.last, false)
+	s.noteWord(s.last, err, time.Now())
+}
+
 // sitOut waits at a relay that has lost the store until it is settled or names a
 // balancer that is in touch.
 func (g *Group) sitOut(ctx context.Context, s *subscription) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -370,24 +370,61 @@
 	publish(store, 1)
 	all, chosen, others := settled(t, store, followers+1)
 	inForce(t, store, 3, all...)
-	calls := func() (n int64) {
-		for _, m := range others {
-			n += m.calls.Load()
-		}
-		return n
-	}
 	store.SetFaults(platformtest.Faults{Refuse: true})
 	until(t, "unsettled", func() bool { return len(active(all)) == 0 })
-	before, relayBefore := calls(), chosen.calls.Load()
+	before, relayBefore := callsOf(others), chosen.calls.Load()
 	until(t, "tries of the relay", func() bool { return chosen.calls.Load() > relayBefore+8 })
-	made := calls() - before
+	made := sum(callsOf(others)) - sum(before)
 	assert.Assert(t, made <= 2*followers, "%d calls of %d followers during %d of the relay", made, followers, chosen.calls.Load()-relayBefore)
 	store.SetFaults(platformtest.Faults{})
 	inForce(t, store, 5, all...)
 	until(t, "one follows the store", func() bool { return len(active(all)) == 1 })
 	inForce(t, store, 7, all...)
-	made = calls() - before
-	assert.Assert(t, made <= 6*followers, "%d calls of %d followers until all was well", made, followers)
+	// The store may have ended the relay's registration. Whoever took it over is no
+	// follower any more: it renews it and checks its watch for as long as this takes.
+	relayNow := active(all)[0]
+	made = 0
+	for i, m := range others {
+		if m != relayNow {
+			made += m.calls.Load() - before[i]
+		}
+	}
+	assert.Assert(t, made <= 4*followers, "%d calls of %d followers until all was well", made, followers)
+}
+
+// callsOf returns the calls that each balancer has made to the store so far.
+func callsOf(all []*vm) []int64 {
+	calls := make([]int64, len(all))
+	for i, m := range all {
+		calls[i] = m.calls.Load()
+	}
+	return calls
+}
+
+func sum(counts []int64) (total int64) {
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
+// TestTurnedAwayWithoutRegistration: a relay whose registration the store has ended, and
+// which it turns away since, hears of what changes from those that still ask it. Nobody
+// else is registered whom it could ask.
+func TestTurnedAwayWithoutRegistration(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	all, chosen, _ := settled(t, store, 6)
+	inForce(t, store, 3, all...)
+	// For a time to live after it has registered it counts itself as the relay.
+	until(t, "renewals", func() bool { return store.Calls()["kv-keep"] > 4 })
+	chosen.refused.Store(true)
+	store.Revoke() // its watch, which waits already, still tells it
+	inForce(t, store, 5, all...)
+	inForce(t, store, 7, all...)
+	chosen.refused.Store(false)
+	inForce(t, store, 9, all...)
+	until(t, "one follows the store", func() bool { return len(active(all)) == 1 })
 }
 
 // TestRelayAloneIsTurnedAway: in a deployment of one zone the balancers that the store
--- /dev/null
+++ b/relay/return_test.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/directory"
+	"gotest.tools/v3/assert"
+)
+
+// still is a follower of which nothing changes.
+type still struct {
+	Follower
+	settled bool
+}
+
+// Settled is as it was made.
+func (f still) Settled(time.Time) bool { return f.settled }
+
+// Active: it follows the store, and waits for an answer where it is not settled.
+func (f still) Active() bool { return true }
+
+// SetActive changes nothing.
+func (f still) SetActive(bool) {}
+
+// SetServing changes nothing.
+func (f still) SetServing(bool) {}
+
+// renewing is a registry whose leases never end.
+type renewing struct{ Registry }
+
+// Renew extends it.
+func (renewing) Renew(context.Context, uint64) error { return nil }
+
+// startStill starts a balancer with such a follower, and returns it with its address.
+func startStill(t *testing.T, settled bool) (*Group, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	g := New(Config{ID: addr, Zone: "medina", Addr: addr, Registry: renewing{}, Log: hclog.NewNullLogger()})
+	assert.NilError(t, g.Start(l, still{settled: settled}))
+	t.Cleanup(g.Close)
+	return g, addr
+}
+
+// TestPredecessorIsTold: a relay whose predecessor said that it has lost the store tells
+// it that it is in touch, and no longer than that one says so.
+func TestPredecessorIsTold(t *testing.T) {
+	ctx := context.Background()
+	old, oldAddr := startStill(t, false)
+	next, nextAddr := startStill(t, true)
+	next.replica.apply(directory.Changes{At: 2, Whole: true, Registrations: []directory.Record{
+		{Key: "relays/medina", Value: []byte(`{"id":"next","addr":"` + nextAddr + `"}`), Revision: 2},
+	}}, time.Now())
+	s := subscription{last: Relay{Addr: oldAddr, Zone: "medina", revision: 1}}
+	next.followOnce(ctx, &s)
+	assert.Equal(t, old.inTouch(time.Now()), "", "it has not said so")
+	s.noteWord(s.last, unsettledError{lost: true, askers: 1}, time.Now())
+	next.followOnce(ctx, &s)
+	assert.Equal(t, old.inTouch(time.Now()), nextAddr)
+	assert.Assert(t, s.outage.said(oldAddr, time.Now()), "it still says so")
+	got, ok := old.choose(&subscription{}, time.Now())
+	assert.Assert(t, ok && got.Addr == nextAddr, "nobody is registered: it follows its successor")
+
+	back, backAddr := startStill(t, true)
+	s.last.Addr = backAddr
+	s.noteWord(s.last, unsettledError{lost: true, askers: 1}, time.Now())
+	next.followOnce(ctx, &s)
+	assert.Assert(t, !s.outage.said(backAddr, time.Now()), "it is in touch again")
+	assert.Equal(t, back.inTouch(time.Now()), nextAddr)
+}
+
+// TestRelayThatAnswersIsAskedAgain: a relay that was left alone while it had lost the
+// store is asked like any other as soon as it has answered a question that waited there.
+func TestRelayThatAnswersIsAskedAgain(t *testing.T) {
+	now := time.Now()
+	g := New(Config{Zone: "medina", Addr: "10.0.0.2:1", Log: hclog.NewNullLogger()})
+	g.follower = still{}
+	g.replica.apply(directory.Changes{At: 2, Whole: true, Registrations: []directory.Record{
+		{Key: "relays/medina", Value: []byte(`{"id":"vm","addr":"10.0.0.1:1"}`), Revision: 2},
+	}}, now)
+	var s subscription
+	relay, ok := g.choose(&s, now)
+	assert.Assert(t, ok)
+	g.left(relay, &s, unsettledError{lost: true}, now)
+	_, ok = g.choose(&s, now)
+	assert.Assert(t, !ok, "it is left alone")
+	g.followedRelay(relay, &s, now)
+	got, ok := g.choose(&s, now)
+	assert.Assert(t, ok && got.Addr == relay.Addr)
+}
