--- a/relay/askers.go
+++ b/relay/askers.go
@@ -69,12 +69,17 @@
 }
 
 // unsettledReply says why this balancer is not settled, and who may be asked instead:
-// one of those that ask it, or the relay that it follows itself.
+// one of those that ask it, the relay that it follows itself or, while it starts, will
+// follow next.
 func (g *Group) unsettledReply(now time.Time) ChangesReply {
 	lost := g.follower.Active()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	instead := cmp.Or(g.askers.instead(now), g.relayed.Addr)
+	if instead == "" && g.starting.Load() {
+		next, _ := nextRelay(g.replica.allRelays(), Relay{Addr: g.cfg.Addr, Zone: g.cfg.Zone}, g.penalized, g.turn, now)
+		instead = next.Addr
+	}
 	return ChangesReply{StoreLost: lost, Askers: len(g.askers.asked), Instead: instead}
 }
 
--- a/relay/first.go
+++ b/relay/first.go
@@ -20,6 +20,14 @@
 	g.first = first
 }
 
+// copyGiver returns the balancer that handed the first copy on, if one did.
+func (g *Group) copyGiver() (Relay, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	from := g.first.From
+	return Relay{ID: from, Addr: from}, from != "" && from != bootstrap.FromStore
+}
+
 // firstState is the group's replica as package bootstrap sees it.
 type firstState struct{ group *Group }
 
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -105,10 +105,24 @@
 	}
 	g.replica.waitChange(ctx, g.opts.StartPoll)
 	if g.starting.Load() && len(g.replica.allRelays()) == 0 {
-		g.readRegistrations(ctx)
+		g.findRelays(ctx, s)
 	}
 }
 
+// findRelays looks for relays that have registered since the first copy was packed: the
+// balancer that handed it on has had it for longer and may know one by now. Otherwise the
+// store is asked, which each balancer of a fleet that starts for the first time did.
+func (g *Group) findRelays(ctx context.Context, s *subscription) {
+	if giver, ok := g.copyGiver(); ok {
+		err := g.ask(ctx, giver, false)
+		s.noteWord(giver, err, time.Now())
+		if s.instead != "" || len(g.replica.allRelays()) > 0 {
+			return
+		}
+	}
+	g.readRegistrations(ctx)
+}
+
 // readRegistrations looks for relays while the store is not followed.
 func (g *Group) readRegistrations(ctx context.Context) {
 	if err := g.follower.ReadRegistrations(ctx); err != nil && ctx.Err() == nil {
@@ -153,6 +167,9 @@
 	if r.revision > 0 { // as the store has it, not one that another balancer named
 		s.last = r
 	}
+	if g.replica.isRelay(s.instead) { // the relay of the own zone goes first again
+		s.instead = ""
+	}
 	g.starting.Store(false)
 	g.followed.Store(true)
 	g.forgive(r)
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -128,6 +128,11 @@
 	return r, ok && r.Addr != ""
 }
 
+// isRelay reports whether the balancer at an address is a registered relay.
+func (rep *replica) isRelay(addr string) bool {
+	return slices.ContainsFunc(rep.allRelays(), func(r Relay) bool { return r.Addr == addr })
+}
+
 // allRelays returns the relays of all zones, in the order of the zones.
 func (rep *replica) allRelays() []Relay {
 	rep.mu.Lock()
--- a/relay/return_test.go
+++ b/relay/return_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/bootstrap"
 	"github.com/lotuswing/lotuswing/directory"
 	"gotest.tools/v3/assert"
 )
@@ -15,6 +16,7 @@
 type still struct {
 	Follower
 	settled bool
+	read    *int // readings of the registrations
 }
 
 // Settled is as it was made.
@@ -35,6 +37,12 @@
 // Renew extends it.
 func (renewing) Renew(context.Context, uint64) error { return nil }
 
+// ReadRegistrations finds none.
+func (f still) ReadRegistrations(context.Context) error {
+	*f.read++
+	return nil
+}
+
 // startStill starts a balancer with such a follower, and returns it with its address.
 func startStill(t *testing.T, settled bool) (*Group, string) {
 	t.Helper()
@@ -93,3 +101,38 @@
 	got, ok := g.choose(&s, now)
 	assert.Assert(t, ok && got.Addr == relay.Addr)
 }
+
+// TestGiverIsAskedForRelays: a balancer that has just started and knows no relay asks the
+// one that handed its first copy on, and the store only where that one knows none either.
+func TestGiverIsAskedForRelays(t *testing.T) {
+	ctx := context.Background()
+	_, relayAddr := startStill(t, true)
+	giver, giverAddr := startStill(t, false)
+	var readings int
+	g := New(Config{Zone: "medina", Addr: "10.0.0.2:1", Log: hclog.NewNullLogger(), Options: Options{StartPoll: time.Millisecond}})
+	g.follower = still{read: &readings}
+	g.starting.Store(true)
+	g.first = bootstrap.Result{From: giverAddr}
+	var s subscription
+	g.withoutRelay(ctx, &s)
+	assert.Equal(t, readings, 1, "the giver knows no relay")
+	giver.starting.Store(true)
+	giver.replica.apply(directory.Changes{At: 1, Whole: true, Registrations: []directory.Record{
+		{Key: "relays/tribunal", Value: []byte(`{"id":"other","addr":"` + relayAddr + `"}`), Revision: 1},
+	}}, time.Now())
+	g.withoutRelay(ctx, &s)
+	assert.Equal(t, readings, 1, "it has heard of one since")
+	got, ok := g.choose(&s, time.Now())
+	assert.Assert(t, ok && got.Addr == relayAddr)
+	g.first = bootstrap.Result{From: bootstrap.FromStore}
+	g.withoutRelay(ctx, &subscription{})
+	assert.Equal(t, readings, 2, "nobody handed the copy on")
+
+	g.replica.apply(directory.Changes{At: 2, Whole: true, Registrations: []directory.Record{
+		{Key: "relays/medina", Value: []byte(`{"id":"own","addr":"10.0.0.3:1"}`), Revision: 1},
+		{Key: "relays/tribunal", Value: []byte(`{"id":"other","addr":"` + relayAddr + `"}`), Revision: 2},
+	}}, time.Now())
+	g.followedRelay(got, &s, time.Now())
+	got, ok = g.choose(&s, time.Now())
+	assert.Assert(t, ok && got.Addr == "10.0.0.3:1", "the relay of the own zone goes first")
+}
