lotusctl load and the demo pipeline

Cause: callers of the platform send requests behind others on their connection; the tools that make load did not, so package pipeline was seen by the soak alone.

Tests: answers are kept apart and connections shared, a request given up leaves those behind it theirs, an answer that closes the connection is nobody else's.

--- a/control/control.go
+++ b/control/control.go
@@ -112,6 +112,7 @@
 	c.Flag("rate", "requests a second").Default("50").Float64Var(&p.Rate)
 	c.Flag("for", "how long").Default("10s").DurationVar(&p.For)
 	c.Flag("timeout", "of one request").Default("30s").DurationVar(&p.Timeout)
+	c.Flag("pipeline", "requests that may wait on a connection for their answers").Default("1").IntVar(&p.Pipeline)
 	return func() error {
 		ctx, stop := untilSignal()
 		defer stop()
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -70,6 +70,9 @@
 	{"himsagar", "history-export", "billing.himsagar", http.MethodPost, "/exports", 20, false},
 }
 
+// pipelined is how many look-ups may wait on a caller's connection for their answers.
+const pipelined = 4
+
 // run is the state of one demo.
 type run struct {
 	opts      Options
@@ -129,8 +132,13 @@
 			if t.method == http.MethodPost {
 				body = "stamped"
 			}
+			pipeline := 1
+			if t.method == http.MethodGet {
+				pipeline = pipelined
+			}
 			p := load.Plan{
-				Targets: targets, Host: t.host, Method: t.method, Path: t.path, Body: body,
+				Pipeline: pipeline,
+				Targets:  targets, Host: t.host, Method: t.method, Path: t.path, Body: body,
 				Rate: t.rate, For: span, Name: t.kind,
 				Check: func(key string, a load.Answer) { r.note(key, t.once, t.path, body, a) },
 			}
--- a/load/load.go
+++ b/load/load.go
@@ -41,8 +41,11 @@
 	For     time.Duration
 	Timeout time.Duration // of one request; default 30 s
 	Client  *http.Client
-	Name    string                     // begins the key of each request
-	Check   func(key string, a Answer) // called for each answer; may be nil
+	// Pipeline is how many requests may wait on a connection for their answers, where
+	// there is no Client; up to 1 for one at a time.
+	Pipeline int
+	Name     string                     // begins the key of each request
+	Check    func(key string, a Answer) // called for each answer; may be nil
 }
 
 // Answer is what a caller saw.
@@ -104,7 +107,8 @@
 		p.Timeout = 30 * time.Second
 	}
 	if p.Client == nil {
-		p.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+		p.Client = &http.Client{Transport: transport(p.Pipeline)}
+		defer p.Client.CloseIdleConnections()
 	}
 	report := newReport()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), 1))
@@ -132,6 +136,14 @@
 	return report, nil
 }
 
+// transport returns one that lets so many requests wait on a connection.
+func transport(pipeline int) http.RoundTripper {
+	if pipeline > 1 {
+		return NewPipeline(pipeline)
+	}
+	return &http.Transport{MaxIdleConnsPerHost: 256}
+}
+
 func (p Plan) call(ctx context.Context, target, key string) Answer {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
