lotusctl endpoints: what all balancers saw of each endpoint, from their logs

Cause: an endpoint whose health check is good may fail a part of its requests. One of hundreds of balancers sends it a request in half a minute; trace shows one request, and nobody could ask which endpoints fail more than others.

Change: logread.Endpoints counts how attempts ended by endpoint over all logs, and how many balancers saw it; lotusctl endpoints prints it, ordered by failures, refusals, unknown ends or all. trace and endpoints open logs by one function, the reading of a log's lines is one function too.

--- a/control/control.go
+++ b/control/control.go
@@ -53,6 +53,7 @@
 	addDemo(a)
 	addReplay(a)
 	addTrace(a)
+	addEndpoints(a)
 	addSoak(a)
 	return a.Main(args)
 }
--- a/control/trace.go
+++ b/control/trace.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -23,18 +22,13 @@
 	})
 }
 
-func trace(e *command.Env, request string, before time.Duration, files []string) (err error) {
-	var sources []logread.Source
-	for _, file := range files {
-		f, openErr := os.Open(file)
-		if openErr != nil {
-			return command.ExitError{Code: command.ExitUsage, Err: fmt.Errorf("trace: %w", openErr)}
-		}
-		defer func() { err = errors.Join(err, f.Close()) }()
-		sources = append(sources, logread.Source{Name: file, Log: f})
+func trace(e *command.Env, request string, before time.Duration, files []string) error {
+	sources, closeAll, err := openLogs(files)
+	if err != nil {
+		return command.ExitError{Code: command.ExitUsage, Err: fmt.Errorf("trace: %w", err)}
 	}
 	parts, err := logread.Find(request, sources, logread.Options{Before: before})
-	if err != nil {
+	if err := errors.Join(err, closeAll()); err != nil {
 		return fmt.Errorf("trace: %w", err)
 	}
 	if len(parts) == 0 {
--- a/logread/logread.go
+++ b/logread/logread.go
@@ -1,15 +1,23 @@
-// Package logread finds one request in the logs of balancers.
+// Package logread finds one request in the logs of balancers, and puts together what all
+// of them saw of each endpoint.
 //
-// It returns every line that names the request, in the order in which its process
+// Find returns every line that names the request, in the order in which its process
 // wrote them, and the context lines of that process: what it knew of endpoints that
 // the request met, of the configuration and of the store, from a while before the
-// request until its end. It owns nothing and relies on the form of the log lines. The wall clocks of processes may differ, so lines
+// request until its end. The wall clocks of processes may differ, so lines
 // of several processes are never ordered by them; each process has a part of
 // its own.
 //
+// Endpoints counts how attempts ended: one balancer of hundreds sends an endpoint a
+// request in half a minute and cannot tell one that fails in part, all of them together
+// can.
+//
+// The package owns nothing and relies on the form of the log lines.
+//
 // # Usage
 //
 //	parts, err := logread.Find("9c41d07be2a35f68", sources, logread.Options{})
+//	seen, err := logread.Endpoints(sources)
 package logread
 
 import (
@@ -88,23 +96,28 @@
 
 // read returns the lines of a log by process.
 func read(log io.Reader, request string) (map[string][]Line, error) {
+	processes := map[string][]Line{}
+	err := scan(log, func(process string, at time.Time, text string) {
+		processes[process] = append(processes[process], Line{At: at, Request: Value(text, "request") == request, Text: text})
+	})
+	return processes, err
+}
+
+// scan calls each for the lines of a log that have a time, from the time on.
+func scan(log io.Reader, each func(process string, at time.Time, text string)) error {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, longestLine)
-	processes := map[string][]Line{}
 	for scanner.Scan() {
 		text := scanner.Text()
 		place := timePattern.FindStringIndex(text)
 		if place == nil {
 			continue
 		}
-		at, ok := parseTime(text[place[0]:place[1]])
-		if !ok {
-			continue
+		if at, ok := parseTime(text[place[0]:place[1]]); ok {
+			each(lastWord(text[:place[0]]), at, text[place[0]:])
 		}
-		name := lastWord(text[:place[0]])
-		processes[name] = append(processes[name], Line{At: at, Request: Value(text, "request") == request, Text: text[place[0]:]})
 	}
-	return processes, scanner.Err()
+	return scanner.Err()
 }
 
 func parseTime(text string) (time.Time, bool) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -382,7 +382,14 @@
 	inForce(t, store, 7, all...)
 	// The store may have ended the relay's registration. Whoever took it over is no
 	// follower any more: it renews it and checks its watch for as long as this takes.
-	relayNow := active(all)[0]
+	var relayNow *vm
+	until(t, "one follows the store", func() bool {
+		list := active(all)
+		if len(list) == 1 {
+			relayNow = list[0]
+		}
+		return relayNow != nil
+	})
 	made = 0
 	for i, m := range others {
 		if m != relayNow {
