The budget of retries is checked at 3 to 3,000 processes

Cause: the sum of the processes' shares was checked up to 18 of them.

Change: a table of sizes in which every process uses all that it may. The bound holds as long as the fleet's burst is at least the number of processes; the operators' settings give 1.2 to 3.5 for each, spare machines counted.

Measured: sizes 3, 30, 300, 3,000 with 0 to 200 requests each keep the bound and use it.

--- a/coord/retry/window_test.go
+++ b/coord/retry/window_test.go
@@ -42,6 +42,33 @@
 	})
 }
 
+// TestFleetOfAnySizeKeepsItsBudget: processes that use all that their share covers, with
+// as many requests as fall to each or none at all, keep the fleet's bound at any size, as
+// long as the burst is at least their number.
+func TestFleetOfAnySizeKeepsItsBudget(t *testing.T) {
+	const ratio = 0.2
+	now := time.Unix(1000, 0)
+	for _, size := range []int{3, 30, 300, 3000} {
+		for _, each := range []int{0, 1, 7, 200} {
+			burst := float64(size)
+			limit := retry.ShareOf(10*time.Second, ratio, burst)
+			retries := 0
+			for range size {
+				w := retry.NewWindow(limit)
+				for range each {
+					w = w.WithRequest(now)
+				}
+				for ; w.Covers(now); retries++ {
+					w = w.WithRetry(now)
+				}
+			}
+			bound := ratio*float64(size*each) + burst
+			assert.Assert(t, float64(retries) <= bound, "%d processes with %d requests each: %d retries, %.0f allowed", size, each, retries, bound)
+			assert.Assert(t, each < 7 || retries > size, "%d processes with %d requests each: %d retries, of no use", size, each, retries)
+		}
+	}
+}
+
 func within(times []time.Time, now time.Time, span time.Duration) int {
 	n := 0
 	for _, at := range times {
