An operator's emptying of an availability zone is obeyed

Cause: the store's records op/evacuate/ZONE were read with all others, handed on to all balancers, and then left out as somebody else's keys; no code knew them. Ruled out: a way of its own for the news. Watches, readings, relays and first copies bring all records already, within the shortest of the settings' bounds.

Where all zones of a service are emptied its requests are refused at once (LW2009), unrun.

--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -18,6 +18,7 @@
 	Stopping         Code = "LW2006"
 	RetryExhausted   Code = "LW2007"
 	DeadlineWaiting  Code = "LW2008"
+	Evacuated        Code = "LW2009"
 	DialFailed       Code = "LW3001"
 	NothingWritten   Code = "LW3002"
 	EndpointRefused  Code = "LW3003"
@@ -48,6 +49,7 @@
 	{Stopping, "balancer is stopping", "The balancer is in a planned stop and takes no new requests.", "Nothing: the caller retries and reaches another balancer.", 503, firstRelease, Info},
 	{RetryExhausted, "retries used up", "Endpoints refused the request and the retry budget or the attempt limit is spent.", "Look for endpoints that reject everything; they are ejected on their own.", 503, firstRelease, Warning},
 	{DeadlineWaiting, "deadline passed before sending", "The request's whole time ran out while it waited for a slot or a connection. Nothing was sent.", "Give the request more time or the service more endpoints.", 504, firstRelease, Warning},
+	{Evacuated, "all endpoints are in zones that are being emptied", "An operator empties each availability zone in which the service has endpoints. The request was not sent.", "Take one of the zones back, or add endpoints in another; 'lotusctl status' names the zones.", 503, "0.2.0", Urgent},
 	{DialFailed, "no connection to the endpoint", "No connection could be opened, so nothing was sent.", "Check the endpoint's VM.", 503, firstRelease, Warning},
 	{NothingWritten, "connection failed before anything was sent", "The connection failed before the first byte of the request was written.", "Nothing; it is retried when time allows.", 503, firstRelease, Info},
 	{EndpointRefused, "the endpoint refused the request", "The endpoint answered that it did not run the request.", "Expected when endpoints shed load or drain.", 503, firstRelease, Info},
--- a/coord/selection/decide.go
+++ b/coord/selection/decide.go
@@ -25,6 +25,7 @@
 	GiveUp     time.Time
 	Blind      bool // no endpoint could be probed, so waiting teaches nothing
 	CallerLeft bool
+	Evacuated  bool // the zones of all endpoints are being emptied
 }
 
 // Action is what to do with a request.
@@ -50,6 +51,8 @@
 func (o Options) Decide(list *Ranking, r placement.Request, s Situation, now time.Time) Decision {
 	giveUp := !now.Before(s.GiveUp)
 	switch {
+	case list.Len() == 0 && s.Evacuated:
+		return Decision{Do: Refuse, Reason: reason.Evacuated}
 	case list.Len() == 0:
 		return Decision{Do: Refuse, Reason: reason.NoEndpoint}
 	case s.CallerLeft:
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -37,6 +37,7 @@
 		now := time.Now()
 		d := c.opts.Decide(&s.ranking, r, selection.Situation{
 			GiveUp: giveUp, Blind: s.probes == probesBefore, CallerLeft: ctx.Err() != nil,
+			Evacuated: allEvacuated(s.listed),
 		}, now)
 		switch d.Do {
 		case selection.Take:
@@ -66,6 +67,12 @@
 	}
 }
 
+// allEvacuated reports whether there are endpoints and an operator empties the zones of
+// all of them.
+func allEvacuated(listed []directory.Endpoint) bool {
+	return len(listed) > 0 && !slices.ContainsFunc(listed, func(e directory.Endpoint) bool { return !e.Evacuated })
+}
+
 // noteProspect notes what the endpoint is like that was probed last, where it told its
 // load in time.
 func (c *Chooser) noteProspect(s *search) {
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -51,6 +51,17 @@
 	}
 }
 
+// total returns how many probes the endpoints at the addresses got.
+func (p *fakeProber) total(addrs ...string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, addr := range addrs {
+		n += p.asked[addr]
+	}
+	return n
+}
+
 // rig is a chooser over endpoints e0, e1, ..., whose addresses are their names;
 // even ones are in the chooser's zone.
 type rig struct {
--- a/direct/status.go
+++ b/direct/status.go
@@ -15,29 +15,31 @@
 	Version   uint64 // of the configuration
 	Revision  uint64 // of the store
 	Routes    int
+	Evacuated []string `json:",omitempty"` // availability zones that are being emptied
 	Endpoints []EndpointStatus
 }
 
 // EndpointStatus is the status of one endpoint.
 type EndpointStatus struct {
-	ID       string
-	Service  string
-	Zone     string
-	State    string  // as listed
-	InFlight int     // requests of this process
-	Running  int     // as the endpoint reports
-	Waiting  int     // as the endpoint reports
-	Pace     float64 // as the endpoint reports
-	Slowness float64 // of its completions against the usual time
-	Ejected  bool
-	Age      time.Duration // of the last report
+	ID        string
+	Service   string
+	Zone      string
+	State     string  // as listed
+	InFlight  int     // requests of this process
+	Running   int     // as the endpoint reports
+	Waiting   int     // as the endpoint reports
+	Pace      float64 // as the endpoint reports
+	Slowness  float64 // of its completions against the usual time
+	Ejected   bool
+	Evacuated bool          // its availability zone is being emptied
+	Age       time.Duration // of the last report
 }
 
 // Status returns the status.
 func (c *Chooser) Status() Status {
 	now := time.Now()
 	s := c.cfg.Directory.Snapshot()
-	st := Status{ID: c.cfg.ID, Zone: c.cfg.Zone, Revision: s.At}
+	st := Status{ID: c.cfg.ID, Zone: c.cfg.Zone, Revision: s.At, Evacuated: s.Evacuated}
 	st.Ready, st.Why = c.Ready()
 	if s.Config != nil {
 		st.Version, st.Routes = s.Config.Version, s.Config.Routes.Len()
@@ -59,5 +61,6 @@
 		ID: e.VM, Service: service, Zone: e.Zone, State: e.State.String(), InFlight: load.InFlight(),
 		Running: report.InFlight, Waiting: report.Waiting, Pace: report.Pace, Slowness: known.Health().Slowness(),
 		Ejected: known.Health().Ejected(now), Age: load.Age(now),
+		Evacuated: e.Evacuated,
 	}
 }
--- a/directory/apply.go
+++ b/directory/apply.go
@@ -15,6 +15,9 @@
 	for _, err := range changes.Faults {
 		f.opts.Log.Error("unusable entry; what was known stays", "error", err, "revision", changes.At)
 	}
+	for _, e := range applied.Zones {
+		f.opts.Log.Info("zone", "zone", e.Zone, "evacuated", !e.Over, "revision", e.Revision)
+	}
 	f.logMoved(applied.Moved, changes)
 	f.opts.Observe(changes)
 }
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -27,6 +27,14 @@
 	Revision uint64
 }
 
+// Evacuation says that an availability zone is emptied, so that its endpoints get
+// nothing more, or that it is taken back.
+type Evacuation struct {
+	Zone     string
+	Over     bool
+	Revision uint64
+}
+
 // Record is a key of the store, or its end. Its meaning is the source's alone;
 // processes hand it on to one another as it is, as JSON with the names of its
 // fields.
@@ -43,6 +51,8 @@
 	Config  *Config
 	Entries []Entry
 	Gone    []Gone
+	// Evacuations are the availability zones that are emptied or taken back.
+	Evacuations []Evacuation
 	// Registrations are the keys that balancers keep, by the names that they
 	// gave them.
 	Registrations []Record
@@ -60,7 +70,7 @@
 
 // count returns how many changes there are.
 func (c Changes) count() int {
-	n := len(c.Entries) + len(c.Gone) + len(c.Registrations)
+	n := len(c.Entries) + len(c.Gone) + len(c.Evacuations) + len(c.Registrations)
 	if c.Config != nil {
 		n++
 	}
@@ -69,9 +79,10 @@
 
 // Applied says what changes did.
 type Applied struct {
-	Version uint64   // of a configuration that came into force, 0 for none
-	Ignored uint64   // of a configuration that is older than the one in force, 0 for none
-	Moved   []Change // endpoints whose state changed
+	Version uint64       // of a configuration that came into force, 0 for none
+	Ignored uint64       // of a configuration that is older than the one in force, 0 for none
+	Moved   []Change     // endpoints whose state changed
+	Zones   []Evacuation // that are emptied or taken back since
 }
 
 // Change is an endpoint's new state.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,6 +7,9 @@
 // the watch can be trusted (monitor.go, watchdog.go). It relies on a Source for the
 // store's calls and the meaning of its records.
 //
+// An operator may empty an availability zone: as long as the store says so, its
+// endpoints are known and not usable (evacuation.go).
+//
 // Two rules hold whatever the store says: the version of the configuration never
 // goes back within the life of a process, and an endpoint that has said that it
 // leaves, or whose entry has gone, never comes back under the same identity as
@@ -35,6 +38,7 @@
 	Config    *Config               // nil until one is known
 	Endpoints map[string][]Endpoint // by service, in order of identity: listed ones, and missing ones while nearly all are; see Endpoint.Usable
 	Known     int                   // endpoints that are listed
+	Evacuated []string              // availability zones that are being emptied, in order; their endpoints are not usable
 	At        uint64                // revision up to which all changes are known
 }
 
@@ -45,12 +49,13 @@
 	mu        sync.Mutex // of writers
 	config    *Config
 	endpoints map[string]Endpoint // by identity
+	zones     evacuations
 	at        uint64
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{endpoints: map[string]Endpoint{}}
+	d := &Directory{endpoints: map[string]Endpoint{}, zones: evacuations{}}
 	d.snapshot.Store(&Snapshot{Endpoints: map[string][]Endpoint{}})
 	return d
 }
@@ -73,8 +78,10 @@
 	for _, g := range c.Gone {
 		d.applyGone(g, now, &applied)
 	}
+	d.applyEvacuations(c.Evacuations, &applied)
 	if c.Whole {
 		d.applyAbsent(c, now, &applied)
+		d.applyEvacuations(d.zones.missing(c.Evacuations, c.At), &applied)
 	}
 	d.at = max(d.at, c.At)
 	for id, e := range d.endpoints {
@@ -82,7 +89,7 @@
 			delete(d.endpoints, id)
 		}
 	}
-	d.snapshot.Store(snapshotOf(d.config, d.endpoints, d.at, now))
+	d.publish(now)
 	return applied
 }
 
@@ -114,6 +121,15 @@
 	}
 }
 
+// applyEvacuations notes which zones are emptied or taken back.
+func (d *Directory) applyEvacuations(told []Evacuation, applied *Applied) {
+	for _, e := range told {
+		if d.zones.note(e) {
+			applied.Zones = append(applied.Zones, e)
+		}
+	}
+}
+
 // applyAbsent notes as gone what a reading of everything does not name.
 func (d *Directory) applyAbsent(c Changes, now time.Time, applied *Applied) {
 	named := make(map[string]bool, len(c.Entries))
@@ -146,20 +162,33 @@
 		return false
 	}
 	d.endpoints[id] = e.withState(Leaving, now)
-	d.snapshot.Store(snapshotOf(d.config, d.endpoints, d.at, now))
+	d.publish(now)
 	return true
 }
 
-// snapshotOf returns what the request path may use: the listed endpoints, and those
+// publish brings what is known into force for the request path; d.mu is held.
+func (d *Directory) publish(now time.Time) {
+	s := &Snapshot{Config: d.config, Endpoints: usedEndpoints(d.endpoints, now), At: d.at, Evacuated: d.zones.zones()}
+	for _, list := range s.Endpoints {
+		for i := range list {
+			list[i].Evacuated = d.zones.inForce(list[i].Zone)
+			if list[i].State == Listed {
+				s.Known++
+			}
+		}
+	}
+	d.snapshot.Store(s)
+}
+
+// usedEndpoints returns by service, in order of identity, the listed endpoints and those
 // of a service that went missing together, because the store lost them.
-func snapshotOf(config *Config, endpoints map[string]Endpoint, at uint64, now time.Time) *Snapshot {
-	s := &Snapshot{Config: config, Endpoints: map[string][]Endpoint{}, At: at}
+func usedEndpoints(endpoints map[string]Endpoint, now time.Time) map[string][]Endpoint {
+	used := map[string][]Endpoint{}
 	missing := map[string][]Endpoint{}
 	for _, e := range endpoints {
 		switch e.State {
 		case Listed:
-			s.Endpoints[e.Service] = append(s.Endpoints[e.Service], e)
-			s.Known++
+			used[e.Service] = append(used[e.Service], e)
 		case Missing:
 			if e.Usable(now) {
 				missing[e.Service] = append(missing[e.Service], e)
@@ -168,12 +197,12 @@
 		}
 	}
 	for service, list := range missing {
-		if len(list) > lossFactor*len(s.Endpoints[service]) {
-			s.Endpoints[service] = append(s.Endpoints[service], list...)
+		if len(list) > lossFactor*len(used[service]) {
+			used[service] = append(used[service], list...)
 		}
 	}
-	for _, list := range s.Endpoints {
+	for _, list := range used {
 		slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.VM, b.VM) })
 	}
-	return s
+	return used
 }
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -30,6 +30,8 @@
 	WarmAt   time.Time // until then it is slow from its start
 	Changed  time.Time // when the state was learnt
 	Revision uint64    // of the store's entry
+
+	Evacuated bool // its availability zone is being emptied; only a Snapshot tells
 }
 
 const (
@@ -52,6 +54,9 @@
 
 // Usable reports whether the endpoint may get requests at now.
 func (e Endpoint) Usable(now time.Time) bool {
+	if e.Evacuated {
+		return false
+	}
 	return e.State == Listed || e.State == Missing && now.Sub(e.Changed) <= lastResortFor
 }
 
--- /dev/null
+++ b/directory/evacuation_test.go
@@ -0,0 +1,127 @@
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/directory"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// inZone is an entry of service s in an availability zone.
+func inZone(id, zone string, revision uint64) directory.Entry {
+	e := entry(id, revision)
+	e.Endpoint.Endpoint = placement.Endpoint{VM: id, Addr: "10.0.0.1:80", Zone: zone, Slots: 2}
+	return e
+}
+
+// usable returns the endpoints of service s that may get requests.
+func usable(d *directory.Directory, now time.Time) []string {
+	var ids []string
+	for _, e := range d.Snapshot().Endpoints["s"] {
+		if e.Usable(now) {
+			ids = append(ids, e.VM)
+		}
+	}
+	return ids
+}
+
+func evacuate(zone string, revision uint64) []directory.Evacuation {
+	return []directory.Evacuation{{Zone: zone, Revision: revision}}
+}
+
+func takeBack(zone string, revision uint64) []directory.Evacuation {
+	return []directory.Evacuation{{Zone: zone, Revision: revision, Over: true}}
+}
+
+// TestEmptiedZoneIsNotUsed until it is taken back, whichever of the endpoints and the
+// evacuation is heard of first, and also for those that join it meanwhile.
+func TestEmptiedZoneIsNotUsed(t *testing.T) {
+	d := directory.New()
+	d.Apply(directory.Changes{Entries: []directory.Entry{inZone("a", "x", 1), inZone("b", "y", 2)}}, start)
+	applied := d.Apply(directory.Changes{Evacuations: evacuate("x", 3)}, start)
+	assert.DeepEqual(t, applied.Zones, evacuate("x", 3))
+	assert.DeepEqual(t, usable(d, start), []string{"b"})
+	assert.DeepEqual(t, d.Snapshot().Evacuated, []string{"x"})
+	assert.Equal(t, d.Snapshot().Known, 2)
+
+	d.Apply(directory.Changes{Entries: []directory.Entry{inZone("c", "x", 4)}}, start)
+	assert.DeepEqual(t, usable(d, start), []string{"b"}) // c joined an emptied zone
+	d.MarkLeaving("b", start)
+	assert.Equal(t, len(usable(d, start)), 0, "nothing is left, and the zone stays emptied")
+
+	d.Apply(directory.Changes{Evacuations: takeBack("x", 5)}, start)
+	assert.DeepEqual(t, usable(d, start), []string{"a", "c"})
+	assert.Equal(t, len(d.Snapshot().Evacuated), 0)
+}
+
+// TestTwoZonesAreEmptiedAtOnce, and each is taken back alone.
+func TestTwoZonesAreEmptiedAtOnce(t *testing.T) {
+	d := directory.New()
+	d.Apply(directory.Changes{Entries: []directory.Entry{inZone("a", "x", 1), inZone("b", "y", 2), inZone("c", "z", 3)}}, start)
+	d.Apply(directory.Changes{Evacuations: append(evacuate("y", 4), evacuate("x", 5)...)}, start)
+	assert.DeepEqual(t, usable(d, start), []string{"c"})
+	assert.DeepEqual(t, d.Snapshot().Evacuated, []string{"x", "y"})
+	d.Apply(directory.Changes{Evacuations: takeBack("x", 6)}, start)
+	assert.DeepEqual(t, usable(d, start), []string{"a", "c"})
+}
+
+// TestStoreThatLostItsEntriesEmptiesNoZoneBack: endpoints that are kept as a last resort
+// are not used in an emptied zone either.
+func TestStoreThatLostItsEntriesEmptiesNoZoneBack(t *testing.T) {
+	d := directory.New()
+	d.Apply(directory.Changes{Entries: []directory.Entry{inZone("a", "x", 1), inZone("b", "y", 2)}}, start)
+	d.Apply(directory.Changes{Whole: true, At: 9, Evacuations: evacuate("x", 5)}, start)
+	assert.DeepEqual(t, usable(d, start), []string{"b"})
+}
+
+// TestEvacuationsEndWithTheStore: whatever is told late, again or out of order, as changes
+// or as a reading of everything, what the store said last is in force.
+func TestEvacuationsEndWithTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// The history of one zone: it is emptied at even revisions and taken back at odd ones.
+		last := rapid.Uint64Range(2, 12).Draw(t, "last")
+		at := func(revision uint64) directory.Changes {
+			if revision%2 == 0 {
+				return directory.Changes{At: revision, Evacuations: evacuate("x", revision)}
+			}
+			return directory.Changes{At: revision, Evacuations: takeBack("x", revision)}
+		}
+		whole := func(revision uint64) directory.Changes {
+			c := directory.Changes{At: revision, Whole: true}
+			if revision%2 == 0 {
+				c.Evacuations = evacuate("x", revision)
+			}
+			return c
+		}
+		d := directory.New()
+		for range rapid.IntRange(0, 12).Draw(t, "told") {
+			revision := rapid.Uint64Range(2, last).Draw(t, "revision")
+			if rapid.Bool().Draw(t, "whole") {
+				d.Apply(whole(revision), start)
+			} else {
+				d.Apply(at(revision), start)
+			}
+		}
+		if rapid.Bool().Draw(t, "last whole") {
+			d.Apply(whole(last), start)
+		} else {
+			d.Apply(at(last), start)
+		}
+		assert.Equal(t, len(d.Snapshot().Evacuated) == 1, last%2 == 0)
+	})
+}
+
+// TestReadingThatNamesNoEvacuationEndsIt, and one that is older than it does not.
+func TestReadingThatNamesNoEvacuationEndsIt(t *testing.T) {
+	d := directory.New()
+	d.Apply(directory.Changes{At: 7, Evacuations: evacuate("x", 7)}, start)
+	d.Apply(directory.Changes{At: 6, Whole: true}, start)
+	assert.DeepEqual(t, d.Snapshot().Evacuated, []string{"x"})
+	applied := d.Apply(directory.Changes{At: 8, Whole: true}, start)
+	assert.DeepEqual(t, applied.Zones, takeBack("x", 8))
+	d.Apply(directory.Changes{At: 8, Evacuations: evacuate("x", 7)}, start)
+	assert.Equal(t, len(d.Snapshot().Evacuated), 0, "told late")
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -223,6 +224,30 @@
 	assert.Equal(t, after-before, int64(0), "calls of those that follow a relay")
 }
 
+// TestEmptiedZoneIsInForceEverywhere: at the relay, at those that follow it and at a
+// balancer that starts in the midst, and so is its end, also when the relay has gone and
+// the store has forgotten its history in between.
+func TestEmptiedZoneIsInForceEverywhere(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	all, chosen, others := settled(t, store, 3)
+	emptied := func(m *vm) bool { return slices.Equal(m.directory.Snapshot().Evacuated, []string{"tribunal"}) }
+	store.Evacuate("tribunal")
+	for _, m := range all {
+		until(t, "the zone emptied", func() bool { return emptied(m) })
+	}
+	late := begin(t, store, "tribunal")
+	until(t, "a first copy", func() bool { return late.version() == 1 })
+	assert.Assert(t, emptied(late), "a first copy tells of it")
+
+	chosen.kill()
+	store.Forget()
+	store.TakeBack("tribunal")
+	for _, m := range append(others, late) {
+		until(t, "the zone taken back", func() bool { return len(m.directory.Snapshot().Evacuated) == 0 })
+	}
+}
+
 // TestRelayThatEndsIsReplaced, and meanwhile changes come all the same.
 func TestRelayThatEndsIsReplaced(t *testing.T) {
 	store := platformtest.NewStore()
--- a/server/admin.go
+++ b/server/admin.go
@@ -105,6 +105,9 @@
 		metrics.GetOrRegisterGauge("following_store", s.metrics).Update(gaugeOf(s.follower.Active()))
 		metrics.GetOrRegisterGauge("store_lost", s.metrics).Update(gaugeOf(s.follower.Lost()))
 	}
+	if s.directory != nil {
+		metrics.GetOrRegisterGauge("evacuated_zones", s.metrics).Update(int64(len(s.directory.Snapshot().Evacuated)))
+	}
 	if s.relays != nil {
 		st := s.relays.Status(time.Now())
 		metrics.GetOrRegisterGauge("first_copy_ms", s.metrics).Update(st.FirstAfter.Milliseconds())
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -59,6 +59,7 @@
 		}
 		opts.Standby, opts.Observe, opts.Begin, opts.OnAnswer = true, s.relays.Observe, s.relays.Begin, s.relays.OnAnswer
 	}
+	s.directory = d
 	s.follower = directory.NewFollower(d, s.cfg.Source, opts)
 	ctx, stop := context.WithCancel(context.Background())
 	cfg := direct.Config{
--- a/server/server.go
+++ b/server/server.go
@@ -57,22 +57,23 @@
 
 // Server is a running balancer process.
 type Server struct {
-	cfg      Config
-	chooser  chooser
-	node     *node.Node          // nil with a Source
-	relays   *relay.Group        // nil where no changes are handed on
-	direct   *direct.Chooser     // nil without one
-	follower *directory.Follower // nil without one
-	balancer *balancer.Balancer
-	tracing  *telemetry.Tracing
-	metrics  metrics.Registry
-	latency  *telemetry.Histograms
-	front    *pipeline.Server
-	admin    *http.Server
-	scrapes  *http.Server // nil without a metrics address
-	frontL   net.Listener
-	adminL   net.Listener
-	stopping chan struct{}
+	cfg       Config
+	chooser   chooser
+	node      *node.Node           // nil with a Source
+	relays    *relay.Group         // nil where no changes are handed on
+	direct    *direct.Chooser      // nil without one
+	follower  *directory.Follower  // nil without one
+	directory *directory.Directory // nil without a follower
+	balancer  *balancer.Balancer
+	tracing   *telemetry.Tracing
+	metrics   metrics.Registry
+	latency   *telemetry.Histograms
+	front     *pipeline.Server
+	admin     *http.Server
+	scrapes   *http.Server // nil without a metrics address
+	frontL    net.Listener
+	adminL    net.Listener
+	stopping  chan struct{}
 }
 
 // Start binds all addresses and serves.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,10 +65,15 @@
 	// endpoint must get no more requests. Default 2s.
 	ApplyWithin time.Duration `json:"apply_within"`
 	DrainWithin time.Duration `json:"drain_within"`
+	// EvacuateWithin is the same for the endpoints of an availability zone that an
+	// operator empties. Default 5s.
+	EvacuateWithin time.Duration `json:"evacuate_within"`
 }
 
-// Within returns the shorter of the two bounds.
-func (d Discovery) Within() time.Duration { return min(d.ApplyWithin, d.DrainWithin) }
+// Within returns the shortest of the bounds: all changes come the same way.
+func (d Discovery) Within() time.Duration {
+	return min(d.ApplyWithin, d.DrainWithin, d.EvacuateWithin)
+}
 
 // Retries bounds the retries of the whole fleet, for each service in any
 // window. Zero fields stand for the product's own bound of each process.
@@ -142,7 +147,7 @@
 			ReplayBytes:   64 << 10,
 			IdleTimeout:   2 * time.Minute,
 		},
-		Discovery: Discovery{Kind: Peers, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second},
+		Discovery: Discovery{Kind: Peers, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second},
 		Cores:     1,
 		Trace:     "none",
 		LogRate:   200,
@@ -184,6 +189,7 @@
 		checkURL(dec, "discovery.url", s.Discovery.URL)
 		checkBetween(dec, "discovery.apply_within", s.Discovery.ApplyWithin, 100*time.Millisecond, time.Hour)
 		checkBetween(dec, "discovery.drain_within", s.Discovery.DrainWithin, 100*time.Millisecond, time.Hour)
+		checkBetween(dec, "discovery.evacuate_within", s.Discovery.EvacuateWithin, 100*time.Millisecond, time.Hour)
 		if s.Link != "" {
 			checkAddr(dec, "link", s.Link)
 			checkTLS(dec, s.TLS)
