Endpoints that warm up are listened to, and get few requests from any fleet

Cause: the response to a probe tells how much longer an endpoint warms up (Warmup-Ms) and was not read; an entry that told more than the last one, because its endpoint had turned cold again, was taken for a late one; how many requests a second a cold endpoint bears stood in the configuration and was not read. What such an endpoint took taught the kind's usual time. Ruled out: shares of the bound for each balancer, whose number nobody knows; a pause between two requests of one balancer, which bounds nothing for many. Change: a cold endpoint gets a request only on a fresh report that shows it idle (its report is the account that all balancers share), only so many of the requests that find it idle as make it busy for the part of the time that it bears, and none for a while from a balancer that it refused or failed.

--- a/balancer/events.go
+++ b/balancer/events.go
@@ -31,7 +31,7 @@
 		age = g.Choice.Age.Milliseconds()
 	}
 	x.log.Line(telemetry.EventChosen).Int("attempt", int64(number)).Text("endpoint", g.Endpoint.VM).Text("zone", g.Endpoint.Zone).
-		Millis("estimate_ms", g.Choice.Estimate).Float("pace", g.Choice.Pace).Int("busy", int64(g.Choice.Busy)).
+		Millis("estimate_ms", g.Choice.Estimate).Float("pace", g.Choice.Pace).Int("busy", int64(g.Choice.Busy)).Bool("cold", g.Choice.Cold).
 		Int("age_ms", age).Int("probes", int64(g.Choice.Probes)).Millis("waited_ms", now.Sub(x.searching)).Done()
 	if x.route.Kind.Repeatable {
 		x.log.FlushWithin(now)
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -93,6 +93,7 @@
 type Choice struct {
 	Pace     float64       // slowdown factor that the endpoint reported, 1 as usual; 0 without a report
 	Busy     int           // requests that it is thought to hold, this one included
+	Cold     bool          // it warms up
 	Estimate time.Duration // until the response
 	Age      time.Duration // of the report; below 0 without one
 	Probes   int           // load reports asked for before this choice
--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -37,8 +37,9 @@
 // Listing is what is listed of an endpoint.
 type Listing struct {
 	Slots    int
-	SameZone bool // as the balancer
-	Warm     bool // no longer warming up
+	SameZone bool      // as the balancer
+	WarmAt   time.Time // until then it warms up
+	WarmTold time.Time // when that was told
 }
 
 // Usual is what was learnt of a request's kind and service. It belongs to one ranking:
@@ -49,6 +50,13 @@
 	Work     time.Duration // usual service time of the kind
 	Crowding Crowding      // of the service
 	Prospect Prospect      // of the service
+	Warming  Warming       // of the service's endpoints that warm up
+
+	Fresh     time.Duration // so old a report is fresh
+	TellsLoad bool          // the service's endpoints can be probed
+
+	WarmupRate float64 // requests a second that one endpoint bears while it warms up; 0 where it is not known
+	Lot        uint32  // random, of the request; decides with which of them it may begin
 
 	slots, room int // that was asked for last, and its room
 }
@@ -71,6 +79,8 @@
 	Full     bool          // it should hold no more
 	Good     bool          // there is no need to look for a better one
 	Ejected  bool          // for failures
+	Cold     bool          // it warms up
+	Closed   bool          // it warms up, and may get nothing now
 
 	cost time.Duration // the estimate with zoneCost and connectionCost
 	tie  uint32        // random, decides between equals
@@ -78,10 +88,11 @@
 
 // NewCandidate makes a candidate of an endpoint, which it does not change.
 func NewCandidate(e *Endpoint, index int, l Listing, usual *Usual, tie uint32, now time.Time) Candidate {
-	untried := e.untried(l)
+	cold := e.cold(l, now)
+	untried := !cold && e.untried(l)
 	conditions := Conditions{
 		Slots:    l.Slots,
-		Warm:     l.Warm,
+		Warm:     !cold,
 		Untried:  untried,
 		Slowness: max(1, e.health.Slowness()/slownessGrace),
 		Crowding: &usual.Crowding,
@@ -93,6 +104,7 @@
 		Busy:     e.load.Busy(now),
 		Slots:    e.load.Slots(l.Slots),
 		Ejected:  e.health.Ejected(now),
+		Cold:     cold,
 		tie:      tie,
 	}
 	if !l.SameZone {
@@ -103,7 +115,8 @@
 		c.cost += connectionCost
 	}
 	c.cost += c.Estimate
-	c.Full = c.Busy >= usual.roomOf(c.Slots) || now.Before(e.pausedUntil)
+	c.Closed = cold && e.closed(usual, index, c.Estimate, now)
+	c.Full = c.Closed || c.Busy >= usual.roomOf(c.Slots) || now.Before(e.pausedUntil)
 	c.Good = !c.Full && e.unanswered == 0 && e.load.Pace(now) <= goodPace
 	return c
 }
--- a/coord/selection/decide_test.go
+++ b/coord/selection/decide_test.go
@@ -13,8 +13,8 @@
 var (
 	options = selection.Options{}.WithDefaults()
 	usual   = selection.Usual{Work: work, Crowding: *learnt(3, 1, 1, 1)}
-	near    = selection.Listing{Slots: 3, SameZone: true, Warm: true}
-	far     = selection.Listing{Slots: 3, Warm: true}
+	near    = selection.Listing{Slots: 3, SameZone: true}
+	far     = selection.Listing{Slots: 3}
 )
 
 // probed returns an endpoint that has just told its load.
@@ -84,7 +84,7 @@
 		{"the own zone", idle, idle, near, far},
 		{"the own zone, at a pace of 1.5", probed(0, 1.5), idle, near, far},
 		{"another zone, where the own one is at a pace of 2", idle, probed(0, 2), far, near},
-		{"warm before cold", idle, idle, near, selection.Listing{Slots: 3, SameZone: true}},
+		{"warm before cold", idle, idle, near, selection.Listing{Slots: 3, SameZone: true, WarmAt: start.Add(time.Second)}},
 		{"an open connection", probed(0, 1.8), silent, near, near},
 		{"answered probes", idle, unanswered, near, near},
 		{"one that did not refuse", probed(0, 5), shed, near, near},
@@ -159,7 +159,7 @@
 func TestJoinedEndpointIsTried(t *testing.T) {
 	now := start.Add(time.Second)
 	cold := near
-	cold.Warm = false
+	cold.WarmAt = start.Add(time.Hour)
 	for _, c := range []struct {
 		name    string
 		joined  selection.Endpoint
--- a/coord/selection/endpoint.go
+++ b/coord/selection/endpoint.go
@@ -18,6 +18,8 @@
 	pausedUntil time.Time // it refused a request and counts as full until then
 	heardAt     time.Time // last response or probe that told its load
 	unanswered  int       // probes in a row without a response
+	warmAt      time.Time // until then it warms up by its own word; zero where it told nothing
+	warmTold    time.Time // when it told that
 	joined      bool      // it joined a service that was known already
 }
 
@@ -37,9 +39,10 @@
 // InUse reports whether a connection to the endpoint is probably open.
 func (e *Endpoint) InUse(now time.Time) bool { return now.Sub(e.heardAt) <= connectionLife }
 
-// untried reports whether a request or a probe should find out how the endpoint is.
+// untried reports whether a request or a probe should find out how the endpoint is, if it
+// is warm.
 func (e *Endpoint) untried(l Listing) bool {
-	return e.joined && e.heardAt.IsZero() && e.unanswered == 0 && e.load.inFlight == 0 && l.SameZone && l.Warm
+	return e.joined && e.heardAt.IsZero() && e.unanswered == 0 && e.load.inFlight == 0 && l.SameZone
 }
 
 // Load returns what is known of the endpoint's load.
--- a/coord/selection/learn.go
+++ b/coord/selection/learn.go
@@ -70,9 +70,9 @@
 // service. Its time is divided by the pace and by what the crowding is thought to have
 // made of it, both as at the choice, which decide the whole work. The crowding learns
 // once the kind is known well. Without a report when it was chosen, a completion says
-// nothing, nor does one that had to wait for a slot.
+// nothing, nor does one that had to wait for a slot, nor one of an endpoint that warmed up.
 func Learn(w Workload, c Crowding, choice placement.Choice, took time.Duration, slots int) (Workload, Crowding) {
-	if choice.Pace <= 0 || choice.Busy > slots {
+	if choice.Cold || choice.Pace <= 0 || choice.Busy > slots {
 		return w, c
 	}
 	sample := float64(took) / choice.Pace
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -21,6 +21,7 @@
 	listed  []directory.Endpoint
 	ranking selection.Ranking
 	usual   selection.Usual // of the kind and the service, as of the ranking
+	lot     uint32          // random
 	probes  int             // so far
 	probed  int             // the last one probed, by its index in listed
 }
@@ -29,7 +30,7 @@
 // looks again after a pause, or when one of the service's has told that it has ended
 // a request, until one is taken or the request is refused.
 func (c *Chooser) Acquire(ctx context.Context, r placement.Request) (placement.Grant, *placement.Refusal) {
-	s := search{request: r, service: tenant.ServiceName(r.Service)}
+	s := search{request: r, service: tenant.ServiceName(r.Service), lot: rand.Uint32()}
 	giveUp := c.opts.GiveUpAt(r, time.Now())
 	for {
 		probesBefore := s.probes
@@ -93,6 +94,8 @@
 	s.ranking.Reset(len(s.listed))
 	s.usual = selection.Usual{
 		Work: c.workloads[s.request.Kind].Usual(s.request.Target), Crowding: c.crowding[s.service], Prospect: c.prospects[s.service],
+		Warming: c.warming[s.service], Fresh: c.opts.ProbeFresh, TellsLoad: c.probePath(s.service) != "",
+		WarmupRate: c.warmupRate(s.service), Lot: s.lot,
 	}
 	for i := range s.listed {
 		e := &s.listed[i]
@@ -100,7 +103,7 @@
 			continue
 		}
 		known := c.knownOf(s, e.VM, now)
-		listing := selection.Listing{Slots: e.Slots, SameZone: e.Zone == c.cfg.Zone, Warm: !now.Before(e.WarmAt)}
+		listing := selection.Listing{Slots: e.Slots, SameZone: e.Zone == c.cfg.Zone, WarmAt: e.WarmAt, WarmTold: e.WarmTold}
 		s.ranking.Add(selection.NewCandidate(&known.state, i, listing, &s.usual, c.rng.Uint32(), now))
 	}
 	s.ranking.DropEjected()
@@ -162,7 +165,7 @@
 	e.state = e.state.WithSent()
 	load := e.state.Load()
 	choice := placement.Choice{
-		Pace: load.Report().Pace, Busy: load.Busy(now), Estimate: best.Estimate, Age: -1, Probes: s.probes,
+		Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, Estimate: best.Estimate, Age: -1, Probes: s.probes,
 	}
 	if age := load.Age(now); age < oldestAge {
 		choice.Age = age
--- a/direct/complete.go
+++ b/direct/complete.go
@@ -31,16 +31,33 @@
 		}
 		return
 	}
+	if g.Choice.Cold {
+		c.noteWarming(tenant.ServiceName(g.Service), r.Outcome, now)
+	}
 	if r.Outcome == placement.Completed {
 		c.learn(g, r.Took, e.state.Load().Slots(g.Endpoint.Slots))
 	}
-	e.state = e.state.WithOutcome(r.Outcome, c.workloads[g.Kind].Ratio(r.Took), now)
+	e.state = e.state.WithOutcome(r.Outcome, c.ratio(g, r.Took), now)
 	if r.Outcome == placement.Failed && e.state.Health().Ejected(now) {
 		c.cfg.Log.Info("endpoint", "id", g.Endpoint.VM, "service", tenant.ServiceName(g.Service), "state", "ejected",
 			"for", e.state.Health().EjectedUntil().Sub(now).String(), "request", g.ID)
 	}
 }
 
+// noteWarming notes how a request ended at an endpoint that warmed up; c.mu is held.
+func (c *Chooser) noteWarming(service string, o placement.Outcome, now time.Time) {
+	c.warming[service] = c.warming[service].WithOutcome(o, c.warmupRate(service), now)
+}
+
+// ratio compares the time of a completion with what is usual; an endpoint that warmed up
+// is not slow for taking longer. c.mu is held.
+func (c *Chooser) ratio(g placement.Grant, took time.Duration) float64 {
+	if g.Choice.Cold {
+		return 1
+	}
+	return c.workloads[g.Kind].Ratio(took)
+}
+
 // learn learns from the time of a completion; c.mu is held.
 func (c *Chooser) learn(g placement.Grant, took time.Duration, slots int) {
 	service := tenant.ServiceName(g.Service)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -71,6 +71,7 @@
 	workloads map[string]selection.Workload // by request kind
 	crowding  map[string]selection.Crowding // by service
 	prospects map[string]selection.Prospect // by service
+	warming   map[string]selection.Warming  // by service
 	waiters   map[string]waiters            // by service
 	listed    map[string]bool               // services whose endpoints were ranked before
 	rng       *rand.Rand
@@ -96,6 +97,7 @@
 		workloads: map[string]selection.Workload{},
 		crowding:  map[string]selection.Crowding{},
 		prospects: map[string]selection.Prospect{},
+		warming:   map[string]selection.Warming{},
 		waiters:   map[string]waiters{},
 		listed:    map[string]bool{},
 		rng:       rand.New(rand.NewPCG(uint64(now), rand.Uint64())),
@@ -121,11 +123,7 @@
 // Service returns a service. How many balancers share its connections is not known
 // here.
 func (c *Chooser) Service(_, service string) (tenant.Service, int) {
-	cfg := c.cfg.Directory.Snapshot().Config
-	if cfg == nil {
-		return tenant.Service{}, 0
-	}
-	return cfg.Services[service], 0
+	return c.serviceOf(service), 0
 }
 
 // Ready reports whether requests can be routed and, if not, why.
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -6,6 +6,7 @@
 
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/pause"
+	"github.com/lotuswing/lotuswing/tenant"
 )
 
 // Chosen without a measurement.
@@ -40,11 +41,20 @@
 // probePath returns where a service's endpoints tell their load; empty where they
 // do not.
 func (c *Chooser) probePath(service string) string {
+	return c.serviceOf(service).ProbePath
+}
+
+// warmupRate returns how many requests a second an endpoint of a service bears while it
+// warms up; 0 where that is not known.
+func (c *Chooser) warmupRate(service string) float64 { return c.serviceOf(service).WarmupRate }
+
+// serviceOf returns a service as it is configured, a zero one where it is not.
+func (c *Chooser) serviceOf(service string) tenant.Service {
 	cfg := c.cfg.Directory.Snapshot().Config
 	if cfg == nil {
-		return ""
+		return tenant.Service{}
 	}
-	return cfg.Services[service].ProbePath
+	return cfg.Services[service]
 }
 
 // target is an endpoint to ask. A probe may outlast the search that it was sent for,
@@ -84,6 +94,9 @@
 		return
 	}
 	e.state = e.state.WithProbe(answer.Load, now)
+	if answer.Warmup.Told {
+		e.state = e.state.WithWarmup(answer.Warmup.Left, now)
+	}
 	if answer.Instance != "" && answer.Instance != id && c.cfg.Directory.MarkLeaving(id, now) {
 		c.cfg.Log.Info("endpoint", "id", id, "state", "leaving", "why", "a probe found another instance", "instance", answer.Instance)
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -161,3 +161,35 @@
 	f.Apply(directory.Changes{At: 101, Gone: []directory.Gone{{ID: "e7", Revision: 101}}})
 	assert.Equal(t, log.String(), "[INFO]  endpoint: id=e7 service=s state=missing revision=101\n")
 }
+
+// TestWarmupCountsDownFromItsFirstWord: an entry that is read late, or once more, tells
+// what was left when it was written; a newer one that tells more says that the endpoint
+// has turned cold again.
+func TestWarmupCountsDownFromItsFirstWord(t *testing.T) {
+	d := directory.New()
+	tell := func(revision uint64, left, after time.Duration) directory.Endpoint {
+		e := entry("a", revision)
+		e.Warmup = left
+		d.Apply(directory.Changes{Entries: []directory.Entry{e}}, start.Add(after))
+		return d.Snapshot().Endpoints["s"][0]
+	}
+	const second = time.Second
+	for _, c := range []struct {
+		name        string
+		revision    uint64
+		left, after time.Duration
+		warmAt      time.Duration
+	}{
+		{"started", 5, 3 * second, 0, 3 * second},
+		{"the same entry once more", 5, 3 * second, second, 3 * second},
+		{"counted down, and read late", 6, 2 * second, 2 * second, 3 * second},
+		{"an older one", 4, 3 * second, 2 * second, 3 * second},
+		{"warm", 7, 0, 3 * second, 3 * second},
+		{"cold again", 8, 3 * second, 10 * second, 13 * second},
+		{"cold again before it was warm", 9, 3 * second, 11 * second, 13 * second},
+		{"counts down", 10, second, 12 * second, 13 * second},
+		{"cold once more", 11, 2 * second, 13 * second, 15 * second},
+	} {
+		assert.Equal(t, tell(c.revision, c.left, c.after).WarmAt, start.Add(c.warmAt), c.name)
+	}
+}
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -27,9 +27,11 @@
 	placement.Endpoint
 	Service  string
 	State    State
-	WarmAt   time.Time // until then it is slow from its start
-	Changed  time.Time // when the state was learnt
-	Revision uint64    // of the store's entry
+	Warmup   time.Duration // how much longer it was slow by its own word, when it wrote its entry
+	WarmAt   time.Time     // until then it is slow by that word
+	WarmTold time.Time     // when that word was read
+	Changed  time.Time     // when the state was learnt
+	Revision uint64        // of the store's entry
 
 	Evacuated bool // its availability zone is being emptied; only a Snapshot tells
 }
@@ -76,7 +78,7 @@
 func newEndpoint(entry Entry, now time.Time) Endpoint {
 	e := entry.Endpoint
 	e.Revision = entry.Revision
-	e.WarmAt = now.Add(entry.Warmup)
+	e.Warmup, e.WarmAt, e.WarmTold = entry.Warmup, now.Add(entry.Warmup), now
 	e.Changed = now
 	if entry.Leaving {
 		e.State = Leaving
@@ -94,12 +96,26 @@
 	if e.State == Leaving {
 		next.State = Leaving
 	}
-	if e.WarmAt.Before(next.WarmAt) {
-		next.WarmAt = e.WarmAt // an entry read late tells an older warm-up
+	next.WarmAt = e.warmAt(entry, now)
+	if entry.Revision == e.Revision {
+		next.WarmTold = e.WarmTold // the same word once more
 	}
 	return next
 }
 
+// warmAt returns until when a known endpoint is slow after an entry of it was read. Its
+// word counts from when it was written, which was earlier, so that what was read first
+// holds as long as it only counts down. A newer entry that tells more than the last one
+// says that the endpoint has turned cold again.
+func (e Endpoint) warmAt(entry Entry, now time.Time) time.Time {
+	told := now.Add(entry.Warmup)
+	again := entry.Revision > e.Revision && entry.Warmup > e.Warmup
+	if !again && e.WarmAt.Before(told) {
+		return e.WarmAt
+	}
+	return told
+}
+
 // withoutEntry returns a known endpoint after its entry went at a revision.
 func (e Endpoint) withoutEntry(revision uint64, now time.Time) Endpoint {
 	if revision < e.Revision {
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -45,6 +45,7 @@
 		{"estimate_ms", "time until its answer, as estimated"},
 		{"pace", "how long work takes there by its last report, 1 as usual; 0 where it tells nothing"},
 		{"busy", "requests that it holds, this one included"},
+		{"cold", "whether it warms up after its start"},
 		{"age_ms", "age of that report; -1 where there is none"},
 		{"probes", "endpoints asked for this choice"},
 		{"waited_ms", "time since the request was admitted or the last attempt ended"},
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -52,6 +52,10 @@
 	Connections int    `json:"connections"` // that one endpoint accepts in all
 	ProbePath   string `json:"probe_path"`  // asked by GET to measure an endpoint
 	Protocol    string `json:"protocol"`    // http/1.1 or h2c; default http/1.1
+
+	// WarmupRate is how many requests a second one endpoint bears while it warms up, from
+	// all balancers; 0 where it is not known. Only the operators' platform tells it.
+	WarmupRate float64 `json:"-"`
 }
 
 // Template declares request kinds with parameters.
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -39,6 +39,10 @@
 
 	Load      string // load report of the endpoint
 	ParseLoad func(string) placement.LoadReport
+
+	// Warmup says in the response to a probe how much longer the endpoint is slow from
+	// its start, in whole milliseconds.
+	Warmup string
 }
 
 // Native returns the product's own dialect.
--- a/upstream/dialect_test.go
+++ b/upstream/dialect_test.go
@@ -149,3 +149,21 @@
 	_, err = platformClient(t, false).Probe(context.Background(), e.Addr(), "/health", 5*time.Second)
 	assert.ErrorContains(t, err, "probe")
 }
+
+// TestProbeTellsWarmup where the endpoint does, in a form that can be believed.
+func TestProbeTellsWarmup(t *testing.T) {
+	for header, want := range map[string]upstream.Warmup{
+		"Warmup-Ms: 1500\r\n":                 {Told: true, Left: 1500 * time.Millisecond},
+		"Warmup-Ms: 0\r\n":                    {Told: true},
+		"":                                    {},
+		"Warmup-Ms: soon\r\n":                 {},
+		"Warmup-Ms: -3\r\n":                   {},
+		"Warmup-Ms: 99999999999999999999\r\n": {},
+		"Warmup-Ms: 9000000000000000000\r\n":  {},
+	} {
+		e := scriptedEndpoint(t, rawendpoint.Answer("HTTP/1.1 200 OK\r\n"+header+"Content-Length: 0\r\n\r\n"))
+		got, err := platformClient(t, false).Probe(context.Background(), e.Addr(), "/health", 5*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Warmup, want, header)
+	}
+}
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/placement"
@@ -19,8 +20,31 @@
 type ProbeResult struct {
 	Instance string // identity of the incarnation; empty where it is not told
 	Load     placement.LoadReport
+	Warmup   Warmup
 }
 
+// Warmup is how much longer an endpoint is slow from its start, as it says itself.
+type Warmup struct {
+	Told bool
+	Left time.Duration
+}
+
+// warmup reads what a response to a probe tells of the endpoint's warm-up. One that
+// cannot be read is not told.
+func (d *Dialect) warmup(h http.Header) Warmup {
+	if d.Warmup == "" {
+		return Warmup{}
+	}
+	ms, err := strconv.ParseInt(h.Get(d.Warmup), 10, 64)
+	if err != nil || ms < 0 || ms > mostWarmupMs {
+		return Warmup{}
+	}
+	return Warmup{Told: true, Left: time.Duration(ms) * time.Millisecond}
+}
+
+// mostWarmupMs bounds what is believed of a warm-up, in milliseconds: an hour.
+const mostWarmupMs = 3_600_000
+
 // Probe asks the endpoint at an address for its load report, for at most within.
 // It uses the connections of requests, so that a request often follows a probe on
 // the same one.
@@ -41,7 +65,7 @@
 		return ProbeResult{}, fmt.Errorf("upstream: probe: %w", err)
 	}
 	d := c.dialect
-	out := ProbeResult{Load: d.ParseLoad(response.Header.Get(d.Load))}
+	out := ProbeResult{Load: d.ParseLoad(response.Header.Get(d.Load)), Warmup: d.warmup(response.Header)}
 	if d.InstanceID != "" {
 		out.Instance = response.Header.Get(d.InstanceID)
 	}
