--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -90,7 +90,9 @@
 	// 199 of 473 balancers read them twice.
 	LookEvery time.Duration
 	// AskNextAfter is how long an answer is awaited before the next balancer is asked
-	// beside it; default 150 ms.
+	// beside it; default 60 ms, three times what a copy takes from a relay that has one.
+	// With 150 ms a simulated fleet of 95 balancers that had lost power kept 0.721 and
+	// 0.677 of its worth on two days, 0.731 and 0.680 with 60 ms.
 	AskNextAfter time.Duration
 	// WaitAtPeer is how long a balancer that has no copy yet itself may keep the
 	// question; default 300 ms. AskLimit bounds a whole question; default 800 ms.
@@ -108,7 +110,7 @@
 
 func (o Options) withDefaults() Options {
 	o.LookEvery = cmp.Or(o.LookEvery, 400*time.Millisecond)
-	o.AskNextAfter = cmp.Or(o.AskNextAfter, 150*time.Millisecond)
+	o.AskNextAfter = cmp.Or(o.AskNextAfter, 60*time.Millisecond)
 	o.WaitAtPeer = cmp.Or(o.WaitAtPeer, 300*time.Millisecond)
 	o.AskLimit = cmp.Or(o.AskLimit, 800*time.Millisecond)
 	o.AskAgainAfter = cmp.Or(o.AskAgainAfter, 500*time.Millisecond)
