A soak empties zones and lets endpoints turn cold, checked from what endpoints see

Two promises more: an emptied zone gets nothing after 3 s, a cold endpoint at most 2.5 x 1.5 + 8 requests in a second. Both checks are shown to fail on planted faults.

--- a/soak/endpoints.go
+++ b/soak/endpoints.go
@@ -13,6 +13,7 @@
 type endpoint struct {
 	server  *platformtest.Endpoint
 	service string
+	zone    string
 	proxy   *Proxy
 	http    *http.Server
 	left    time.Time // when the store was told that it leaves; zero while it stays
@@ -43,14 +44,30 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{server: server, service: service, proxy: proxy, http: &http.Server{Handler: server}}
+	e := &endpoint{server: server, service: service, zone: w.nextZone(), proxy: proxy, http: &http.Server{Handler: server}}
 	go func() { _ = e.http.Serve(l) }()
 	w.current = append(w.current, e)
 	w.all = append(w.all, e)
-	w.store.PutServer(server.ID, platformtest.Server{Address: proxy.Addr(), Service: service, Zone: "zone-0", Slots: endpointSlots})
+	w.list(e, 0)
 	return e, nil
 }
 
+// nextZone returns the zone of the endpoint that was started last; w.mu is held.
+func (w *world) nextZone() string {
+	if !w.everyZone {
+		return zoneName(0)
+	}
+	const services = 2
+	return zoneName((w.started - 1) / services % zones)
+}
+
+// list writes an endpoint's entry, with how much longer it warms up; w.mu is held.
+func (w *world) list(e *endpoint, warmup time.Duration) {
+	w.store.PutServer(e.server.ID, platformtest.Server{
+		Address: e.proxy.Addr(), Service: e.service, Zone: e.zone, Slots: endpointSlots, Warmup: warmup,
+	})
+}
+
 // withdraw takes an endpoint out of those that are drawn; w.mu is held.
 func (w *world) withdraw(e *endpoint) {
 	for i, c := range w.current {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -171,7 +171,7 @@
 	old.left = time.Now()
 	if says {
 		w.store.PutServer(old.server.ID, platformtest.Server{
-			Address: old.proxy.Addr(), Service: old.service, Zone: "zone-0", Slots: endpointSlots, Draining: true,
+			Address: old.proxy.Addr(), Service: old.service, Zone: old.zone, Slots: endpointSlots, Draining: true,
 		})
 	} else {
 		w.store.RemoveServer(old.server.ID)
@@ -209,7 +209,8 @@
 		route("file", filePrefix, serviceBeta, false),
 		route("move", movePrefix, w.moveTo, true),
 	}, map[string]tenant.Service{
-		serviceAlpha: {ProbePath: "/health", Connections: 200}, serviceBeta: {ProbePath: "/health", Connections: 200},
+		serviceAlpha: {ProbePath: "/health", Connections: 200, WarmupRate: warmupRate},
+		serviceBeta:  {ProbePath: "/health", Connections: 200, WarmupRate: warmupRate},
 	})
 	w.calendar.publish(version{number: w.version, service: w.moveTo, at: time.Now()})
 }
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -14,14 +14,16 @@
 
 // The promises, as callers and back ends can see them.
 const (
-	RunsOnce     Promise = "a request that is not repeatable runs at most once"
-	NotRunIsTrue Promise = "a request that was answered with 429 or 503, or counts as not read, never runs"
-	OwnAnswer    Promise = "a success is the endpoint's whole answer to its own request"
-	NothingElse  Promise = "endpoints run only what callers sent, unchanged"
-	RightService Promise = "a request runs only where some configuration sent it"
-	NoLateWork   Promise = "an endpoint that leaves gets no new requests after a while"
-	InForce      Promise = "a configuration is in force after a while and never reverts"
-	FinalInTime  Promise = "the final answer comes by the route's timeout"
+	RunsOnce         Promise = "a request that is not repeatable runs at most once"
+	NotRunIsTrue     Promise = "a request that was answered with 429 or 503, or counts as not read, never runs"
+	OwnAnswer        Promise = "a success is the endpoint's whole answer to its own request"
+	NothingElse      Promise = "endpoints run only what callers sent, unchanged"
+	RightService     Promise = "a request runs only where some configuration sent it"
+	NoLateWork       Promise = "an endpoint that leaves gets no new requests after a while"
+	NothingToEmptied Promise = "an endpoint of an emptied zone gets nothing after a while"
+	FewToCold        Promise = "an endpoint that warms up gets few requests in a second"
+	InForce          Promise = "a configuration is in force after a while and never reverts"
+	FinalInTime      Promise = "the final answer comes by the route's timeout"
 )
 
 // Violation is a promise that was broken.
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -166,3 +166,66 @@
 	})
 	assert.ErrorContains(t, err, "vm-0 ended before it was ready")
 }
+
+// TestPlantedWorkInEmptiedZonesIsCaught: only long after the zone was emptied, before it is
+// taken back, and by balancers that were left alone.
+func TestPlantedWorkInEmptiedZonesIsCaught(t *testing.T) {
+	second := func(n float64) time.Time { return time.Now().Add(time.Duration(n * float64(time.Second))) }
+	for _, c := range []struct {
+		name    string
+		emptied emptying
+		quiet   bool
+		want    string
+	}{
+		{"soon after", emptying{"zone-1", second(-1), second(5)}, true, ""},
+		{"long after", emptying{"zone-1", second(-5), second(5)}, true, string(NothingToEmptied)},
+		{"taken back by then", emptying{"zone-1", second(-9), second(-1)}, true, ""},
+		{"another zone", emptying{"zone-0", second(-5), second(5)}, true, ""},
+		{"by a disturbed balancer", emptying{"zone-1", second(-5), second(5)}, false, ""},
+	} {
+		l, cal := newLedger(), &calendar{}
+		cal.empty(c.emptied)
+		if !c.quiet {
+			cal.disturb("vm-0", second(-20), second(1))
+		}
+		r := &sentRequest{id: "a", method: http.MethodGet, path: "/read/1", repeatable: true, balancer: "vm-0", at: second(0)}
+		l.begin(r)
+		l.end(r, 200, second(0))
+		e := planted(serviceAlpha, "GET a /read/1")
+		e.zone = "zone-1"
+		l.checkTimed(cal, []*endpoint{e})
+		assert.Equal(t, promises(l), c.want, c.name)
+	}
+}
+
+// TestPlantedCrowdsAtColdEndpointsAreCaught: more than the limit in a second in which the
+// endpoint warmed up.
+func TestPlantedCrowdsAtColdEndpointsAreCaught(t *testing.T) {
+	const limit = 11 // 2.5 x 1.5 + 8, rounded down
+	for _, c := range []struct {
+		name     string
+		arrivals int
+		cold     time.Duration // how long ago it turned cold
+		quiet    bool
+		want     string
+	}{
+		{"as many as allowed", limit, time.Second, true, ""},
+		{"one more", limit + 1, time.Second, true, string(FewToCold)},
+		{"one more, and bytes were held up", limit + 1, time.Second, false, ""},
+		{"one more, warm by then", limit + 1, time.Hour, true, ""},
+	} {
+		requests := make([]string, c.arrivals)
+		for i := range requests {
+			requests[i] = "GET a /read/1"
+		}
+		e := planted(serviceAlpha, requests...)
+		l, cal := newLedger(), &calendar{}
+		from := time.Now().Add(-c.cold)
+		cal.cool(cooling{endpoint: e, from: from, to: from.Add(2 * coldFor)})
+		if !c.quiet {
+			cal.disturb("", from, time.Now())
+		}
+		l.checkCold(cal)
+		assert.Equal(t, promises(l), c.want, c.name)
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -8,7 +8,7 @@
 // day, and the steady clock of a process cannot be moved from outside.
 //
 // It owns the processes that it starts, and ends only these. The faults are in
-// faults.go, the links in proxy.go, the processes in process.go, what callers and
+// faults.go, zones that are emptied in zones.go, the links in proxy.go, the processes in process.go, what callers and
 // endpoints saw in ledger.go, promises with a time limit in timed.go. It relies on
 // package platformtest for the platform.
 //
@@ -23,6 +23,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -46,6 +47,8 @@
 	Gap       time.Duration // mean pause between two faults; default 300 ms
 	// Together is the mean time between two losses of all balancers at once; 0 for none.
 	Together time.Duration
+	// Empty is the mean time between two emptyings of an availability zone; 0 for none.
+	Empty time.Duration
 	// Timed checks the promises that have a time limit, too. They depend on a
 	// machine that gives every process its turn.
 	Timed bool
@@ -94,14 +97,15 @@
 	gap       time.Duration
 	ends      sync.WaitGroup // of faults
 
-	mu      sync.Mutex
-	rng     *rand.Rand // of the faults; used by one goroutine
-	current []*endpoint
-	all     []*endpoint
-	started int
-	version uint64
-	moveTo  string
-	failure error // the soak itself went wrong
+	mu        sync.Mutex
+	rng       *rand.Rand // of the faults; used by one goroutine
+	current   []*endpoint
+	all       []*endpoint
+	started   int
+	version   uint64
+	moveTo    string
+	everyZone bool  // endpoints stand in all zones
+	failure   error // the soak itself went wrong
 }
 
 // fail notes that the soak itself went wrong.
@@ -127,6 +131,7 @@
 	w := &world{
 		log: cfg.Log, store: platformtest.NewStore(), calendar: &calendar{}, gap: cfg.Gap,
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), moveTo: serviceAlpha,
+		everyZone: cfg.Empty > 0,
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -173,7 +178,7 @@
 	w.publish()
 	free := &addresses{given: map[int]bool{}}
 	for i := range cfg.Balancers {
-		b, err := newBalancer(dir, fmt.Sprintf("vm-%d", i), fmt.Sprintf("zone-%d", i%zones), storeAddr, free, cfg.Command)
+		b, err := newBalancer(dir, fmt.Sprintf("vm-%d", i), zoneName(i%zones), storeAddr, free, cfg.Command)
 		if err != nil {
 			return err
 		}
@@ -212,9 +217,15 @@
 		rng := rand.New(rand.NewPCG(cfg.Seed, 0))
 		together.Go(func() { w.strikeTogether(disturbing, cfg.Together, rng, func(kind string) { struck[kind]++ }) })
 	}
+	emptied := map[string]int{}
+	if cfg.Empty > 0 {
+		rng := rand.New(rand.NewPCG(cfg.Seed, math.MaxUint64))
+		together.Go(func() { w.strikeZones(disturbing, cfg.Empty, rng, func(kind string) { emptied[kind]++ }) })
+	}
 	w.disturbUntil(disturbing, w.rng, func(kind string) { result.Faults[kind]++ })
 	together.Wait()
 	maps.Copy(result.Faults, struck)
+	maps.Copy(result.Faults, emptied)
 	stopFaults()
 	stopCalls()
 	callers.Wait()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -101,3 +101,14 @@
 	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
 	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
 }
+
+// TestSoakOfEmptiedZones plays a soak in which zones are emptied and come back cold.
+func TestSoakOfEmptiedZones(t *testing.T) {
+	result, err := soak.Run(t.Context(), soak.Config{
+		Seed: 11, For: 9 * time.Second, Balancers: 4, Empty: time.Second, Gap: time.Second, Command: present,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, result.Faults["zone emptied"] > 0, "%v", result.Faults)
+	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
+	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
+}
--- a/soak/timed.go
+++ b/soak/timed.go
@@ -29,6 +29,8 @@
 	mu           sync.Mutex
 	disturbances []disturbance
 	versions     []version
+	emptyings    []emptying
+	coolings     []cooling
 }
 
 // version is a configuration with the service that it sends "/move/" to.
@@ -74,11 +76,13 @@
 			if !e.left.IsZero() && run.At.Sub(e.left) > leaveLimit && c.quiet(r.balancer, e.left, run.At) {
 				l.broken(NoLateWork, r.id, "%s left %v before the request reached it, by %s", e.server.ID, run.At.Sub(e.left), r.balancer)
 			}
+			l.checkEmptied(c, r, run.At, e)
 			if r.prefix() == movePrefix {
 				l.checkMove(c, r, run.At, e.service)
 			}
 		}
 	}
+	l.checkCold(c)
 	l.checkEnds(c)
 }
 
