--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,7 @@
 	addReplay(a)
 	addTrace(a)
 	addEndpoints(a)
+	addLate(a)
 	addSoak(a)
 	return a.Main(args)
 }
