--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -46,7 +46,7 @@
 
 // Defaults of Options. RefuseShare: on simulated days 0.3 lost 0.011 of the worth, 0.12
 // made no difference. LookAgain: 10 ms lost 0.011 under overload, for probes that others
-// lack; 80 ms made no difference (docs/ROUNDS.md). The others were chosen without a
+// lack; 80 ms made no difference (docs/design, round 2). The others were chosen without a
 // measurement.
 const (
 	probeFresh  = 4 * time.Millisecond
