A request that must run once may use the connection of the probe before it

Ruled out: none other built. TWICE and REFUSED: such a request is never sent a second time after a write began, on whatever connection, so what a connection's end can cost is an answer, and an endpoint that has just answered on it is alive. Change: where the report at the choice is younger than 50 ms the request goes out on a kept connection that has rested no longer; one that has is sealed before anything is written, and a new one is opened.

--- a/balancer/policy.go
+++ b/balancer/policy.go
@@ -18,6 +18,9 @@
 	// FreshConnections: a request that is not repeatable never goes out on a
 	// connection that was used before, whose end could leave it in doubt.
 	FreshConnections bool
+	// ProvedAlive: for so long after the endpoint's last sign of life on it a connection
+	// counts as unused in this; 0 for never.
+	ProvedAlive time.Duration
 	// HideCaller: endpoints are not told the caller's address in headers.
 	HideCaller bool
 	// AnyPath: paths with dot segments go through as they are.
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -9,6 +9,7 @@
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
 	"gotest.tools/v3/assert"
 )
@@ -75,3 +76,27 @@
 	assert.Equal(t, waitingReason(reason.Expired, now, now), reason.DeadlineWaiting)
 	assert.Equal(t, waitingReason(reason.NoEndpoint, now, now), reason.NoEndpoint)
 }
+
+// TestProvedAlive: only on the word of a response a moment ago, and only where it matters.
+func TestProvedAlive(t *testing.T) {
+	client := upstream.NewClient(upstream.Options{})
+	t.Cleanup(client.Close)
+	policy := Policy{FreshConnections: true, ProvedAlive: 50 * time.Millisecond, Client: client}
+	once, again := tenant.Route{Kind: &tenant.Kind{}}, tenant.Route{Kind: &tenant.Kind{Repeatable: true}}
+	for _, c := range []struct {
+		name   string
+		policy Policy
+		route  tenant.Route
+		age    time.Duration
+		want   bool
+	}{
+		{"has just answered", policy, once, 2 * time.Millisecond, true},
+		{"answered a while ago", policy, once, 50 * time.Millisecond, false},
+		{"told nothing yet", policy, once, -1, false},
+		{"may run again", policy, again, 0, false},
+		{"never", Policy{FreshConnections: true, Client: client}, once, 0, false},
+	} {
+		b := &Balancer{cfg: Config{Policy: c.policy}}
+		assert.Equal(t, b.provedAlive(c.route, placement.Choice{Age: c.age}), c.want, c.name)
+	}
+}
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
@@ -88,7 +89,7 @@
 	ctx, span := b.cfg.Tracing.Tracer.Start(ctx, "send")
 	defer span.End()
 	a := attempt{number: number, grant: grant, sent: time.Now()}
-	a.result = b.client(x.route).Send(ctx, upstream.Request{
+	a.result = b.sendOn(ctx, x.route, grant, upstream.Request{
 		ID:            b.attemptID(x, grant),
 		Addr:          grant.Endpoint.Addr,
 		In:            x.r,
@@ -103,6 +104,27 @@
 	return a
 }
 
+// sendOn sends a request on a connection that fits it. One that must run once and whose
+// endpoint has just answered a probe goes out on the probe's connection, if that is still
+// free, and else on a new one.
+func (b *Balancer) sendOn(ctx context.Context, route tenant.Route, grant placement.Grant, r upstream.Request) upstream.Result {
+	if b.provedAlive(route, grant.Choice) {
+		kept := r
+		kept.MostIdle = b.cfg.Policy.ProvedAlive
+		if result := b.cfg.Policy.Client.Send(ctx, kept); !result.Rested || !r.Body.Replayable() {
+			return result
+		}
+	}
+	return b.client(route).Send(ctx, r)
+}
+
+// provedAlive reports whether a request that must run once may go out on a connection on
+// which its endpoint has just told its load.
+func (b *Balancer) provedAlive(route tenant.Route, c placement.Choice) bool {
+	p := b.cfg.Policy
+	return p.FreshConnections && p.Client != nil && !route.Kind.Repeatable && c.Age >= 0 && c.Age < p.ProvedAlive
+}
+
 // passOnInformational passes on a 1xx response.
 func (x *exchange) passOnInformational(code int, header http.Header) {
 	if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
--- a/upstream/dialect_test.go
+++ b/upstream/dialect_test.go
@@ -167,3 +167,34 @@
 		assert.Equal(t, got.Warmup, want, header)
 	}
 }
+
+// TestRestedConnectionIsNotUsed where that is asked for: nothing is sent on it, which is
+// proved, and one that has not rested for so long, or is new, is used.
+func TestRestedConnectionIsNotUsed(t *testing.T) {
+	e := scriptedEndpoint(t, rawendpoint.Answer(signed))
+	c := platformClient(t, false)
+	send := func(mostIdle time.Duration) upstream.Result {
+		in, err := http.NewRequest(http.MethodPost, "http://caller/x/", nil)
+		assert.NilError(t, err)
+		return c.Send(context.Background(), upstream.Request{
+			ID: "r1", Addr: e.Addr(), In: in, Body: upstream.NewBody(strings.NewReader("petition"), 1<<10),
+			Deadline: time.Now().Add(5 * time.Second), BufferBytes: 1 << 10, MostIdle: mostIdle,
+		})
+	}
+	first := send(time.Nanosecond)
+	assert.Equal(t, first.Verdict, verdict.Ran, "a new connection has not rested")
+	first.Close()
+	second := send(time.Hour)
+	assert.Equal(t, second.Verdict, verdict.Ran)
+	assert.Assert(t, !second.Rested)
+	second.Close()
+	assert.Equal(t, e.Connections(), 1)
+	time.Sleep(time.Millisecond)
+	third := send(time.Nanosecond)
+	third.Close()
+	assert.Assert(t, third.Rested || e.Connections() == 2, "sent on a connection that had rested")
+	if third.Rested {
+		assert.Equal(t, third.Verdict, verdict.NotRun)
+		assert.Equal(t, len(e.Requests()), 2)
+	}
+}
--- a/upstream/judge.go
+++ b/upstream/judge.go
@@ -105,6 +105,9 @@
 	switch {
 	case !x.got:
 		return Result{Verdict: verdict.NotRun, Reason: dialReason(cause), Err: err}
+	case x.rested: // sealed before anything could be written
+		_ = x.conn.Close()
+		return Result{Verdict: verdict.NotRun, Reason: reason.NothingWritten, Rested: true, Err: err}
 	case x.conn != nil && !http2 && x.conn.seal(x.begun):
 		_ = x.conn.Close() // sealed: nothing can be written on it any more
 		return Result{Verdict: verdict.NotRun, Reason: reason.NothingWritten, Err: err}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -24,6 +24,9 @@
 	// BufferBytes: responses of up to so many bytes are read whole before Send
 	// returns; 0 for none.
 	BufferBytes int
+	// MostIdle is how long the connection may have rested that the request goes out on; 0
+	// for any time. Where only others are open the request is not sent, see Result.Rested.
+	MostIdle time.Duration
 	// Informational passes on 1xx responses; may be nil.
 	Informational func(code int, header http.Header)
 }
@@ -35,6 +38,7 @@
 	// Response is set where the endpoint ran the request or said that it did not.
 	Response *http.Response
 	Buffered bool  // the response is whole, in memory
+	Rested   bool  // nothing was sent, because the connection had rested for longer than MostIdle
 	Err      error // why there is no response
 	cancel   func()
 }
@@ -55,7 +59,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(remaining, func() { cancel(context.DeadlineExceeded) })
 	defer timer.Stop()
-	x := &exchange{}
+	x := &exchange{mostIdle: r.MostIdle}
 	response, err := c.transport.RoundTrip(c.outgoing(httptrace.WithClientTrace(ctx, x.trace(r)), r, remaining))
 	end := func() { cancel(context.Canceled) }
 	if err != nil {
@@ -101,10 +105,13 @@
 
 // exchange watches which connection an attempt was given.
 type exchange struct {
-	mu    sync.Mutex
-	got   bool
-	conn  *conn
-	begun int64 // writes on the connection before this attempt
+	mostIdle time.Duration // 0 for any
+
+	mu     sync.Mutex
+	got    bool
+	conn   *conn
+	begun  int64 // writes on the connection before this attempt
+	rested bool  // the connection had rested for too long and is sealed
 }
 
 func (x *exchange) gotConn(info httptrace.GotConnInfo) {
@@ -115,6 +122,7 @@
 	if x.conn != nil {
 		x.begun = x.conn.writes.Load()
 	}
+	x.rested = x.conn != nil && x.mostIdle > 0 && info.Reused && info.IdleTime > x.mostIdle && x.conn.seal(x.begun)
 }
 
 func (x *exchange) trace(r Request) *httptrace.ClientTrace {
