--- a/logread/late.go
+++ b/logread/late.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/verdict"
@@ -153,7 +152,7 @@
 	s.attempts++
 	s.refused = false
 	s.busy = int(number(text, "busy"))
-	s.cold, _ = strconv.ParseBool(Value(text, "cold")) // absent in logs of earlier versions
+	s.cold = Value(text, "cold") == "true" // absent in logs of earlier versions
 	s.pace = number(text, "pace")
 	s.estimate = number(text, "estimate_ms")
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -128,11 +128,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return Result{}, fmt.Errorf("soak: %w", err)
 	}
-	w := &world{
-		log: cfg.Log, store: platformtest.NewStore(), calendar: &calendar{}, gap: cfg.Gap,
-		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), moveTo: serviceAlpha,
-		everyZone: cfg.Empty > 0,
-	}
+	w := newWorld(cfg)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return Result{}, fmt.Errorf("soak: store: %w", err)
@@ -162,6 +158,15 @@
 	return result, nil
 }
 
+// newWorld returns the world of a soak, in which nothing runs yet.
+func newWorld(cfg Config) *world {
+	return &world{
+		log: cfg.Log, store: platformtest.NewStore(), calendar: &calendar{}, gap: cfg.Gap,
+		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), moveTo: serviceAlpha,
+		everyZone: cfg.Empty > 0,
+	}
+}
+
 // begin starts endpoints and balancers and waits until all are ready.
 func (w *world) begin(ctx context.Context, cfg Config, dir, storeAddr string) error {
 	w.ctx = ctx
