--- a/server/platform_test.go
+++ b/server/platform_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,9 @@
 	"gotest.tools/v3/poll"
 )
 
+// requests numbers the tests' requests.
+var requests atomic.Int64
+
 // platformRig is a store and one endpoint of the platform.
 type platformRig struct {
 	store *platformtest.Store
@@ -99,12 +103,18 @@
 
 // call calls a balancer on a connection of its own and returns the status.
 func (b platformBalancer) call(t *testing.T) int {
+	t.Helper()
+	return b.callFor(t, "/x/1")
+}
+
+// callFor is call for a path.
+func (b platformBalancer) callFor(t *testing.T, path string) int {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
-	r, err := http.NewRequest(http.MethodGet, "http://"+b.front+"/x/1", nil)
+	r, err := http.NewRequest(http.MethodGet, "http://"+b.front+path, nil)
 	assert.NilError(t, err)
 	r.Host = "a.example"
-	r.Header.Set("Request-Id", "r-1")
+	r.Header.Set("Request-Id", fmt.Sprintf("r-%d", requests.Add(1)))
 	resp, err := client.Do(r)
 	assert.NilError(t, err)
 	_ = resp.Body.Close() // only the status counts
