Notes: what one balancer sees reaches all others without the store

Cause: nothing that one balancer learns of endpoints or requests reaches the others, but by the store's records; the crashing request needs it, and so will verdicts on endpoints that fail in part. Ruled out: writing each sight to the store (a rack that fails under load is hundreds of writes, each of them paid for, and none while the store is down); agreement among balancers (nobody may be waited for). Change: a balancer tells a note to the relays of all zones, which hand it on with the changes that others wait for, settled or not. Tests: everybody hears once, in another zone, while the store refuses, after the relay was killed.

--- a/relay/askers.go
+++ b/relay/askers.go
@@ -84,14 +84,14 @@
 }
 
 // waitSettled waits until this balancer is settled or knows one beside the asker that is
-// in touch with the store, at most as long as limit.
-func (g *Group) waitSettled(asker string, limit time.Duration) {
+// in touch with the store, or until there is other news, at most as long as limit.
+func (g *Group) waitSettled(asker string, limit time.Duration, news func() bool) {
 	g.patient.Add(1)
 	defer g.patient.Add(-1)
 	deadline := time.Now().Add(limit)
 	for now := time.Now(); now.Before(deadline); now = time.Now() {
 		other := g.inTouch(now)
-		if g.follower.Settled(now) || other != "" && other != asker {
+		if g.follower.Settled(now) || other != "" && other != asker || news() {
 			return
 		}
 		g.replica.waitChange(context.Background(), deadline.Sub(now))
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -137,10 +137,15 @@
 	ctx, cancel := context.WithTimeout(ctx, g.opts.Wait+g.opts.Slack)
 	defer cancel()
 	after, _ := g.replica.revision() // 0 while nothing is known, which asks for everything
+	heard := g.heardFrom(r.Addr)
 	var reply ChangesReply
 	err := g.client.Call(ctx, r.Addr, methodChanges, ChangesArgs{
 		After: after, Wait: g.opts.Wait, From: g.cfg.Addr, Patient: patient, InTouch: g.follower.Settled(time.Now()),
+		TakesNotes: true, NotesLife: heard.life, NotesAfter: heard.at,
 	}, &reply)
+	if err == nil {
+		g.hearFrom(r.Addr, reply)
+	}
 	switch {
 	case errors.Is(err, link.ErrSilent):
 		g.client.Forget(r.Addr) // a connection that is cut stays silent
@@ -160,6 +165,35 @@
 	return nil
 }
 
+// heardFrom returns the place up to which the notes of a balancer are known.
+func (g *Group) heardFrom(addr string) place {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.heard[addr]
+}
+
+// hearFrom takes the notes that a balancer handed on.
+func (g *Group) hearFrom(addr string, reply ChangesReply) {
+	if reply.NotesLife == 0 {
+		return // it is of a version that has none
+	}
+	g.hear(reply.Notes)
+	g.mu.Lock()
+	if len(g.heard) >= mostHeard {
+		clear(g.heard) // what is told twice does no harm
+	}
+	g.heard[addr] = place{life: reply.NotesLife, at: reply.NotesAt}
+	other := g.asked != addr
+	g.asked = addr
+	g.mu.Unlock()
+	if other {
+		g.tellRelays()
+	}
+}
+
+// mostHeard bounds of how many balancers it is remembered which notes they know or told.
+const mostHeard = 64
+
 // followedRelay notes that a relay has answered that is settled. The store is left
 // alone then, unless this balancer is a relay itself.
 func (g *Group) followedRelay(r Relay, s *subscription, now time.Time) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,7 +7,8 @@
 // records as this process knows them, and the links to other balancers. Its two
 // loops are in follow.go (where changes come from) and registration.go (who is the
 // relay); the rules that they follow are in rules.go, what other balancers are told
-// in server.go. What is known first comes by package bootstrap (first.go). It relies on a Follower, which it switches on and off, a Registry
+// in server.go, what balancers tell one another beside the store's records in notes.go and
+// telling.go. What is known first comes by package bootstrap (first.go). It relies on a Follower, which it switches on and off, a Registry
 // for the lease, and a Decoder for the meaning of records.
 //
 // Being a relay is no right that has to be exclusive. Two at once cost a few calls;
@@ -87,6 +88,8 @@
 	Log      hclog.Logger
 	TLS      *tls.Config // of links; nil for plain TCP
 	Options  Options
+	// OnNote is called with each note of another balancer, once; nil for none.
+	OnNote func(Note)
 }
 
 // Group is a balancer's part among those that hand on the store's changes.
@@ -97,6 +100,7 @@
 	replica  *replica
 	packer   *packer
 	giver    *bootstrap.Giver // hands first copies to balancers that start
+	notes    *noteLog         // what balancers tell one another beside the store's records
 	client   *link.Client
 	server   *link.Server
 	stop     context.CancelFunc
@@ -108,6 +112,9 @@
 	starting atomic.Bool  // waits for a first relay that is settled
 	followed atomic.Bool  // the last relay that was asked is settled
 	patient  atomic.Int64 // questions that wait for this balancer to be settled
+	waking   atomic.Bool  // those that wait here are about to be woken for notes
+	// published counts the notes of this balancer.
+	published atomic.Uint64
 	// registered is when this balancer registered, until the store tells so; in
 	// ns since began, 0 for never.
 	registered atomic.Int64
@@ -118,6 +125,11 @@
 	relayed   Relay                // the relay that is followed; zero for none
 	confirmed time.Time            // when a settled relay last answered
 	askers    askers               // who asks this balancer
+	asked     string               // address of the balancer that last answered a question for changes
+	live      context.Context      // ends with Close; nil before Start and after Close
+	telling   map[string]bool      // relays that are being told notes, by address
+	told      map[string]place     // which notes relays have taken, by address: their life and the place in the own log
+	heard     map[string]place     // which notes of others are known, by address of the balancer that handed them on
 }
 
 // maxTurns spreads the balancers of a zone without a relay over those of others.
@@ -126,8 +138,9 @@
 // New returns a group that does nothing before Start.
 func New(cfg Config) *Group {
 	g := &Group{
-		cfg: cfg, opts: cfg.Options.withDefaults(), replica: newReplica(), packer: newPacker(),
+		cfg: cfg, opts: cfg.Options.withDefaults(), replica: newReplica(), packer: newPacker(), notes: newNoteLog(),
 		began: time.Now(), client: link.NewClient(cfg.TLS), turn: rand.IntN(maxTurns), penalized: map[string]time.Time{},
+		telling: map[string]bool{}, told: map[string]place{}, heard: map[string]place{},
 	}
 	g.giver = bootstrap.NewGiver(firstState{g}, cfg.LinkRate)
 	return g
@@ -138,6 +151,9 @@
 	for _, err := range g.replica.apply(c, time.Now()) {
 		g.cfg.Log.Error("registration not read", "error", err)
 	}
+	if len(c.Registrations) > 0 {
+		g.tellRelays() // one may be new
+	}
 }
 
 // Start answers other balancers on a listener, and follows or registers until
@@ -151,6 +167,9 @@
 	g.server = server
 	ctx, stop := context.WithCancel(context.Background())
 	g.stop = stop
+	g.mu.Lock()
+	g.live = ctx
+	g.mu.Unlock()
 	g.done.Go(func() { g.follow(ctx) })
 	g.done.Go(func() { g.maintainRegistration(ctx) })
 	return nil
@@ -174,6 +193,9 @@
 // Close ends everything.
 func (g *Group) Close() {
 	g.stop()
+	g.mu.Lock()
+	g.live = nil
+	g.mu.Unlock()
 	_ = g.server.Close() // its listener is closed whatever it says
 	g.client.Close()
 	g.done.Wait()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -30,6 +30,7 @@
 	group     *relay.Group
 	source    *platform.Store
 	addr      string
+	heard     noteBook
 	refused   atomic.Bool // the store turns this balancer away
 	calls     atomic.Int64
 	readings  atomic.Int64 // of everything, as far as they were begun
@@ -89,6 +90,7 @@
 	log := hclog.NewNullLogger()
 	m.group = relay.New(relay.Config{
 		ID: "vm " + m.addr, Zone: zone, Addr: m.addr, Cores: 1, Registry: m.source, Decoder: m.source, Log: log,
+		OnNote: m.heard.note,
 		Options: relay.Options{
 			TTL: own.ttl, Wait: 20 * time.Millisecond, Slack: 500 * time.Millisecond,
 			Penalty: 100 * time.Millisecond, BackoffBase: 10 * short, BackoffJitter: 40 * short,
--- a/relay/server.go
+++ b/relay/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/bootstrap"
+	"github.com/lotuswing/lotuswing/internal/bootclock"
 	"github.com/lotuswing/lotuswing/link"
 )
 
@@ -16,6 +17,10 @@
 	From    string // address of the one that asks; empty from those that do not tell it
 	Patient bool   // a relay that is not settled answers when it is again, or after Wait
 	InTouch bool   // the one that asks follows the store itself, and is settled
+	// TakesNotes: notes are wanted, from after a place in the log of a life of the relay.
+	TakesNotes bool
+	NotesLife  uint64
+	NotesAfter uint64
 }
 
 // ChangesReply tells it.
@@ -27,6 +32,11 @@
 	StoreLost bool   // the relay is not settled because the store does not answer it
 	Askers    int    // how many balancers asked it lately
 	Instead   string // the address of one of these that is in touch with the store; empty for none
+	// Notes that were asked for, settled or not, with the life of the log and the place of
+	// the last one.
+	Notes     []Note
+	NotesLife uint64
+	NotesAt   uint64
 }
 
 // methodChanges is the name under which net/rpc knows receiver.Changes.
@@ -41,19 +51,33 @@
 // receiver answers other balancers, in the form that net/rpc asks for.
 type receiver struct{ group *Group }
 
-// Changes waits for changes and tells them.
+// Changes waits for changes and notes and tells them.
 func (r *receiver) Changes(args ChangesArgs, reply *ChangesReply) error {
+	err := r.changes(args, reply)
+	if args.TakesNotes {
+		notes, at := r.group.notes.since(args.notesPlace(), "", bootclock.Now())
+		reply.Notes, reply.NotesLife, reply.NotesAt = notes, at.life, at.at
+	}
+	return err
+}
+
+// notesPlace returns the place after which notes are wanted.
+func (a ChangesArgs) notesPlace() place { return place{life: a.NotesLife, at: a.NotesAfter} }
+
+// changes waits for changes, or for notes, and tells the changes.
+func (r *receiver) changes(args ChangesArgs, reply *ChangesReply) error {
 	g := r.group
 	g.noteAsker(args, time.Now())
 	wait := min(args.Wait, maxWait)
+	news := func() bool { return args.TakesNotes && g.notes.after(args.notesPlace()) }
 	if args.Patient {
-		g.waitSettled(args.From, wait)
+		g.waitSettled(args.From, wait, news)
 	}
 	if !g.follower.Settled(time.Now()) {
 		*reply = g.unsettledReply(time.Now())
 		return nil
 	}
-	g.replica.waitAfter(context.Background(), args.After, wait)
+	g.replica.waitAfter(context.Background(), args.After, wait, news)
 	d := g.replica.since(args.After)
 	packed, err := g.packer.pack(d)
 	if err != nil {
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -7,15 +7,16 @@
 	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
-// waitAfter waits for changes beyond a revision, at most as long as limit.
-func (rep *replica) waitAfter(ctx context.Context, after uint64, limit time.Duration) {
+// waitAfter waits for changes beyond a revision or for other news, at most as long as
+// limit. Who has other news wakes those that wait.
+func (rep *replica) waitAfter(ctx context.Context, after uint64, limit time.Duration, other func() bool) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
 		rep.mu.Lock()
 		changed, news := rep.changed, rep.at > after
 		rep.mu.Unlock()
-		if news {
+		if news || other() {
 			return
 		}
 		select {
