A request is the same whoever sends it, and whatever its query, if that does not matter

Ruled out: notes that are late, a store that refuses the trial (three ends would be the most then), probes that do not see the end. Change: neither address nor, in a second fingerprint, the query belongs to it. The wide case of a path decides nothing before endpoints ended under two of its queries, and one query that runs voids it.

--- a/balancer/screen.go
+++ b/balancer/screen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/crash"
@@ -39,26 +38,22 @@
 
 // suspected returns the request as the quarantine knows it.
 func (x *exchange) suspected() quarantine.Request {
-	if x.suspect.Fingerprint == "" {
+	if x.suspect.Prints.Exact == "" {
 		x.suspect = quarantine.Request{
-			ID: x.id, Fingerprint: x.fingerprint(), Service: x.route.Kind.Service, Kind: x.route.Kind.Name, Patience: patienceInTrial(x.route.Kind.Target),
+			ID: x.id, Prints: x.prints(), Service: x.route.Kind.Service, Kind: x.route.Kind.Name, Patience: patienceInTrial(x.route.Kind.Target),
 		}
 	}
 	return x.suspect
 }
 
-// fingerprint returns what tells the request from others. A body that is too long to be
-// kept, or of unknown length, counts by its announced length alone.
-func (x *exchange) fingerprint() crash.Fingerprint {
-	caller, _, err := net.SplitHostPort(x.r.RemoteAddr)
-	if err != nil {
-		caller = x.r.RemoteAddr
-	}
-	s := crash.Subject{Caller: caller, Method: x.r.Method, Host: x.r.Host, URI: x.r.RequestURI, Length: x.r.ContentLength}
+// prints returns what tells the request from others. A body that is too long to be kept, or
+// of unknown length, counts by its announced length alone.
+func (x *exchange) prints() crash.Prints {
+	s := crash.Subject{Method: x.r.Method, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Query: x.r.URL.RawQuery, Length: x.r.ContentLength}
 	if x.bodyRead {
 		s.Body, _ = x.body.Whole()
 	}
-	return s.Fingerprint()
+	return s.Prints()
 }
 
 // patienceInTrial returns how long a request waits while another balancer tries the same one.
--- a/coord/crash/crash.go
+++ b/coord/crash/crash.go
@@ -4,6 +4,8 @@
 // A Case is what a fleet knows of one request, told from others by its Fingerprint: which
 // endpoints ended while they ran it, and whether one has run it to an end since. Any end
 // may be chance, and one run proves that the request is sound: it voids all ends before it.
+// A wide case is the same of all requests that differ in their query alone. It decides
+// nothing before endpoints ended under two of them: then the query is not what matters.
 // From the second end on the request is on trial: one balancer of the fleet at a time may
 // send it, once. It is refused when it has ended an endpoint on trial as well. So a sound
 // request is never refused for the ends of others: on trial it is run.
@@ -41,6 +43,8 @@
 	// besideWeight of one that did: what it held may have ended it.
 	aloneWeight  = 2
 	besideWeight = 1
+	// variants is how many queries must have ended endpoints before a wide case decides.
+	variants = 2
 	// keptEnds is how many ends of a request are kept; more change no decision.
 	keptEnds = 16
 	// probationFor is how long after its refusal ended a request is on trial from the start.
@@ -60,11 +64,13 @@
 	SeenBy   string    // the balancer that saw it
 	Trial    bool      // the request was on trial there
 	Alone    bool      // the endpoint held nothing else when the request was sent
+	// Of is the exact fingerprint of the request; a wide case has ends of several.
+	Of Fingerprint
 }
 
 // again reports whether two ends are one, told twice.
 func (e End) again(o End) bool {
-	return e.Same(o) && e.At.Equal(o.At) && e.SeenBy == o.SeenBy && e.Trial == o.Trial && e.Alone == o.Alone
+	return e.Same(o) && e.Of == o.Of && e.At.Equal(o.At) && e.SeenBy == o.SeenBy && e.Trial == o.Trial && e.Alone == o.Alone
 }
 
 // Same reports whether two ends are of one start of one endpoint, which ends once, whoever
@@ -85,12 +91,19 @@
 // Case is what is known of one request. It is an immutable value; the zero value knows
 // nothing.
 type Case struct {
+	wide     bool
 	ends     []End     // as they were seen since the last run, the earliest first; never changed in place
 	ran      time.Time // when an endpoint last ran it to an end
 	released time.Time // when an operator released it last
 	ordered  time.Time // when an operator ordered that it is refused; zero where none did
 }
 
+// NewWide returns a case of requests that differ in their query, of which nothing is known.
+func NewWide() Case { return Case{wide: true} }
+
+// Wide reports whether it is a case of requests that differ in their query.
+func (c Case) Wide() bool { return c.wide }
+
 // WithEnd returns the case after an end. One from before the last run is void.
 func (c Case) WithEnd(e End) Case {
 	if !e.At.After(c.ran) || slices.ContainsFunc(c.ends, e.again) {
@@ -176,6 +189,18 @@
 	return latest
 }
 
+// decides reports whether the ends say anything of the requests that the case is of.
+func (c Case) decides() bool {
+	if !c.wide {
+		return true
+	}
+	of := map[Fingerprint]bool{}
+	for _, e := range c.ends {
+		of[e.Of] = true
+	}
+	return len(of) >= variants
+}
+
 // found reports whether the request ended endpoints on trial.
 func (c Case) found() bool {
 	weight := 0
@@ -184,7 +209,7 @@
 			weight += e.weight()
 		}
 	}
-	return weight >= guilty
+	return weight >= guilty && c.decides()
 }
 
 // Step is what is to be done with a request.
@@ -214,7 +239,7 @@
 		return Decision{Do: Refuse, Until: now.Add(HoldFor)} // or later: until it is released
 	case c.found() && now.Before(until):
 		return Decision{Do: Refuse, Until: until}
-	case c.found(), len(c.Ends()) >= trialAfter:
+	case c.found(), len(c.Ends()) >= trialAfter && c.decides():
 		return Decision{Do: Try}
 	}
 	return Decision{Do: Send}
--- a/coord/crash/crash_test.go
+++ b/coord/crash/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,6 +68,21 @@
 	assert.Equal(t, guilty.Decide(at(30)).Until, later)
 }
 
+// TestWideCase decides nothing before endpoints ended under two queries.
+func TestWideCase(t *testing.T) {
+	of := func(e crash.End, query crash.Fingerprint) crash.End {
+		e.Of = query
+		return e
+	}
+	one := crash.NewWide().WithEnd(of(end("a", 0), "q1")).WithEnd(of(end("b", 10), "q1")).WithEnd(of(onTrial(end("c", 20), true), "q1"))
+	assert.Equal(t, one.Decide(at(30)).Do, crash.Send)
+	two := one.WithEnd(of(end("d", 30), "q2"))
+	assert.Equal(t, two.Decide(at(30)).Do, crash.Refuse)
+	assert.Equal(t, two.WithRun(at(40)).Decide(at(50)).Do, crash.Send, "one query that ran")
+	untried := crash.NewWide().WithEnd(of(end("a", 0), "q1")).WithEnd(of(end("b", 10), "q2"))
+	assert.Equal(t, untried.Decide(at(30)).Do, crash.Try)
+}
+
 // TestWithoutTheStore: where nobody can say whether another balancer tries it, a request is
 // sent on after two ends and not after three.
 func TestWithoutTheStore(t *testing.T) {
@@ -128,23 +144,24 @@
 
 // TestFingerprint: what tells requests apart, and what does not.
 func TestFingerprint(t *testing.T) {
-	is := crash.Subject{Caller: "10.0.0.1", Method: "GET", Host: "a.example", URI: "/x/1?y=2", Body: []byte("b"), Length: 1}
-	assert.Equal(t, is.Fingerprint(), crash.Fingerprint("c78c86e6f77086d786263d09514691c2"), "the same in all versions")
-	assert.Assert(t, is.Fingerprint().Valid())
+	is := crash.Subject{Method: "GET", Host: "a.example", Path: "/x/1", Query: "y=2", Body: []byte("b"), Length: 1}
+	assert.DeepEqual(t, is.Prints(), crash.Prints{Exact: "95b7935cb5b3f1edf74be7f95aced2af", Wide: "5de82ba8843171748415a32a7e40139e"}) // in all versions
+	assert.Assert(t, is.Prints().Exact.Valid() && is.Prints().Wide.Valid())
 	for name, change := range map[string]func(*crash.Subject){
-		"caller": func(s *crash.Subject) { s.Caller = "10.0.0.2" },
 		"method": func(s *crash.Subject) { s.Method = "POST" },
 		"host":   func(s *crash.Subject) { s.Host = "b.example" },
-		"query":  func(s *crash.Subject) { s.URI = "/x/1?y=3" },
+		"path":   func(s *crash.Subject) { s.Path = "/x/2" },
+		"query":  func(s *crash.Subject) { s.Query = "y=3" },
 		"body":   func(s *crash.Subject) { s.Body = []byte("c") },
 		"length": func(s *crash.Subject) { s.Length = -1 },
-		"border": func(s *crash.Subject) { s.Host, s.URI = "a.example/", "x/1?y=2" },
+		"border": func(s *crash.Subject) { s.Host, s.Path = "a.example/", "x/1" },
 	} {
 		other := is
 		change(&other)
-		assert.Assert(t, other.Fingerprint() != is.Fingerprint(), name)
+		assert.Assert(t, other.Prints().Exact != is.Prints().Exact, name)
+		assert.Equal(t, other.Prints().Wide == is.Prints().Wide, name == "query", name)
 	}
-	for _, text := range []string{"", "xyz", "C78C86E6F77086D786263D09514691C2", string(is.Fingerprint()) + "00"} {
+	for _, text := range []string{"", "xyz", strings.ToUpper(string(is.Prints().Exact)), string(is.Prints().Exact) + "00"} {
 		assert.Assert(t, !crash.Fingerprint(text).Valid(), text)
 	}
 }
--- a/quarantine/admit.go
+++ b/quarantine/admit.go
@@ -14,10 +14,10 @@
 
 // Request is what a keeper needs to know of a request.
 type Request struct {
-	ID          string // for the log
-	Fingerprint crash.Fingerprint
-	Service     string
-	Kind        string
+	ID      string // for the log
+	Prints  crash.Prints
+	Service string
+	Kind    string
 	// Patience is how long it may wait for the end of another balancer's trial.
 	Patience time.Duration
 }
@@ -47,21 +47,21 @@
 	giveUp := time.Now().Add(r.Patience)
 	for {
 		now := k.opts.Now()
-		is, trial, changed := k.look(r.Fingerprint)
+		f, is, trial, changed := k.look(r.Prints, now)
 		decision := is.Decide(now)
 		switch {
 		case decision.Do == crash.Send:
-			return Pass{Suspected: is.Suspected()}, nil
+			return Pass{Suspected: k.suspected(r.Prints)}, nil
 		case decision.Do == crash.Refuse:
-			return Pass{}, k.refuse(r, is, decision.Until.Sub(now), now)
+			return Pass{}, k.refuse(f, is, decision.Until.Sub(now), now)
 		case now.Before(trial):
 			left := time.Until(giveUp)
 			if left <= 0 || ctx.Err() != nil {
-				return Pass{}, k.refuse(r, is, min(trial.Sub(now), trialRetry), now)
+				return Pass{}, k.refuse(f, is, min(trial.Sub(now), trialRetry), now)
 			}
 			pause.Until(ctx, changed, min(left, trial.Sub(now)))
 		default:
-			if pass, refused, done := k.try(ctx, r, is); done {
+			if pass, refused, done := k.try(ctx, r, f, is); done {
 				return pass, refused
 			}
 		}
@@ -72,39 +72,55 @@
 // balancer tried it: trials take as long as a request does. Chosen without a measurement.
 const trialRetry = 250 * time.Millisecond
 
-// look returns the case of a request, until when another balancer may try it, and what is
-// closed when a case changes.
-func (k *Keeper) look(f crash.Fingerprint) (crash.Case, time.Time, <-chan struct{}) {
+// look returns the case that decides about a request, with its fingerprint, until when
+// another balancer may try it, and what is closed when a case changes.
+func (k *Keeper) look(p crash.Prints, now time.Time) (crash.Fingerprint, crash.Case, time.Time, <-chan struct{}) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if known := k.files[f]; known != nil {
-		return known.is, known.trial, k.changed
+	exact, wide := k.files[p.Exact], k.files[p.Wide]
+	switch {
+	case exact == nil && wide == nil:
+		return p.Exact, crash.Case{}, time.Time{}, k.changed
+	case exact == nil || wide != nil && wide.is.Decide(now).Do >= exact.is.Decide(now).Do:
+		return p.Wide, wide.is, wide.trial, k.changed
+	}
+	return p.Exact, exact.is, exact.trial, k.changed
+}
+
+// suspected reports whether endpoints have ended under a request since it was last run.
+func (k *Keeper) suspected(p crash.Prints) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, f := range []crash.Fingerprint{p.Exact, p.Wide} {
+		if known := k.files[f]; known != nil && known.is.Suspected() {
+			return true
+		}
 	}
-	return crash.Case{}, time.Time{}, k.changed
+	return false
 }
 
 // try asks the store for the one trial that the fleet has at a time. It reports false where
 // another balancer has it.
-func (k *Keeper) try(ctx context.Context, r Request, is crash.Case) (Pass, *Refusal, bool) {
+func (k *Keeper) try(ctx context.Context, r Request, f crash.Fingerprint, is crash.Case) (Pass, *Refusal, bool) {
 	asked, cancel := context.WithTimeout(ctx, k.opts.AskWithin)
 	defer cancel()
-	err := k.cfg.Registry.Replace(asked, trialPrefix+string(r.Fingerprint), []byte(`"`+k.cfg.ID+`"`), 0, k.opts.TrialFor)
+	err := k.cfg.Registry.Replace(asked, trialPrefix+string(f), []byte(`"`+k.cfg.ID+`"`), 0, k.opts.TrialFor)
 	now := k.opts.Now()
 	switch {
 	case err == nil:
-		k.setTrial(r.Fingerprint, now)
+		k.setTrial(f, now)
 		k.trials.Inc(1)
-		k.cfg.Log.Info("trial", "fingerprint", string(r.Fingerprint), "request", r.ID, "evidence", evidence(is, now))
+		k.cfg.Log.Info("trial", "fingerprint", string(f), "request", r.ID, "evidence", evidence(is, now))
 		return Pass{Trial: true, Suspected: true}, nil, true
 	case errors.Is(err, relay.ErrTaken):
-		k.setTrial(r.Fingerprint, now)
+		k.setTrial(f, now)
 		return Pass{}, nil, false
 	}
-	k.cfg.Log.Warn("no trial: the store cannot be asked", "fingerprint", string(r.Fingerprint), "request", r.ID, "sent", is.SendUnproved(), "error", err)
+	k.cfg.Log.Warn("no trial: the store cannot be asked", "fingerprint", string(f), "request", r.ID, "sent", is.SendUnproved(), "error", err)
 	if is.SendUnproved() {
 		return Pass{Suspected: true}, nil, true
 	}
-	return Pass{}, k.refuse(r, is, k.opts.TrialFor, now), true
+	return Pass{}, k.refuse(f, is, k.opts.TrialFor, now), true
 }
 
 // setTrial notes that a balancer tries a request.
@@ -117,9 +133,9 @@
 }
 
 // refuse makes a refusal.
-func (k *Keeper) refuse(r Request, is crash.Case, after time.Duration, now time.Time) *Refusal {
+func (k *Keeper) refuse(f crash.Fingerprint, is crash.Case, after time.Duration, now time.Time) *Refusal {
 	k.denied.Inc(1)
-	return &Refusal{RetryAfter: after, Evidence: fmt.Sprintf("fingerprint %s: %s", r.Fingerprint, evidence(is, now))}
+	return &Refusal{RetryAfter: after, Evidence: fmt.Sprintf("fingerprint %s: %s", f, evidence(is, now))}
 }
 
 // evidence tells on what a decision rests.
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/crash"
 	"github.com/lotuswing/lotuswing/quarantine"
 	"gotest.tools/v3/assert"
 )
@@ -29,9 +30,12 @@
 }
 
 // call sends the request to a balancer, which makes its attempts.
-func (a *attack) call(k *quarantine.Keeper) {
+func (a *attack) call(k *quarantine.Keeper) { a.callWith(k, a.q) }
+
+// callWith is call for a request of the caller's.
+func (a *attack) callWith(k *quarantine.Keeper, q quarantine.Request) {
 	for range a.attempts {
-		pass, refused := k.Admit(a.r.ctx, a.q)
+		pass, refused := k.Admit(a.r.ctx, q)
 		if refused != nil {
 			return
 		}
@@ -40,7 +44,7 @@
 		endpoint := fmt.Sprintf("e%d", number)
 		a.r.fail(endpoint)
 		a.noteEnd()
-		shown := k.Broke(quarantine.Attempt{Request: a.q, Endpoint: endpoint, Start: 1, Addr: endpoint, Trial: pass.Trial, Alone: number%2 == 0})
+		shown := k.Broke(quarantine.Attempt{Request: q, Endpoint: endpoint, Start: 1, Addr: endpoint, Trial: pass.Trial, Alone: number%2 == 0})
 		if pass.Trial {
 			return
 		}
@@ -100,6 +104,14 @@
 					time.Sleep(5 * time.Second)
 				}
 			},
+			"each time with another query": func(a *attack, rng *rand.Rand) {
+				for i := range 40 {
+					q := a.q
+					q.Prints = crash.Subject{Path: "a", Query: fmt.Sprint("page=", i/3)}.Prints()
+					a.callWith(a.r.keepers[rng.IntN(size)], q)
+					time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+				}
+			},
 			"many at once": func(a *attack, rng *rand.Rand) {
 				for range 10 {
 					for range 12 {
@@ -126,6 +138,32 @@
 	}
 }
 
+// TestSoundQueryBesideACrashingOne: requests for the same path with another query are sent,
+// as long as it is one query under which endpoints end, and tried if it is two.
+func TestSoundQueryBesideACrashingOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		with := func(query string) quarantine.Request {
+			q := request("a")
+			q.Prints = crash.Subject{Path: "a", Query: query}.Prints()
+			return q
+		}
+		a := &attack{r: r, attempts: 2, works: 60 * time.Millisecond}
+		for range 3 {
+			a.callWith(r.keepers[0], with("bad"))
+			time.Sleep(4 * time.Second)
+		}
+		_, refused := r.keepers[1].Admit(r.ctx, with("bad"))
+		assert.Assert(t, refused != nil)
+		pass, refused := r.keepers[1].Admit(r.ctx, with("sound"))
+		assert.Assert(t, refused == nil && !pass.Trial)
+		r.keepers[1].Ran(with("sound"))
+		time.Sleep(time.Second)
+		_, refused = r.keepers[2].Admit(r.ctx, with("bad"))
+		assert.Assert(t, refused != nil, "what ran was another request")
+	})
+}
+
 // TestThoseWhoHeardNothing: balancers that are cut off, or start again, meanwhile know of a
 // refusal from the store's record before they send.
 func TestThoseWhoHeardNothing(t *testing.T) {
--- a/quarantine/notes.go
+++ b/quarantine/notes.go
@@ -21,13 +21,22 @@
 
 // note is a keeper's word to all others, as JSON.
 type note struct {
-	What        string            `json:"what"`
-	Fingerprint crash.Fingerprint `json:"fingerprint"`
-	Service     string            `json:"service,omitempty"`
-	Kind        string            `json:"kind,omitempty"`
-	End         told              `json:"end,omitzero"`
+	What    string            `json:"what"`
+	Exact   crash.Fingerprint `json:"exact"`          // or the one that an operator speaks of
+	Wide    crash.Fingerprint `json:"wide,omitempty"` // empty in an operator's word
+	Service string            `json:"service,omitempty"`
+	Kind    string            `json:"kind,omitempty"`
+	End     told              `json:"end,omitzero"`
 }
 
+// valid reports whether a note tells which request it is about.
+func (n note) valid() bool {
+	return n.Exact.Valid() && (n.Wide.Valid() || n.What == noteRelease || n.What == noteOrder)
+}
+
+// prints returns the fingerprints of the request.
+func (n note) prints() crash.Prints { return crash.Prints{Exact: n.Exact, Wide: n.Wide} }
+
 // told is an end as it is told; when it was follows from the age of the note.
 type told struct {
 	Endpoint string `json:"endpoint"`
@@ -35,15 +44,17 @@
 	SeenBy   string `json:"seen_by"`
 	Trial    bool   `json:"trial,omitempty"`
 	Alone    bool   `json:"alone,omitempty"`
+	// Of is the exact fingerprint.
+	Of crash.Fingerprint `json:"of,omitempty"`
 }
 
 func toldEnd(e crash.End) told {
-	return told{Endpoint: e.Endpoint, Start: e.Start, SeenBy: e.SeenBy, Trial: e.Trial, Alone: e.Alone}
+	return told{Endpoint: e.Endpoint, Start: e.Start, SeenBy: e.SeenBy, Trial: e.Trial, Alone: e.Alone, Of: e.Of}
 }
 
 // end returns the end that was seen at a time.
 func (t told) end(at time.Time) crash.End {
-	return crash.End{Endpoint: t.Endpoint, Start: t.Start, At: at, SeenBy: t.SeenBy, Trial: t.Trial, Alone: t.Alone}
+	return crash.End{Endpoint: t.Endpoint, Start: t.Start, At: at, SeenBy: t.SeenBy, Trial: t.Trial, Alone: t.Alone, Of: t.Of}
 }
 
 // tell tells all other balancers something.
@@ -56,7 +67,7 @@
 		err = k.cfg.Tell(Topic, data)
 	}
 	if err != nil {
-		k.cfg.Log.Error("not told to other balancers", "fingerprint", string(n.Fingerprint), "what", n.What, "error", err)
+		k.cfg.Log.Error("not told to other balancers", "fingerprint", string(n.Exact), "what", n.What, "error", err)
 	}
 }
 
@@ -66,7 +77,7 @@
 		return
 	}
 	var said note
-	if err := json.Unmarshal(n.Data, &said); err != nil || !said.Fingerprint.Valid() {
+	if err := json.Unmarshal(n.Data, &said); err != nil || !said.valid() {
 		k.cfg.Log.Warn("note not read", "from", n.Origin, "error", err)
 		return
 	}
@@ -74,12 +85,12 @@
 	at := now.Add(-n.Age)
 	switch said.What {
 	case noteEnd:
-		k.noteEnd(said.Fingerprint, said.Service, said.Kind, said.End.end(at), now)
+		k.noteEnd(said.prints(), said.Service, said.Kind, said.End.end(at), now)
 	case noteRun:
-		k.noteRun(said.Fingerprint, at)
+		k.noteRun(said.prints(), at)
 	case noteRelease:
-		k.change(said.Fingerprint, false, now, func(known *file) { known.is = known.is.WithRelease(at) })
+		k.changeIf(said.Exact, now, func(known *file) { known.is = known.is.WithRelease(at) })
 	case noteOrder:
-		k.change(said.Fingerprint, true, now, func(known *file) { known.is = known.is.WithOrder(at) })
+		k.change(said.Exact, crash.Case{}, now, func(known *file) { known.is = known.is.WithOrder(at) })
 	}
 }
--- a/quarantine/operate.go
+++ b/quarantine/operate.go
@@ -26,6 +26,7 @@
 	Step        string // send, try or refuse
 	Service     string
 	Kind        string
+	AnyQuery    bool // of requests that differ in their query alone
 	Ends        int
 	Evidence    string
 	For         time.Duration // how long a refusal still holds; 0 where it is none or holds until it is released
@@ -42,12 +43,12 @@
 	list := make([]Status, 0, len(k.files))
 	last := map[crash.Fingerprint]time.Time{}
 	for f, known := range k.files {
-		if !known.is.Suspected() && !known.is.Ordered() {
+		d := known.is.Decide(now)
+		if !known.is.Suspected() && !known.is.Ordered() || known.is.Wide() && d.Do == crash.Send {
 			continue
 		}
-		d := known.is.Decide(now)
 		st := Status{
-			Fingerprint: f, Step: d.Do.String(), Service: known.service, Kind: known.kind, Ends: len(known.is.Ends()),
+			Fingerprint: f, Step: d.Do.String(), Service: known.service, Kind: known.kind, AnyQuery: known.is.Wide(), Ends: len(known.is.Ends()),
 			Evidence: evidence(known.is, now), Ordered: known.is.Ordered(),
 		}
 		if known.revision != 0 {
@@ -71,16 +72,11 @@
 		return ErrInvalid
 	}
 	now := k.opts.Now()
-	known := false
-	k.change(f, false, now, func(file *file) {
-		known = true
-		file.is = file.is.WithRelease(now)
-	})
-	if !known {
+	if !k.changeIf(f, now, func(known *file) { known.is = known.is.WithRelease(now) }) {
 		return ErrUnknown
 	}
 	k.cfg.Log.Info("released by an operator", "fingerprint", string(f))
-	k.tell(note{What: noteRelease, Fingerprint: f})
+	k.tell(note{What: noteRelease, Exact: f})
 	return k.decree(ctx, f, stateReleased)
 }
 
@@ -90,9 +86,9 @@
 		return ErrInvalid
 	}
 	now := k.opts.Now()
-	k.change(f, true, now, func(file *file) { file.is = file.is.WithOrder(now) })
+	k.change(f, crash.Case{}, now, func(known *file) { known.is = known.is.WithOrder(now) })
 	k.cfg.Log.Info("refused by an operator", "fingerprint", string(f))
-	k.tell(note{What: noteOrder, Fingerprint: f})
+	k.tell(note{What: noteOrder, Exact: f})
 	return k.decree(ctx, f, stateOrdered)
 }
 
@@ -103,7 +99,7 @@
 	var revision uint64
 	said := Record{State: state, By: k.cfg.ID}
 	if known := k.files[f]; known != nil {
-		revision, said.Service, said.Kind = known.revision, known.service, known.kind
+		revision, said.Service, said.Kind, said.Wide = known.revision, known.service, known.kind, known.is.Wide()
 	}
 	k.mu.Unlock()
 	if state == stateReleased && revision == 0 {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -168,20 +168,37 @@
 // Quiet reports whether no request is suspected of anything.
 func (k *Keeper) Quiet() bool { return k.known.Load() == 0 }
 
-// change applies a change to the case of a request, which begins with it where there is none,
-// and says in the log what becomes of the request from now on. A change that does not begin
-// a case is for those that are known alone.
-func (k *Keeper) change(f crash.Fingerprint, begin bool, now time.Time, apply func(*file)) {
+// change applies a change to a case, which begins with it where there is none, and says in
+// the log what becomes of the request from now on.
+func (k *Keeper) change(f crash.Fingerprint, begin crash.Case, now time.Time, apply func(*file)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	known := k.files[f]
-	if known == nil {
-		if !begin {
-			return
-		}
-		known = &file{}
-		k.files[f] = known
+	if k.files[f] == nil {
+		k.files[f] = &file{is: begin}
+	}
+	k.changeKnown(f, now, apply)
+}
+
+// changeIf is change for cases that are known alone. It reports whether this one is.
+func (k *Keeper) changeIf(f crash.Fingerprint, now time.Time, apply func(*file)) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.files[f] == nil {
+		return false
 	}
+	k.changeKnown(f, now, apply)
+	return true
+}
+
+// changeBoth is change for the two cases of a request.
+func (k *Keeper) changeBoth(p crash.Prints, now time.Time, apply func(*file)) {
+	k.change(p.Exact, crash.Case{}, now, apply)
+	k.change(p.Wide, crash.NewWide(), now, apply)
+}
+
+// changeKnown applies a change to a case that is known; k.mu is held.
+func (k *Keeper) changeKnown(f crash.Fingerprint, now time.Time, apply func(*file)) {
+	known := k.files[f]
 	apply(known)
 	if known.is.Forgotten(now) {
 		delete(k.files, f)
@@ -203,7 +220,7 @@
 		return
 	}
 	known.step = d.Do
-	k.cfg.Log.Info("request suspected", "fingerprint", string(f), "step", d.Do.String(), "service", known.service, "kind", known.kind,
+	k.cfg.Log.Info("request suspected", "fingerprint", string(f), "any_query", known.is.Wide(), "step", d.Do.String(), "service", known.service, "kind", known.kind,
 		"evidence", evidence(known.is, now), "ordered", known.is.Ordered())
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -173,7 +173,7 @@
 // request returns one with a fingerprint of its own.
 func request(name string) quarantine.Request {
 	return quarantine.Request{
-		ID: "r-" + name, Fingerprint: crash.Subject{URI: name}.Fingerprint(), Service: "s", Kind: "k", Patience: 100 * time.Millisecond,
+		ID: "r-" + name, Prints: crash.Subject{Path: name}.Prints(), Service: "s", Kind: "k", Patience: 100 * time.Millisecond,
 	}
 }
 
@@ -210,7 +210,7 @@
 	for _, k := range r.keepers {
 		step := "send"
 		for _, st := range k.List() {
-			if st.Fingerprint == q.Fingerprint {
+			if st.Fingerprint == q.Prints.Exact {
 				step = st.Step
 			}
 		}
@@ -350,7 +350,7 @@
 func recorded(r *rig, q quarantine.Request) (said quarantine.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if held, ok := r.records["quarantine/"+string(q.Fingerprint)]; ok {
+	if held, ok := r.records["quarantine/"+string(q.Prints.Exact)]; ok {
 		if err := json.Unmarshal(held.value, &said); err != nil {
 			panic(err)
 		}
@@ -439,7 +439,7 @@
 		pass, _ := r.keepers[0].Admit(r.ctx, q)
 		r.ends(r.keepers[0], q, "e2", pass)
 		time.Sleep(2 * time.Second)
-		assert.NilError(t, r.keepers[1].Release(r.ctx, q.Fingerprint))
+		assert.NilError(t, r.keepers[1].Release(r.ctx, q.Prints.Exact))
 		time.Sleep(2 * time.Second)
 		assert.DeepEqual(t, r.steps(q), []string{"try", "try", "try"})
 		time.Sleep(2 * time.Second)
@@ -451,15 +451,15 @@
 		assert.Equal(t, recorded(r, q).State, "refused")
 
 		ordered := request("b")
-		assert.NilError(t, r.keepers[1].Order(r.ctx, ordered.Fingerprint))
+		assert.NilError(t, r.keepers[1].Order(r.ctx, ordered.Prints.Exact))
 		time.Sleep(2 * time.Hour)
 		assert.DeepEqual(t, r.steps(ordered), []string{"refuse", "refuse", "refuse"})
 		_, refused := r.start().Admit(r.ctx, ordered)
 		assert.Assert(t, refused != nil)
-		assert.NilError(t, r.keepers[3].Release(r.ctx, ordered.Fingerprint))
+		assert.NilError(t, r.keepers[3].Release(r.ctx, ordered.Prints.Exact))
 		time.Sleep(2 * time.Second)
 		assert.DeepEqual(t, r.steps(ordered), []string{"send", "send", "send", "send"})
-		assert.ErrorIs(t, r.keepers[0].Release(r.ctx, request("c").Fingerprint), quarantine.ErrUnknown)
+		assert.ErrorIs(t, r.keepers[0].Release(r.ctx, request("c").Prints.Exact), quarantine.ErrUnknown)
 		assert.ErrorIs(t, r.keepers[0].Order(r.ctx, "abc"), quarantine.ErrInvalid)
 	})
 }
@@ -490,7 +490,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1)
 		q := request("a")
-		name := "quarantine/" + string(q.Fingerprint)
+		name := "quarantine/" + string(q.Prints.Exact)
 		for _, value := range []string{"", "null", "{}", "[]", "\xff", `{"state":"unheard-of"}`, `{"state":1}`, `{"state":"refused","ends":17}`} {
 			r.keepers[0].Observe(directory.Changes{Registrations: []directory.Record{{Key: name, Value: []byte(value), Revision: 5}}})
 			r.keepers[0].Hear(relay.Note{Topic: quarantine.Topic, Data: []byte(value)})
@@ -515,7 +515,7 @@
 		pass, _ := r.keepers[0].Admit(r.ctx, q)
 		r.ends(r.keepers[0], q, "e2", pass)
 		time.Sleep(10 * time.Second)
-		name := "quarantine/" + string(q.Fingerprint)
+		name := "quarantine/" + string(q.Prints.Exact)
 		r.mu.Lock()
 		r.revision++
 		gone := directory.Changes{Registrations: []directory.Record{{Key: name, Revision: r.revision, Gone: true}}}
@@ -542,8 +542,8 @@
 		pass, _ := k.Admit(r.ctx, guilty)
 		r.ends(k, guilty, "e2", pass)
 		for i := range 1500 {
-			f := crash.Subject{URI: fmt.Sprint(i)}.Fingerprint()
-			note := fmt.Sprintf(`{"what":"ended","fingerprint":%q,"service":"s","kind":"k","end":{"endpoint":"e","seen_by":"vm"}}`, f)
+			p := crash.Subject{Path: fmt.Sprint(i)}.Prints()
+			note := fmt.Sprintf(`{"what":"ended","exact":%q,"wide":%q,"service":"s","kind":"k","end":{"endpoint":"e","seen_by":"vm"}}`, p.Exact, p.Wide)
 			k.Hear(relay.Note{Topic: quarantine.Topic, Data: []byte(note)})
 		}
 		assert.Assert(t, len(k.List()) <= 1024, "%d", len(k.List()))
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -30,6 +30,7 @@
 	State   string `json:"state"`
 	Service string `json:"service,omitempty"`
 	Kind    string `json:"kind,omitempty"`
+	Wide    bool   `json:"any_query,omitempty"` // of requests that differ in their query
 	Ends    []told `json:"ends,omitempty"`
 	By      string `json:"by"` // the balancer that wrote it
 }
@@ -81,7 +82,11 @@
 		return fmt.Errorf("quarantine: record: state %q", said.State)
 	}
 	now := k.opts.Now()
-	k.change(f, true, now, func(known *file) {
+	begin := crash.Case{}
+	if said.Wide {
+		begin = crash.NewWide()
+	}
+	k.change(f, begin, now, func(known *file) {
 		if r.Revision <= known.seen {
 			return
 		}
@@ -119,7 +124,7 @@
 
 // recordGone notes that the record of a request ended.
 func (k *Keeper) recordGone(f crash.Fingerprint, revision uint64) {
-	k.change(f, false, k.opts.Now(), func(known *file) {
+	k.changeIf(f, k.opts.Now(), func(known *file) {
 		if revision > known.revision {
 			known.revision = 0
 		}
@@ -225,7 +230,7 @@
 
 // record returns the record of a request that is refused.
 func (known *file) record(by string) Record {
-	said := Record{State: stateRefused, Service: known.service, Kind: known.kind, By: by}
+	said := Record{State: stateRefused, Service: known.service, Kind: known.kind, Wide: known.is.Wide(), By: by}
 	if known.is.Ordered() {
 		said.State = stateOrdered
 	}
@@ -260,9 +265,9 @@
 	if known == nil || !known.stands() || known.is.Ordered() {
 		return
 	}
-	ctx, revision := k.live, known.revision
+	ctx, revision, said := k.live, known.revision, Record{State: stateReleased, Wide: known.is.Wide(), By: k.cfg.ID}
 	go func() {
-		if err := k.put(ctx, f, Record{State: stateReleased, By: k.cfg.ID}, revision, crash.HoldFor); err != nil {
+		if err := k.put(ctx, f, said, revision, crash.HoldFor); err != nil {
 			k.cfg.Log.Warn("refusal not withdrawn", "fingerprint", string(f), "error", err)
 		}
 	}()
--- a/quarantine/verify.go
+++ b/quarantine/verify.go
@@ -130,16 +130,17 @@
 	now := k.opts.Now()
 	k.ends.Inc(1)
 	k.cfg.Log.Info("endpoint ended", "id", a.Endpoint, "start", a.Start, "why", why, "request", a.ID,
-		"fingerprint", string(a.Fingerprint), "service", a.Service, "kind", a.Kind, "trial", a.Trial, "alone", a.Alone)
-	e := crash.End{Endpoint: a.Endpoint, Start: a.Start, At: now, SeenBy: k.cfg.ID, Trial: a.Trial, Alone: a.Alone}
-	k.noteEnd(a.Fingerprint, a.Service, a.Kind, e, now)
-	k.tell(note{What: noteEnd, Fingerprint: a.Fingerprint, Service: a.Service, Kind: a.Kind, End: toldEnd(e)})
-	k.record(a.Fingerprint)
+		"fingerprint", string(a.Prints.Exact), "service", a.Service, "kind", a.Kind, "trial", a.Trial, "alone", a.Alone)
+	e := crash.End{Endpoint: a.Endpoint, Start: a.Start, At: now, SeenBy: k.cfg.ID, Trial: a.Trial, Alone: a.Alone, Of: a.Prints.Exact}
+	k.noteEnd(a.Prints, a.Service, a.Kind, e, now)
+	k.tell(note{What: noteEnd, Exact: a.Prints.Exact, Wide: a.Prints.Wide, Service: a.Service, Kind: a.Kind, End: toldEnd(e)})
+	k.record(a.Prints.Exact)
+	k.record(a.Prints.Wide)
 }
 
-// noteEnd adds an end to the case of a request.
-func (k *Keeper) noteEnd(f crash.Fingerprint, service, kind string, e crash.End, now time.Time) {
-	k.change(f, true, now, func(known *file) {
+// noteEnd adds an end to the cases of a request.
+func (k *Keeper) noteEnd(p crash.Prints, service, kind string, e crash.End, now time.Time) {
+	k.changeBoth(p, now, func(known *file) {
 		known.service, known.kind, known.told = service, kind, true
 		known.is = known.is.WithEnd(e)
 	})
@@ -147,18 +148,19 @@
 
 // Ran notes that an endpoint ran a request to an end, which shows that it crashes nobody.
 func (k *Keeper) Ran(r Request) {
-	is, _, _ := k.look(r.Fingerprint)
-	if !is.Suspected() {
+	if !k.suspected(r.Prints) {
 		return
 	}
 	now := k.opts.Now()
-	k.cfg.Log.Info("suspected request ran", "fingerprint", string(r.Fingerprint), "request", r.ID, "evidence", evidence(is, now))
-	k.noteRun(r.Fingerprint, now)
-	k.tell(note{What: noteRun, Fingerprint: r.Fingerprint})
-	k.withdraw(r.Fingerprint)
+	f, is, _, _ := k.look(r.Prints, now)
+	k.cfg.Log.Info("suspected request ran", "fingerprint", string(f), "request", r.ID, "evidence", evidence(is, now))
+	k.noteRun(r.Prints, now)
+	k.tell(note{What: noteRun, Exact: r.Prints.Exact, Wide: r.Prints.Wide})
+	k.withdraw(r.Prints.Exact)
+	k.withdraw(r.Prints.Wide)
 }
 
 // noteRun notes that a request was run to an end.
-func (k *Keeper) noteRun(f crash.Fingerprint, at time.Time) {
-	k.change(f, true, k.opts.Now(), func(known *file) { known.is = known.is.WithRun(at) })
+func (k *Keeper) noteRun(p crash.Prints, at time.Time) {
+	k.changeBoth(p, k.opts.Now(), func(known *file) { known.is = known.is.WithRun(at) })
 }
