A suspended VM: nothing rests on ages and deadlines that stood still

Cause: deadlines, timers and ages follow the steady clock, which stands still while a VM is suspended; only the homes looked at the time of day, which operators set too. Change: package suspend compares with CLOCK_BOOTTIME before anything rests on an age: as a request comes, before and after an endpoint is chosen, as a relay is asked, and each half second. After a suspension connections that rested are closed, reports and copies are older by it, the caller's time is shorter by it, a choice or trial from before is given up, and what came back on the way teaches nothing. The measuring lease and the pause detector use the same clock: a jump of the time of day is no pause.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -30,6 +30,7 @@
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/retry"
+	"github.com/lotuswing/lotuswing/internal/suspend"
 	"github.com/lotuswing/lotuswing/pipeline"
 	"github.com/lotuswing/lotuswing/quarantine"
 	"github.com/lotuswing/lotuswing/settings"
@@ -81,6 +82,8 @@
 	Requests *telemetry.RequestLogger
 	// Quarantine knows requests under which endpoints ended; nil for none.
 	Quarantine Quarantine
+	// Suspensions tells of suspensions of the VM; nil for none.
+	Suspensions *suspend.Detector
 	// Histograms take the latency of requests; nil for none.
 	Histograms *telemetry.Histograms
 }
@@ -114,7 +117,9 @@
 func (b *Balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.inFlight.Add(1)
 	defer b.inFlight.Add(-1)
+	slept := b.cfg.Suspensions.Check()
 	x := newExchange(w, r, b.requestID(r), time.Now())
+	x.slept = slept
 	x.place = pipeline.PlaceOf(r.Context())
 	x.log = b.cfg.Requests.Begin(x.id)
 	ctx := b.cfg.Tracing.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
@@ -153,6 +158,9 @@
 // stays counted.
 func (b *Balancer) SetRetryLimit(limit retry.WindowLimit) { b.retries.setLimit(limit) }
 
+// CloseIdle closes the connections to endpoints that no request uses.
+func (b *Balancer) CloseIdle() { b.clients.closeIdle() }
+
 // InFlight returns the number of requests being served.
 func (b *Balancer) InFlight() int64 { return b.inFlight.Load() }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -40,6 +40,8 @@
 	// refuseAfter, where above 0, is how many grants there are.
 	refuseAfter int
 
+	// during, where set, is called by each Acquire with how many there were before.
+	during func(acquired int)
 	// waiting and left, where set, make Acquire wait until the caller leaves.
 	waiting, left chan struct{}
 
@@ -72,6 +74,15 @@
 	if ctx.Err() != nil {
 		return placement.Grant{}, &placement.Refusal{Reason: reason.CallerLeft}
 	}
+	if f.during != nil {
+		f.mu.Lock()
+		before := f.granted
+		f.mu.Unlock()
+		f.during(before)
+	}
+	if !time.Now().Before(a.Deadline) {
+		return placement.Grant{}, &placement.Refusal{Reason: reason.Expired}
+	}
 	f.mu.Lock()
 	f.granted++
 	over := f.refuseAfter > 0 && f.granted > f.refuseAfter
@@ -120,6 +131,11 @@
 }
 
 func newBench(t cleaner, endpoints int) *bench {
+	return newBenchWith(t, endpoints, func(*balancer.Config) {})
+}
+
+// newBenchWith changes the configuration first.
+func newBenchWith(t cleaner, endpoints int, change func(*balancer.Config)) *bench {
 	cfg, err := tenant.Load("testdata/tenant.jsonc")
 	assert.NilError(t, err)
 	b := &bench{chooser: &fakeChooser{cfg: cfg}}
@@ -132,13 +148,15 @@
 	}
 	tracing, err := telemetry.NewTracing("none", io.Discard)
 	assert.NilError(t, err)
-	h := balancer.New(balancer.Config{
+	config := balancer.Config{
 		Chooser: b.chooser,
 		Limits:  settings.Limits{BodyBytes: 1 << 20, ReplayBytes: 1 << 10},
 		Log:     hclog.NewNullLogger(),
 		Metrics: metrics.NewRegistry(),
 		Tracing: tracing,
-	})
+	}
+	change(&config)
+	h := balancer.New(config)
 	b.server = httptest.NewServer(h)
 	b.server.Config.ErrorLog = hclog.NewNullLogger().StandardLogger(nil)
 	t.Cleanup(b.server.Close)
--- a/balancer/clients.go
+++ b/balancer/clients.go
@@ -55,6 +55,18 @@
 	return client
 }
 
+// closeIdle closes the connections that no request uses.
+func (c *clients) closeIdle() {
+	if c.policy.Client != nil {
+		c.policy.Client.Close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, client := range c.byKey {
+		client.Close()
+	}
+}
+
 // fewestPlanned is the fleet's size that is planned for at least: each tenant has
 // 13 to 18 balancers today.
 const fewestPlanned = 16
--- a/balancer/exchange.go
+++ b/balancer/exchange.go
@@ -36,6 +36,7 @@
 	searching  time.Time // since when an endpoint is looked for
 	pass       quarantine.Pass
 	suspect    quarantine.Request // filled when it is first asked for
+	slept      time.Duration      // for how long the VM has been suspended so far, as far as the times here know
 	behind     time.Duration      // how long it has waited for those before it on its connection
 
 	// What the caller is told.
@@ -49,6 +50,22 @@
 	return &exchange{id: id, w: w, r: r, accepted: now, searching: now}
 }
 
+// wake brings the times of the request up to date after the VM was suspended, in which the
+// caller's time ran on and the clock stood still. It reports whether that was so.
+func (x *exchange) wake(slept time.Duration) bool {
+	d := slept - x.slept
+	if d <= 0 {
+		return false
+	}
+	x.slept = slept
+	x.accepted = x.accepted.Add(-d)
+	x.searching = x.searching.Add(-d)
+	if !x.deadline.IsZero() {
+		x.deadline = x.deadline.Add(-d)
+	}
+	return true
+}
+
 // callerLeft reports whether the caller has gone.
 func (x *exchange) callerLeft() bool { return x.r.Context().Err() != nil }
 
@@ -58,6 +75,7 @@
 	grant  placement.Grant
 	sent   time.Time
 	result upstream.Result
+	stale  bool // the VM was suspended meanwhile: nobody knows how long it took, and how old the response is
 }
 
 // noteFailed notes a failed attempt.
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -63,10 +63,13 @@
 
 // failedResult returns what an attempt shows about its endpoint whose response is
 // not passed on. A request on whose behalf nothing was written, or whose caller
-// left, shows nothing.
-func failedResult(d *upstream.Dialect, res *upstream.Result, callerLeft bool, took time.Duration) placement.Result {
+// left, shows nothing, nor does one that a suspension of the VM fell into.
+func failedResult(d *upstream.Dialect, a *attempt, callerLeft bool, took time.Duration) placement.Result {
 	result := placement.Result{Outcome: placement.Failed, Took: took}
+	res := &a.result
 	switch {
+	case a.stale:
+		result.Outcome = placement.Unused
 	case res.Reason == reason.EndpointReplaced:
 		result.Replaced = true
 	case res.Reason == reason.EndpointRefused:
--- a/balancer/screen.go
+++ b/balancer/screen.go
@@ -68,7 +68,7 @@
 // that was suspected before waits to know whether the endpoint has ended.
 func (b *Balancer) noteEnd(ctx context.Context, x *exchange, a *attempt) {
 	switch {
-	case b.cfg.Quarantine == nil:
+	case b.cfg.Quarantine == nil, a.stale && a.result.Broken:
 	case a.result.Broken && !x.callerLeft():
 		shown := b.cfg.Quarantine.Broke(x.broken(a))
 		if x.pass.Suspected {
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/quarantine"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
 	"go.opentelemetry.io/otel/attribute"
@@ -29,19 +30,17 @@
 	}
 	b.retries.addRequest(x.route.ServiceKey(), time.Now())
 	for number := 1; ; number++ {
-		if err := b.screen(ctx, x); err != nil {
-			return nil, err
-		}
-		grant, err := b.choose(ctx, x, number)
+		grant, err := b.prepare(ctx, x, number)
 		if err != nil {
 			return nil, err
 		}
 		a := b.send(ctx, x, number, grant)
+		a.stale = x.wake(b.cfg.Suspensions.Check())
 		b.noteEnd(ctx, x, &a)
 		if delivers(&a.result, x.route.Kind.Repeatable, b.cfg.Policy.RetryServerErrors) {
 			return nil, b.passOn(x, &a)
 		}
-		b.cfg.Chooser.Complete(grant, failedResult(&b.cfg.Policy.Dialect, &a.result, x.callerLeft(), time.Since(a.sent)))
+		b.cfg.Chooser.Complete(grant, failedResult(&b.cfg.Policy.Dialect, &a, x.callerLeft(), time.Since(a.sent)))
 		x.noteFailed(&a)
 		if !b.mayRetry(x, &a, time.Now()) {
 			return nil, b.giveUp(ctx, x, &a)
@@ -50,6 +49,23 @@
 	}
 }
 
+// prepare finds out whether and where the request may be sent now. Where the VM was suspended
+// meanwhile, nothing of that holds any more and it begins anew, with the time that is left.
+func (b *Balancer) prepare(ctx context.Context, x *exchange, number int) (placement.Grant, error) {
+	for {
+		x.wake(b.cfg.Suspensions.Check())
+		if err := b.screen(ctx, x); err != nil {
+			return placement.Grant{}, err
+		}
+		grant, err := b.choose(ctx, x, number)
+		if err != nil || !x.wake(b.cfg.Suspensions.Check()) {
+			return grant, err
+		}
+		b.cfg.Chooser.Complete(grant, placement.Result{Outcome: placement.Unused})
+		x.pass = quarantine.Pass{}
+	}
+}
+
 // receive makes the caller's request fit to be sent on, as often as needed.
 func (b *Balancer) receive(ctx context.Context, x *exchange) error {
 	if err := limitBody(x, b.cfg.Limits.BodyBytes); err != nil {
@@ -163,6 +179,9 @@
 func (b *Balancer) passOn(x *exchange, a *attempt) error {
 	status := a.result.Response.StatusCode
 	result := placement.Result{Outcome: outcomeOf(status, false, nil), Load: loadReport(&b.cfg.Policy.Dialect, &a.result)}
+	if a.stale {
+		result = placement.Result{Outcome: placement.Unused}
+	}
 	complete := func() {
 		result.Took = time.Since(a.sent)
 		go b.cfg.Chooser.Complete(a.grant, result) // the caller's bytes go first
@@ -176,7 +195,9 @@
 		return b.upgrade(x, &a.result)
 	}
 	err := b.forward(x, &a.result)
-	result.Outcome = outcomeOf(status, x.callerLeft(), err)
+	if !a.stale {
+		result.Outcome = outcomeOf(status, x.callerLeft(), err)
+	}
 	b.notePassedOn(x, a, err)
 	if err != nil {
 		// The caller must see a broken response, never a clean short one.
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -107,15 +107,16 @@
 	assert.Equal(t, after, first)
 }
 
-// TestPauseIsNoticed on either clock.
+// TestPauseIsNoticed by the clock that it is given, and no jump of the time of day.
 func TestPauseIsNoticed(t *testing.T) {
 	d := lease.NewPauseDetector(time.Second)
 	start := time.Now()
 	assert.Assert(t, !d.Tick(start))
 	assert.Assert(t, !d.Tick(start.Add(900*time.Millisecond)))
 	assert.Assert(t, d.Tick(start.Add(3*time.Second)))
-	// A suspended VM: only the wall clock moved on.
 	d = lease.NewPauseDetector(time.Second)
 	d.Tick(start.Round(0))
 	assert.Assert(t, d.Tick(start.Add(time.Hour).Round(0)))
+	assert.Assert(t, !d.Tick(start.Add(time.Hour).Round(0).Add(900*time.Millisecond)))
+	assert.Assert(t, !d.Tick(start.Round(0)), "it goes back for nobody, and no pause is seen in that")
 }
--- a/coord/lease/pausedetector.go
+++ b/coord/lease/pausedetector.go
@@ -3,8 +3,9 @@
 import "time"
 
 // PauseDetector notices that its process did not run for a while, from a call
-// on each tick of a timer. The monotonic clock shows a stopped process; the
-// wall clock shows a suspended VM, whose monotonic clock stands still.
+// on each tick of a timer. The times are of a clock that goes on while the VM is
+// suspended, which the steady clock does not, and that nobody sets, as operators
+// set the time of day.
 type PauseDetector struct {
 	limit time.Duration
 	last  time.Time
@@ -22,7 +23,5 @@
 	if last.IsZero() {
 		return false
 	}
-	monotonic := now.Sub(last)
-	wall := now.Round(0).Sub(last.Round(0))
-	return monotonic > d.limit || wall > d.limit
+	return now.Sub(last) > d.limit
 }
--- a/coord/selection/endpoint.go
+++ b/coord/selection/endpoint.go
@@ -57,6 +57,18 @@
 	return e
 }
 
+// WithSuspension returns the endpoint after the balancer's VM was suspended for a while, in
+// which its clock stood still: what it knew is so much older, and what it waited for so much
+// nearer.
+func (e Endpoint) WithSuspension(slept time.Duration) Endpoint {
+	for _, at := range []*time.Time{&e.load.at, &e.heardAt, &e.pausedUntil, &e.warmAt, &e.warmTold} {
+		if !at.IsZero() {
+			*at = at.Add(-slept)
+		}
+	}
+	return e
+}
+
 // WithProbe returns the endpoint after the response to a probe.
 func (e Endpoint) WithProbe(r placement.LoadReport, now time.Time) Endpoint {
 	e.heardAt, e.unanswered = now, 0
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -31,6 +31,7 @@
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/selection"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/suspend"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
 	"github.com/rcrowley/go-metrics"
@@ -42,10 +43,12 @@
 	Zone      string
 	Directory *directory.Directory
 	Client    Prober
-	Log       hclog.Logger
-	Metrics   metrics.Registry
-	Handover  func(context.Context) // hands duties to other balancers before a planned stop; may be nil
-	Stop      func()                // ends what keeps the directory up to date; may be nil
+	// Suspensions tells of suspensions of the VM; nil for none.
+	Suspensions *suspend.Detector
+	Log         hclog.Logger
+	Metrics     metrics.Registry
+	Handover    func(context.Context) // hands duties to other balancers before a planned stop; may be nil
+	Stop        func()                // ends what keeps the directory up to date; may be nil
 
 	// Shortened by tests; zero for the defaults.
 	Options     selection.Options
@@ -105,6 +108,15 @@
 	}
 }
 
+// Resume ages what is remembered of endpoints after the VM was suspended for a while.
+func (c *Chooser) Resume(slept time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.endpoints {
+		e.state = e.state.WithSuspension(slept)
+	}
+}
+
 // NextID returns an identity for a request, unique among all balancers.
 func (c *Chooser) NextID() string {
 	return fmt.Sprintf("%s-%x-%x", c.cfg.ID, c.born, c.sequence.Add(1))
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/lotuswing/lotuswing/directory"
@@ -80,11 +82,18 @@
 	return target{listed: s.listed[index], known: c.known(&s.listed[index])}, true
 }
 
+// errSuspended says that a response may be as old as a suspension of the VM was long.
+var errSuspended = errors.New("direct: suspended meanwhile")
+
 // ask probes one endpoint and remembers the response.
 func (c *Chooser) ask(ctx context.Context, t target, path string) {
 	c.probes.Inc(1)
 	id, e := t.listed.VM, t.known
+	slept := c.cfg.Suspensions.Check()
 	answer, err := c.cfg.Client.Probe(ctx, t.listed.Addr, path, probeLimit)
+	if slept != c.cfg.Suspensions.Check() {
+		err = cmp.Or(err, errSuspended)
+	}
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -96,6 +96,17 @@
 	return f.began.Add(time.Duration(answered))
 }
 
+// Resume notes that the VM was suspended for a while: what was in force is so much older,
+// and a watch that waited may have been lost with its connection.
+func (f *Follower) Resume(slept time.Duration) {
+	if answered := f.answered.Load(); answered > 0 {
+		f.answered.Store(answered - int64(slept))
+	}
+	if f.watching.Load() != 0 {
+		f.giveUpWatch(watchAgain)
+	}
+}
+
 // Watching returns for how long the present watch has waited at the store, 0
 // where there is none. A watch that has waited for some milliseconds has brought
 // whatever the store knew when it began.
--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -11,9 +11,9 @@
 //
 // # Usage
 //
-//	before := bootclock.Suspended()
+//	before := bootclock.Now()
 //	...
-//	slept := bootclock.Suspended() - before
+//	age := bootclock.Now().Sub(before)
 package bootclock
 
 import (
@@ -34,7 +34,8 @@
 func Now() time.Time { return began.Add(read(unix.CLOCK_BOOTTIME) - beganBoot) }
 
 // Suspended returns for how long the VM was suspended since it booted: by how much the
-// steady clock has fallen behind.
+// steady clock has fallen behind. It reads that one last, so that a process that loses its
+// processor in between sees less, never a suspension that was none.
 func Suspended() time.Duration { return read(unix.CLOCK_BOOTTIME) - read(unix.CLOCK_MONOTONIC) }
 
 // read reads one of the kernel's clocks.
--- a/internal/rawendpoint/faulty.go
+++ b/internal/rawendpoint/faulty.go
@@ -42,14 +42,15 @@
 type Faulty struct {
 	*server
 
-	mu    sync.Mutex
-	runs  map[string]int // by the key header
-	fault Fault
+	mu      sync.Mutex
+	runs    map[string]int         // by the key header
+	headers map[string]http.Header // of the last run, by the same
+	fault   Fault
 }
 
 // NewFaulty returns an endpoint without a fault.
 func NewFaulty() (e *Faulty, err error) {
-	e = &Faulty{runs: map[string]int{}, fault: None}
+	e = &Faulty{runs: map[string]int{}, headers: map[string]http.Header{}, fault: None}
 	e.server, err = start(e.serve)
 	return e, err
 }
@@ -74,6 +75,13 @@
 	return e.runs[key]
 }
 
+// Header returns the header with which a request ran last.
+func (e *Faulty) Header(key string) http.Header {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.headers[key]
+}
+
 func (e *Faulty) serve(c net.Conn) {
 	r := bufio.NewReader(c)
 	for {
@@ -111,6 +119,7 @@
 	key := req.Header.Get(KeyHeader)
 	e.mu.Lock()
 	e.runs[key]++
+	e.headers[key] = req.Header
 	e.mu.Unlock()
 	body := "answer to " + key
 	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nLotuswing-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
--- a/node/measure.go
+++ b/node/measure.go
@@ -11,6 +11,7 @@
 	"github.com/lotuswing/lotuswing/coord/leaving"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/rendezvous"
+	"github.com/lotuswing/lotuswing/internal/bootclock"
 	"github.com/lotuswing/lotuswing/link"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
@@ -81,12 +82,12 @@
 func (m *meter) hold(ctx context.Context, cfg tenant.Measuring) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	now := bootclock.Now()
 	if now.Sub(m.renewed) < measureRenew {
 		return
 	}
 	m.renewed = now
-	term, err := m.keeper.Renew(ctx, time.Now)
+	term, err := m.keeper.Renew(ctx, bootclock.Now)
 	if err != nil {
 		m.node.log.Debug("measuring lease not renewed", "tenant", m.tenant, "error", err)
 		return
@@ -94,7 +95,7 @@
 	if !term.SameHolding(m.account.Term()) {
 		m.node.log.Info("measuring lease acquired", "tenant", m.tenant, "token", term.Token)
 	}
-	m.account = m.account.WithTerm(term, cfg.Limit(), time.Now())
+	m.account = m.account.WithTerm(term, cfg.Limit(), bootclock.Now())
 }
 
 // drop forgets the lease, as after a pause.
@@ -119,7 +120,7 @@
 func (m *meter) spend(cost time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	next, ok := m.account.Spend(time.Now(), cost)
+	next, ok := m.account.Spend(bootclock.Now(), cost)
 	m.account = next
 	if ok {
 		m.spent.Inc(cost.Microseconds())
@@ -162,7 +163,7 @@
 		return placement.LoadReport{}
 	}
 	m.mu.Lock()
-	holds := m.account.Holds(time.Now())
+	holds := m.account.Holds(bootclock.Now())
 	m.mu.Unlock()
 	if !holds {
 		return placement.LoadReport{}
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/document"
 	"github.com/lotuswing/lotuswing/coord/member"
+	"github.com/lotuswing/lotuswing/internal/bootclock"
 	"github.com/lotuswing/lotuswing/link"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/storeclient"
@@ -177,8 +178,7 @@
 
 // tick lets time pass for the ledgers and notices pauses of the process.
 func (n *Node) tick(context.Context) {
-	now := time.Now()
-	if n.homes.pause.Tick(now) {
+	if n.homes.pause.Tick(bootclock.Now()) {
 		n.log.Warn("process was paused; leases and ledgers dropped")
 		n.homes.reset()
 		for _, m := range n.meters {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,6 +37,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/bootstrap"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/suspend"
 	"github.com/lotuswing/lotuswing/link"
 )
 
@@ -90,6 +91,8 @@
 	Options  Options
 	// OnNote is called with each note of another balancer, once; nil for none.
 	OnNote func(Note)
+	// Suspensions tells of suspensions of the VM; nil for none.
+	Suspensions *suspend.Detector
 }
 
 // Group is a balancer's part among those that hand on the store's changes.
--- a/relay/server.go
+++ b/relay/server.go
@@ -67,6 +67,7 @@
 // changes waits for changes, or for notes, and tells the changes.
 func (r *receiver) changes(args ChangesArgs, reply *ChangesReply) error {
 	g := r.group
+	g.cfg.Suspensions.Check()
 	g.noteAsker(args, time.Now())
 	wait := min(args.Wait, maxWait)
 	news := func() bool { return args.TakesNotes && g.notes.after(args.notesPlace()) }
@@ -78,6 +79,7 @@
 		return nil
 	}
 	g.replica.waitAfter(context.Background(), args.After, wait, news)
+	g.cfg.Suspensions.Check() // meanwhile
 	d := g.replica.since(args.After)
 	packed, err := g.packer.pack(d)
 	if err != nil {
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -75,6 +75,8 @@
 		Log:       s.cfg.Log.Named("choice"),
 		Metrics:   s.metrics,
 		Stop:      stop,
+
+		Suspensions: s.suspended,
 	}
 	if s.relays != nil {
 		if err := s.startRelays(&cfg); err != nil {
@@ -129,7 +131,7 @@
 		ID: settings.ID, Zone: settings.Zone, Addr: settings.Link, Seeds: settings.Peers, Cores: settings.Cores,
 		LinkRate: settings.LinkRate * bytesPerMegabit,
 		Registry: s.cfg.Relays, Decoder: s.cfg.Relays, Log: log, TLS: secured,
-		Options: relay.OptionsWithin(settings.Discovery.Within()), OnNote: s.keeper.Hear,
+		Options: relay.OptionsWithin(settings.Discovery.Within()), OnNote: s.keeper.Hear, Suspensions: s.suspended,
 	}), nil
 }
 
--- a/server/platform_test.go
+++ b/server/platform_test.go
@@ -28,6 +28,9 @@
 type platformRig struct {
 	store *platformtest.Store
 	url   string // of the store
+	// suspended tells balancers for how long their VM has been suspended; nil for the
+	// kernel's word.
+	suspended func() time.Duration
 }
 
 // platformBalancer is a balancer on the platform, by its addresses.
@@ -74,6 +77,7 @@
 	store := platform.NewStore(s.Discovery.URL)
 	srv, err := server.Start(server.Config{
 		Settings: s, Log: hclog.NewNullLogger(), Traces: io.Discard, Source: store, Relays: store, Policy: platform.Policy(s.Retries),
+		Suspended: r.suspended,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(srv.Kill)
--- /dev/null
+++ b/server/resume.go
@@ -0,0 +1,50 @@
+package server
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// resting is a source that keeps connections.
+type resting interface {
+	// Rest closes those that nobody uses.
+	Rest()
+}
+
+// lookEvery is between two looks for a suspension of the VM by a process that serves
+// nobody; requests and other balancers' questions look at once. Chosen without a
+// measurement.
+const lookEvery = 500 * time.Millisecond
+
+// lookForSuspensions looks until the planned stop.
+func (s *Server) lookForSuspensions() {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.suspended.Check()
+		case <-s.stopping:
+			return
+		}
+	}
+}
+
+// resume brings what the process believes up to date after its VM was suspended, before
+// anything is done with it: connections that rested may have been closed by now, reports
+// and copies are older than they look, and what waited for an answer may wait for nothing.
+func (s *Server) resume(slept time.Duration) {
+	s.cfg.Log.Warn("VM was suspended", "for", slept.String())
+	metrics.GetOrRegisterCounter("suspensions", s.metrics).Inc(1)
+	s.balancer.CloseIdle()
+	if s.direct != nil {
+		s.direct.Resume(slept)
+	}
+	if s.follower != nil {
+		s.follower.Resume(slept)
+	}
+	if r, ok := s.cfg.Source.(resting); ok {
+		r.Rest()
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -25,6 +25,8 @@
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/bootclock"
+	"github.com/lotuswing/lotuswing/internal/suspend"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/pipeline"
 	"github.com/lotuswing/lotuswing/quarantine"
@@ -46,6 +48,8 @@
 	Relays Relays
 	// Requests writes the log lines of requests; nil for none.
 	Requests *telemetry.RequestLogger
+	// Suspended tells for how long the VM has been suspended; nil for the kernel's word.
+	Suspended func() time.Duration
 	// Policy towards callers and endpoints; the zero value is the product's.
 	Policy balancer.Policy
 }
@@ -67,6 +71,7 @@
 	follower  *directory.Follower  // nil without one
 	directory *directory.Directory // nil without a follower
 	keeper    *quarantine.Keeper   // nil without relays
+	suspended *suspend.Detector
 	balancer  *balancer.Balancer
 	tracing   *telemetry.Tracing
 	metrics   metrics.Registry
@@ -86,6 +91,10 @@
 		return nil, err
 	}
 	s := &Server{cfg: cfg, tracing: tracing, metrics: metrics.NewRegistry(), latency: telemetry.NewHistograms(), stopping: make(chan struct{})}
+	if cfg.Suspended == nil {
+		cfg.Suspended = bootclock.Suspended
+	}
+	s.suspended = suspend.New(cfg.Suspended)
 	if s.frontL, err = net.Listen("tcp", cfg.Settings.Listen); err != nil {
 		return nil, fmt.Errorf("server: callers' address: %w", err)
 	}
@@ -105,6 +114,8 @@
 
 		Requests:   cfg.Requests,
 		Histograms: s.latency,
+
+		Suspensions: s.suspended,
 	}
 	if s.keeper != nil {
 		balancerConfig.Quarantine = s.keeper
@@ -116,6 +127,8 @@
 		s.Kill()
 		return nil, err
 	}
+	s.suspended.OnResume(s.resume)
+	go s.lookForSuspensions()
 	go s.serveFront()
 	go s.serveUntilClosed(s.admin, s.adminL)
 	cfg.Log.Info("started", "id", cfg.Settings.ID, "zone", cfg.Settings.Zone, "listen", s.frontL.Addr().String(),
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -85,5 +85,6 @@
 	return &Client{transport: t, http2: opts.HTTP2, dialect: opts.Dialect}
 }
 
-// Close closes idle connections.
+// Close closes idle connections, as at the end of a client or when nobody knows for how long
+// they have rested. Others may be opened after it.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
