--- a/control/control.go
+++ b/control/control.go
@@ -50,6 +50,7 @@
 	addStandins(a)
 	addEditing(a)
 	addStatus(a)
+	addQuarantine(a)
 	addDemo(a)
 	addReplay(a)
 	addTrace(a)
--- a/quarantine/operate.go
+++ b/quarantine/operate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/crash"
+	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/relay"
 )
 
@@ -92,22 +93,41 @@
 	return k.decree(ctx, f, stateOrdered)
 }
 
-// decree writes an operator's word to the store. A release of what does not stand there
-// needs no record.
+// decreeWithin is how long an operator's word waits for the news of a record that somebody
+// else has written: changes of the store come within two seconds.
+const decreeWithin = 3 * time.Second
+
+// decree writes an operator's word to the store, in the place of what stands there. A release
+// of what does not stand there needs no record.
 func (k *Keeper) decree(ctx context.Context, f crash.Fingerprint, state string) error {
+	ctx, cancel := context.WithTimeout(ctx, decreeWithin)
+	defer cancel()
+	for {
+		said, revision, changed := k.decreed(f, state)
+		if state == stateReleased && revision == 0 {
+			return nil
+		}
+		err := k.put(ctx, f, said, revision, crash.HoldFor)
+		if !errors.Is(err, relay.ErrTaken) {
+			return err
+		}
+		pause.Until(ctx, changed, decreeWithin)
+		if ctx.Err() != nil {
+			return ErrChanged
+		}
+	}
+}
+
+// decreed returns the record of an operator's word, the revision of the one that it replaces,
+// and what is closed when a case changes.
+func (k *Keeper) decreed(f crash.Fingerprint, state string) (Record, uint64, <-chan struct{}) {
 	k.mu.Lock()
-	var revision uint64
+	defer k.mu.Unlock()
 	said := Record{State: state, By: k.cfg.ID}
-	if known := k.files[f]; known != nil {
-		revision, said.Service, said.Kind, said.Wide = known.revision, known.service, known.kind, known.is.Wide()
-	}
-	k.mu.Unlock()
-	if state == stateReleased && revision == 0 {
-		return nil
-	}
-	err := k.put(ctx, f, said, revision, crash.HoldFor)
-	if errors.Is(err, relay.ErrTaken) {
-		return ErrChanged
+	known := k.files[f]
+	if known == nil {
+		return said, 0, k.changed
 	}
-	return err
+	said.Service, said.Kind, said.Wide = known.service, known.kind, known.is.Wide()
+	return said, known.revision, k.changed
 }
