Two ends on trial, not one, have a request refused; a trial that is over lets the next begin

Change: two endpoints that held nothing else, or three, must end on trial. A trial that ended is given back and told; the next one begins at once. Where the store does not answer each balancer has one trial at a time of its own, so that nobody is refused because the store is down. A suspect waits half of its target for another's trial.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -68,6 +68,8 @@
 	Broke(a quarantine.Attempt) <-chan struct{}
 	// Ran takes a request that an endpoint ran to an end.
 	Ran(r quarantine.Request)
+	// Over takes a request that was admitted on trial and has ended.
+	Over(r quarantine.Request)
 }
 
 // Config of a handler.
--- a/balancer/exchange.go
+++ b/balancer/exchange.go
@@ -35,6 +35,7 @@
 	mayHaveRun bool      // an attempt may have run, whatever later ones say
 	searching  time.Time // since when an endpoint is looked for
 	pass       quarantine.Pass
+	shown      bool               // what the request did was told to the quarantine
 	suspect    quarantine.Request // filled when it is first asked for
 	slept      time.Duration      // for how long the VM has been suspended so far, as far as the times here know
 	behind     time.Duration      // how long it has waited for those before it on its connection
--- a/balancer/screen.go
+++ b/balancer/screen.go
@@ -14,9 +14,10 @@
 
 const (
 	// trialPatience is the part of the target, one in so many, that a request waits while
-	// another balancer tries the same one, and trialWait the same where there is no target.
-	// Chosen without a measurement, as for the wait for an endpoint.
-	trialPatience = 5
+	// another balancer tries the same one, and trialWait the same where there is no target: a
+	// trial takes as long as the request itself, so that this is the wait of one more. Chosen
+	// without a measurement.
+	trialPatience = 2
 	trialWait     = 200 * time.Millisecond
 	// shownWithin is how long the next attempt of a suspected request waits to know whether
 	// the endpoint of the last one has ended: a round trip to another zone and some more.
@@ -32,15 +33,24 @@
 	if refused != nil {
 		return refusal{reason: reason.Quarantined, message: refused.Evidence, retryAfter: refused.RetryAfter}
 	}
-	x.pass = pass
+	x.pass, x.shown = pass, false
 	return nil
 }
 
+// endTrial ends a trial that showed nothing: an attempt that broke off ends it once it is
+// known what became of the endpoint, one that ran at once.
+func (b *Balancer) endTrial(x *exchange) {
+	if x.pass.Trial && !x.shown {
+		b.cfg.Quarantine.Over(x.suspected())
+	}
+	x.pass = quarantine.Pass{}
+}
+
 // suspected returns the request as the quarantine knows it.
 func (x *exchange) suspected() quarantine.Request {
 	if x.suspect.Prints.Exact == "" {
 		x.suspect = quarantine.Request{
-			ID: x.id, Prints: x.prints(), Service: x.route.Kind.Service, Kind: x.route.Kind.Name, Patience: patienceInTrial(x.route.Kind.Target),
+			ID: x.id, Prints: x.prints(), Service: x.route.Kind.Service, Kind: x.route.Kind.Name, Patience: patienceInTrial(x.route.Kind.Target), Target: x.route.Kind.Target,
 		}
 	}
 	return x.suspect
@@ -70,11 +80,13 @@
 	switch {
 	case b.cfg.Quarantine == nil, a.stale && a.result.Broken:
 	case a.result.Broken && !x.callerLeft():
+		x.shown = true
 		shown := b.cfg.Quarantine.Broke(x.broken(a))
 		if x.pass.Suspected {
 			pause.Until(ctx, shown, shownWithin)
 		}
 	case a.result.Reason == "" && a.result.Buffered && !b.cfg.Quarantine.Quiet():
+		x.shown = true
 		b.cfg.Quarantine.Ran(x.suspected())
 	}
 }
@@ -84,8 +96,10 @@
 	switch {
 	case b.cfg.Quarantine == nil || a.result.Buffered:
 	case err == nil && !b.cfg.Quarantine.Quiet():
+		x.shown = true
 		b.cfg.Quarantine.Ran(x.suspected())
 	case errors.Is(err, errCutShort) && !x.callerLeft():
+		x.shown = true
 		b.cfg.Quarantine.Broke(x.broken(a))
 	}
 }
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -7,7 +7,6 @@
 
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
-	"github.com/lotuswing/lotuswing/quarantine"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
 	"go.opentelemetry.io/otel/attribute"
@@ -29,6 +28,7 @@
 		return nil, err
 	}
 	b.retries.addRequest(x.route.ServiceKey(), time.Now())
+	defer b.endTrial(x)
 	for number := 1; ; number++ {
 		grant, err := b.prepare(ctx, x, number)
 		if err != nil {
@@ -62,7 +62,7 @@
 			return grant, err
 		}
 		b.cfg.Chooser.Complete(grant, placement.Result{Outcome: placement.Unused})
-		x.pass = quarantine.Pass{}
+		b.endTrial(x)
 	}
 }
 
--- a/balancer/suspended_test.go
+++ b/balancer/suspended_test.go
@@ -94,6 +94,8 @@
 	f.ran = append(f.ran, r)
 }
 
+func (*fakeQuarantine) Over(quarantine.Request) {}
+
 // counts returns how often it was asked, told of an attempt that broke off, and of a run.
 func (f *fakeQuarantine) counts() [3]int {
 	f.mu.Lock()
--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -33,7 +34,8 @@
 	a := command.NewApp("lotuswing", "A load balancer for long sessions that must never be dropped.", out, errOut)
 	a.Add("run", "Run a balancer until SIGTERM, which is a planned stop.", func(c *kingpin.CmdClause) func() error {
 		file := c.Flag("settings", "the settings file").Envar(platform.SettingsVariable).Required().String()
-		return func() error { return runBalancer(a.Env, *file) }
+		clock := c.Flag("suspended-file", "for soaks: a file that tells for how long the VM was suspended, such as 3s, in place of the kernel").Hidden().String()
+		return func() error { return runBalancer(a.Env, *file, *clock) }
 	})
 	a.Add("check", "Check a settings file.", func(c *kingpin.CmdClause) func() error {
 		file := c.Flag("settings", "the settings file").Required().String()
@@ -48,7 +50,7 @@
 	return a.Main(args)
 }
 
-func runBalancer(e *command.Env, file string) error {
+func runBalancer(e *command.Env, file, clock string) error {
 	s, err := settings.Load(file)
 	if err != nil {
 		return command.ExitError{Code: command.ExitUsage, Err: err}
@@ -68,6 +70,9 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	limitMemory(s.Memory)
 	cfg := serverConfig(s, log, e)
+	if clock != "" {
+		cfg.Suspended = suspendedBy(clock, log)
+	}
 	cfg.Requests = telemetry.NewRequestLogger(queue, s.LogRate)
 	srv, err := server.Start(cfg)
 	if err != nil {
@@ -86,6 +91,25 @@
 	return err
 }
 
+// suspendedBy returns what tells for how long the VM was suspended from a file. One that is
+// not there or cannot be read tells of nothing.
+func suspendedBy(file string, log hclog.Logger) func() time.Duration {
+	return func() time.Duration {
+		raw, err := os.ReadFile(file)
+		if errors.Is(err, os.ErrNotExist) {
+			return 0
+		}
+		var d time.Duration
+		if err == nil {
+			d, err = time.ParseDuration(string(raw))
+		}
+		if err != nil {
+			log.Error("suspension not read", "error", err)
+		}
+		return d
+	}
+}
+
 // logFlushWait bounds the writing of the last log lines. Chosen without a
 // measurement.
 const logFlushWait = 500 * time.Millisecond
--- a/coord/crash/crash.go
+++ b/coord/crash/crash.go
@@ -7,8 +7,8 @@
 // A wide case is the same of all requests that differ in their query alone. It decides
 // nothing before endpoints ended under two of them: then the query is not what matters.
 // From the second end on the request is on trial: one balancer of the fleet at a time may
-// send it, once. It is refused when it has ended an endpoint on trial as well. So a sound
-// request is never refused for the ends of others: on trial it is run.
+// send it, once. It is refused when it has ended endpoints on trial as well, two of them or
+// three. So a sound request is not refused for the ends of others: on trial it is run.
 //
 // The package owns no state: a Case is an immutable value. It has no clock and does no
 // input or output. Cases of several processes that have been told the same ends and runs,
@@ -34,15 +34,16 @@
 	// trialAfter is the number of ends from which a request is on trial. With one, each
 	// request at work beside another one that crashes would ask the store for a trial.
 	trialAfter = 2
-	// unprovedMost is the number of ends up to which a request is sent on where nobody can
-	// say whether another balancer tries it: the store does not answer.
-	unprovedMost = 2
-	// guilty is the weight of ends on trial from which a request is refused.
-	guilty = 2
+	// guilty is the weight of ends on trial from which a request is refused: of two endpoints
+	// that held nothing else, or three. One is not enough: where other requests crash one
+	// endpoint in twenty while a trial lasts, each twentieth sound request on trial was
+	// refused; in soaks of 25 crashing requests in 20 s on ten endpoints three of four refused
+	// sound ones.
+	guilty = 6
 	// aloneWeight is the weight of the end of an endpoint that held nothing else, and
 	// besideWeight of one that did: what it held may have ended it.
-	aloneWeight  = 2
-	besideWeight = 1
+	aloneWeight  = 3
+	besideWeight = 2
 	// variants is how many queries must have ended endpoints before a wide case decides.
 	variants = 2
 	// keptEnds is how many ends of a request are kept; more change no decision.
@@ -245,10 +246,6 @@
 	return Decision{Do: Send}
 }
 
-// SendUnproved reports whether a request on trial is sent where the store cannot be asked
-// whether another balancer tries it.
-func (c Case) SendUnproved() bool { return !c.found() && len(c.Ends()) <= unprovedMost }
-
 // Suspected reports whether the next end decides something: what the request does at an
 // endpoint is then waited for before it is sent anywhere else.
 func (c Case) Suspected() bool { return len(c.ends) > 0 }
--- a/quarantine/admit.go
+++ b/quarantine/admit.go
@@ -18,8 +18,10 @@
 	Prints  crash.Prints
 	Service string
 	Kind    string
-	// Patience is how long it may wait for the end of another balancer's trial.
+	// Patience is how long it may wait for the end of another balancer's trial, and Target
+	// the latency objective of its kind; 0 for none.
 	Patience time.Duration
+	Target   time.Duration
 }
 
 // Pass says how a request may be sent.
@@ -100,35 +102,107 @@
 }
 
 // try asks the store for the one trial that the fleet has at a time. It reports false where
-// another balancer has it.
+// another balancer has it. Where the store cannot be asked this balancer has one trial at a
+// time of its own: nobody is refused because the store is down.
 func (k *Keeper) try(ctx context.Context, r Request, f crash.Fingerprint, is crash.Case) (Pass, *Refusal, bool) {
 	asked, cancel := context.WithTimeout(ctx, k.opts.AskWithin)
 	defer cancel()
-	err := k.cfg.Registry.Replace(asked, trialPrefix+string(f), []byte(`"`+k.cfg.ID+`"`), 0, k.opts.TrialFor)
+	lease, err := k.cfg.Registry.Replace(asked, trialPrefix+string(f), []byte(`"`+k.cfg.ID+`"`), 0, k.trialFor(r))
 	now := k.opts.Now()
-	switch {
-	case err == nil:
-		k.setTrial(f, now)
-		k.trials.Inc(1)
-		k.cfg.Log.Info("trial", "fingerprint", string(f), "request", r.ID, "evidence", evidence(is, now))
-		return Pass{Trial: true, Suspected: true}, nil, true
-	case errors.Is(err, relay.ErrTaken):
-		k.setTrial(f, now)
+	if errors.Is(err, relay.ErrTaken) {
+		k.noteTrial(f, now.Add(k.trialFor(r)))
 		return Pass{}, nil, false
 	}
-	k.cfg.Log.Warn("no trial: the store cannot be asked", "fingerprint", string(f), "request", r.ID, "sent", is.SendUnproved(), "error", err)
-	if is.SendUnproved() {
-		return Pass{Suspected: true}, nil, true
+	if !k.beginTrial(f, lease, now.Add(k.trialFor(r)), now) {
+		return Pass{}, nil, false // another request of this balancer was faster, or the case has ended
+	}
+	k.trials.Inc(1)
+	k.cfg.Log.Info("trial", "fingerprint", string(f), "request", r.ID, "evidence", evidence(is, now))
+	if err != nil {
+		k.cfg.Log.Warn("trial without the store's word that nobody else has one", "fingerprint", string(f), "request", r.ID, "error", err)
+	}
+	return Pass{Trial: true, Suspected: true}, nil, true
+}
+
+// trialsOfTarget is how many times its target a trial of a request may take before another
+// balancer may think that it is over. Chosen without a measurement.
+const trialsOfTarget = 2
+
+// trialFor returns for how long nobody else tries a request, if nothing is heard of its trial.
+func (k *Keeper) trialFor(r Request) time.Duration {
+	return max(k.opts.TrialFor, trialsOfTarget*r.Target)
+}
+
+// noteTrial notes that another balancer tries a request.
+func (k *Keeper) noteTrial(f crash.Fingerprint, until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if known := k.files[f]; known != nil && !known.trying {
+		known.trial = until
 	}
-	return Pass{}, k.refuse(f, is, k.opts.TrialFor, now), true
 }
 
-// setTrial notes that a balancer tries a request.
-func (k *Keeper) setTrial(f crash.Fingerprint, now time.Time) {
+// beginTrial notes that this balancer tries a request, under a lease or without the store,
+// and reports whether nobody was known to do so.
+func (k *Keeper) beginTrial(f crash.Fingerprint, lease uint64, until, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if known := k.files[f]; known != nil {
-		known.trial = now.Add(k.opts.TrialFor)
+	known := k.files[f]
+	if known == nil || now.Before(known.trial) {
+		return false
+	}
+	known.trial, known.trying, known.lease = until, true, lease
+	return true
+}
+
+// Over ends this balancer's trial of a request, if it has one, so that another may begin.
+func (k *Keeper) Over(r Request) {
+	if k.endTrial(r) {
+		k.noteOver(r.Prints)
+		k.tell(note{What: noteOver, Exact: r.Prints.Exact, Wide: r.Prints.Wide})
+	}
+}
+
+// endTrial gives this balancer's trial of a request back and reports whether it had one. Word
+// of an end on trial, or of a run, tells the others that it is over.
+func (k *Keeper) endTrial(r Request) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	over := false
+	for _, f := range []crash.Fingerprint{r.Prints.Exact, r.Prints.Wide} {
+		known := k.files[f]
+		if known == nil || !known.trying {
+			continue
+		}
+		over = true
+		if known.lease != 0 {
+			go k.giveBack(k.live, f, known.lease)
+		}
+		known.trying, known.lease = false, 0
+	}
+	return over
+}
+
+// giveBack ends the lease of a trial. Where that fails it ends by itself.
+func (k *Keeper) giveBack(ctx context.Context, f crash.Fingerprint, lease uint64) {
+	ctx, cancel := context.WithTimeout(ctx, writeWithin)
+	defer cancel()
+	if err := k.cfg.Registry.Release(ctx, lease); err != nil {
+		k.cfg.Log.Warn("trial not given back", "fingerprint", string(f), "error", err)
+	}
+}
+
+// noteOver notes that nobody tries a request any more.
+func (k *Keeper) noteOver(p crash.Prints) {
+	for _, f := range []crash.Fingerprint{p.Exact, p.Wide} {
+		k.changeIf(f, k.opts.Now(), (*file).endTrial)
+	}
+}
+
+// endTrial notes that nobody tries the request, but for this balancer if it does.
+func (known *file) endTrial() {
+	if !known.trying {
+		known.trial = time.Time{}
 	}
 }
 
--- a/quarantine/notes.go
+++ b/quarantine/notes.go
@@ -15,6 +15,7 @@
 const (
 	noteEnd     = "ended"    // an endpoint ended under the request
 	noteRun     = "ran"      // an endpoint ran it to an end
+	noteOver    = "over"     // nobody tries it any more
 	noteRelease = "released" // an operator released it
 	noteOrder   = "ordered"  // an operator ordered that it is refused
 )
@@ -88,6 +89,8 @@
 		k.noteEnd(said.prints(), said.Service, said.Kind, said.End.end(at), now)
 	case noteRun:
 		k.noteRun(said.prints(), at)
+	case noteOver:
+		k.noteOver(said.prints())
 	case noteRelease:
 		k.changeIf(said.Exact, now, func(known *file) { known.is = known.is.WithRelease(at) })
 	case noteOrder:
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -50,9 +50,11 @@
 
 // Registry keeps records of the store.
 type Registry interface {
-	// Replace writes a record that has a revision, 0 for one that does not exist, or
-	// returns relay.ErrTaken.
-	Replace(ctx context.Context, name string, value []byte, revision uint64, ttl time.Duration) error
+	// Replace writes a record that has a revision, 0 for one that does not exist, under a
+	// lease, which it returns, or returns relay.ErrTaken.
+	Replace(ctx context.Context, name string, value []byte, revision uint64, ttl time.Duration) (lease uint64, err error)
+	// Release ends a lease and its records.
+	Release(ctx context.Context, lease uint64) error
 }
 
 // Config of a Keeper.
@@ -73,8 +75,8 @@
 
 // Options of a Keeper. Zero fields take the defaults.
 type Options struct {
-	// TrialFor is for how long nobody else tries a request that one balancer tries, unless
-	// its trial ends; default 3 s. The store grants no less than one.
+	// TrialFor is for how long at least nobody else tries a request that one balancer tries,
+	// if nobody hears that its trial is over; default 1.5 s. The store grants no less than 1 s.
 	TrialFor time.Duration
 	// AskWithin bounds the question whether another balancer tries it; default 250 ms.
 	AskWithin time.Duration
@@ -90,7 +92,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.TrialFor = cmp.Or(o.TrialFor, 3*time.Second)
+	o.TrialFor = cmp.Or(o.TrialFor, 1500*time.Millisecond)
 	o.AskWithin = cmp.Or(o.AskWithin, 250*time.Millisecond)
 	o.LookEvery = cmp.Or(o.LookEvery, 250*time.Millisecond)
 	o.RecordAfter = cmp.Or(o.RecordAfter, 3*time.Second)
@@ -124,7 +126,9 @@
 	service  string // to which the request was sent
 	kind     string
 	step     crash.Step // that was logged last
-	trial    time.Time  // until then another balancer may try it
+	trial    time.Time  // until then a balancer tries it, unless it is heard to be over
+	trying   bool       // it is this one
+	lease    uint64     // of the own trial; 0 where the store gave none
 	since    time.Time  // when it was first refused; zero where it is not
 	revision uint64     // of its record; 0 for none
 	recorded string     // the state that stands there
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -253,7 +253,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeWithin)
 	defer cancel()
-	return k.cfg.Registry.Replace(ctx, recordPrefix+string(f), value, revision, ttl)
+	_, err = k.cfg.Registry.Replace(ctx, recordPrefix+string(f), value, revision, ttl)
+	return err
 }
 
 // withdraw takes the refusal of a request that ran out of the store, if one stands there, in
--- a/quarantine/verify.go
+++ b/quarantine/verify.go
@@ -52,6 +52,7 @@
 		if why != "" {
 			k.ended(a, why)
 		}
+		k.Over(a.Request) // of one that showed nothing
 		close(shown)
 		if why == "" {
 			if why = k.watch(ctx, a); why != "" {
@@ -128,6 +129,7 @@
 // ended notes that an endpoint ended under a request, and tells everybody.
 func (k *Keeper) ended(a Attempt, why string) {
 	now := k.opts.Now()
+	k.endTrial(a.Request)
 	k.ends.Inc(1)
 	k.cfg.Log.Info("endpoint ended", "id", a.Endpoint, "start", a.Start, "why", why, "request", a.ID,
 		"fingerprint", string(a.Prints.Exact), "service", a.Service, "kind", a.Kind, "trial", a.Trial, "alone", a.Alone)
@@ -143,15 +145,20 @@
 	k.changeBoth(p, now, func(known *file) {
 		known.service, known.kind, known.told = service, kind, true
 		known.is = known.is.WithEnd(e)
+		if e.Trial {
+			known.endTrial()
+		}
 	})
 }
 
 // Ran notes that an endpoint ran a request to an end, which shows that it crashes nobody.
 func (k *Keeper) Ran(r Request) {
 	if !k.suspected(r.Prints) {
+		k.Over(r) // others may have told that it ran meanwhile
 		return
 	}
 	now := k.opts.Now()
+	k.endTrial(r)
 	f, is, _, _ := k.look(r.Prints, now)
 	k.cfg.Log.Info("suspected request ran", "fingerprint", string(f), "request", r.ID, "evidence", evidence(is, now))
 	k.noteRun(r.Prints, now)
@@ -162,5 +169,8 @@
 
 // noteRun notes that a request was run to an end.
 func (k *Keeper) noteRun(p crash.Prints, at time.Time) {
-	k.changeBoth(p, k.opts.Now(), func(known *file) { known.is = known.is.WithRun(at) })
+	k.changeBoth(p, k.opts.Now(), func(known *file) {
+		known.is = known.is.WithRun(at)
+		known.endTrial()
+	})
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -204,14 +204,20 @@
 			Target: routeTimeout / 4, MaxAttempts: 2, Split: []tenant.Share{{Service: service, Weight: 1}},
 		}
 	}
-	w.store.Publish(w.version, []tenant.PrefixRoute{
+	routes := []tenant.PrefixRoute{
 		route("read", readPrefix, serviceAlpha, true),
 		route("file", filePrefix, serviceBeta, false),
 		route("move", movePrefix, w.moveTo, true),
-	}, map[string]tenant.Service{
+	}
+	services := map[string]tenant.Service{
 		serviceAlpha: {ProbePath: "/health", Connections: 200, WarmupRate: warmupRate},
 		serviceBeta:  {ProbePath: "/health", Connections: 200, WarmupRate: warmupRate},
-	})
+	}
+	if w.crashes != nil {
+		routes = append(routes, fragileRoute())
+		services[serviceFragile] = tenant.Service{ProbePath: "/health", Connections: 200}
+	}
+	w.store.Publish(w.version, routes, services)
 	w.calendar.publish(version{number: w.version, service: w.moveTo, at: time.Now()})
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -27,15 +27,17 @@
 	link   string // where other balancers ask for changes
 	peers  []string
 	file   string
+	clock  string // file that tells for how long the VM was suspended; empty for none
 	store  *Proxy
 	start  func(settings, log string) *exec.Cmd
 	log    string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	stopped bool // no new requests go to it: it is to end, or has ended
-	busy    bool // a fault restarts it
+	mu        sync.Mutex
+	suspended time.Duration // so far
+	cmd       *exec.Cmd
+	exited    chan struct{}
+	stopped   bool // no new requests go to it: it is to end, or has ended
+	busy      bool // a fault restarts it
 }
 
 // Ports of balancers lie below those that the system gives to outgoing
@@ -113,6 +115,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	cmd := b.start(b.file, b.log)
+	if b.clock != "" {
+		cmd.Args = append(cmd.Args, "--suspended-file", b.clock)
+	}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("soak: start %s: %w", b.id, err)
 	}
@@ -125,6 +130,18 @@
 	return nil
 }
 
+// suspend tells the process that its VM was suspended for a while.
+func (b *balancer) suspend(d time.Duration) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspended += d
+	next := b.clock + ".next"
+	if err := os.WriteFile(next, []byte(b.suspended.String()), 0o600); err != nil {
+		return fmt.Errorf("soak: suspend: %w", err)
+	}
+	return os.Rename(next, b.clock)
+}
+
 func (b *balancer) signal(s syscall.Signal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,14 +1,15 @@
 // Package soak runs balancers as separate processes against stand-ins of the
 // platform and lets faults strike them from outside: signals, links that are
 // delayed, reset, cut one way or silenced, a store that misbehaves, endpoints
-// that lie, leave and come. Callers and endpoints note what they see, and at the
+// that lie, leave and come, requests that crash them, entries of other writers. Callers and endpoints note what they see, and at the
 // end the promises of the product are compared with it.
 //
 // Clocks are not disturbed: no decision of the product depends on the time of
-// day, and the steady clock of a process cannot be moved from outside.
+// day, and the steady clock of a process cannot be moved from outside. That a VM was
+// suspended is told to its process in a file.
 //
 // It owns the processes that it starts, and ends only these. The faults are in
-// faults.go, zones that are emptied in zones.go, the links in proxy.go, the processes in process.go, what callers and
+// faults.go, zones that are emptied in zones.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
 // endpoints saw in ledger.go, promises with a time limit in timed.go. It relies on
 // package platformtest for the platform.
 //
@@ -29,6 +30,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -49,6 +51,9 @@
 	Together time.Duration
 	// Empty is the mean time between two emptyings of an availability zone; 0 for none.
 	Empty time.Duration
+	// Crash is the mean time between two faults about requests that crash endpoints, damaged
+	// entries and suspended VMs; 0 for none.
+	Crash time.Duration
 	// Timed checks the promises that have a time limit, too. They depend on a
 	// machine that gives every process its turn.
 	Timed bool
@@ -104,7 +109,8 @@
 	started   int
 	version   uint64
 	moveTo    string
-	everyZone bool  // endpoints stand in all zones
+	everyZone bool // endpoints stand in all zones
+	crashes   *crashes
 	failure   error // the soak itself went wrong
 }
 
@@ -145,6 +151,9 @@
 		return Result{}, err
 	}
 	sent.checkRuns(w.all)
+	if w.crashes != nil {
+		w.crashes.checkCrashes(sent, w.calendar)
+	}
 	if cfg.Timed {
 		sent.checkTimed(w.calendar, w.all)
 	}
@@ -180,6 +189,12 @@
 		}
 	}
 	w.mu.Unlock()
+	if cfg.Crash > 0 {
+		var err error
+		if w.crashes, err = w.startFragile(); err != nil {
+			return err
+		}
+	}
 	w.publish()
 	free := &addresses{given: map[int]bool{}}
 	for i := range cfg.Balancers {
@@ -187,6 +202,9 @@
 		if err != nil {
 			return err
 		}
+		if cfg.Crash > 0 {
+			b.clock = filepath.Join(dir, b.id+".suspended")
+		}
 		w.balancers = append(w.balancers, b)
 	}
 	for _, b := range w.balancers {
@@ -227,10 +245,20 @@
 		rng := rand.New(rand.NewPCG(cfg.Seed, math.MaxUint64))
 		together.Go(func() { w.strikeZones(disturbing, cfg.Empty, rng, func(kind string) { emptied[kind]++ }) })
 	}
+	crashed := map[string]int{}
+	if w.crashes != nil {
+		rng := rand.New(rand.NewPCG(cfg.Seed, math.MaxUint64-1))
+		together.Go(func() { w.crashes.strike(disturbing, cfg.Crash, rng, func(kind string) { crashed[kind]++ }) })
+		for i := range soundCallers {
+			rng := rand.New(rand.NewPCG(cfg.Seed, math.MaxUint64-2-uint64(i)))
+			callers.Go(func() { w.crashes.sound(calling, i, rng, sent) })
+		}
+	}
 	w.disturbUntil(disturbing, w.rng, func(kind string) { result.Faults[kind]++ })
 	together.Wait()
 	maps.Copy(result.Faults, struck)
 	maps.Copy(result.Faults, emptied)
+	maps.Copy(result.Faults, crashed)
 	stopFaults()
 	stopCalls()
 	callers.Wait()
@@ -243,6 +271,9 @@
 	for _, b := range w.balancers {
 		b.end()
 	}
+	if w.crashes != nil {
+		w.crashes.stop()
+	}
 	for _, e := range w.all {
 		e.proxy.Close()
 		errs = append(errs, e.http.Close())
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -112,3 +112,15 @@
 	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
 	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
 }
+
+// TestSoakOfCrashingRequests plays a soak with requests that crash endpoints, entries of
+// other writers and suspended VMs.
+func TestSoakOfCrashingRequests(t *testing.T) {
+	result, err := soak.Run(t.Context(), soak.Config{
+		Seed: 3, For: 14 * time.Second, Balancers: 4, Crash: 300 * time.Millisecond, Gap: 2 * time.Second, Command: present,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, result.Faults["request crashes endpoints"] > 0, "%v", result.Faults)
+	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
+	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
+}
