The demo shows a request that crashes endpoints; names in package quarantine

Before it waited for a relay 8 ended in one run: in the second after a fleet's start balancers tell each other nothing.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -33,6 +33,7 @@
 	NoWorkLeaving Rule = "a leaving endpoint gets no new work"
 	NeverReverts  Rule = "a configuration never reverts"
 	InForce       Rule = "an accepted change is in force everywhere"
+	CrashesEnd    Rule = "a request that crashes endpoints is stopped, and no other one for it"
 )
 
 // Violation is a broken promise.
--- a/control/demo.go
+++ b/control/demo.go
@@ -23,7 +23,7 @@
 			}
 			ctx, stop := untilSignal()
 			defer stop()
-			_, _ = fmt.Fprintln(a.Env.Err, "demo: 2 tenants, 65 endpoints, 3 balancers; one endpoint of each tenant drains, one turns slow, the configuration changes")
+			_, _ = fmt.Fprintln(a.Env.Err, "demo: 2 tenants, 65 endpoints, 3 balancers; one endpoint of each tenant drains, one turns slow, the configuration changes; beside them 3 balancers on the platform, where one request crashes endpoints")
 			report, err := demo.Run(ctx, demo.Options{For: *span, Log: log})
 			if err != nil {
 				return err
--- /dev/null
+++ b/demo/crash.go
@@ -0,0 +1,220 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lotuswing/lotuswing/audit"
+	"github.com/lotuswing/lotuswing/load"
+	"github.com/lotuswing/lotuswing/platform"
+	"github.com/lotuswing/lotuswing/platform/platformtest"
+	"github.com/lotuswing/lotuswing/relay"
+	"github.com/lotuswing/lotuswing/server"
+	"github.com/lotuswing/lotuswing/settings"
+	"github.com/lotuswing/lotuswing/tenant"
+)
+
+// Beside the two tenants, three balancers follow the platform's store in front of eight
+// endpoints that end under one request, which comes again and again, and start again under
+// the identity that they had. Sound requests come to the same endpoints, and an entry of
+// another writer stands among theirs.
+
+const (
+	crashTenant    = "platform"
+	crashHost      = "fragile.example"
+	crashPath      = "/fragile/crash"
+	soundPath      = "/fragile/sound"
+	crashEndpoints = 8
+	crashBalancers = 3
+	crashRate      = 10 // requests a second
+	soundRate      = 40
+	crashRestart   = 500 * time.Millisecond
+	// mostEnded is how many endpoints may end under the request: three, and three more once
+	// the fleet knows it.
+	mostEnded = 6
+	// quarantined is the reason code of a request that is refused for the ends under it.
+	quarantined = "LW2010"
+)
+
+// crashFleet is these balancers with their endpoints.
+type crashFleet struct {
+	store     *platformtest.Store
+	targets   []string
+	processes []*platformtest.Process
+	admins    []string
+
+	mu      sync.Mutex
+	refused int // sound requests
+}
+
+// startCrashFleet starts endpoints and balancers and waits until these are ready.
+func (r *run) startCrashFleet(ctx context.Context) (*crashFleet, error) {
+	f := &crashFleet{store: platformtest.NewStore()}
+	addr, err := r.serve(f.store)
+	if err != nil {
+		return nil, err
+	}
+	f.store.Publish(1, []tenant.PrefixRoute{{
+		Name: "fragile", Host: crashHost, Prefix: "/fragile/", Repeatable: true, Timeout: readyWithin, Target: time.Second, MaxAttempts: 2,
+		Split: []tenant.Share{{Service: "fragile", Weight: 1}},
+	}}, map[string]tenant.Service{"fragile": {Connections: 200, ProbePath: "/health"}})
+	f.store.PutRaw("foreign", []byte(`{"address":17}`))
+	for i := range crashEndpoints {
+		p, err := platformtest.StartProcess(f.store, platformtest.ProcessConfig{
+			ID: fmt.Sprintf("fragile-%d", i), Service: "fragile", Zone: "medina", RestartAfter: crashRestart,
+			Behavior: platformtest.Behavior{Work: serviceTime, CrashOn: crashPath},
+		})
+		if err != nil {
+			return nil, err
+		}
+		r.closers = append(r.closers, p.Stop)
+		f.processes = append(f.processes, p)
+	}
+	var links []string
+	for i := range crashBalancers {
+		link, err := r.startPlatformBalancer(f, fmt.Sprintf("vm-p%d", i+1), "http://"+addr, links)
+		if err != nil {
+			return nil, err
+		}
+		links = append(links, link)
+	}
+	return f, f.waitReady(ctx)
+}
+
+// startPlatformBalancer starts a balancer that follows the platform's store and returns its
+// link address.
+func (r *run) startPlatformBalancer(f *crashFleet, id, store string, peers []string) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // the link's address must be known to others
+	if err != nil {
+		return "", fmt.Errorf("demo: %w", err)
+	}
+	link, admin := l.Addr().String(), ""
+	a, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("demo: %w", err)
+	}
+	admin = a.Addr().String()
+	if err := l.Close(); err != nil {
+		return "", fmt.Errorf("demo: %w", err)
+	}
+	if err := a.Close(); err != nil {
+		return "", fmt.Errorf("demo: %w", err)
+	}
+	list, err := json.Marshal(append([]string{}, peers...))
+	if err != nil {
+		return "", fmt.Errorf("demo: %w", err)
+	}
+	s, err := settings.Parse("demo "+id, fmt.Appendf(nil, `{"id": %q, "zone": "medina", "listen": "127.0.0.1:0", "admin": %q, "link": %q, "peers": %s,
+		"discovery": {"kind": "platform", "url": %q}, "link_tls": {"insecure": true}}`, id, admin, link, list, store))
+	if err != nil {
+		return "", err
+	}
+	source := platform.NewStore(s.Discovery.URL)
+	srv, err := server.Start(server.Config{
+		Settings: s, Log: r.opts.Log.Named(id), Source: source, Relays: source, Policy: platform.Policy(s.Retries),
+	})
+	if err != nil {
+		return "", err
+	}
+	r.closers = append(r.closers, srv.Kill)
+	f.targets = append(f.targets, "http://"+srv.Addr())
+	f.admins = append(f.admins, admin)
+	return link, nil
+}
+
+// waitReady waits until all balancers of the fleet are ready, and one of them follows the
+// store for the others: until then, a second after a fleet's start, they tell each other
+// nothing.
+func (f *crashFleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for !f.isReady() {
+		if !wait(ctx, sampleEvery/4) {
+			return errors.New("demo: the balancers on the platform did not become ready")
+		}
+	}
+	return nil
+}
+
+// isReady asks the balancers whether they are ready, and whom they follow.
+func (f *crashFleet) isReady() bool {
+	store, others := 0, 0
+	for _, admin := range f.admins {
+		resp, err := http.Get("http://" + admin + "/status")
+		if err != nil {
+			return false
+		}
+		var st server.DirectStatus
+		err = json.NewDecoder(resp.Body).Decode(&st)
+		_ = resp.Body.Close() // it was read to its end
+		switch {
+		case err != nil || !st.Ready || st.Copy.Following == "":
+			return false
+		case st.Copy.Following == relay.FollowsStore:
+			store++
+		default:
+			others++
+		}
+	}
+	return store == 1 && others == len(f.admins)-1
+}
+
+// callers send the crashing request and sound ones for a while.
+func (f *crashFleet) callers(ctx context.Context, span time.Duration) []Row {
+	plans := []load.Plan{
+		{Name: "sound", Path: soundPath, Rate: soundRate, Check: f.noteSound},
+		{Name: "crashing", Path: crashPath, Rate: crashRate},
+	}
+	rows := make([]Row, len(plans))
+	var all sync.WaitGroup
+	for i, p := range plans {
+		p.Targets, p.Host, p.Method, p.For = f.targets, crashHost, http.MethodGet, span
+		all.Go(func() {
+			report, err := load.Run(ctx, p)
+			if err != nil {
+				panic(fmt.Sprintf("demo: unreachable: %v", err))
+			}
+			rows[i] = Row{Tenant: crashTenant, Kind: p.Name, Load: report}
+		})
+	}
+	all.Wait()
+	return rows
+}
+
+// noteSound counts sound requests that were refused for what others did.
+func (f *crashFleet) noteSound(_ string, a load.Answer) {
+	if a.Reason != quarantined {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused++
+}
+
+// violations compares what was seen with the promises.
+func (f *crashFleet) violations() (found []audit.Violation) {
+	ended := 0
+	for _, p := range f.processes {
+		for _, end := range p.Ends() {
+			if strings.Contains(end.Path, crashPath) {
+				ended++
+			}
+		}
+	}
+	if ended > mostEnded {
+		found = append(found, audit.Violation{Rule: audit.CrashesEnd, What: fmt.Sprintf("%d endpoints ended under one request", ended)})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refused > 0 {
+		found = append(found, audit.Violation{Rule: audit.CrashesEnd, What: fmt.Sprintf("%d sound requests were refused for it", f.refused)})
+	}
+	return found
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -1,9 +1,10 @@
 // Package demo runs the whole product in one process: the store, the list of
 // VMs, both tenants' endpoints at today's sizes, three balancers and callers,
 // with an endpoint that drains, one that turns slow and a change of
-// configuration while it runs. It checks every promise that it can see.
+// configuration while it runs, and beside them balancers on the platform with a request that
+// crashes endpoints. It checks every promise that it can see.
 //
-// It owns all that it starts: start.go the parts, disturb.go what happens to them,
+// It owns all that it starts: start.go the parts, crash.go the balancers on the platform, disturb.go what happens to them,
 // report.go what is checked.
 //
 // # Usage
@@ -100,6 +101,10 @@
 	if err := r.start(ctx); err != nil {
 		return nil, err
 	}
+	fleet, err := r.startCrashFleet(ctx)
+	if err != nil {
+		return nil, err
+	}
 	if opts.For > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, opts.For)
@@ -108,12 +113,24 @@
 	var background sync.WaitGroup
 	background.Go(func() { r.sample(ctx) })
 	background.Go(func() { r.disturb(ctx) })
+	var crashing []Row
+	background.Go(func() { crashing = fleet.callers(until(ctx, opts.For == 0), r.span()) })
 	report := &Report{Rows: r.callers(ctx)}
 	background.Wait()
 	r.finish(report)
+	report.Rows = append(report.Rows, crashing...)
+	report.Violations = append(report.Violations, fleet.violations()...)
 	return report, nil
 }
 
+// span returns for how long callers come.
+func (r *run) span() time.Duration {
+	if r.opts.For == 0 {
+		return 365 * 24 * time.Hour
+	}
+	return r.opts.For
+}
+
 // callers make the traffic until ctx ends.
 func (r *run) callers(ctx context.Context) []Row {
 	rows := make([]Row, len(traffic))
@@ -121,10 +138,7 @@
 	for _, b := range r.balancers {
 		targets = append(targets, "http://"+b.Addr())
 	}
-	span := r.opts.For
-	if span == 0 {
-		span = 365 * 24 * time.Hour
-	}
+	span := r.span()
 	var wg sync.WaitGroup
 	for i, t := range traffic {
 		wg.Go(func() {
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -16,8 +16,11 @@
 	report, err := demo.Run(context.Background(), demo.Options{For: 2 * time.Second, Log: hclog.NewNullLogger()})
 	assert.NilError(t, err)
 	assert.Equal(t, len(report.Violations), 0, "%v", report.Violations)
-	assert.Equal(t, len(report.Rows), 6)
-	for _, row := range report.Rows {
+	assert.Equal(t, len(report.Rows), 8)
+	crashing := report.Rows[7]
+	assert.Equal(t, crashing.Kind, "crashing")
+	assert.Assert(t, crashing.Load.Calls > 0 && crashing.Load.Ran == 0)
+	for _, row := range report.Rows[:7] {
 		assert.Assert(t, row.Load.Ran > 0, "%s %s", row.Tenant, row.Kind)
 	}
 }
--- a/quarantine/admit.go
+++ b/quarantine/admit.go
@@ -79,7 +79,7 @@
 func (k *Keeper) look(p crash.Prints, now time.Time) (crash.Fingerprint, crash.Case, time.Time, <-chan struct{}) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	exact, wide := k.files[p.Exact], k.files[p.Wide]
+	exact, wide := k.entries[p.Exact], k.entries[p.Wide]
 	switch {
 	case exact == nil && wide == nil:
 		return p.Exact, crash.Case{}, time.Time{}, k.changed
@@ -94,7 +94,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, f := range []crash.Fingerprint{p.Exact, p.Wide} {
-		if known := k.files[f]; known != nil && known.is.Suspected() {
+		if known := k.entries[f]; known != nil && known.is.Suspected() {
 			return true
 		}
 	}
@@ -137,7 +137,7 @@
 func (k *Keeper) noteTrial(f crash.Fingerprint, until time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if known := k.files[f]; known != nil && !known.trying {
+	if known := k.entries[f]; known != nil && !known.trying {
 		known.trial = until
 	}
 }
@@ -147,7 +147,7 @@
 func (k *Keeper) beginTrial(f crash.Fingerprint, lease uint64, until, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	known := k.files[f]
+	known := k.entries[f]
 	if known == nil || now.Before(known.trial) {
 		return false
 	}
@@ -170,7 +170,7 @@
 	defer k.mu.Unlock()
 	over := false
 	for _, f := range []crash.Fingerprint{r.Prints.Exact, r.Prints.Wide} {
-		known := k.files[f]
+		known := k.entries[f]
 		if known == nil || !known.trying {
 			continue
 		}
@@ -195,12 +195,12 @@
 // noteOver notes that nobody tries a request any more.
 func (k *Keeper) noteOver(p crash.Prints) {
 	for _, f := range []crash.Fingerprint{p.Exact, p.Wide} {
-		k.changeIf(f, k.opts.Now(), (*file).endTrial)
+		k.changeIf(f, k.opts.Now(), (*entry).endTrial)
 	}
 }
 
 // endTrial notes that nobody tries the request, but for this balancer if it does.
-func (known *file) endTrial() {
+func (known *entry) endTrial() {
 	if !known.trying {
 		known.trial = time.Time{}
 	}
--- a/quarantine/notes.go
+++ b/quarantine/notes.go
@@ -92,8 +92,8 @@
 	case noteOver:
 		k.noteOver(said.prints())
 	case noteRelease:
-		k.changeIf(said.Exact, now, func(known *file) { known.is = known.is.WithRelease(at) })
+		k.changeIf(said.Exact, now, func(known *entry) { known.is = known.is.WithRelease(at) })
 	case noteOrder:
-		k.change(said.Exact, crash.Case{}, now, func(known *file) { known.is = known.is.WithOrder(at) })
+		k.change(said.Exact, crash.Case{}, now, func(known *entry) { known.is = known.is.WithOrder(at) })
 	}
 }
--- a/quarantine/operate.go
+++ b/quarantine/operate.go
@@ -41,9 +41,9 @@
 	now := k.opts.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	list := make([]Status, 0, len(k.files))
+	list := make([]Status, 0, len(k.entries))
 	last := map[crash.Fingerprint]time.Time{}
-	for f, known := range k.files {
+	for f, known := range k.entries {
 		d := known.is.Decide(now)
 		if !known.is.Suspected() && !known.is.Ordered() || known.is.Wide() && d.Do == crash.Send {
 			continue
@@ -73,7 +73,7 @@
 		return ErrInvalid
 	}
 	now := k.opts.Now()
-	if !k.changeIf(f, now, func(known *file) { known.is = known.is.WithRelease(now) }) {
+	if !k.changeIf(f, now, func(known *entry) { known.is = known.is.WithRelease(now) }) {
 		return ErrUnknown
 	}
 	k.cfg.Log.Info("released by an operator", "fingerprint", string(f))
@@ -87,7 +87,7 @@
 		return ErrInvalid
 	}
 	now := k.opts.Now()
-	k.change(f, crash.Case{}, now, func(known *file) { known.is = known.is.WithOrder(now) })
+	k.change(f, crash.Case{}, now, func(known *entry) { known.is = known.is.WithOrder(now) })
 	k.cfg.Log.Info("refused by an operator", "fingerprint", string(f))
 	k.tell(note{What: noteOrder, Exact: f})
 	return k.decree(ctx, f, stateOrdered)
@@ -124,7 +124,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	said := Record{State: state, By: k.cfg.ID}
-	known := k.files[f]
+	known := k.entries[f]
 	if known == nil {
 		return said, 0, k.changed
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -114,14 +114,14 @@
 	gauge  metrics.Gauge
 
 	mu      sync.Mutex
-	files   map[crash.Fingerprint]*file
+	entries map[crash.Fingerprint]*entry
 	watched int           // endpoints that are watched for their end
 	changed chan struct{} // closed and replaced when a case has changed
 	live    context.Context
 }
 
-// file is what is kept of one request. It is changed with Keeper.mu held.
-type file struct {
+// entry is what is kept of one request. It is changed with Keeper.mu held.
+type entry struct {
 	is       crash.Case
 	service  string // to which the request was sent
 	kind     string
@@ -137,17 +137,17 @@
 	told     bool       // an end was seen here or told by a note, not read in a record alone
 }
 
-// mostFiles bounds the cases that are kept: of 4,096 with 16 ends of 100 bytes each, less
+// mostCases bounds the cases that are kept: of 4,096 with 16 ends of 100 bytes each, less
 // than 7 MB. mostOfService leaves room for those of other services.
 const (
-	mostFiles     = 4096
+	mostCases     = 4096
 	mostOfService = 1024
 )
 
 // New returns a keeper that knows nothing.
 func New(cfg Config) *Keeper {
 	return &Keeper{
-		cfg: cfg, opts: cfg.Options.withDefaults(), files: map[crash.Fingerprint]*file{}, changed: make(chan struct{}), live: context.Background(),
+		cfg: cfg, opts: cfg.Options.withDefaults(), entries: map[crash.Fingerprint]*entry{}, changed: make(chan struct{}), live: context.Background(),
 		ends:   metrics.GetOrRegisterCounter("quarantine_ends", cfg.Metrics),
 		trials: metrics.GetOrRegisterCounter("quarantine_trials", cfg.Metrics),
 		denied: metrics.GetOrRegisterCounter("quarantine_refusals", cfg.Metrics),
@@ -174,20 +174,20 @@
 
 // change applies a change to a case, which begins with it where there is none, and says in
 // the log what becomes of the request from now on.
-func (k *Keeper) change(f crash.Fingerprint, begin crash.Case, now time.Time, apply func(*file)) {
+func (k *Keeper) change(f crash.Fingerprint, begin crash.Case, now time.Time, apply func(*entry)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.files[f] == nil {
-		k.files[f] = &file{is: begin}
+	if k.entries[f] == nil {
+		k.entries[f] = &entry{is: begin}
 	}
 	k.changeKnown(f, now, apply)
 }
 
 // changeIf is change for cases that are known alone. It reports whether this one is.
-func (k *Keeper) changeIf(f crash.Fingerprint, now time.Time, apply func(*file)) bool {
+func (k *Keeper) changeIf(f crash.Fingerprint, now time.Time, apply func(*entry)) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.files[f] == nil {
+	if k.entries[f] == nil {
 		return false
 	}
 	k.changeKnown(f, now, apply)
@@ -195,17 +195,17 @@
 }
 
 // changeBoth is change for the two cases of a request.
-func (k *Keeper) changeBoth(p crash.Prints, now time.Time, apply func(*file)) {
+func (k *Keeper) changeBoth(p crash.Prints, now time.Time, apply func(*entry)) {
 	k.change(p.Exact, crash.Case{}, now, apply)
 	k.change(p.Wide, crash.NewWide(), now, apply)
 }
 
 // changeKnown applies a change to a case that is known; k.mu is held.
-func (k *Keeper) changeKnown(f crash.Fingerprint, now time.Time, apply func(*file)) {
-	known := k.files[f]
+func (k *Keeper) changeKnown(f crash.Fingerprint, now time.Time, apply func(*entry)) {
+	known := k.entries[f]
 	apply(known)
 	if known.is.Forgotten(now) {
-		delete(k.files, f)
+		delete(k.entries, f)
 	}
 	k.trim(known.service, now)
 	k.noteStep(f, known, now)
@@ -213,7 +213,7 @@
 }
 
 // noteStep says in the log that a request is treated in another way; k.mu is held.
-func (k *Keeper) noteStep(f crash.Fingerprint, known *file, now time.Time) {
+func (k *Keeper) noteStep(f crash.Fingerprint, known *entry, now time.Time) {
 	d := known.is.Decide(now)
 	if d.Do != crash.Refuse {
 		known.since = time.Time{}
@@ -230,8 +230,8 @@
 
 // noteChange wakes those that wait for a change; k.mu is held.
 func (k *Keeper) noteChange() {
-	k.known.Store(int64(len(k.files)))
-	k.gauge.Update(int64(len(k.files)))
+	k.known.Store(int64(len(k.entries)))
+	k.gauge.Update(int64(len(k.entries)))
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
@@ -240,32 +240,32 @@
 // refused, and of these the one that changed longest ago. k.mu is held.
 func (k *Keeper) trim(service string, now time.Time) {
 	of := 0
-	for _, known := range k.files {
+	for _, known := range k.entries {
 		if known.service == service {
 			of++
 		}
 	}
 	if of > mostOfService {
-		k.drop(func(known *file) bool { return known.service == service }, now)
+		k.drop(func(known *entry) bool { return known.service == service }, now)
 	}
-	if len(k.files) > mostFiles {
-		k.drop(func(*file) bool { return true }, now)
+	if len(k.entries) > mostCases {
+		k.drop(func(*entry) bool { return true }, now)
 	}
 }
 
 // drop drops the least one of some cases; k.mu is held.
-func (k *Keeper) drop(some func(*file) bool, now time.Time) {
+func (k *Keeper) drop(some func(*entry) bool, now time.Time) {
 	var least crash.Fingerprint
-	for f, known := range k.files {
-		if some(known) && (least == "" || known.before(k.files[least], now)) {
+	for f, known := range k.entries {
+		if some(known) && (least == "" || known.before(k.entries[least], now)) {
 			least = f
 		}
 	}
-	delete(k.files, least)
+	delete(k.entries, least)
 }
 
 // before reports whether a case may be dropped rather than another one.
-func (known *file) before(o *file, now time.Time) bool {
+func (known *entry) before(o *entry, now time.Time) bool {
 	refused, other := known.is.Decide(now).Do == crash.Refuse, o.is.Decide(now).Do == crash.Refuse
 	if refused != other {
 		return other
@@ -277,10 +277,10 @@
 func (k *Keeper) forget(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for f, known := range k.files {
+	for f, known := range k.entries {
 		k.noteStep(f, known, now)
 		if known.is.Forgotten(now) {
-			delete(k.files, f)
+			delete(k.entries, f)
 		}
 	}
 	k.noteChange()
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -86,7 +86,7 @@
 	if said.Wide {
 		begin = crash.NewWide()
 	}
-	k.change(f, begin, now, func(known *file) {
+	k.change(f, begin, now, func(known *entry) {
 		if r.Revision <= known.seen {
 			return
 		}
@@ -124,7 +124,7 @@
 
 // recordGone notes that the record of a request ended.
 func (k *Keeper) recordGone(f crash.Fingerprint, revision uint64) {
-	k.changeIf(f, k.opts.Now(), func(known *file) {
+	k.changeIf(f, k.opts.Now(), func(known *entry) {
 		if revision > known.revision {
 			known.revision = 0
 		}
@@ -141,7 +141,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for f, known := range k.files {
+	for f, known := range k.entries {
 		if !named[f] && known.revision <= c.At {
 			known.revision = 0
 		}
@@ -157,7 +157,7 @@
 	}
 	k.mu.Lock()
 	var missing []crash.Fingerprint
-	for f, known := range k.files {
+	for f, known := range k.entries {
 		if known.told && !known.since.IsZero() && now.Sub(known.since) > k.opts.RecordAfter && !known.stands() {
 			missing = append(missing, f)
 		}
@@ -174,7 +174,7 @@
 	now := k.opts.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	known := k.files[f]
+	known := k.entries[f]
 	if known == nil || known.writing || known.is.Decide(now).Do != crash.Refuse {
 		return
 	}
@@ -201,7 +201,7 @@
 	pause.For(ctx, k.opts.RecordAfter)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if known := k.files[f]; known != nil {
+	if known := k.entries[f]; known != nil {
 		known.writing = false
 	}
 }
@@ -212,7 +212,7 @@
 func (k *Keeper) refused(f crash.Fingerprint) (Record, uint64, time.Duration, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	known := k.files[f]
+	known := k.entries[f]
 	if known == nil {
 		return Record{}, 0, 0, false
 	}
@@ -226,10 +226,10 @@
 }
 
 // stands reports whether the store holds the refusal of the request.
-func (known *file) stands() bool { return known.revision != 0 && known.recorded != stateReleased }
+func (known *entry) stands() bool { return known.revision != 0 && known.recorded != stateReleased }
 
 // record returns the record of a request that is refused.
-func (known *file) record(by string) Record {
+func (known *entry) record(by string) Record {
 	said := Record{State: stateRefused, Service: known.service, Kind: known.kind, Wide: known.is.Wide(), By: by}
 	if known.is.Ordered() {
 		said.State = stateOrdered
@@ -262,7 +262,7 @@
 func (k *Keeper) withdraw(f crash.Fingerprint) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	known := k.files[f]
+	known := k.entries[f]
 	if known == nil || !known.stands() || known.is.Ordered() {
 		return
 	}
--- a/quarantine/verify.go
+++ b/quarantine/verify.go
@@ -142,7 +142,7 @@
 
 // noteEnd adds an end to the cases of a request.
 func (k *Keeper) noteEnd(p crash.Prints, service, kind string, e crash.End, now time.Time) {
-	k.changeBoth(p, now, func(known *file) {
+	k.changeBoth(p, now, func(known *entry) {
 		known.service, known.kind, known.told = service, kind, true
 		known.is = known.is.WithEnd(e)
 		if e.Trial {
@@ -169,7 +169,7 @@
 
 // noteRun notes that a request was run to an end.
 func (k *Keeper) noteRun(p crash.Prints, at time.Time) {
-	k.changeBoth(p, k.opts.Now(), func(known *file) {
+	k.changeBoth(p, k.opts.Now(), func(known *entry) {
 		known.is = known.is.WithRun(at)
 		known.endTrial()
 	})
--- a/relay/status.go
+++ b/relay/status.go
@@ -11,8 +11,8 @@
 	Age        time.Duration // since what is in force was known to be the store's present state
 }
 
-// followsStore stands in Status for the store.
-const followsStore = "store"
+// FollowsStore stands in Status for the store.
+const FollowsStore = "store"
 
 // Status returns the status at now.
 func (g *Group) Status(now time.Time) Status {
@@ -21,7 +21,7 @@
 	st := Status{FirstFrom: g.first.From, FirstAfter: g.first.After, Following: g.relayed.ID}
 	confirmed := g.confirmed
 	if g.follower.Active() {
-		st.Following = followsStore
+		st.Following = FollowsStore
 		if answered := g.follower.Answered(); answered.After(confirmed) {
 			confirmed = answered
 		}
