The demo says what it shows and how to end it, and shows a table meanwhile

Cause: a newcomer's first command printed six warnings and three errors of the parts, which nobody there can act on, then nothing until Ctrl-C.

Ruled out: leaving the log at level error: the three errors are the demo's own doing (an entry of another writer, stopped stand-ins).

Measured: golden file of the table (TestProgressText), one table takes the place of the last one on a terminal only (TestScreenReplacesTable).

--- a/command/command.go
+++ b/command/command.go
@@ -61,6 +61,9 @@
 	return telemetry.Logger(name, e.Level, e.Err)
 }
 
+// DefaultLevel is the level of the log unless another one is asked for.
+const DefaultLevel = "info"
+
 // entry is one command with what runs it.
 type entry struct {
 	clause *kingpin.CmdClause
@@ -78,7 +81,7 @@
 func NewApp(name, help string, out, errOut io.Writer) *App {
 	a := &App{kingpin: kingpin.New(name, help), Env: &Env{Out: out, Err: errOut}}
 	a.kingpin.UsageWriter(errOut).ErrorWriter(errOut)
-	a.kingpin.Flag("log-level", "trace, debug, info, warn or error").Default("info").StringVar(&a.Env.Level)
+	a.kingpin.Flag("log-level", "trace, debug, info, warn or error").Default(DefaultLevel).StringVar(&a.Env.Level)
 	a.kingpin.Flag("format", "form of tables: table or json").Default("table").EnumVar(&a.Env.Format, "table", "json")
 	a.Add("version", "Print version, commit and Go version.", func(*kingpin.CmdClause) func() error {
 		return func() error {
--- a/demo/crash.go
+++ b/demo/crash.go
@@ -31,6 +31,8 @@
 	crashHost      = "fragile.example"
 	crashPath      = "/fragile/crash"
 	soundPath      = "/fragile/sound"
+	crashKind      = "crashing"
+	soundKind      = "sound"
 	crashEndpoints = 8
 	crashBalancers = 3
 	crashRate      = 10 // requests a second
@@ -167,10 +169,18 @@
 }
 
 // callers send the crashing request and sound ones for a while.
-func (f *crashFleet) callers(ctx context.Context, span time.Duration) []Row {
+func (f *crashFleet) callers(ctx context.Context, span time.Duration, shown *progress) []Row {
+	check := func(kind string) func(string, load.Answer) {
+		return func(key string, a load.Answer) {
+			shown.answered(crashTenant, kind, a)
+			if kind == soundKind {
+				f.noteSound(key, a)
+			}
+		}
+	}
 	plans := []load.Plan{
-		{Name: "sound", Path: soundPath, Rate: soundRate, Check: f.noteSound},
-		{Name: "crashing", Path: crashPath, Rate: crashRate},
+		{Name: soundKind, Path: soundPath, Rate: soundRate, Check: check(soundKind)},
+		{Name: crashKind, Path: crashPath, Rate: crashRate, Check: check(crashKind)},
 	}
 	rows := make([]Row, len(plans))
 	var all sync.WaitGroup
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -5,7 +5,7 @@
 // crashes endpoints. It checks every promise that it can see.
 //
 // It owns all that it starts: start.go the parts, crash.go the balancers on the platform, disturb.go what happens to them,
-// report.go what is checked.
+// report.go what is checked, progress.go what is shown meanwhile.
 //
 // # Usage
 //
@@ -41,6 +41,9 @@
 type Options struct {
 	For time.Duration // 0 to run until ctx ends
 	Log hclog.Logger
+	// Show is called with what callers have been told so far, each ShowEvery; nil for never.
+	Show      func(Progress)
+	ShowEvery time.Duration
 }
 
 // pools are the endpoints of today, as the brief gives them.
@@ -83,6 +86,7 @@
 	balancers []*server.Server
 	closers   []func()
 	started   time.Time
+	progress  progress
 
 	mu       sync.Mutex
 	told     []audit.Told
@@ -111,10 +115,11 @@
 		defer cancel()
 	}
 	var background sync.WaitGroup
+	background.Go(func() { r.report(ctx) })
 	background.Go(func() { r.sample(ctx) })
 	background.Go(func() { r.disturb(ctx) })
 	var crashing []Row
-	background.Go(func() { crashing = fleet.callers(until(ctx, opts.For == 0), r.span()) })
+	background.Go(func() { crashing = fleet.callers(until(ctx, opts.For == 0), r.span(), &r.progress) })
 	report := &Report{Rows: r.callers(ctx)}
 	background.Wait()
 	r.finish(report)
@@ -154,7 +159,10 @@
 				Pipeline: pipeline,
 				Targets:  targets, Host: t.host, Method: t.method, Path: t.path, Body: body,
 				Rate: t.rate, For: span, Name: t.kind,
-				Check: func(key string, a load.Answer) { r.note(key, t.once, t.path, body, a) },
+				Check: func(key string, a load.Answer) {
+					r.progress.answered(t.tenant, t.kind, a)
+					r.note(key, t.once, t.path, body, a)
+				},
 			}
 			// The plan ends with its time, not with ctx, so that the last
 			// answers arrive; an interrupt ends it early.
--- a/demo/disturb.go
+++ b/demo/disturb.go
@@ -46,6 +46,7 @@
 		return
 	}
 	r.endpoints["archives-3"].Set(standin.Behavior{Slowness: 10})
+	r.progress.happened("endpoint archives-3 turns ten times as slow; petitions-1 and record-query-1 leave")
 	for _, id := range []string{"petitions-1", "record-query-1"} {
 		r.endpoints[id].Set(standin.Behavior{Draining: true})
 		r.mu.Lock()
@@ -60,6 +61,7 @@
 			r.opts.Log.Error("change not applied", "error", err)
 		}
 	}
+	r.progress.happened("the configuration of both tenants is written anew")
 }
 
 func wait(ctx context.Context, d time.Duration) bool {
