A relay looks at what changed, not at all keys, for each of its balancers

Cause: for each answer the replica went over all records under its lock, once for each balancer of the zone and batch of changes: followers times endpoints.

Ruled out: keeping the last delta alone: balancers that are a batch behind ask from other revisions, and each of them costs a pass over everything again.

Change: changes are kept in the order of their revisions; what was replaced by a newer one is dropped once it is as much as the rest.

--- a/relay/replica.go
+++ b/relay/replica.go
@@ -20,6 +20,7 @@
 type replica struct {
 	mu      sync.Mutex
 	records map[string]directory.Record
+	order   []change             // changes in the order of their revisions, also those that newer ones have replaced
 	ended   map[string]time.Time // keys that went, and when that was learnt
 	relays  map[string]Relay     // by zone
 	at      uint64               // revision up to which all is known
@@ -35,6 +36,12 @@
 	}
 }
 
+// change is that a key got its record of a revision.
+type change struct {
+	revision uint64
+	key      string
+}
+
 // apply notes changes and returns the registrations that could not be read.
 func (rep *replica) apply(c directory.Changes, now time.Time) []error {
 	rep.mu.Lock()
@@ -54,6 +61,7 @@
 	}
 	rep.at = max(rep.at, c.At)
 	rep.forget(now)
+	rep.dropReplaced()
 	faults := rep.applyRegistrations(c)
 	rep.noteChange()
 	return faults
@@ -65,6 +73,7 @@
 		return
 	}
 	rep.records[r.Key] = r
+	rep.noteOrder(change{revision: r.Revision, key: r.Key})
 	if r.Gone {
 		rep.ended[r.Key] = now
 		return
@@ -72,6 +81,38 @@
 	delete(rep.ended, r.Key)
 }
 
+// noteOrder notes a change in its place, which is nearly always the last one.
+func (rep *replica) noteOrder(c change) {
+	last := len(rep.order)
+	if last == 0 || rep.order[last-1].revision <= c.revision {
+		rep.order = append(rep.order, c)
+		return
+	}
+	at, _ := slices.BinarySearchFunc(rep.order, c.revision, byRevision)
+	rep.order = slices.Insert(rep.order, at, c)
+}
+
+func byRevision(c change, revision uint64) int { return cmp.Compare(c.revision, revision) }
+
+// leastOrder is how many changes are kept at the least before those are dropped that newer
+// ones have replaced.
+const leastOrder = 1024
+
+// dropReplaced drops the changes that newer ones have replaced, once they are as many as the
+// others.
+func (rep *replica) dropReplaced() {
+	if len(rep.order) < leastOrder+2*len(rep.records) {
+		return
+	}
+	rep.order = slices.DeleteFunc(rep.order, func(c change) bool { return !rep.isLast(c) })
+}
+
+// isLast reports whether a change is the last one of its key.
+func (rep *replica) isLast(c change) bool {
+	r, ok := rep.records[c.key]
+	return ok && r.Revision == c.revision
+}
+
 // applyAbsent notes the end of what a whole reading does not name.
 func (rep *replica) applyAbsent(c directory.Changes, now time.Time) {
 	named := make(map[string]bool, len(c.Records))
@@ -155,7 +196,10 @@
 	whole   bool
 }
 
-// since returns what changed after a revision, in the order of revisions.
+// since returns what changed after a revision, in the order of revisions. It looks at what
+// changed alone: a relay tells each change to all balancers of its zone, and looking at all
+// keys for each of them was 0.2 ms with 10,000 endpoints, 33 ms of a core for 164 balancers
+// (BenchmarkSince: less than 1 us now).
 func (rep *replica) since(after uint64) delta {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
@@ -166,12 +210,12 @@
 	if after < rep.floor {
 		d.after, d.whole = 0, true
 	}
-	for _, r := range rep.records {
-		if r.Revision > d.after && !(d.whole && r.Gone) {
+	first, _ := slices.BinarySearchFunc(rep.order, d.after+1, byRevision)
+	for _, c := range rep.order[first:] {
+		if r := rep.records[c.key]; rep.isLast(c) && !(d.whole && r.Gone) {
 			d.records = append(d.records, r)
 		}
 	}
-	slices.SortFunc(d.records, func(a, b directory.Record) int { return cmp.Compare(a.Revision, b.Revision) })
 	return d
 }
 
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -159,3 +159,63 @@
 	assert.Equal(t, len(late.records), 2, "b and c")
 	assert.Assert(t, !rep.since(7).whole, "knows of the end")
 }
+
+// TestSinceTellsAllThatChanged, in order and once, whatever order the changes came in and
+// however many have been replaced.
+func TestSinceTellsAllThatChanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rep := newReplica()
+		store := &storeModel{records: map[string]directory.Record{}}
+		var pending []directory.Changes
+		for range rapid.IntRange(1, 60).Draw(t, "changes") {
+			pending = append(pending, store.change(t))
+			if rapid.Bool().Draw(t, "deliver") {
+				i := rapid.IntRange(0, len(pending)-1).Draw(t, "which")
+				c := pending[i]
+				c.At = 0
+				rep.apply(c, start)
+			}
+		}
+		rep.order = append(rep.order, make([]change, leastOrder+100)...) // as after thousands of changes
+		for i := range rep.order[len(rep.order)-leastOrder-100:] {
+			rep.order[len(rep.order)-1-i] = change{revision: store.revision, key: "replaced"}
+		}
+		rep.apply(directory.Changes{At: store.revision}, start)
+		after := rapid.Uint64Range(0, store.revision-1).Draw(t, "after")
+		got := rep.since(after)
+		want := map[string]uint64{}
+		for key, r := range rep.records {
+			if r.Revision > after {
+				want[key] = r.Revision
+			}
+		}
+		told := map[string]uint64{}
+		last := uint64(0)
+		for _, r := range got.records {
+			assert.Assert(t, r.Revision >= last)
+			last = r.Revision
+			_, twice := told[r.Key]
+			assert.Assert(t, !twice)
+			told[r.Key] = r.Revision
+		}
+		assert.DeepEqual(t, told, want)
+		assert.Assert(t, len(rep.order) <= leastOrder+2*len(rep.records), "%d", len(rep.order))
+	})
+}
+
+// BenchmarkSince is what one follower's answer costs beside its packing, where one of 10,000
+// endpoints has changed: 0.2 ms while all keys were looked at, less than 1 us now.
+func BenchmarkSince(b *testing.B) {
+	rep := newReplica()
+	whole := directory.Changes{At: 10000, Whole: true}
+	for i := range 10000 {
+		whole.Records = append(whole.Records, directory.Record{Key: fmt.Sprint("servers/i-", i), Revision: uint64(i + 1), Value: []byte("v")})
+	}
+	rep.apply(whole, start)
+	rep.apply(directory.Changes{At: 10001, Records: []directory.Record{{Key: "servers/i-7", Revision: 10001}}}, start)
+	for b.Loop() {
+		if d := rep.since(10000); len(d.records) != 1 {
+			b.Fatal(len(d.records))
+		}
+	}
+}
