Quotas of the whole fleet without agreement: counts that relays sum, and accounts

Cause: nothing bounded what a team sends through all balancers together.

Ways weighed: (a) a share each, moved by demand: what one balancer does not use is refused at another until the shares have moved; (b) an owner of each team that lends tokens in batches: a balancer that is cut off has nothing, and one that holds a batch spends it late; (c) counts that relays sum, with everybody going on from the last sum: built. Cut-off balancers keep to the part that was theirs, and the relays count on for those that they do not hear of.

--- /dev/null
+++ b/coord/quota/book.go
@@ -0,0 +1,309 @@
+package quota
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/tally"
+)
+
+// teamPrefix begins the keys under which the requests of teams are counted; the team's name
+// follows.
+const teamPrefix = "team/"
+
+// Answer is what a relay says to a report. Package gob sends the names of the fields.
+type Answer struct {
+	Taken bool          // the one that was asked is a relay, and counts what it was told
+	Words []Word        // on the teams that the report named
+	Pause time.Duration // between two reports of the asker, at the least
+}
+
+// Book has the accounts of all teams of one balancer, with what it and, at a relay, others
+// have counted.
+type Book struct {
+	from     string
+	zone     string
+	life     uint64
+	counter  *tally.Counter
+	ledger   *tally.Ledger
+	relay    bool
+	accounts map[string]Account
+	limits   map[string]Limit // as of the last request
+	pause    time.Duration    // as told by the relay
+}
+
+// NewBook returns the book of one life of a balancer, which a random number tells from
+// others of the same address.
+func NewBook(from, zone string, life uint64) *Book {
+	return &Book{
+		from: from, zone: zone, life: life, counter: tally.NewCounter(from, zone, life), ledger: tally.NewLedger(from, zone, life),
+		accounts: map[string]Account{}, limits: map[string]Limit{},
+	}
+}
+
+// Take takes one request out of a team's quota, or says when there may be room.
+func (b *Book) Take(team string, l Limit, now time.Time) (ok bool, retryAfter time.Duration) {
+	if l.Unlimited() {
+		return true, 0
+	}
+	a := b.account(team, l, now)
+	a, ok = a.WithTake(l, now)
+	b.accounts[team] = a
+	if !ok {
+		return false, a.RetryAfter(l, rand.Float64())
+	}
+	b.counter.Add(teamPrefix+team, 1, now)
+	if b.presses(a, l, now) {
+		b.counter.Urge()
+	}
+	return true, 0
+}
+
+// Return puts a request back that was not sent.
+func (b *Book) Return(team string, now time.Time) {
+	a, ok := b.accounts[team]
+	if !ok {
+		return // it had no quota
+	}
+	b.accounts[team] = a.WithTaken(-1)
+	b.counter.Add(teamPrefix+team, -1, now)
+}
+
+// Add counts something that has no quota.
+func (b *Book) Add(key string, n int64, now time.Time) { b.counter.Add(key, n, now) }
+
+// Sum returns what the fleet has counted under a key, as far as this relay knows.
+func (b *Book) Sum(key string) int64 { return b.ledger.Sum(key) }
+
+// Sums returns what the fleet has counted under all keys that begin with a prefix, by what
+// follows it, as far as this relay knows.
+func (b *Book) Sums(prefix string) map[string]int64 { return b.ledger.Sums(prefix) }
+
+// account returns a team's account under a limit that is in force.
+func (b *Book) account(team string, l Limit, now time.Time) Account {
+	b.limits[team] = l
+	a, ok := b.accounts[team]
+	if !ok {
+		a = NewAccount(l, now)
+	}
+	if b.relay && !a.heard {
+		a = a.AsRelay(l, 0, now)
+	}
+	return a
+}
+
+// presses reports whether the relay should hear soon of requests of a team: while nothing
+// was heard of it, and while its bucket is no longer nearly full.
+func (b *Book) presses(a Account, l Limit, now time.Time) bool {
+	return a.silent(now) || a.tokens < calmFill*l.Burst
+}
+
+const (
+	// calmFill is how full a bucket is, as a part, for balancers to report seldom.
+	calmFill = 0.8
+	// calmPause and urgentPause are between two reports. A team that begins to send four
+	// times its rate takes a burst of one second's rate within 0.3 s, so that all report
+	// often before it is used up: 1.1 times the quota in the worst window of the simulated
+	// fleets (TestFleetKeepsQuota).
+	calmPause   = 250 * time.Millisecond
+	urgentPause = 100 * time.Millisecond
+	// callsPerSecond is how many reports a relay takes, of 0.1 ms of its processor each.
+	callsPerSecond = 1000
+)
+
+// pauses returns the pauses between two reports of this balancer.
+func (b *Book) pauses() tally.Pauses {
+	return tally.Pauses{Calm: max(calmPause, b.pause), Urgent: max(urgentPause, b.pause)}
+}
+
+// Due returns when the next report is due; ok is false while there is nothing to tell.
+func (b *Book) Due(now time.Time) (at time.Time, ok bool) {
+	if !b.relay {
+		return b.counter.Due(b.pauses(), now)
+	}
+	own, anyOwn := b.counter.Due(b.pauses(), now)
+	zone, anyZone := b.ledger.ZoneDue(tally.Pauses{Calm: calmPause, Urgent: urgentPause}, now)
+	switch {
+	case !anyOwn:
+		return zone, anyZone
+	case anyZone && zone.Before(own):
+		return zone, true
+	}
+	return own, true
+}
+
+// SetRelay says whether this balancer is a relay.
+func (b *Book) SetRelay(relay bool, now time.Time) {
+	if relay == b.relay {
+		return
+	}
+	b.relay = relay
+	b.life++ // what others have told meanwhile was told to others
+	b.ledger = tally.NewLedger(b.from, b.zone, b.life)
+	for team, a := range b.accounts {
+		if relay {
+			b.accounts[team] = a.AsRelay(b.limits[team], 0, now)
+		}
+	}
+}
+
+// IsRelay reports whether this balancer is one.
+func (b *Book) IsRelay() bool { return b.relay }
+
+// Report returns what a follower tells its relay, which is then waited for.
+func (b *Book) Report(now time.Time) tally.Report {
+	r := b.counter.Report(now)
+	for _, c := range r.Counts {
+		if team, ok := strings.CutPrefix(c.Key, teamPrefix); ok {
+			b.accounts[team] = b.accounts[team].with(b.limits[team], now).WithAsked(now)
+		}
+	}
+	return r
+}
+
+// Answered takes a relay's answer to a report.
+func (b *Book) Answered(r tally.Report, answer Answer, now time.Time) {
+	if !answer.Taken {
+		b.counter.Failed()
+		return
+	}
+	b.counter.Taken(r)
+	b.pause = answer.Pause
+	for _, w := range answer.Words {
+		team := strings.TrimPrefix(w.Key, teamPrefix)
+		if l, ok := b.limits[team]; ok && !b.relay {
+			b.accounts[team] = b.accounts[team].WithWord(l, w, float64(b.counter.Unreported(w.Key)), now)
+		}
+	}
+}
+
+// Failed notes that a report was not answered.
+func (b *Book) Failed() { b.counter.Failed() }
+
+// ZoneReport returns what a relay tells those of other zones.
+func (b *Book) ZoneReport(isRelay tally.IsRelay, now time.Time) tally.Report {
+	b.noteSelf(now)
+	b.noteUnheard(isRelay, now)
+	r := b.ledger.ZoneReport(isRelay, now)
+	for _, a := range b.accounts {
+		r.Wants = r.Wants || now.Before(a.young)
+	}
+	return r
+}
+
+// ZoneAnswered takes the answer of the relay of another zone.
+func (b *Book) ZoneAnswered(r tally.Report, answer Answer, now time.Time) {
+	if !answer.Taken {
+		return
+	}
+	b.ledger.ZoneTaken(r)
+	for _, w := range answer.Words {
+		team := strings.TrimPrefix(w.Key, teamPrefix)
+		if a, ok := b.accounts[team]; ok {
+			b.accounts[team] = a.WithPeer(w, now)
+		}
+	}
+}
+
+// noteSelf notes the relay's own counts among those of its zone. Its own requests have
+// taken their tokens already.
+func (b *Book) noteSelf(now time.Time) {
+	r := b.counter.Report(now)
+	b.ledger.Note(r, now)
+	b.counter.Taken(r)
+}
+
+// noteUnheard has the buckets count on for those that are not heard of, at the rate that
+// they keep to then.
+func (b *Book) noteUnheard(isRelay tally.IsRelay, now time.Time) {
+	for team, a := range b.accounts {
+		l := b.limits[team]
+		b.ledger.HoldRelays(teamPrefix+team, l.Rate, now)
+		_, unheard := b.ledger.Unheard(teamPrefix+team, isRelay, now)
+		b.accounts[team] = a.AsRelay(l, min(unheard, l.Rate), now)
+	}
+}
+
+// Hear takes a report of another balancer, where this one is a relay. limitOf returns the
+// quota of a team, as it is configured.
+func (b *Book) Hear(r tally.Report, limitOf func(team string) (Limit, bool), now time.Time) Answer {
+	if !b.relay {
+		return Answer{}
+	}
+	for _, change := range b.ledger.Note(r, now) {
+		b.noteTaken(change, limitOf, now)
+	}
+	answer := Answer{Taken: true}
+	if r.Relay && !r.Wants {
+		return answer
+	}
+	own, all := b.ledger.Members(now)
+	answer.Pause = time.Duration(own) * time.Second / callsPerSecond
+	for _, c := range r.Counts {
+		if team, ok := strings.CutPrefix(c.Key, teamPrefix); ok {
+			if w, ok := b.word(team, c.Key, r.From, all, limitOf, now); ok {
+				answer.Words = append(answer.Words, w)
+			}
+		}
+	}
+	return answer
+}
+
+// noteTaken takes tokens for requests of others.
+func (b *Book) noteTaken(c tally.Change, limitOf func(string) (Limit, bool), now time.Time) {
+	team, ok := strings.CutPrefix(c.Key, teamPrefix)
+	if !ok {
+		return
+	}
+	l, ok := limitOf(team)
+	if !ok || l.Unlimited() {
+		return
+	}
+	a := b.account(team, l, now).WithTaken(float64(c.By))
+	b.accounts[team] = a
+	if b.presses(a, l, now) {
+		b.ledger.Urge()
+	}
+}
+
+// word returns what a balancer is told of a team's bucket.
+func (b *Book) word(team, key, from string, members int, limitOf func(string) (Limit, bool), now time.Time) (Word, bool) {
+	l, ok := limitOf(team)
+	if !ok || l.Unlimited() {
+		return Word{}, false
+	}
+	a := b.account(team, l, now).with(l, now)
+	b.accounts[team] = a
+	own, others := b.ledger.Rates(key, from, now)
+	part := tally.Part(own, own+others, 1, members)
+	b.ledger.Hold(key, from, part*l.Rate) // of a relay HoldRelays sets it again
+	return Word{Key: key, Tokens: a.tokens, Others: others, Part: part}, true
+}
+
+// Status is what is known of a team's bucket, for operators.
+type Status struct {
+	Team   string
+	Limit  Limit
+	Tokens float64 // left, as far as is known here
+	Others float64 // rate of all other balancers, a second
+	Alone  bool    // no word is heard: the balancer keeps to its own part
+	Part   float64 // of the quota that is its own then
+	Total  int64   // requests sent here since the start
+}
+
+// Status returns what is known of all teams that have sent anything here, by name.
+func (b *Book) Status(now time.Time) []Status {
+	var all []Status
+	for _, team := range slices.Sorted(maps.Keys(b.accounts)) {
+		l := b.limits[team]
+		a := b.accounts[team].with(l, now)
+		all = append(all, Status{
+			Team: team, Limit: l, Tokens: a.tokens, Others: a.others, Alone: a.silent(now), Part: a.part,
+			Total: b.counter.Total(teamPrefix + team),
+		})
+	}
+	return all
+}
--- /dev/null
+++ b/coord/quota/quota.go
@@ -0,0 +1,201 @@
+// Package quota bounds how many requests a team may have run a second, over all balancers
+// together, without agreement.
+//
+// A team's quota is a token bucket of the whole fleet. Each zone's relay keeps that bucket
+// from what all balancers count (coord/tally), and tells each balancer with the answer to
+// its reports how many tokens are left and how fast the others take them (Word). Between
+// two words a balancer goes on from there: its own requests take tokens, the others are
+// taken to go on as fast as before. One that hears no word keeps to the part of the rate
+// that was its own while it heard, and the relays count on for those that they do not hear:
+// the sum stays within the quota on either side of a cut.
+//
+// An Account is what one balancer, relay or not, knows of one team's bucket. It is an
+// immutable value; the Book keeps those of all teams. Neither is safe for concurrent use.
+//
+// # Usage
+//
+//	book := quota.NewBook(addr, zone, life)
+//	ok, after := book.Take("medina", quota.Limit{Rate: 20, Burst: 40}, now)
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Limit is the quota of a team.
+type Limit struct {
+	Rate  float64 // requests a second; 0 for no limit
+	Burst float64 // requests above that at once, saved up while fewer are sent
+	// Spare is how many requests above both the operators bear with, for what balancers
+	// cannot know of one another. A team that sends few through many balancers is refused
+	// only beyond it.
+	Spare float64
+}
+
+// full returns the tokens of a full bucket, or of a part of one.
+func (l Limit) full(part float64) float64 { return max(1, part*(l.Burst+l.Spare)) }
+
+// Unlimited reports whether there is no quota.
+func (l Limit) Unlimited() bool { return l.Rate <= 0 }
+
+const (
+	// silentAfter is how long a balancer waits for a word before it keeps to its own part.
+	// Words come after a round trip within the zone; so long a call takes only where it
+	// fails.
+	silentAfter = 400 * time.Millisecond
+	// believedFor is how long the others are taken to go on as fast as a word told: two
+	// calm pauses. A balancer that the team does not use hears no more words, and what its
+	// last one told of a busy moment would have it refuse the next request.
+	believedFor = 500 * time.Millisecond
+	// staleAfter is when a word counts as none, so that the next request goes out and asks
+	// for another one.
+	staleAfter = 2 * time.Second
+	// freshPart is the part of a quota that a balancer gives out before it has heard any
+	// word: after a start a first word takes a round trip, and where there is no relay yet
+	// as many balancers as a small zone has may be in that state at once. Chosen without a
+	// measurement.
+	freshPart = 0.05
+	// freshTokens are given out at the least before any word, so that the first requests of
+	// a small team need not wait for one.
+	freshTokens = 2
+	// startFill is the part of its burst with which a bucket begins that nobody tells
+	// anything of: before a restart of all it may have been empty or full.
+	startFill = 0.5
+	// youngFor is how long a relay that has heard nothing before asks others for their word.
+	youngFor = time.Second
+	// mostDebt bounds, in seconds of the rate, how far a bucket may go below zero when more
+	// was given out than it held, as balancers that did not hear of one another may. Without
+	// a bound a team would be refused for long after a cut; with none allowed the window
+	// after it would hold twice the quota. Chosen without a measurement.
+	mostDebt = 2
+)
+
+// Word is what a relay tells a balancer of a team's bucket. Package gob sends the names of
+// the fields.
+type Word struct {
+	Key    string
+	Tokens float64 // left in the bucket, after all that the report told
+	Others float64 // rate, a second, at which all other balancers take tokens
+	Part   float64 // of the rate that is the asker's own while it hears no word
+}
+
+// Account is what one balancer knows of one team's bucket.
+type Account struct {
+	tokens  float64
+	at      time.Time // as of which
+	others  float64   // taken by others, a second
+	part    float64   // of the quota while no word is heard
+	heardOf float64   // part of the quota whose users a relay hears of; 1 elsewhere
+	young   time.Time // until then a relay knows less of the bucket than those of other zones
+	heard   bool      // a word was heard, ever
+	told    time.Time // when the last word was heard
+	waiting time.Time // since when a word is awaited; zero for none
+}
+
+// NewAccount returns an account of which nothing has been heard.
+func NewAccount(l Limit, now time.Time) Account {
+	return Account{tokens: max(freshTokens, freshPart*(l.Rate+l.Burst)), at: now, part: freshPart, heardOf: 1}
+}
+
+// silent reports whether the account has to do without the relays.
+func (a Account) silent(now time.Time) bool {
+	return !a.heard || !a.waiting.IsZero() && now.Sub(a.waiting) > silentAfter
+}
+
+// with returns the account as of now.
+func (a Account) with(l Limit, now time.Time) Account {
+	dt := max(0, now.Sub(a.at).Seconds())
+	if a.silent(now) {
+		a.tokens += l.Rate * a.part * dt
+		a.tokens = min(a.tokens, l.full(a.part))
+	} else {
+		a.tokens += l.Rate*dt - a.others*a.believed(now).Seconds()
+		if now.Sub(a.told) > staleAfter {
+			a.tokens = max(a.tokens, freshTokens)
+		}
+	}
+	a.tokens = max(-mostDebt*l.Rate, min(a.tokens, l.full(a.heardOf)))
+	a.at = now
+	return a
+}
+
+// believed returns for how much of the time up to now the others are taken to go on as the
+// last word told.
+func (a Account) believed(now time.Time) time.Duration {
+	end := a.told.Add(believedFor)
+	if now.Before(end) {
+		end = now
+	}
+	return max(0, end.Sub(a.at))
+}
+
+// WithTake returns the account after one more request, if it may be sent.
+func (a Account) WithTake(l Limit, now time.Time) (Account, bool) {
+	a = a.with(l, now)
+	if a.tokens < 1 {
+		return a, false
+	}
+	a.tokens--
+	return a, true
+}
+
+// WithTaken returns the account after requests of others were counted, or taken back.
+func (a Account) WithTaken(n float64) Account {
+	a.tokens -= n
+	return a
+}
+
+// WithAsked returns the account after a word was asked for.
+func (a Account) WithAsked(now time.Time) Account {
+	if a.waiting.IsZero() {
+		a.waiting = now
+	}
+	return a
+}
+
+// certain returns the rate that is certain where a rate was seen for a second: of a few
+// requests that came together by chance, two standard deviations are left out. With all of
+// it balancers refused 1 in 50 requests of a team that kept to its quota of 8 a second.
+func certain(perSecond float64) float64 { return max(0, perSecond-2*math.Sqrt(max(0, perSecond))) }
+
+// WithWord returns the account after a relay's word to a report. unreported is how many
+// requests were counted here since the report was made.
+func (a Account) WithWord(l Limit, w Word, unreported float64, now time.Time) Account {
+	return Account{tokens: w.Tokens - unreported, at: now, others: certain(w.Others), part: w.Part, heardOf: 1, heard: true, told: now}.with(l, now)
+}
+
+// AsRelay returns the account of a relay, which hears of the others' requests as they
+// happen; unheard is the rate of those of which it does not. These hold their part of the
+// burst as well.
+func (a Account) AsRelay(l Limit, unheard float64, now time.Time) Account {
+	if !a.heard {
+		a = Account{tokens: startFill * l.Burst, at: now, heardOf: 1, heard: true, told: now, young: now.Add(youngFor)}
+	}
+	a.waiting = time.Time{}
+	a.others, a.told = unheard, now
+	a.heardOf = 1 - min(1, unheard/l.Rate)
+	return a.with(l, now)
+}
+
+// WithPeer returns a relay's account after the word of a relay of another zone: while it is
+// young it knows nothing of what was taken before.
+func (a Account) WithPeer(w Word, now time.Time) Account {
+	if now.Before(a.young) {
+		a.tokens = min(a.tokens, w.Tokens)
+	}
+	return a
+}
+
+// RetryAfter returns when a request that was refused may find room, if nobody else takes it.
+// spread is a random number from 0 to 1: those that are refused at once come back one after
+// the other.
+func (a Account) RetryAfter(l Limit, spread float64) time.Duration {
+	missing := max(0, 1-a.tokens) + spread*l.Rate*retrySpread
+	return time.Duration(missing / l.Rate * float64(time.Second))
+}
+
+// retrySpread is over how many seconds those come back that were refused: one request for
+// each token that comes meanwhile, if all tokens went to them. Chosen without a
+// measurement.
+const retrySpread = 0.5
