Teams: keys are checked here and go no further, quotas hold over all balancers

Cause: the request path knew no teams.

Change: package access reads keys and looks them up by salted digests; a request without a key that a team holds gets 401 (LW1007), or 503 (LW1008) while the key may have been added a moment ago; a key is looked at again before each send, so that one which was taken away stops requests that wait. The key is kept from the endpoint, the team's name goes on. Package fleet keeps quotas with coord/quota over the call Balancer.Count; what is beyond one gets 429 (LW2011) with when to come back, and what no endpoint ran is put back. Requests that crash endpoints are suspected for one team alone. Settings quotas.slack, lotusctl teams and quota, /teams and /quota.

Not built: homes of routes and teams; which of a team's own requests goes first.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -2,8 +2,9 @@
 // gets an endpoint for it, sends it there and passes the response on.
 //
 // A request goes through a chain of go-kit endpoints, each with a trace span:
-// route (what is asked for, and by when), then serve (choose an endpoint, send,
-// judge what came back, and try another one or answer). Start reading in serve.go.
+// route (what is asked for), identify (by which team), deadline (by when), limit (within
+// the team's quota), then serve (choose an endpoint, send, judge what came back, and try
+// another one or answer). Start reading in serve.go.
 //
 // The package owns what belongs to one process's requests: the request in flight,
 // the clients of endpoints and the retry budgets. It relies on a Chooser for
@@ -27,7 +28,9 @@
 
 	"github.com/go-kit/kit/endpoint"
 	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/access"
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/quota"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/internal/suspend"
@@ -72,6 +75,22 @@
 	Over(r quarantine.Request)
 }
 
+// Access knows the teams of the configuration in force and their keys.
+type Access interface {
+	// Teams returns them; nil where callers need no keys.
+	Teams() *access.Table
+	// InTouch reports whether this balancer hears of changes.
+	InTouch(now time.Time) bool
+}
+
+// Quotas bounds what teams send through all balancers together.
+type Quotas interface {
+	// Take takes a request out of a team's quota, or says when there may be room.
+	Take(team string, l quota.Limit, now time.Time) (ok bool, retryAfter time.Duration)
+	// Return puts one back that was not sent.
+	Return(team string, now time.Time)
+}
+
 // Config of a handler.
 type Config struct {
 	Chooser Chooser
@@ -84,6 +103,12 @@
 	Requests *telemetry.RequestLogger
 	// Quarantine knows requests under which endpoints ended; nil for none.
 	Quarantine Quarantine
+	// Access knows teams and keys; nil where callers need none.
+	Access Access
+	// KeysWithin is after which a key that was added is known to every balancer.
+	KeysWithin time.Duration
+	// Quotas bounds what teams send; nil for no bound.
+	Quotas Quotas
 	// Suspensions tells of suspensions of the VM; nil for none.
 	Suspensions *suspend.Detector
 	// Histograms take the latency of requests; nil for none.
@@ -100,6 +125,7 @@
 	clients  clients
 	retries  retryBudgets
 	timers   timers
+	doubts   access.Doubts // keys that nobody knew yet
 }
 
 // New returns a handler.
@@ -111,7 +137,7 @@
 		retries: retryBudgets{window: cfg.Policy.Retries, byService: map[string]retryBudget{}},
 		timers:  timers{registry: cfg.Metrics, byName: map[string]metrics.Timer{}},
 	}
-	b.chain = endpoint.Chain(b.hop("accept"), b.route, b.hop("route"), b.deadline, b.hop("serve"))(b.serve)
+	b.chain = endpoint.Chain(b.hop("accept"), b.route, b.hop("route"), b.identify, b.deadline, b.limit, b.hop("serve"))(b.serve)
 	return b
 }
 
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -19,7 +19,7 @@
 func (x *exchange) logAdmitted(timeout time.Duration) {
 	kind := x.route.Kind
 	x.log.Line(telemetry.EventAdmitted).Text("route", kind.Name).Text("service", kind.Service).
-		Int("version", int64(x.route.Version)).Millis("deadline_ms", timeout).Bool("repeatable", kind.Repeatable).Done()
+		Text("team", x.team).Int("version", int64(x.route.Version)).Millis("deadline_ms", timeout).Bool("repeatable", kind.Repeatable).Done()
 }
 
 // logChosen records the choice of an endpoint before the request goes out, so that
--- a/balancer/exchange.go
+++ b/balancer/exchange.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lotuswing/lotuswing/access"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/retry"
@@ -24,6 +25,11 @@
 	log      *telemetry.RequestLog
 	place    pipeline.Place // among the requests of its connection
 
+	// Set by identify.
+	keyed bool          // the configuration has teams, so that keys stop here
+	key   access.Digest // of the key with which the request was admitted
+	team  string        // that holds the key; empty for none
+
 	// Set by route and deadline.
 	route    tenant.Route // its Kind is nil until then
 	deadline time.Time
@@ -33,6 +39,7 @@
 	bodyRead   bool      // the body was read whole before anything was sent
 	tried      []string  // VMs that got the request
 	mayHaveRun bool      // an attempt may have run, whatever later ones say
+	ran        bool      // an endpoint's response was passed on
 	searching  time.Time // since when an endpoint is looked for
 	pass       quarantine.Pass
 	shown      bool               // what the request did was told to the quarantine
--- a/balancer/refuse.go
+++ b/balancer/refuse.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lotuswing/lotuswing/access"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/verdict"
 )
@@ -33,7 +34,7 @@
 	switch {
 	case mayHaveRun:
 		r.verdict = verdict.MayHaveRun
-		if beforeSending(r.reason) || reason.MustLookup(r.reason).Status == http.StatusServiceUnavailable {
+		if beforeSending(r.reason) || comesBack(reason.MustLookup(r.reason).Status) {
 			r.reason = reason.AnswerUnknown
 		}
 	case beforeSending(r.reason):
@@ -50,6 +51,11 @@
 	RetryAfterMS int64  `json:"retry_after_ms"`
 }
 
+// comesBack reports whether a response of a status says when the caller may come back.
+func comesBack(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // refuse answers the caller at once, with when to come back. err is a refusal.
 func (b *Balancer) refuse(x *exchange, err error) {
 	var r refusal
@@ -66,7 +72,10 @@
 	h.Set(verdict.Header, r.verdict.String())
 	h.Set(verdict.ReasonHeader, string(r.reason))
 	h.Set("Content-Type", "application/json")
-	if doc.Status == http.StatusServiceUnavailable {
+	if doc.Status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", access.Challenge)
+	}
+	if comesBack(doc.Status) {
 		r.retryAfter = max(r.retryAfter, time.Millisecond)
 		h.Set("Retry-After", b.cfg.Policy.Dialect.FormatRetryAfter(r.retryAfter))
 	}
--- a/balancer/screen.go
+++ b/balancer/screen.go
@@ -59,7 +59,7 @@
 // prints returns what tells the request from others. A body that is too long to be kept, or
 // of unknown length, counts by its announced length alone.
 func (x *exchange) prints() crash.Prints {
-	s := crash.Subject{Method: x.r.Method, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Query: x.r.URL.RawQuery, Length: x.r.ContentLength}
+	s := crash.Subject{Team: x.team, Method: x.r.Method, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Query: x.r.URL.RawQuery, Length: x.r.ContentLength}
 	if x.bodyRead {
 		s.Body, _ = x.body.Whole()
 	}
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -27,6 +27,7 @@
 	if err := b.receive(ctx, x); err != nil {
 		return nil, err
 	}
+	x.nameTeam(b.cfg.Policy.Dialect.Team)
 	b.retries.addRequest(x.route.ServiceKey(), time.Now())
 	defer b.endTrial(x)
 	for number := 1; ; number++ {
@@ -58,9 +59,16 @@
 			return placement.Grant{}, err
 		}
 		grant, err := b.choose(ctx, x, number)
-		if err != nil || !x.wake(b.cfg.Suspensions.Check()) {
+		if err != nil {
 			return grant, err
 		}
+		if err := b.stillHeld(x, time.Now()); err != nil {
+			b.cfg.Chooser.Complete(grant, placement.Result{Outcome: placement.Unused})
+			return placement.Grant{}, err
+		}
+		if !x.wake(b.cfg.Suspensions.Check()) {
+			return grant, nil
+		}
 		b.cfg.Chooser.Complete(grant, placement.Result{Outcome: placement.Unused})
 		b.endTrial(x)
 	}
@@ -177,6 +185,7 @@
 
 // passOn passes an endpoint's response on and reports how the request ended.
 func (b *Balancer) passOn(x *exchange, a *attempt) error {
+	x.ran = true
 	status := a.result.Response.StatusCode
 	result := placement.Result{Outcome: outcomeOf(status, false, nil), Load: loadReport(&b.cfg.Policy.Dialect, &a.result)}
 	if a.stale {
--- a/compat/names_test.go
+++ b/compat/names_test.go
@@ -21,7 +21,7 @@
 
 // balancerPackages are the folders whose code runs in a balancer process.
 var balancerPackages = []string{
-	"balancer", "bootstrap", "cli", "coord", "direct", "directory", "link", "node", "platform", "quarantine", "relay", "server", "storeclient", "telemetry", "upstream",
+	"access", "balancer", "bootstrap", "cli", "coord", "direct", "directory", "fleet", "link", "node", "platform", "quarantine", "relay", "server", "storeclient", "telemetry", "upstream",
 }
 
 // sources parses the code of a balancer process, tests left out.
@@ -102,7 +102,10 @@
 func TestLogFields(t *testing.T) {
 	var keys []string
 	for _, call := range calls(sources(t), "Text", "Int", "Float", "Millis", "Bool") {
-		if key, ok := literal(call.Args[0]); ok && len(call.Args) == 2 {
+		if len(call.Args) != 2 {
+			continue // of another package, such as rand.Text
+		}
+		if key, ok := literal(call.Args[0]); ok {
 			keys = append(keys, key)
 		}
 	}
@@ -125,8 +128,8 @@
 func TestHeaderNames(t *testing.T) {
 	var b strings.Builder
 	for _, d := range []upstream.Dialect{upstream.Native(), platform.Dialect()} {
-		fmt.Fprintf(&b, "request id %q, timeout %q, instance %q and %q, not run %q, signature %q, load %q\n",
-			d.RequestID, d.Timeout, d.Instance, d.InstanceID, d.NotRun, d.Signature, d.Load)
+		fmt.Fprintf(&b, "request id %q, timeout %q, instance %q and %q, not run %q, signature %q, load %q, team %q\n",
+			d.RequestID, d.Timeout, d.Instance, d.InstanceID, d.NotRun, d.Signature, d.Load, d.Team)
 	}
 	golden.Assert(t, b.String(), "headers.golden")
 }
--- a/compat/wire_test.go
+++ b/compat/wire_test.go
@@ -38,6 +38,8 @@
 	"ChangesReply":     relay.ChangesReply{},
 	"TellArgs":         relay.TellArgs{},
 	"TellReply":        relay.TellReply{},
+	"CountArgs":        relay.CountArgs{},
+	"CountReply":       relay.CountReply{},
 	"CopyArgs":         bootstrap.CopyArgs{},
 	"CopyReply":        bootstrap.CopyReply{},
 	"CopiedRecord":     directory.Record{},
--- a/control/control.go
+++ b/control/control.go
@@ -51,6 +51,7 @@
 	addEditing(a)
 	addStatus(a)
 	addQuarantine(a)
+	addTeams(a)
 	addDemo(a)
 	addReplay(a)
 	addTrace(a)
--- a/coord/crash/fingerprint.go
+++ b/coord/crash/fingerprint.go
@@ -22,6 +22,7 @@
 // so may the address that it comes from: a caller has several, and a request that ends
 // endpoints ends them whoever sends it.
 type Subject struct {
+	Team   string // whose request it is: what ends endpoints for one is suspected for that one; empty where callers have no teams
 	Method string
 	Host   string
 	Path   string // as it was sent
@@ -41,11 +42,19 @@
 // only the announced length tells it from others.
 func (s Subject) Prints() Prints {
 	return Prints{
-		Exact: fingerprint("exact", s.Method, s.Host, s.Path, s.Query, s.length(), string(s.Body)),
-		Wide:  fingerprint("wide", s.Method, s.Host, s.Path, s.length(), string(s.Body)),
+		Exact: fingerprint(s.ofTeam("exact", s.Method, s.Host, s.Path, s.Query, s.length(), string(s.Body))...),
+		Wide:  fingerprint(s.ofTeam("wide", s.Method, s.Host, s.Path, s.length(), string(s.Body))...),
 	}
 }
 
+// ofTeam returns fields with the team behind them, where there is one.
+func (s Subject) ofTeam(fields ...string) []string {
+	if s.Team == "" {
+		return fields
+	}
+	return append(fields, s.Team)
+}
+
 func (s Subject) length() string { return strconv.FormatInt(s.Length, 10) }
 
 // fingerprint returns the fingerprint of some fields.
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -10,6 +10,8 @@
 	BadRequest       Code = "LW1004"
 	NotReady         Code = "LW1005"
 	BodyTooLarge     Code = "LW1006"
+	KeyRefused       Code = "LW1007"
+	KeyUnknown       Code = "LW1008"
 	QueueFull        Code = "LW2001"
 	TooLate          Code = "LW2002"
 	Expired          Code = "LW2003"
@@ -20,6 +22,7 @@
 	DeadlineWaiting  Code = "LW2008"
 	Evacuated        Code = "LW2009"
 	Quarantined      Code = "LW2010"
+	QuotaExceeded    Code = "LW2011"
 	DialFailed       Code = "LW3001"
 	NothingWritten   Code = "LW3002"
 	EndpointRefused  Code = "LW3003"
@@ -42,6 +45,8 @@
 	{BadRequest, "malformed request", "The request has a shape that different parsers read differently, so it was not forwarded.", "Correct the caller; the message names the field.", 400, firstRelease, Info},
 	{NotReady, "balancer not ready", "The balancer has no configuration yet: neither the store nor a peer has given it one.", "Check the store and the links to peers; see OPERATIONS.md, 'A balancer does not become ready'.", 503, firstRelease, Urgent},
 	{BodyTooLarge, "body above the limit", "The request's body is longer than the limit of the settings or of the shared configuration. Nothing was sent to an endpoint.", "Send a shorter body, or raise the limit.", 413, "0.2.0", Info},
+	{KeyRefused, "no team has this key", "The route needs a key, and the request carries none, something that is no key, or one that no team holds any more. Nothing was sent to an endpoint.", "Correct the caller: 'Authorization: Bearer KEY', once. 'lotusctl teams' shows how many keys a team has; the log line 'ended' names a salted digest of the key, never the key.", 401, "0.3.0", Info},
+	{KeyUnknown, "key not known yet", "No team holds the key in the configuration in force here, but it may have been added a moment ago: whether that is so is certain only after the time in which changes reach every balancer. Nothing was sent to an endpoint.", "Nothing: the caller comes back after Retry-After and is served, or refused for good. If it lasts, this balancer hears of no changes; see OPERATIONS.md, 'A change does not come into force'.", 503, "0.3.0", Info},
 	{QueueFull, "waiting room full", "The service's queue for this class holds as many requests as its limit allows.", "Expected above capacity. If it lasts, add endpoints or lower the callers' rate.", 503, firstRelease, Warning},
 	{TooLate, "cannot be served in time", "The estimated wait and service time exceed the request's patience or deadline, so it was refused at once.", "Expected above capacity. The caller should come back after Retry-After.", 503, firstRelease, Warning},
 	{Expired, "patience ended while waiting", "The request waited as long as its patience allowed and no slot became free.", "Look at 'lotusctl status' for endpoints that are slow or ejected.", 503, firstRelease, Warning},
@@ -52,6 +57,7 @@
 	{DeadlineWaiting, "deadline passed before sending", "The request's whole time ran out while it waited for a slot or a connection. Nothing was sent.", "Give the request more time or the service more endpoints.", 504, firstRelease, Warning},
 	{Evacuated, "all endpoints are in zones that are being emptied", "An operator empties each availability zone in which the service has endpoints. The request was not sent.", "Take one of the zones back, or add endpoints in another; 'lotusctl status' names the zones.", 503, "0.2.0", Urgent},
 	{Quarantined, "endpoints ended under this request", "Endpoints ended one after the other while they ran this request, told from others by caller, method, host, path, query and body, and none has run it to an end since: it is refused, or another balancer tries it just now. This try was not sent.", "'lotusctl quarantine list' shows the evidence. Find out at the endpoints why they end; then release the request with 'lotusctl quarantine release', or wait: a refusal ends ten minutes after the last end.", 503, "0.2.0", Urgent},
+	{QuotaExceeded, "the team's quota is used up", "The team has sent as many requests through all balancers together as its rate and burst allow. This one was not sent.", "Expected while the team sends more than its quota; the caller should come back after Retry-After. 'lotusctl quota' shows what is left and who takes it.", 429, "0.3.0", Info},
 	{DialFailed, "no connection to the endpoint", "No connection could be opened, so nothing was sent.", "Check the endpoint's VM.", 503, firstRelease, Warning},
 	{NothingWritten, "connection failed before anything was sent", "The connection failed before the first byte of the request was written.", "Nothing; it is retried when time allows.", 503, firstRelease, Info},
 	{EndpointRefused, "the endpoint refused the request", "The endpoint answered that it did not run the request.", "Expected when endpoints shed load or drain.", 503, firstRelease, Info},
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lotuswing/lotuswing/access"
 	"github.com/lotuswing/lotuswing/tenant"
 )
 
@@ -11,6 +12,17 @@
 	Version  uint64
 	Routes   *tenant.PrefixTable
 	Services map[string]tenant.Service
+	Teams    *access.Table // nil where callers need no keys
+}
+
+// after returns the configuration with what it has to remember of the one in force before.
+func (c *Config) after(before *Config) *Config {
+	if before == nil {
+		return c
+	}
+	next := *c
+	next.Teams = c.Teams.After(before.Teams)
+	return &next
 }
 
 // Entry is what the store holds of one endpoint.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -99,7 +99,7 @@
 	switch {
 	case c == nil:
 	case d.config == nil || c.Version > d.config.Version:
-		d.config = c
+		d.config = c.after(d.config)
 		applied.Version = c.Version
 	case c.Version < d.config.Version:
 		applied.Ignored = c.Version
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,128 @@
+package fleet_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/quota"
+	"github.com/lotuswing/lotuswing/coord/tally"
+	"github.com/lotuswing/lotuswing/fleet"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+)
+
+var limit = quota.Limit{Rate: 1, Burst: 100}
+
+// network carries reports between keepers by their addresses.
+type network struct {
+	mu      sync.Mutex
+	keepers map[string]*fleet.Keeper
+	relays  map[string]bool
+	cut     map[string]bool
+}
+
+// port is one keeper's way into the network.
+type port struct {
+	net            *network
+	addr, followed string
+}
+
+func (p port) Serving() bool            { return p.IsRelay(p.addr) }
+func (p port) Followed() string         { return p.followed }
+func (p port) IsRelay(addr string) bool { return p.net.relays[addr] }
+
+func (p port) Others() []string {
+	var others []string
+	for addr := range p.net.relays {
+		if addr != p.addr {
+			others = append(others, addr)
+		}
+	}
+	return others
+}
+
+func (p port) Count(_ context.Context, addr string, r tally.Report) (quota.Answer, error) {
+	p.net.mu.Lock()
+	k, cut := p.net.keepers[addr], p.net.cut[addr] || p.net.cut[p.addr]
+	p.net.mu.Unlock()
+	if k == nil || cut {
+		return quota.Answer{}, errors.New("unreachable")
+	}
+	return k.Hear(r), nil
+}
+
+func newKeeper(addr string) *fleet.Keeper {
+	return fleet.New(fleet.Config{
+		Addr: addr, Zone: addr, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+		Limit: func(string) (quota.Limit, bool) { return limit, true },
+	})
+}
+
+// start starts the keepers of two zones, each with a relay, "a" and "b", and one follower.
+func start(t *testing.T) *network {
+	n := &network{keepers: map[string]*fleet.Keeper{}, relays: map[string]bool{"a": true, "b": true}, cut: map[string]bool{}}
+	ctx, stop := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	t.Cleanup(func() {
+		stop()
+		done.Wait()
+	})
+	followed := map[string]string{"a": "", "b": "", "a1": "a", "b1": "b"}
+	for addr := range followed {
+		n.keepers[addr] = newKeeper(addr)
+	}
+	for addr, k := range n.keepers {
+		done.Go(func() { k.Run(ctx, port{net: n, addr: addr, followed: followed[addr]}) })
+	}
+	return n
+}
+
+// until waits for a condition, which holds in the end or the test does not end.
+func until(condition func() bool) {
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestAllShareOneQuota: what one balancer takes is missing at all others, in its zone and in
+// another one.
+func TestAllShareOneQuota(t *testing.T) {
+	n := start(t)
+	for _, addr := range []string{"a", "b", "a1", "b1"} { // of a fresh quota, less is given out
+		_, _ = n.keepers[addr].Take("team", limit, time.Now())
+	}
+	until(func() bool { return n.keepers["a"].Sum("team/team") == 4 && n.keepers["b"].Sum("team/team") == 4 })
+	taken := int64(4)
+	until(func() bool {
+		ok, after := n.keepers["a1"].Take("team", limit, time.Now())
+		if ok {
+			taken++
+		}
+		return !ok && after > 0
+	})
+	until(func() bool { return n.keepers["b"].Sum("team/team") == taken })
+	until(func() bool {
+		ok, _ := n.keepers["b1"].Take("team", limit, time.Now())
+		return !ok
+	})
+}
+
+// TestAloneKeepsQuota: without other balancers one keeps the whole quota.
+func TestAloneKeepsQuota(t *testing.T) {
+	k := newKeeper("")
+	k.Run(context.Background(), nil)
+	taken := 0
+	now := time.Now()
+	for range 200 {
+		if ok, _ := k.Take("team", limit, now); ok {
+			taken++
+		}
+	}
+	assert.Equal(t, taken, 50, "half of the burst at the start")
+	st := k.Status(now)
+	assert.Assert(t, len(st) == 1 && st[0].Team == "team" && st[0].Total == 50 && !st[0].Alone, "%+v", st)
+}
--- /dev/null
+++ b/relay/counting.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"context"
+	"errors"
+
+	"github.com/lotuswing/lotuswing/coord/quota"
+	"github.com/lotuswing/lotuswing/coord/tally"
+	"github.com/lotuswing/lotuswing/link"
+)
+
+// CountArgs tells a relay what a balancer, or the relay of another zone, has counted.
+// Package gob sends the names of the fields.
+type CountArgs struct {
+	Report tally.Report
+}
+
+// CountReply says what the relay knows of the same counts.
+type CountReply struct {
+	Answer quota.Answer
+}
+
+// methodCount is the name under which net/rpc knows receiver.Count.
+const methodCount = link.Service + ".Count"
+
+// Count takes what another balancer has counted.
+func (r *receiver) Count(args CountArgs, reply *CountReply) error {
+	if r.group.cfg.OnReport != nil {
+		reply.Answer = r.group.cfg.OnReport(args.Report)
+	}
+	return nil
+}
+
+// errNoRelay says that no relay is followed just now.
+var errNoRelay = errors.New("relay: no relay is followed")
+
+// Count tells a balancer what this one, or its zone, has counted.
+func (g *Group) Count(ctx context.Context, addr string, r tally.Report) (quota.Answer, error) {
+	if addr == "" {
+		return quota.Answer{}, errNoRelay
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.opts.Wait+g.opts.Slack)
+	defer cancel()
+	var reply CountReply
+	if err := g.client.Call(ctx, addr, methodCount, CountArgs{Report: r}, &reply); err != nil {
+		return quota.Answer{}, err
+	}
+	return reply.Answer, nil
+}
+
+// Followed returns the address of the balancer that last answered a question for changes;
+// empty for none.
+func (g *Group) Followed() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.asked
+}
+
+// Others returns the addresses of the registered relays but this balancer's own.
+func (g *Group) Others() []string {
+	var others []string
+	for _, r := range g.replica.allRelays() {
+		if r.Addr != g.cfg.Addr {
+			others = append(others, r.Addr)
+		}
+	}
+	return others
+}
+
+// IsRelay reports whether an address is that of a registered relay.
+func (g *Group) IsRelay(addr string) bool { return g.replica.isRelay(addr) }
+
+// RelayZones returns the zones that have a registered relay, in order.
+func (g *Group) RelayZones() []string {
+	var zones []string
+	for _, r := range g.replica.allRelays() {
+		zones = append(zones, r.Zone)
+	}
+	return zones
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,7 +8,7 @@
 // loops are in follow.go (where changes come from) and registration.go (who is the
 // relay); the rules that they follow are in rules.go, what other balancers are told
 // in server.go, what balancers tell one another beside the store's records in notes.go and
-// telling.go. What is known first comes by package bootstrap (first.go). It relies on a Follower, which it switches on and off, a Registry
+// telling.go, and what they count for the whole fleet in counting.go. What is known first comes by package bootstrap (first.go). It relies on a Follower, which it switches on and off, a Registry
 // for the lease, and a Decoder for the meaning of records.
 //
 // Being a relay is no right that has to be exclusive. Two at once cost a few calls;
@@ -36,6 +36,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/bootstrap"
+	"github.com/lotuswing/lotuswing/coord/quota"
+	"github.com/lotuswing/lotuswing/coord/tally"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/suspend"
 	"github.com/lotuswing/lotuswing/link"
@@ -89,6 +91,8 @@
 	Log      hclog.Logger
 	TLS      *tls.Config // of links; nil for plain TCP
 	Options  Options
+	// OnReport takes what another balancer has counted; nil where nothing is counted.
+	OnReport func(tally.Report) quota.Answer
 	// OnNote is called with each note of another balancer, once; nil for none.
 	OnNote func(Note)
 	// Suspensions tells of suspensions of the VM; nil for none.
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -9,6 +9,7 @@
 	"github.com/lotuswing/lotuswing/balancer"
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/fleet"
 	"github.com/lotuswing/lotuswing/link"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/quarantine"
@@ -54,16 +55,17 @@
 	opts := directory.OptionsWithin(settings.Discovery.Within())
 	opts.Log = s.cfg.Log.Named("directory")
 	s.directory = d
+	s.fleet = s.newFleet()
 	if s.cfg.Relays != nil {
 		s.keeper = s.newKeeper()
-		opts.Observe = s.keeper.Observe
+		opts.Observe = s.observe
 	}
 	if s.cfg.Relays != nil && settings.Link != "" {
 		var err error
 		if s.relays, err = s.newRelays(); err != nil {
 			return nil, err
 		}
-		opts.Standby, opts.Observe, opts.Begin, opts.OnAnswer = true, s.observe, s.relays.Begin, s.relays.OnAnswer
+		opts.Standby, opts.Begin, opts.OnAnswer = true, s.relays.Begin, s.relays.OnAnswer
 	}
 	s.follower = directory.NewFollower(d, s.cfg.Source, opts)
 	ctx, stop := context.WithCancel(context.Background())
@@ -87,10 +89,33 @@
 	if s.keeper != nil {
 		go s.keeper.Run(ctx)
 	}
+	go s.fleet.Run(ctx, s.carrier())
 	go s.follower.Run(ctx)
 	return direct.New(cfg), nil
 }
 
+// spareShare is the part of what the operators bear with above a quota that a balancer gives
+// out to each team; the rest is for what balancers cannot know of one another. Chosen
+// without a measurement.
+const spareShare = 0.25
+
+// newFleet returns this balancer's knowledge of what all of them count.
+func (s *Server) newFleet() *fleet.Keeper {
+	settings := s.cfg.Settings
+	return fleet.New(fleet.Config{
+		Addr: settings.Link, Zone: settings.Zone, Spare: spareShare * settings.Quotas.Slack,
+		Limit: s.quotaOf, Log: s.cfg.Log.Named("fleet"), Metrics: s.metrics,
+	})
+}
+
+// carrier returns what takes counts to other balancers; nil where there is nothing.
+func (s *Server) carrier() fleet.Carrier {
+	if s.relays == nil {
+		return nil
+	}
+	return s.relays
+}
+
 // newKeeper returns this balancer's knowledge of requests under which endpoints ended.
 func (s *Server) newKeeper() *quarantine.Keeper {
 	return quarantine.New(quarantine.Config{
@@ -112,7 +137,9 @@
 
 // observe hands changes that are in force to all that keep something of them.
 func (s *Server) observe(c directory.Changes) {
-	s.relays.Observe(c)
+	if s.relays != nil {
+		s.relays.Observe(c)
+	}
 	s.keeper.Observe(c)
 }
 
@@ -131,7 +158,7 @@
 		ID: settings.ID, Zone: settings.Zone, Addr: settings.Link, Seeds: settings.Peers, Cores: settings.Cores,
 		LinkRate: settings.LinkRate * bytesPerMegabit,
 		Registry: s.cfg.Relays, Decoder: s.cfg.Relays, Log: log, TLS: secured,
-		Options: relay.OptionsWithin(settings.Discovery.Within()), OnNote: s.keeper.Hear, Suspensions: s.suspended,
+		Options: relay.OptionsWithin(settings.Discovery.Within()), OnNote: s.keeper.Hear, OnReport: s.fleet.Hear, Suspensions: s.suspended,
 	}), nil
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -25,6 +25,7 @@
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/fleet"
 	"github.com/lotuswing/lotuswing/internal/bootclock"
 	"github.com/lotuswing/lotuswing/internal/suspend"
 	"github.com/lotuswing/lotuswing/node"
@@ -71,6 +72,7 @@
 	follower  *directory.Follower  // nil without one
 	directory *directory.Directory // nil without a follower
 	keeper    *quarantine.Keeper   // nil without relays
+	fleet     *fleet.Keeper        // nil without a follower
 	suspended *suspend.Detector
 	balancer  *balancer.Balancer
 	tracing   *telemetry.Tracing
@@ -120,6 +122,9 @@
 	if s.keeper != nil {
 		balancerConfig.Quarantine = s.keeper
 	}
+	if s.fleet != nil {
+		balancerConfig.Access, balancerConfig.Quotas, balancerConfig.KeysWithin = teams{s}, s.fleet, cfg.Settings.Discovery.ApplyWithin
+	}
 	s.balancer = balancer.New(balancerConfig)
 	s.front = s.frontServer()
 	s.admin = &http.Server{Handler: s.adminHandler(), ReadHeaderTimeout: cfg.Settings.Limits.HeaderTimeout}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,7 @@
 	Limits    Limits    `json:"limits"`
 	Discovery Discovery `json:"discovery"`
 	Retries   Retries   `json:"retries"`
+	Quotas    Quotas    `json:"quotas"`
 	Cores     float64   `json:"cores"`     // processor share of the VM; larger ones take duties first; default 1
 	LinkRate  float64   `json:"link_mbps"` // of the VM's link, in Mbit/s; a balancer with a faster one hands more copies on; 0 where it is not known
 	Memory    int       `json:"memory_mb"` // what the process may use, in MiB; 0 for no limit
@@ -83,6 +84,13 @@
 	Window time.Duration `json:"window"` // length
 }
 
+// Quotas says how exactly the quotas of teams have to be kept over the whole fleet.
+type Quotas struct {
+	// Slack is how many requests above its quota a team may have run in any window without
+	// the operators minding.
+	Slack float64 `json:"slack"`
+}
+
 // Store says where the platform's key-value service and list of VMs are.
 type Store struct {
 	URL     string        `json:"url"`
@@ -199,6 +207,7 @@
 		dec.Check(false, "discovery.kind", "is %q; peers or platform", s.Discovery.Kind)
 	}
 	checkRetries(dec, s.Retries)
+	dec.Check(s.Quotas.Slack >= 0, "quotas.slack", "is %v; at least 0", s.Quotas.Slack)
 	dec.Check(s.Cores > 0 && s.Cores <= mostCores, "cores", "is %v; above 0, at most %d", s.Cores, mostCores)
 	dec.Check(s.LinkRate >= 0, "link_mbps", "is %v; at least 0", s.LinkRate)
 	dec.Check(s.Memory >= 0, "memory_mb", "is %d; at least 0", s.Memory)
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -34,6 +34,7 @@
 	{EventAdmitted, "The request has a route and a deadline.", []Field{
 		{"route", "name of the route or request kind"},
 		{"service", "service that the route leads to"},
+		{"team", "team whose key the caller sent, empty where it needs none"},
 		{"version", "version of the configuration that decided, 0 where versions belong to tenants"},
 		{"deadline_ms", "time until the final answer is due"},
 		{"repeatable", "whether the request may run more than once"},
--- a/tenant/prefix.go
+++ b/tenant/prefix.go
@@ -31,6 +31,7 @@
 	MaxAttempts int           // endpoints that one request may be sent to
 	MaxBody     int64         // bytes of a request's body; 0 for the process's limit alone
 	Split       []Share       // at least one
+	Public      bool          // callers need no key, where teams have keys
 }
 
 // Faults returns what is wrong with the route, in the order of its fields.
@@ -102,6 +103,7 @@
 			Target:      r.Target,
 			MaxAttempts: r.MaxAttempts,
 			MaxBody:     r.MaxBody,
+			Public:      r.Public,
 		})
 	}
 	return entry
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -13,6 +13,7 @@
 	RequestIDHeader = "Lotuswing-Request-Id" // an endpoint may echo it
 	TimeoutHeader   = "Lotuswing-Timeout"    // remaining time, a Go duration
 	LoadHeader      = "Lotuswing-Load"       // load report of the endpoint
+	TeamHeader      = "Lotuswing-Team"       // team whose key the caller has sent
 )
 
 // Dialect is the table of the headers that balancer, callers and endpoints use,
@@ -43,6 +44,10 @@
 	// Warmup says in the response to a probe how much longer the endpoint is slow from
 	// its start, in whole milliseconds.
 	Warmup string
+
+	// Team names to an endpoint the team whose key the caller has sent, whatever the caller
+	// itself sent there.
+	Team string
 }
 
 // Native returns the product's own dialect.
@@ -56,6 +61,7 @@
 		NotRunValue:   verdict.NotRun.String(),
 		Load:          LoadHeader,
 		ParseLoad:     ParseLoad,
+		Team:          TeamHeader,
 	}
 }
 
