A change of one endpoint is merged into the lists, which are not made anew

Cause: each batch of changes made the lists of all services anew at every balancer: all known endpoints copied out of a map, sorted, and looked at once more for what may be forgotten. With 10,000 endpoints 13.8 ms of a core (BenchmarkOneChange on the code before), 86 ms of the 0.16 core of a small VM, while requests wait for the same share.

Ruled out: making the list of the changed service alone anew: 0.83 ms where it has a tenth of the endpoints, and the largest has more than half of them.

Change: services without a change keep their list; a few changes are merged into a copy; only endpoints that are not listed are looked at for forgetting.

Measured: 0.11 to 0.15 ms (BenchmarkOneChange); TestListsAreThoseOfAllThatIsKnown compares lists with what is known of each endpoint for random changes.

--- a/directory/bench_test.go
+++ b/directory/bench_test.go
@@ -22,3 +22,24 @@
 		f.Apply(directory.Changes{Whole: true, At: 1000, Entries: entries})
 	}
 }
+
+// BenchmarkOneChange applies the change of one of 10,000 endpoints, as a balancer does for
+// each that joins or leaves: 13.8 ms while all lists were made anew, 0.83 ms with that of its
+// service alone, a tenth of the endpoints, and 0.11 ms since the change is merged into it.
+func BenchmarkOneChange(b *testing.B) {
+	d := directory.New()
+	var entries []directory.Entry
+	for i := range 10000 {
+		e := entry(fmt.Sprintf("i-%010x", i*2654435761), uint64(i+1))
+		e.Endpoint.Service = fmt.Sprint("s", i%10)
+		entries = append(entries, e)
+	}
+	d.Apply(directory.Changes{Whole: true, At: 10000, Entries: entries}, start)
+	revision := uint64(10000)
+	for b.Loop() {
+		revision++
+		changed := entries[7]
+		changed.Revision = revision
+		d.Apply(directory.Changes{At: revision, Entries: []directory.Entry{changed}}, start)
+	}
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -49,14 +49,20 @@
 
 	mu        sync.Mutex // of writers
 	config    *Config
-	endpoints map[string]Endpoint // by identity
+	endpoints map[string]Endpoint        // by identity
+	ended     map[string]bool            // those that are not listed, by identity
+	services  map[string]map[string]bool // identities by service
+	changed   map[string]touched         // by service, what has changed since the last snapshot
 	zones     evacuations
 	at        uint64
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{endpoints: map[string]Endpoint{}, zones: evacuations{}}
+	d := &Directory{
+		endpoints: map[string]Endpoint{}, ended: map[string]bool{}, services: map[string]map[string]bool{}, changed: map[string]touched{},
+		zones: evacuations{},
+	}
 	d.snapshot.Store(&Snapshot{Endpoints: map[string][]Endpoint{}})
 	return d
 }
@@ -85,15 +91,26 @@
 		d.applyEvacuations(d.zones.missing(c.Evacuations, c.At), &applied)
 	}
 	d.at = max(d.at, c.At)
-	for id, e := range d.endpoints {
-		if e.forgotten(now) {
-			delete(d.endpoints, id)
-		}
-	}
+	d.forget(now)
 	d.publish(now)
 	return applied
 }
 
+// forget drops endpoints of which nothing has to be remembered any more. Only those that
+// are not listed are looked at: of 10,000 endpoints a few.
+func (d *Directory) forget(now time.Time) {
+	for id := range d.ended {
+		e := d.endpoints[id]
+		if !e.forgotten(now) {
+			continue
+		}
+		d.touch(e.Service, id)
+		delete(d.endpoints, id)
+		delete(d.ended, id)
+		delete(d.services[e.Service], id)
+	}
+}
+
 // applyConfig puts a newer configuration into force; the version never goes back.
 func (d *Directory) applyConfig(c *Config, applied *Applied) {
 	switch {
@@ -127,6 +144,9 @@
 	for _, e := range told {
 		if d.zones.note(e) {
 			applied.Zones = append(applied.Zones, e)
+			for service := range d.services {
+				d.touchAll(service)
+			}
 		}
 	}
 }
@@ -147,12 +167,31 @@
 // set keeps an endpoint and notes whether its state has changed.
 func (d *Directory) set(e Endpoint, applied *Applied) {
 	old, known := d.endpoints[e.VM]
-	d.endpoints[e.VM] = e
+	d.keep(old, e)
 	if !known || old.State != e.State {
 		applied.Moved = append(applied.Moved, Change{ID: e.VM, Service: e.Service, State: e.State})
 	}
 }
 
+// keep keeps what is known of an endpoint in place of what was; d.mu is held.
+func (d *Directory) keep(old, e Endpoint) {
+	if old.Service != e.Service && old.Service != "" {
+		delete(d.services[old.Service], e.VM)
+		d.touch(old.Service, e.VM)
+	}
+	if d.services[e.Service] == nil {
+		d.services[e.Service] = map[string]bool{}
+	}
+	d.services[e.Service][e.VM] = true
+	d.touch(e.Service, e.VM)
+	d.endpoints[e.VM] = e
+	if e.State == Listed {
+		delete(d.ended, e.VM)
+	} else {
+		d.ended[e.VM] = true
+	}
+}
+
 // Endpoint returns what is known of an endpoint, whether it may get requests or not.
 func (d *Directory) Endpoint(id string) (Endpoint, bool) {
 	d.mu.Lock()
@@ -170,25 +209,76 @@
 	if !known || e.State == Leaving || e.Start != start {
 		return false
 	}
-	d.endpoints[id] = e.withState(Leaving, now)
+	d.keep(e, e.withState(Leaving, now))
 	d.publish(now)
 	return true
 }
 
-// publish brings what is known into force for the request path; d.mu is held.
+// touched is what has changed of a service's endpoints since the last snapshot.
+type touched struct {
+	all bool     // anything may have
+	ids []string // otherwise these have
+}
+
+// touch notes that an endpoint of a service has changed; d.mu is held.
+func (d *Directory) touch(service, id string) {
+	t := d.changed[service]
+	t.ids = append(t.ids, id)
+	d.changed[service] = t
+}
+
+// touchAll notes that all endpoints of a service may have changed; d.mu is held.
+func (d *Directory) touchAll(service string) { d.changed[service] = touched{all: true} }
+
+// publish brings what is known into force for the request path; d.mu is held. Only the lists
+// of services are made anew of which something has changed, or of which endpoints went
+// missing, since it depends on the time whether these are used: making the lists of 10,000
+// endpoints anew for each change took 13.8 ms of a core, 86 ms of a small VM's share, at
+// each balancer (BenchmarkOneChange: 0.11 ms now).
 func (d *Directory) publish(now time.Time) {
-	s := &Snapshot{Config: d.config, Endpoints: usedEndpoints(d.endpoints, now), At: d.at, Evacuated: d.zones.zones()}
-	for _, list := range s.Endpoints {
-		for i := range list {
-			list[i].Evacuated = d.zones.inForce(list[i].Zone)
-			if list[i].State == Listed && d.isConfigured(list[i].Service) {
-				s.Known++
-			}
+	before := d.snapshot.Load()
+	s := &Snapshot{
+		Config: d.config, Endpoints: make(map[string][]Endpoint, len(d.services)), At: d.at,
+		Evacuated: d.zones.zones(),
+	}
+	for id := range d.ended {
+		if e := d.endpoints[id]; e.State == Missing {
+			d.touchAll(e.Service)
 		}
 	}
+	for service, ids := range d.services {
+		if t, ok := d.changed[service]; !ok {
+			s.Endpoints[service] = before.Endpoints[service]
+		} else if list := d.listOf(t, before.Endpoints[service], ids, now); len(list) > 0 {
+			d.markAll(list)
+			s.Endpoints[service] = list
+		}
+		if d.isConfigured(service) {
+			s.Known += countListed(s.Endpoints[service])
+		}
+	}
+	clear(d.changed)
 	d.snapshot.Store(s)
 }
 
+// markAll marks endpoints of zones that are emptied; d.mu is held.
+func (d *Directory) markAll(list []Endpoint) {
+	for i := range list {
+		list[i].Evacuated = d.zones.inForce(list[i].Zone)
+	}
+}
+
+// countListed returns how many endpoints are listed.
+func countListed(list []Endpoint) int {
+	n := 0
+	for i := range list {
+		if list[i].State == Listed {
+			n++
+		}
+	}
+	return n
+}
+
 // isConfigured reports whether a service is one that requests can go to; d.mu is held.
 func (d *Directory) isConfigured(service string) bool {
 	if d.config == nil {
@@ -198,29 +288,57 @@
 	return ok
 }
 
-// usedEndpoints returns by service, in order of identity, the listed endpoints and those
-// of a service that went missing together, because the store lost them.
-func usedEndpoints(endpoints map[string]Endpoint, now time.Time) map[string][]Endpoint {
-	used := map[string][]Endpoint{}
-	missing := map[string][]Endpoint{}
-	for _, e := range endpoints {
-		switch e.State {
+// listOf returns the endpoints of a service that may be used, given those that were; d.mu is
+// held.
+func (d *Directory) listOf(t touched, before []Endpoint, ids map[string]bool, now time.Time) []Endpoint {
+	if t.all || len(t.ids) > len(before)/mergeShare {
+		return d.usedEndpoints(ids, now)
+	}
+	slices.Sort(t.ids)
+	return d.merged(before, slices.Compact(t.ids), ids)
+}
+
+// mergeShare is the part of a list, one in so many, up to which changes are merged into it:
+// making it anew costs about as much as merging as many. Chosen without a measurement.
+const mergeShare = 4
+
+// merged returns a list with the changes of some endpoints, both in order of identity; d.mu
+// is held. No endpoint of the service is missing.
+func (d *Directory) merged(before []Endpoint, changed []string, ids map[string]bool) []Endpoint {
+	list := make([]Endpoint, 0, len(before)+len(changed))
+	for _, id := range changed {
+		at, found := slices.BinarySearchFunc(before, id, func(e Endpoint, id string) int { return cmp.Compare(e.VM, id) })
+		list = append(list, before[:at]...)
+		before = before[at:]
+		if found {
+			before = before[1:]
+		}
+		if e := d.endpoints[id]; ids[id] && e.State == Listed {
+			list = append(list, e)
+		}
+	}
+	return append(list, before...)
+}
+
+// usedEndpoints returns, in order of identity, the listed endpoints of a service and those
+// that went missing together, because the store lost them; d.mu is held.
+func (d *Directory) usedEndpoints(ids map[string]bool, now time.Time) []Endpoint {
+	used := make([]Endpoint, 0, len(ids))
+	var missing []Endpoint
+	for id := range ids {
+		switch e := d.endpoints[id]; e.State {
 		case Listed:
-			used[e.Service] = append(used[e.Service], e)
+			used = append(used, e)
 		case Missing:
 			if e.Usable(now) {
-				missing[e.Service] = append(missing[e.Service], e)
+				missing = append(missing, e)
 			}
 		case Leaving:
 		}
 	}
-	for service, list := range missing {
-		if len(list) > lossFactor*len(used[service]) {
-			used[service] = append(used[service], list...)
-		}
-	}
-	for _, list := range used {
-		slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.VM, b.VM) })
+	if len(missing) > lossFactor*len(used) {
+		used = append(used, missing...)
 	}
+	slices.SortFunc(used, func(a, b Endpoint) int { return cmp.Compare(a.VM, b.VM) })
 	return used
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -62,6 +62,64 @@
 	assert.Equal(t, len(listed(d)), 0)
 }
 
+// TestListsAreThoseOfAllThatIsKnown, in order, whatever changes they were made by: a few are
+// merged into the lists, many make them anew.
+func TestListsAreThoseOfAllThatIsKnown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := directory.New()
+		now := start
+		ids := map[string]bool{}
+		for revision := uint64(1); revision < 40; revision++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			c := directory.Changes{At: revision}
+			most := rapid.SampledFrom([]int{1, 2, 60}).Draw(t, "most")
+			for range rapid.IntRange(1, most).Draw(t, "changes") {
+				id := fmt.Sprintf("e%02d", rapid.IntRange(0, 59).Draw(t, "id"))
+				ids[id] = true
+				e := entry(id, revision)
+				e.Endpoint.Service = rapid.SampledFrom([]string{"s", "s", "s", "other"}).Draw(t, "service")
+				e.Endpoint.Start = rapid.Int64Range(1, 2).Draw(t, "start")
+				switch rapid.IntRange(0, 9).Draw(t, "what") {
+				case 0:
+					c.Gone = append(c.Gone, directory.Gone{ID: id, Revision: revision})
+				case 1:
+					e.Leaving = true
+					c.Entries = append(c.Entries, e)
+				default:
+					c.Entries = append(c.Entries, e)
+				}
+			}
+			if rapid.IntRange(0, 9).Draw(t, "evacuate") == 0 {
+				c.Evacuations = evacuate("z", revision)
+			}
+			d.Apply(c, now)
+			for _, service := range []string{"s", "other"} {
+				checkList(t, d, service, ids)
+			}
+		}
+	})
+}
+
+// checkList compares a list with what is known of each endpoint. Those that are missing may
+// stand in it or not.
+func checkList(t *rapid.T, d *directory.Directory, service string, ids map[string]bool) {
+	in := map[string]bool{}
+	last := ""
+	for _, e := range d.Snapshot().Endpoints[service] {
+		assert.Assert(t, e.VM > last, "in order, each once")
+		last = e.VM
+		in[e.VM] = true
+		known, ok := d.Endpoint(e.VM)
+		assert.Assert(t, ok && known.Service == service && known.State != directory.Leaving && known.Revision == e.Revision, "%+v", known)
+	}
+	for id := range ids {
+		known, ok := d.Endpoint(id)
+		if ok && known.Service == service && known.State == directory.Listed {
+			assert.Assert(t, in[id], "%s is listed", id)
+		}
+	}
+}
+
 // TestSingleEntryThatWentIsNotUsed, and one that comes back is.
 func TestSingleEntryThatWentIsNotUsed(t *testing.T) {
 	d := directory.New()
