Versions that come in are judged as they do, completed or rolled back

Cause: an order to bring a version in was not read. Endpoints of a new version got requests like any other, so that a bad one would have had far more than a tenth of them, and nobody told that a good one had come in.

Ways weighed: a part of each endpoint's requests (a fault that shows under load stays hidden); a few endpoints of the new version with their usual load each: built. A fixed number of requests to judge by (slow where few come, and blind to a version that turns bad later); a cumulative sum of log-likelihoods against the old version at the same time: built.

Change: coord/rollout has stages, plan and test; package rollout counts evidence over the fleet (package fleet) and writes, from the relay that a hash of the service names, how far the roll-out has come, under the condition that nobody else has written; package directory marks which endpoints take part, and direct divides requests. Versions of orders that were rolled back, taken back or replaced get nothing. lotusctl rollout list and stop, /rollouts.

--- a/control/teams.go
+++ b/control/teams.go
@@ -5,14 +5,16 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/coord/quota"
+	"github.com/lotuswing/lotuswing/rollout"
 	"github.com/lotuswing/lotuswing/server"
 )
 
-// addTeams declares the commands about teams and their quotas.
+// addTeams declares the commands about teams, their quotas, and versions that come in.
 func addTeams(a *command.App) {
 	a.Add("teams", "List the teams in force, with how many keys each has; never the keys.", func(c *kingpin.CmdClause) func() error {
 		addr := c.Flag("balancer", "admin address of a balancer").Required().String()
@@ -22,6 +24,16 @@
 		addr := c.Flag("balancer", "admin address of a balancer").Required().String()
 		return func() error { return show(a.Env, *addr, "/quota", quotaRows) }
 	})
+	group := a.Group("rollout", "Versions of services that come in.")
+	a.Sub(group, "list", "List them; a balancer that decides shows on what evidence.", func(c *kingpin.CmdClause) func() error {
+		addr := c.Flag("balancer", "admin address of a balancer").Required().String()
+		return func() error { return show(a.Env, *addr, "/rollouts", rolloutRows) }
+	})
+	a.Sub(group, "stop", "Have one rolled back, whatever the evidence.", func(c *kingpin.CmdClause) func() error {
+		addr := c.Flag("balancer", "admin address of a balancer").Required().String()
+		service := c.Arg("service", "whose version comes in").Required().String()
+		return func() error { return stopRollout(a.Env, *addr, *service) }
+	})
 }
 
 // show prints what a balancer answers as a table, or as it is.
@@ -73,3 +85,60 @@
 }
 
 func number(f float64) string { return strconv.FormatFloat(f, 'f', 1, 64) }
+
+func rolloutRows(list []rollout.Status) (header []string, rows [][]string) {
+	header = []string{"service", "version", "state", "share", "since", "of", "by", "kind", "asked", "failed", "slow", "old: asked", "failed", "slow", "judged"}
+	for _, st := range list {
+		row := []string{
+			st.Service, st.Version, string(st.State), number(100*st.Share) + " %", st.Since.Round(time.Second).String(), st.Duration.String(), st.By,
+		}
+		if len(st.Kinds) == 0 {
+			rows = append(rows, append(row, "-", "-", "-", "-", "-", "-", "-", "elsewhere"))
+		}
+		for _, k := range st.Kinds {
+			rows = append(rows, append(row[:len(row):len(row)], kindName(k.Kind), count(k.Newer.Asked), count(k.Newer.Failed), count(k.Newer.Slow),
+				count(k.Older.Asked), count(k.Older.Failed), count(k.Older.Slow), judged(k)))
+		}
+	}
+	return header, rows
+}
+
+func count(n int64) string { return strconv.FormatInt(n, 10) }
+
+func kindName(name string) string {
+	if name == "" {
+		return "all"
+	}
+	return name
+}
+
+func judged(k rollout.KindStatus) string {
+	switch {
+	case k.Bad:
+		return "bad"
+	case k.Proved:
+		return "good"
+	}
+	return "open"
+}
+
+// stopRollout has a version rolled back. Exit code 3 says that the roll-out has gone on
+// meanwhile, 4 that whether the store has the word is not known.
+func stopRollout(e *command.Env, addr, service string) error {
+	client := &http.Client{Timeout: readHeaderTimeout}
+	resp, err := client.Post("http://"+addr+"/rollouts/"+service+"/stop", "", nil)
+	if err != nil {
+		return fmt.Errorf("rollout: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }() // read to its end
+	switch resp.StatusCode {
+	case http.StatusNoContent:
+		_, err := fmt.Fprintf(e.Out, "%s: rolled back\n", service)
+		return err
+	case http.StatusConflict:
+		return command.ExitError{Code: command.ExitLost, Err: errorOf(resp)}
+	case http.StatusBadGateway:
+		return command.ExitError{Code: command.ExitUnknown, Err: errorOf(resp)}
+	}
+	return errorOf(resp)
+}
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -89,12 +89,24 @@
 	Choice Choice
 }
 
+// Side is which version of a service's software an endpoint runs, while a new one comes in.
+type Side uint8
+
+// The sides.
+const (
+	AnySide  Side = iota // no version comes in, or it does not matter
+	OldSide              // the version that serves so far
+	NewSide              // the version that comes in, at one of the endpoints that take part
+	HeldSide             // gets nothing: a version that is rolled back, or one that does not take part yet
+)
+
 // Choice is what was known of an endpoint when the balancer chose it. It is
 // logged, and what is learnt from the completion is judged by it.
 type Choice struct {
 	Start    int64         // which start of the endpoint, as it is listed; 0 where it is not told
 	Pace     float64       // slowdown factor that the endpoint reported, 1 as usual; 0 without a report
 	Busy     int           // requests that it is thought to hold, this one included
+	Side     Side          // which version of the service the endpoint runs, while one comes in
 	Cold     bool          // it warms up
 	Estimate time.Duration // until the response
 	Age      time.Duration // of the report; below 0 without one
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -19,6 +20,7 @@
 	request placement.Request
 	service string // without the tenant
 	listed  []directory.Endpoint
+	share   float64 // of the requests that goes to a version that comes in
 	ranking selection.Ranking
 	usual   selection.Usual // of the kind and the service, as of the ranking
 	lot     uint32          // random
@@ -86,21 +88,56 @@
 	c.prospects[s.service] = c.prospects[s.service].With(probed.Estimate, s.usual.Work)
 }
 
-// rank makes candidates of the endpoints that the request may go to.
+// rank makes candidates of the endpoints that the request may go to: those of its side,
+// while a version of the service comes in.
 func (c *Chooser) rank(s *search, now time.Time) {
-	s.listed = c.cfg.Directory.Snapshot().Endpoints[s.service]
+	snapshot := c.cfg.Directory.Snapshot()
+	s.listed, s.share = snapshot.Endpoints[s.service], snapshot.Shares[s.service]
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	members := c.poolOf(s.service, s.listed)
-	s.ranking.Reset(len(members))
 	s.usual = selection.Usual{
 		Work: c.workloads[s.request.Kind].Usual(s.request.Target), Crowding: c.crowding[s.service], Prospect: c.prospects[s.service],
 		Warming: c.warming[s.service], Fresh: c.opts.ProbeFresh, TellsLoad: c.probePath(s.service) != "",
 		WarmupRate: c.warmupRate(s.service), Lot: s.lot, Alone: s.request.Alone,
 	}
+	side := s.side()
+	c.rankSide(s, side, now)
+	if other, ok := s.otherSide(side); ok {
+		c.rankSide(s, other, now)
+	}
+	c.listed[s.service] = c.listed[s.service] || len(s.listed) > 0
+}
+
+// side returns which version of the service the request goes to.
+func (s *search) side() placement.Side {
+	switch {
+	case s.share == 0:
+		return placement.AnySide
+	case float64(s.lot) < s.share*math.MaxUint32:
+		return placement.NewSide
+	}
+	return placement.OldSide
+}
+
+// otherSide returns the version that takes the request where its own has no room. What is
+// meant for the old one goes to the new one only where there is no old one at all.
+func (s *search) otherSide(side placement.Side) (placement.Side, bool) {
+	switch {
+	case side == placement.NewSide && s.share < 1 && (s.ranking.Len() == 0 || s.ranking.Best().Full):
+		return placement.OldSide, true
+	case side == placement.OldSide && s.ranking.Len() == 0:
+		return placement.NewSide, true
+	}
+	return side, false
+}
+
+// rankSide makes candidates of the endpoints of one side; c.mu is held.
+func (c *Chooser) rankSide(s *search, side placement.Side, now time.Time) {
+	members := c.poolOf(s.service, s.listed)
+	s.ranking.Reset(len(members))
 	for _, i := range members {
 		e := &s.listed[i]
-		if !e.Usable(now) || slices.Contains(s.request.Avoid, e.VM) {
+		if !e.Usable(now) || side != placement.AnySide && e.Side != side || slices.Contains(s.request.Avoid, e.VM) {
 			continue
 		}
 		known := c.knownOf(s, members, e, now)
@@ -108,7 +145,6 @@
 		s.ranking.Add(selection.NewCandidate(&known.state, i, listing, &s.usual, c.rng.Uint32(), now))
 	}
 	s.ranking.DropEjected()
-	c.listed[s.service] = c.listed[s.service] || len(s.listed) > 0
 }
 
 // knownOf returns what is remembered of an endpoint. One that appears after the
@@ -167,7 +203,7 @@
 	e.state = e.state.WithSent()
 	load := e.state.Load()
 	choice := placement.Choice{
-		Start: target.Start, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, Estimate: best.Estimate, Age: -1, Probes: s.probes,
+		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, Estimate: best.Estimate, Age: -1, Probes: s.probes,
 	}
 	if age := load.Age(now); age < oldestAge {
 		choice.Age = age
--- a/direct/complete.go
+++ b/direct/complete.go
@@ -37,6 +37,7 @@
 	if r.Outcome == placement.Completed {
 		c.learn(g, r.Took, e.state.Load().Slots(g.Endpoint.Slots))
 	}
+	c.noteTrial(g, r, now)
 	e.state = e.state.WithOutcome(r.Outcome, c.ratio(g, r.Took), now)
 	if r.Outcome == placement.Failed && e.state.Health().Ejected(now) {
 		c.cfg.Log.Info("endpoint", "id", g.Endpoint.VM, "service", tenant.ServiceName(g.Service), "state", "ejected",
@@ -44,6 +45,24 @@
 	}
 }
 
+// slowFactor is how many times as long as was estimated a slow request takes. Chosen without
+// a measurement.
+const slowFactor = 3
+
+// noteTrial tells what became of a request while a version of its service comes in. Of an
+// endpoint that warms up, as those of a new version do first, nothing is told.
+func (c *Chooser) noteTrial(g placement.Grant, r placement.Result, now time.Time) {
+	side := g.Choice.Side
+	ran := r.Outcome == placement.Completed || r.Outcome == placement.Failed
+	if c.cfg.Evidence == nil || !ran || g.Choice.Cold || side != placement.OldSide && side != placement.NewSide {
+		return
+	}
+	c.cfg.Evidence.Note(Trial{
+		Service: tenant.ServiceName(g.Service), Kind: g.Kind, Newer: side == placement.NewSide,
+		Failed: r.Outcome == placement.Failed, Slow: g.Choice.Estimate > 0 && r.Took > slowFactor*g.Choice.Estimate,
+	}, now)
+}
+
 // noteWarming notes how a request ended at an endpoint that warmed up; c.mu is held.
 func (c *Chooser) noteWarming(service string, o placement.Outcome, now time.Time) {
 	c.warming[service] = c.warming[service].WithOutcome(o, c.warmupRate(service), now)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -51,6 +51,7 @@
 	Metrics     metrics.Registry
 	Handover    func(context.Context) // hands duties to other balancers before a planned stop; may be nil
 	Stop        func()                // ends what keeps the directory up to date; may be nil
+	Evidence    Evidence              // nil for none
 
 	// Shortened by tests; zero for the defaults.
 	Options     selection.Options
@@ -58,6 +59,20 @@
 	ForgetEvery time.Duration // between two looks for endpoints that are gone; default 1 min
 }
 
+// Evidence takes what became of requests at either version of a service while one comes in.
+type Evidence interface {
+	// Note notes a request that an endpoint ran, or may have: whether it failed, and whether
+	// it took several times as long as was estimated.
+	Note(t Trial, now time.Time)
+}
+
+// Trial is what became of one request while a version of its service comes in.
+type Trial struct {
+	Service, Kind string
+	Newer         bool // at an endpoint of the version that comes in
+	Failed, Slow  bool
+}
+
 // Prober asks an endpoint for its load.
 type Prober interface {
 	Probe(ctx context.Context, addr, path string, within time.Duration) (upstream.ProbeResult, error)
--- a/direct/pool.go
+++ b/direct/pool.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/subset"
 	"github.com/lotuswing/lotuswing/directory"
 )
@@ -33,7 +34,7 @@
 	for i := range listed {
 		e := &listed[i]
 		members[i] = subset.Member{
-			ID: e.VM, Near: e.Zone == c.cfg.Zone, Out: e.Evacuated,
+			ID: e.VM, Near: e.Zone == c.cfg.Zone, Trial: e.Side == placement.NewSide, Out: e.Evacuated || e.Side == placement.HeldSide,
 		}
 	}
 	return subset.Draw(c.cfg.ID, members, c.cfg.PoolSize)
--- a/directory/apply.go
+++ b/directory/apply.go
@@ -1,6 +1,9 @@
 package directory
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Apply brings changes into force, whoever brought them, and says so in the
 // log.
@@ -12,12 +15,16 @@
 	if applied.Ignored > 0 {
 		f.opts.Log.Warn("older configuration ignored", "version", applied.Ignored, "revision", changes.At)
 	}
-	for _, err := range changes.Faults {
+	for _, err := range slices.Concat(changes.Faults, applied.Faults) {
 		f.opts.Log.Error("unusable entry", "error", err, "revision", changes.At)
 	}
 	for _, e := range applied.Zones {
 		f.opts.Log.Info("zone", "zone", e.Zone, "evacuated", !e.Over, "revision", e.Revision)
 	}
+	for _, r := range applied.Rollouts {
+		f.opts.Log.Info("rollout", "service", r.Order.Service, "version", r.version(), "state", r.Status().State, "share", r.Share(),
+			"begun", r.Begun(), "taken_back", r.Order.Over, "by", r.Record.By)
+	}
 	f.logMoved(applied.Moved, changes)
 	f.opts.Observe(changes)
 }
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -48,6 +48,15 @@
 	Revision uint64
 }
 
+// RolloutOrder is an operator's order to bring a version of a service in, or its end.
+type RolloutOrder struct {
+	Service  string
+	Version  string        // that comes in
+	Duration time.Duration // in which it should have come in
+	Over     bool          // the order was taken back
+	Revision uint64
+}
+
 // Record is a key of the store, or its end. Its meaning is the source's alone;
 // processes hand it on to one another as it is, as JSON with the names of its
 // fields.
@@ -66,6 +75,8 @@
 	Gone    []Gone
 	// Evacuations are the availability zones that are emptied or taken back.
 	Evacuations []Evacuation
+	// Rollouts are orders to bring versions in, or their ends.
+	Rollouts []RolloutOrder
 	// Registrations are the keys that balancers keep, by the names that they
 	// gave them.
 	Registrations []Record
@@ -83,7 +94,7 @@
 
 // count returns how many changes there are.
 func (c Changes) count() int {
-	n := len(c.Entries) + len(c.Gone) + len(c.Evacuations) + len(c.Registrations)
+	n := len(c.Entries) + len(c.Gone) + len(c.Evacuations) + len(c.Registrations) + len(c.Rollouts)
 	if c.Config != nil {
 		n++
 	}
@@ -96,6 +107,9 @@
 	Ignored uint64       // of a configuration that is older than the one in force, 0 for none
 	Moved   []Change     // endpoints whose state changed
 	Zones   []Evacuation // that are emptied or taken back since
+
+	Rollouts []Rollout // of which something is new
+	Faults   []error   // of records that could not be read
 }
 
 // Change is an endpoint's new state.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -29,9 +29,12 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lotuswing/lotuswing/coord/placement"
 )
 
 // Snapshot is what the request path reads. It is never changed.
@@ -39,6 +42,8 @@
 	Config    *Config               // nil until one is known
 	Endpoints map[string][]Endpoint // by service, in order of identity: listed ones, and missing ones while nearly all are; see Endpoint.Usable
 	Known     int                   // endpoints that are listed, of services that are configured
+	Rollouts  []Rollout             // of versions that come in, or have, in the order of the services
+	Shares    map[string]float64    // by service, the part of the requests for the version that comes in, where one does
 	Evacuated []string              // availability zones that are being emptied, in order; their endpoints are not usable
 	At        uint64                // revision up to which all changes are known
 }
@@ -54,6 +59,7 @@
 	services  map[string]map[string]bool // identities by service
 	changed   map[string]touched         // by service, what has changed since the last snapshot
 	zones     evacuations
+	rollouts  rollouts
 	at        uint64
 }
 
@@ -61,7 +67,7 @@
 func New() *Directory {
 	d := &Directory{
 		endpoints: map[string]Endpoint{}, ended: map[string]bool{}, services: map[string]map[string]bool{}, changed: map[string]touched{},
-		zones: evacuations{},
+		zones: evacuations{}, rollouts: rollouts{},
 	}
 	d.snapshot.Store(&Snapshot{Endpoints: map[string][]Endpoint{}})
 	return d
@@ -90,6 +96,7 @@
 		d.applyAbsent(c, now, &applied)
 		d.applyEvacuations(d.zones.missing(c.Evacuations, c.At), &applied)
 	}
+	d.applyRollouts(c, &applied)
 	d.at = max(d.at, c.At)
 	d.forget(now)
 	d.publish(now)
@@ -111,6 +118,31 @@
 	}
 }
 
+// applyRollouts notes orders and records of versions that come in.
+func (d *Directory) applyRollouts(c Changes, applied *Applied) {
+	orders := c.Rollouts
+	if c.Whole {
+		orders = append(slices.Clone(orders), d.rollouts.absentOrders(c.Rollouts, c.At)...)
+	}
+	for _, o := range orders {
+		if d.rollouts.noteOrder(o) {
+			d.touchAll(o.Service)
+			applied.Rollouts = append(applied.Rollouts, d.rollouts[o.Service])
+		}
+	}
+	for _, r := range c.Registrations {
+		news, err := d.rollouts.noteRecord(r)
+		if err != nil {
+			applied.Faults = append(applied.Faults, err)
+		}
+		if news {
+			service := strings.TrimPrefix(r.Key, rolloutRecords)
+			d.touchAll(service)
+			applied.Rollouts = append(applied.Rollouts, d.rollouts[service])
+		}
+	}
+}
+
 // applyConfig puts a newer configuration into force; the version never goes back.
 func (d *Directory) applyConfig(c *Config, applied *Applied) {
 	switch {
@@ -239,7 +271,7 @@
 	before := d.snapshot.Load()
 	s := &Snapshot{
 		Config: d.config, Endpoints: make(map[string][]Endpoint, len(d.services)), At: d.at,
-		Evacuated: d.zones.zones(),
+		Evacuated: d.zones.zones(), Rollouts: d.rollouts.all(), Shares: map[string]float64{},
 	}
 	for id := range d.ended {
 		if e := d.endpoints[id]; e.State == Missing {
@@ -249,9 +281,10 @@
 	for service, ids := range d.services {
 		if t, ok := d.changed[service]; !ok {
 			s.Endpoints[service] = before.Endpoints[service]
+			s.share(service, before.Shares[service])
 		} else if list := d.listOf(t, before.Endpoints[service], ids, now); len(list) > 0 {
-			d.markAll(list)
 			s.Endpoints[service] = list
+			s.share(service, d.markAll(service, list))
 		}
 		if d.isConfigured(service) {
 			s.Known += countListed(s.Endpoints[service])
@@ -261,11 +294,23 @@
 	d.snapshot.Store(s)
 }
 
-// markAll marks endpoints of zones that are emptied; d.mu is held.
-func (d *Directory) markAll(list []Endpoint) {
+// share notes the part of a service's requests for the version that comes in.
+func (s *Snapshot) share(service string, share float64) {
+	if share > 0 {
+		s.Shares[service] = share
+	}
+}
+
+// markAll marks endpoints of zones that are emptied and of versions that come in, and
+// returns the part of the requests for the latter; d.mu is held.
+func (d *Directory) markAll(service string, list []Endpoint) (share float64) {
 	for i := range list {
-		list[i].Evacuated = d.zones.inForce(list[i].Zone)
+		list[i].Evacuated, list[i].Side = d.zones.inForce(list[i].Zone), placement.AnySide
+	}
+	if r, ok := d.rollouts[service]; ok {
+		return r.divide(list)
 	}
+	return 0
 }
 
 // countListed returns how many endpoints are listed.
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -29,6 +29,7 @@
 	// knows nothing of the one before; 0 where it is not told.
 	Start    int64
 	Service  string
+	Version  string // of its software
 	State    State
 	Warmup   time.Duration // how much longer it was slow by its own word, when it wrote its entry
 	WarmAt   time.Time     // until then it is slow by that word
@@ -38,6 +39,8 @@
 
 	Spoiled   bool // its entry is there and cannot be read, so that it names no server to use
 	Evacuated bool // its availability zone is being emptied; only a Snapshot tells
+	// Side is which version of the service it runs while one comes in; only a Snapshot tells.
+	Side placement.Side
 }
 
 const (
@@ -60,7 +63,7 @@
 
 // Usable reports whether the endpoint may get requests at now.
 func (e Endpoint) Usable(now time.Time) bool {
-	if e.Evacuated || e.Spoiled {
+	if e.Evacuated || e.Spoiled || e.Side == placement.HeldSide {
 		return false
 	}
 	return e.State == Listed || e.State == Missing && now.Sub(e.Changed) <= lastResortFor
--- a/server/admin.go
+++ b/server/admin.go
@@ -32,6 +32,7 @@
 	mux.HandleFunc("GET /trace", s.trace)
 	s.addQuarantine(mux)
 	s.addTeams(mux)
+	s.addRollouts(mux)
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -14,6 +14,7 @@
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/quarantine"
 	"github.com/lotuswing/lotuswing/relay"
+	"github.com/lotuswing/lotuswing/rollout"
 )
 
 // chooser routes requests and chooses their endpoints, alone or with other
@@ -57,7 +58,7 @@
 	s.directory = d
 	s.fleet = s.newFleet()
 	if s.cfg.Relays != nil {
-		s.keeper = s.newKeeper()
+		s.keeper, s.rollouts = s.newKeeper(), s.newRollouts()
 		opts.Observe = s.observe
 	}
 	if s.cfg.Relays != nil && settings.Link != "" {
@@ -88,6 +89,8 @@
 	}
 	if s.keeper != nil {
 		go s.keeper.Run(ctx)
+		go s.rollouts.Run(ctx)
+		cfg.Evidence = s.rollouts
 	}
 	go s.fleet.Run(ctx, s.carrier())
 	go s.follower.Run(ctx)
@@ -108,6 +111,28 @@
 	})
 }
 
+// newRollouts returns this balancer's part in bringing versions in.
+func (s *Server) newRollouts() *rollout.Keeper {
+	settings := s.cfg.Settings
+	cfg := rollout.Config{
+		ID: settings.ID, Zone: settings.Zone, Directory: s.directory, Counts: s.fleet, Registry: s.cfg.Relays,
+		Settle: settings.Discovery.ApplyWithin, Log: s.cfg.Log.Named("rollout"), Metrics: s.metrics,
+	}
+	if settings.Link != "" {
+		cfg.Zones = relayZones{s}
+	}
+	return rollout.New(cfg)
+}
+
+// relayZones is which zones have a relay, once this balancer knows.
+type relayZones struct{ server *Server }
+
+// Serving reports whether this balancer is its zone's relay.
+func (z relayZones) Serving() bool { return z.server.relays.Serving() }
+
+// RelayZones returns the zones that have one.
+func (z relayZones) RelayZones() []string { return z.server.relays.RelayZones() }
+
 // carrier returns what takes counts to other balancers; nil where there is nothing.
 func (s *Server) carrier() fleet.Carrier {
 	if s.relays == nil {
@@ -141,6 +166,7 @@
 		s.relays.Observe(c)
 	}
 	s.keeper.Observe(c)
+	s.rollouts.Observe(c)
 }
 
 // bytesPerMegabit turns a rate in Mbit/s into bytes a second.
--- a/server/server.go
+++ b/server/server.go
@@ -32,6 +32,7 @@
 	"github.com/lotuswing/lotuswing/pipeline"
 	"github.com/lotuswing/lotuswing/quarantine"
 	"github.com/lotuswing/lotuswing/relay"
+	"github.com/lotuswing/lotuswing/rollout"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/rcrowley/go-metrics"
@@ -60,6 +61,7 @@
 	relay.Registry
 	relay.Decoder
 	quarantine.Registry
+	rollout.Registry
 }
 
 // Server is a running balancer process.
@@ -73,6 +75,7 @@
 	directory *directory.Directory // nil without a follower
 	keeper    *quarantine.Keeper   // nil without relays
 	fleet     *fleet.Keeper        // nil without a follower
+	rollouts  *rollout.Keeper      // nil without relays
 	suspended *suspend.Detector
 	balancer  *balancer.Balancer
 	tracing   *telemetry.Tracing
