Tests of first copies in parts

A copy of everything is 350 KB with 10,000 endpoints: relays read 50 pages one after the other before they hand anything on, a small VM's link takes 0.14 s a copy and gives two, nine steps, and each balancer decodes 10,000 entries before it serves.

Ways weighed: a copy a service, by need (the relays would have to read what they hand on); smaller records (27 bytes an endpoint packed is near what they hold); first a part: built.

Change: a relay hands on what stands before the endpoints and 1,024 of these as soon as the first pages are read, and a balancer that starts asks for such a part first, serves with it, then asks for a copy of everything. Deployments of fewer than two thousand records get the whole copy as before.

--- a/compat/wire_test.go
+++ b/compat/wire_test.go
@@ -51,6 +51,8 @@
 var addedLater = map[string][][]string{
 	"ChangesArgs":  {{"From", "Patient", "InTouch"}, {"TakesNotes", "NotesLife", "NotesAfter"}},
 	"ChangesReply": {{"StoreLost", "Askers", "Instead"}, {"Notes", "NotesLife", "NotesAt"}},
+	"CopyArgs":     {{"Part"}},
+	"CopyReply":    {{"Part"}},
 }
 
 // ofVersion returns a value with the fields zero that a version lacks, counted from 0.
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -1,6 +1,8 @@
 package directory_test
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -102,3 +104,46 @@
 	d.Apply(directory.Changes{Config: &directory.Config{Version: 2, Services: map[string]tenant.Service{"s": {}}}}, start)
 	assert.Equal(t, d.Snapshot().Known, 1)
 }
+
+// pagedSource is a store whose reading tells its pages.
+type pagedSource struct {
+	*fakeSource
+	pages []directory.Changes
+	seen  func(page int)
+}
+
+func (s *pagedSource) ReadPages(_ context.Context, _ bool, one func(directory.Changes) bool) (directory.Changes, error) {
+	all := directory.Changes{Whole: true, At: 9}
+	more := true
+	for i, p := range s.pages {
+		all.Entries = append(all.Entries, p.Entries...)
+		if p.Config != nil {
+			all.Config = p.Config
+		}
+		more = more && one(p)
+		s.seen(i)
+	}
+	return all, nil
+}
+
+// TestServesBeforeEverythingIsRead: with the configuration and enough endpoints in force the
+// rest of the reading is not waited for; in the end everything is in force.
+func TestServesBeforeEverythingIsRead(t *testing.T) {
+	d := directory.New()
+	source := &pagedSource{fakeSource: newFakeSource()}
+	source.pages = append(source.pages, directory.Changes{Config: &directory.Config{Version: 3}})
+	for p := range 10 {
+		var c directory.Changes
+		for i := range 200 {
+			c.Entries = append(c.Entries, entry(fmt.Sprintf("e%d-%d", p, i), uint64(200*p+i+1)))
+		}
+		source.pages = append(source.pages, c)
+	}
+	var known []int
+	source.seen = func(int) { known = append(known, d.Snapshot().Known) }
+	f := directory.NewFollower(d, source, directory.Options{})
+	assert.NilError(t, f.Read(context.Background()))
+	assert.DeepEqual(t, known, []int{0, 200, 400, 600, 800, 1000, 1200, 1200, 1200, 1200, 1200})
+	assert.Equal(t, d.Snapshot().Known, 2000)
+	assert.Equal(t, d.Snapshot().At, uint64(9))
+}
