--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -131,7 +131,7 @@
 func TestServesBeforeEverythingIsRead(t *testing.T) {
 	d := directory.New()
 	source := &pagedSource{fakeSource: newFakeSource()}
-	source.pages = append(source.pages, directory.Changes{Config: &directory.Config{Version: 3}})
+	source.pages = append(source.pages, directory.Changes{Config: &directory.Config{Version: 3, Services: map[string]tenant.Service{"s": {}}}})
 	for p := range 10 {
 		var c directory.Changes
 		for i := range 200 {
