A part of a first copy changes nothing once everything is known

Cause: pages of the store's reading come into force while another balancer's whole copy may come first. A page may be seconds old: a key that ended before the whole copy was read would be brought back by it and never end again, so that an endpoint that left gets requests.

Found by the model of copies handed on, with a step for parts of old readings (TestHandedOnCopiesEndWithTheStore); it fails without this change.

Change: directory.Changes.Outdated, which directories and replicas ask, says so of parts as well.

--- a/directory/changes.go
+++ b/directory/changes.go
@@ -88,10 +88,10 @@
 }
 
 // Outdated reports whether the changes are a whole reading that is older than what is
-// known up to a revision. It would bring keys back whose ends were told before the
-// reading that began what is known, and so are remembered by nobody: two first copies
-// may come at once, the older one last.
-func (c Changes) Outdated(known uint64) bool { return c.Whole && c.At < known }
+// known up to a revision, or a part of one after everything is known. It would bring keys
+// back whose ends were told before the reading that began what is known, and so are
+// remembered by nobody: two first copies may come at once, the older one last.
+func (c Changes) Outdated(known uint64) bool { return c.Whole && c.At < known || c.Part && known > 0 }
 
 // count returns how many changes there are.
 func (c Changes) count() int {
--- a/relay/first_test.go
+++ b/relay/first_test.go
@@ -38,7 +38,7 @@
 	i := rapid.IntRange(0, len(f.replicas)-1).Draw(t, "balancer")
 	rep := f.replicas[i]
 	_, known := rep.revision()
-	switch rapid.SampledFrom([]string{"change", "restart", "stale read", "ask", "deliver", "deliver again", "drop", "follow", "time"}).Draw(t, "step") {
+	switch rapid.SampledFrom([]string{"change", "restart", "stale read", "stale part", "ask", "deliver", "deliver again", "drop", "follow", "time"}).Draw(t, "step") {
 	case "change":
 		f.store.change(t)
 		f.past = append(f.past, f.store.whole())
@@ -46,6 +46,11 @@
 		f.replicas[i] = newReplica()
 	case "stale read":
 		rep.apply(rapid.SampledFrom(f.past).Draw(t, "reading"), f.now)
+	case "stale part": // some keys of a reading, of the store or of another balancer
+		part := rapid.SampledFrom(f.past).Draw(t, "reading")
+		part.Whole, part.Part, part.At = false, true, 0
+		part.Records = part.Records[:rapid.IntRange(0, len(part.Records)).Draw(t, "keys")]
+		rep.apply(part, f.now)
 	case "ask":
 		if d := rep.since(0); known {
 			c, err := bootstrap.Pack(d.records, d.at)
