A balancer that has just started asks for its word before it follows a relay

Balancers that start serve before they follow anybody, and until then had no relay to report to: each gave out a twentieth of a quota anew.

Change: they report to the registered relay that will be asked first, and give out a fiftieth, three requests at the least, before any word.

--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -59,12 +59,12 @@
 	staleAfter = 2 * time.Second
 	// freshPart is the part of a quota that a balancer gives out before it has heard any
 	// word: after a start a first word takes a round trip, and where there is no relay yet
-	// as many balancers as a small zone has may be in that state at once. Chosen without a
-	// measurement.
-	freshPart = 0.05
+	// all that were killed together may be in that state at once. Chosen without a measurement
+	// of its own.
+	freshPart = 0.02
 	// freshTokens are given out at the least before any word, so that the first requests of
 	// a small team need not wait for one.
-	freshTokens = 2
+	freshTokens = 3
 	// startFill is the part of its burst with which a bucket begins that nobody tells
 	// anything of: before a restart of all it may have been empty or full.
 	startFill = 0.8
@@ -124,7 +124,11 @@
 	dt := max(0, now.Sub(a.at).Seconds())
 	if a.silent(now) {
 		a.tokens += l.Rate * a.part * dt
-		a.tokens = min(a.tokens, l.full(a.part))
+		full := l.full(a.part)
+		if !a.heard {
+			full = max(full, freshTokens)
+		}
+		a.tokens = min(a.tokens, full)
 	} else {
 		a.tokens += l.Rate*dt - a.others*a.believed(now).Seconds()
 		if now.Sub(a.told) > staleAfter {
--- a/relay/counting.go
+++ b/relay/counting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/lotuswing/lotuswing/coord/quota"
 	"github.com/lotuswing/lotuswing/coord/tally"
@@ -48,12 +49,18 @@
 	return reply.Answer, nil
 }
 
-// Followed returns the address of the balancer that last answered a question for changes;
-// empty for none.
+// Followed returns the address of the balancer that last answered a question for changes and,
+// before any has, that of the registered relay that will be asked first; empty for none. A
+// balancer that has just started serves before it follows anybody, and until it is told what
+// is left of a quota it gives out some of it anew.
 func (g *Group) Followed() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.asked
+	if g.asked != "" {
+		return g.asked
+	}
+	next, _ := nextRelay(g.replica.allRelays(), Relay{Addr: g.cfg.Addr, Zone: g.cfg.Zone}, g.penalized, g.turn, time.Now())
+	return next.Addr
 }
 
 // Others returns the addresses of the registered relays but this balancer's own.
