Who serves with a part asks for everything without hurry

A balancer that asked for everything asked another one each 60 ms, four at once: the relay of its zone was still reading the store, and relays of other zones sent a copy of 350 KB each beside it. The registrations were read each 0.4 s while the whole copy was awaited.

Change: for everything one balancer is asked after the other, the own zone's relay first, a second apart, and the registrations are read each two seconds.

--- a/bootstrap/progress.go
+++ b/bootstrap/progress.go
@@ -61,7 +61,7 @@
 		p.reading = true
 		go func() { p.send(ctx, read{p.cfg.Store.Read(ctx)}) }()
 	}
-	if p.asking < mostQuestions && !now.Before(p.askAt) {
+	if p.asking < p.mostQuestions() && !now.Before(p.askAt) {
 		p.ask(ctx, now)
 	}
 }
@@ -69,22 +69,45 @@
 // ask asks the next balancer for its copy.
 func (p *progress) ask(ctx context.Context, now time.Time) {
 	peer, order, ok := p.order.WithNext(now)
-	p.askAt = now.Add(p.opts.AskNextAfter)
+	hurry := p.hurry()
+	p.askAt = now.Add(hurry.nextAfter)
 	if !ok {
 		return
 	}
 	p.order = order
 	p.asking++
 	p.asked++
-	args := CopyArgs{Addr: p.cfg.Self.Addr, Wait: p.opts.WaitAtPeer, Part: !p.partly}
+	args := CopyArgs{Addr: p.cfg.Self.Addr, Wait: hurry.wait, Part: !p.partly}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, p.opts.AskLimit)
+		ctx, cancel := context.WithTimeout(ctx, hurry.limit)
 		defer cancel()
 		reply, err := p.cfg.Peers.Copy(ctx, peer.Addr, args)
 		p.send(ctx, answered{peer: peer, reply: reply, err: err})
 	}()
 }
 
+// hurry is how long questions wait, and the next balancer with them.
+type hurry struct{ nextAfter, wait, limit time.Duration }
+
+// hurry returns how much of it there is. Who serves with a part asks for everything without
+// any: one after the other, the relay of the own zone first. With the same hurry for both,
+// relays of other zones were asked beside the own one, which was reading the store, and each
+// sent a copy: 0.56 GB between the zones of 984 balancers that had lost power.
+func (p *progress) hurry() hurry {
+	if p.partly {
+		return hurry{nextAfter: p.opts.ReadAfterPart / 2, wait: p.opts.ReadAfterPart / 2, limit: p.opts.ReadAfterPart}
+	}
+	return hurry{nextAfter: p.opts.AskNextAfter, wait: p.opts.WaitAtPeer, limit: p.opts.AskLimit}
+}
+
+// mostQuestions returns how many questions wait at once at the most.
+func (p *progress) mostQuestions() int {
+	if p.partly {
+		return 2
+	}
+	return mostQuestions
+}
+
 // send tells the loop of an event, unless the search is over.
 func (p *progress) send(ctx context.Context, e event) {
 	select {
@@ -130,7 +153,7 @@
 		p.cfg.Log.Warn("relays not read", "error", e.err)
 		return
 	}
-	p.lookAt = now.Add(p.opts.LookEvery)
+	p.lookAt = now.Add(p.lookEvery())
 	relays := p.cfg.State.Relays()
 	first := !p.lookedUp
 	p.lookedUp = true
@@ -142,6 +165,15 @@
 	}
 }
 
+// lookEvery returns the time between two readings of the registrations. Who serves with a
+// part, in which they stand, reads them seldom.
+func (p *progress) lookEvery() time.Duration {
+	if p.partly {
+		return p.opts.ReadAfterPart
+	}
+	return p.opts.LookEvery
+}
+
 // isRelay reports whether a balancer is registered.
 func isRelay(relays []Peer, self Peer) bool {
 	return slices.ContainsFunc(relays, func(r Peer) bool { return r.Addr == self.Addr })
@@ -200,6 +232,7 @@
 	p.cfg.State.ApplyPart(records)
 	p.cfg.Log.Info("part of a first copy in force", "records", len(records))
 	p.partly = true
+	p.lookAt = latest(p.lookAt, now.Add(p.lookEvery()))
 	p.readAt = latest(p.readAt, now.Add(p.opts.ReadAfterPart+time.Duration(p.random*float64(p.opts.ReadSpread))))
 	p.order = NewOrder(p.cfg.Self, p.cfg.Seeds, rand.Uint64(), p.opts.AskAgainAfter).WithRelays(p.cfg.State.Relays())
 	return nil
