--- a/directory/rollout.go
+++ b/directory/rollout.go
@@ -217,3 +217,28 @@
 	})
 	return newer[:int(math.Ceil(share*float64(len(newer))))]
 }
+
+// applyRollouts notes orders and records of versions that come in.
+func (d *Directory) applyRollouts(c Changes, applied *Applied) {
+	orders := c.Rollouts
+	if c.Whole {
+		orders = append(slices.Clone(orders), d.rollouts.absentOrders(c.Rollouts, c.At)...)
+	}
+	for _, o := range orders {
+		if d.rollouts.noteOrder(o) {
+			d.touchAll(o.Service)
+			applied.Rollouts = append(applied.Rollouts, d.rollouts[o.Service])
+		}
+	}
+	for _, r := range c.Registrations {
+		news, err := d.rollouts.noteRecord(r)
+		if err != nil {
+			applied.Faults = append(applied.Faults, err)
+		}
+		if news {
+			service := strings.TrimPrefix(r.Key, rolloutRecords)
+			d.touchAll(service)
+			applied.Rollouts = append(applied.Rollouts, d.rollouts[service])
+		}
+	}
+}
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -70,17 +70,7 @@
 	}
 	s.follower = directory.NewFollower(d, s.cfg.Source, opts)
 	ctx, stop := context.WithCancel(context.Background())
-	cfg := direct.Config{
-		ID:        settings.ID,
-		Zone:      settings.Zone,
-		Directory: d,
-		Client:    s.cfg.Policy.Client,
-		Log:       s.cfg.Log.Named("choice"),
-		Metrics:   s.metrics,
-		Stop:      stop,
-
-		Suspensions: s.suspended,
-	}
+	cfg := s.choiceConfig(stop)
 	if s.relays != nil {
 		if err := s.startRelays(&cfg); err != nil {
 			stop()
@@ -97,6 +87,14 @@
 	return direct.New(cfg), nil
 }
 
+// choiceConfig returns what choosing endpoints needs; stop ends the following of the store.
+func (s *Server) choiceConfig(stop func()) direct.Config {
+	return direct.Config{
+		ID: s.cfg.Settings.ID, Zone: s.cfg.Settings.Zone, Directory: s.directory, Client: s.cfg.Policy.Client,
+		Log: s.cfg.Log.Named("choice"), Metrics: s.metrics, Stop: stop, Suspensions: s.suspended,
+	}
+}
+
 // spareShare is the part of what the operators bear with above a quota that a balancer gives
 // out to each team; the rest is for what balancers cannot know of one another. Chosen
 // without a measurement.
