control, server: one piece asks a balancer, one sends it an operator's word

Cause: the commands about teams and roll-outs had brought their own copies of what the quarantine's did: the request, its errors, the table or JSON, and the statuses that become exit codes; the server encoded the quarantine's list by hand beside encode. Ruled out: one prefix for all errors, which would change texts. Change: control/ask.go holds ask, put, order and errorOf; both groups of commands call them, the server's list goes through encode. Exit codes and error texts stay; a debug line says 'answer not sent' for 'list not sent'. A balancer answers no 400 to the stop of a roll-out, so that code's row is the quarantine's alone as before.

--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -1,13 +1,8 @@
 package control
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -31,23 +26,11 @@
 }
 
 func listQuarantine(e *command.Env, addr string) error {
-	client := &http.Client{Timeout: readHeaderTimeout}
-	resp, err := client.Get("http://" + addr + "/quarantine")
+	list, err := ask[quarantine.Status](addr, "/quarantine")
 	if err != nil {
 		return fmt.Errorf("quarantine: %w", err)
 	}
-	defer func() { _ = resp.Body.Close() }() // read to its end
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("quarantine: %w", errorOf(resp))
-	}
-	var list []quarantine.Status
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
-		return fmt.Errorf("quarantine: %w", err)
-	}
-	if e.Format == "json" {
-		return e.JSON(list)
-	}
-	return e.Table(quarantineRows(list))
+	return put(e, list, quarantineRows)
 }
 
 func quarantineRows(list []quarantine.Status) (header []string, rows [][]string) {
@@ -75,35 +58,10 @@
 	addr := c.Flag("balancer", "admin address of a balancer").Required().String()
 	fingerprint := c.Arg("fingerprint", "as 'list', the log or a refusal's message tells it").Required().String()
 	return func() error {
-		client := &http.Client{Timeout: readHeaderTimeout}
-		resp, err := client.Post("http://"+*addr+"/quarantine/"+*fingerprint+"/"+word, "", nil)
-		if err != nil {
-			return fmt.Errorf("quarantine: %w", err)
-		}
-		defer func() { _ = resp.Body.Close() }() // read to its end
-		switch resp.StatusCode {
-		case http.StatusNoContent:
-			_, err := fmt.Fprintf(e.Out, "%s: %s\n", *fingerprint, word)
+		if err := order(*addr, "/quarantine/"+*fingerprint+"/"+word, "quarantine"); err != nil {
 			return err
-		case http.StatusBadRequest:
-			return command.ExitError{Code: command.ExitUsage, Err: errorOf(resp)}
-		case http.StatusConflict:
-			return command.ExitError{Code: command.ExitLost, Err: errorOf(resp)}
-		case http.StatusBadGateway:
-			return command.ExitError{Code: command.ExitUnknown, Err: errorOf(resp)}
 		}
-		return errorOf(resp)
-	}
-}
-
-// mostErrorBytes bounds what is read of an error's text.
-const mostErrorBytes = 4 << 10
-
-// errorOf returns the error that a balancer answered.
-func errorOf(resp *http.Response) error {
-	text, err := io.ReadAll(io.LimitReader(resp.Body, mostErrorBytes))
-	if err != nil {
-		return fmt.Errorf("status %d: %w", resp.StatusCode, err)
+		_, err := fmt.Fprintf(e.Out, "%s: %s\n", *fingerprint, word)
+		return err
 	}
-	return errors.New(strings.TrimSpace(string(text)))
 }
--- a/control/teams.go
+++ b/control/teams.go
@@ -1,9 +1,7 @@
 package control
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -38,23 +36,11 @@
 
 // show prints what a balancer answers as a table, or as it is.
 func show[T any](e *command.Env, addr, path string, rows func([]T) (header []string, rows [][]string)) error {
-	client := &http.Client{Timeout: readHeaderTimeout}
-	resp, err := client.Get("http://" + addr + path)
+	list, err := ask[T](addr, path)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	defer func() { _ = resp.Body.Close() }() // read to its end
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: %w", path, errorOf(resp))
-	}
-	var list []T
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	if e.Format == "json" {
-		return e.JSON(list)
-	}
-	return e.Table(rows(list))
+	return put(e, list, rows)
 }
 
 func teamStatusRows(list []server.TeamStatus) (header []string, rows [][]string) {
@@ -125,20 +111,9 @@
 // stopRollout has a version rolled back. Exit code 3 says that the roll-out has gone on
 // meanwhile, 4 that whether the store has the word is not known.
 func stopRollout(e *command.Env, addr, service string) error {
-	client := &http.Client{Timeout: readHeaderTimeout}
-	resp, err := client.Post("http://"+addr+"/rollouts/"+service+"/stop", "", nil)
-	if err != nil {
-		return fmt.Errorf("rollout: %w", err)
-	}
-	defer func() { _ = resp.Body.Close() }() // read to its end
-	switch resp.StatusCode {
-	case http.StatusNoContent:
-		_, err := fmt.Fprintf(e.Out, "%s: rolled back\n", service)
+	if err := order(addr, "/rollouts/"+service+"/stop", "rollout"); err != nil {
 		return err
-	case http.StatusConflict:
-		return command.ExitError{Code: command.ExitLost, Err: errorOf(resp)}
-	case http.StatusBadGateway:
-		return command.ExitError{Code: command.ExitUnknown, Err: errorOf(resp)}
 	}
-	return errorOf(resp)
+	_, err := fmt.Fprintf(e.Out, "%s: rolled back\n", service)
+	return err
 }
--- a/server/quarantine.go
+++ b/server/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 
@@ -21,10 +20,7 @@
 			http.Error(w, errNoQuarantine.Error(), http.StatusNotImplemented)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(s.keeper.List()); err != nil {
-			s.cfg.Log.Debug("list not sent", "error", err)
-		}
+		s.encode(w, s.keeper.List())
 	})
 	mux.HandleFunc("POST /quarantine/{fingerprint}/release", s.decree((*quarantine.Keeper).Release))
 	mux.HandleFunc("POST /quarantine/{fingerprint}/refuse", s.decree((*quarantine.Keeper).Order))
