Balancers read and log the limits that endpoints name; nothing is decided from them yet

On call could not tell from any log that an endpoint had named a limit, when, or who knew. The dialect has a header for it (Lotuswing-Limit, on the platform Server-Limit), coord/limit says what a value means and which of two answers that crossed counts, and package limits logs when a limit is named, rather different, or lifted, from an answer to a request or to a probe. What cannot be read neither names nor lifts one, and is counted (limits_unread) and logged.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -109,6 +109,8 @@
 	Access Access
 	// KeysWithin is after which a key that was added is known to every balancer.
 	KeysWithin time.Duration
+	// EndpointLimits hears what endpoints say of their limits; nil for nobody.
+	EndpointLimits EndpointLimits
 	// Quotas bounds what teams send; nil for no bound.
 	Quotas Quotas
 	// Suspensions tells of suspensions of the VM; nil for none.
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -38,6 +38,7 @@
 		b.countRepeat(x, time.Now())
 		a := b.send(ctx, x, number, grant)
 		a.stale = x.wake(b.cfg.Suspensions.Check())
+		b.noteLimit(&a, time.Now())
 		b.noteEnd(ctx, x, &a)
 		if delivers(&a.result, x.route.Kind.Repeatable, b.cfg.Policy.RetryServerErrors) {
 			return nil, b.passOn(x, &a)
--- /dev/null
+++ b/coord/limit/limit.go
@@ -0,0 +1,65 @@
+// Package limit holds balancers to the requests a second that an endpoint in need takes from
+// all of them together, as it names them in its answers.
+//
+// A Word is what an endpoint last said. Answers cross on their way, so a word counts by when
+// its request was sent and when its answer came (word.go). Parse reads the header.
+//
+// Nothing here does I/O, reads a clock or draws a random number.
+//
+// # Usage
+//
+//	rate, said := limit.Parse(response.Header.Values("Lotuswing-Limit"))
+//	word = word.With(limit.Answer{Said: said, Rate: rate, Asked: sent, Heard: now})
+//	rate, limited := word.RateAt(now)
+package limit
+
+import "strconv"
+
+// Said is what the header of an answer says of a limit.
+type Said uint8
+
+// What a header says.
+const (
+	Nothing    Said = iota // there is none
+	Named                  // a limit
+	Unreadable             // something that is no limit, which neither names nor lifts one
+)
+
+// String returns the word used in logs.
+func (s Said) String() string { return [...]string{"nothing", "named", "unreadable"}[s] }
+
+// longest is the most characters of a limit. A float64 holds any number of so many digits.
+const longest = 64
+
+// Parse reads the values of the header: one decimal number, not below 0, such as 12 or 2.5, in
+// requests a second. Signs, exponents, names of numbers and a second header are unreadable: an
+// endpoint whose word can be read in two ways has said nothing.
+func Parse(values []string) (perSecond float64, s Said) {
+	switch {
+	case len(values) == 0:
+		return 0, Nothing
+	case len(values) > 1 || !isDecimal(values[0]):
+		return 0, Unreadable
+	}
+	perSecond, err := strconv.ParseFloat(values[0], 64)
+	if err != nil {
+		return 0, Unreadable
+	}
+	return perSecond, Named
+}
+
+// isDecimal reports whether a text is digits with at most one point among them.
+func isDecimal(text string) bool {
+	digits, points := 0, 0
+	for _, c := range []byte(text) {
+		switch {
+		case c == '.':
+			points++
+		case c < '0' || c > '9':
+			return false
+		default:
+			digits++
+		}
+	}
+	return digits > 0 && points <= 1 && len(text) <= longest
+}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -29,11 +29,13 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/selection"
 	"github.com/lotuswing/lotuswing/coord/subset"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/suspend"
+	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
 	"github.com/rcrowley/go-metrics"
@@ -52,6 +54,7 @@
 	Handover    func(context.Context) // hands duties to other balancers before a planned stop; may be nil
 	Stop        func()                // ends what keeps the directory up to date; may be nil
 	Evidence    Evidence              // nil for none
+	Limits      Limits                // nil for none
 
 	// Shortened by tests; zero for the defaults.
 	Options     selection.Options
@@ -66,6 +69,12 @@
 	Note(t Trial, now time.Time)
 }
 
+// Limits hears what endpoints say of how many requests a second they take.
+type Limits interface {
+	// Probed takes what the answer to a probe said.
+	Probed(e limits.Endpoint, a limit.Answer)
+}
+
 // Trial is what became of one request while a version of its service comes in.
 type Trial struct {
 	Service, Kind string
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -10,6 +10,7 @@
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/fleet"
+	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/link"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/quarantine"
@@ -57,6 +58,7 @@
 	opts.Log = s.cfg.Log.Named("directory")
 	s.directory = d
 	s.fleet = s.newFleet()
+	s.limits = limits.New(limits.Config{Log: s.cfg.Log.Named("limits"), Metrics: s.metrics})
 	if s.cfg.Relays != nil {
 		s.keeper, s.rollouts = s.newKeeper(), s.newRollouts()
 		opts.Observe = s.observe
@@ -92,6 +94,7 @@
 	return direct.Config{
 		ID: s.cfg.Settings.ID, Zone: s.cfg.Settings.Zone, Directory: s.directory, Client: s.cfg.Policy.Client,
 		Log: s.cfg.Log.Named("choice"), Metrics: s.metrics, Stop: stop, Suspensions: s.suspended,
+		Limits: s.limits,
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -28,6 +28,7 @@
 	"github.com/lotuswing/lotuswing/fleet"
 	"github.com/lotuswing/lotuswing/internal/bootclock"
 	"github.com/lotuswing/lotuswing/internal/suspend"
+	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/pipeline"
 	"github.com/lotuswing/lotuswing/quarantine"
@@ -75,6 +76,7 @@
 	directory *directory.Directory // nil without a follower
 	keeper    *quarantine.Keeper   // nil without relays
 	fleet     *fleet.Keeper        // nil without a follower
+	limits    *limits.Keeper       // nil without a follower
 	rollouts  *rollout.Keeper      // nil without relays
 	suspended *suspend.Detector
 	balancer  *balancer.Balancer
@@ -125,6 +127,9 @@
 	if s.keeper != nil {
 		balancerConfig.Quarantine = s.keeper
 	}
+	if s.limits != nil {
+		balancerConfig.EndpointLimits = s.limits
+	}
 	if s.fleet != nil {
 		balancerConfig.Access, balancerConfig.Quotas, balancerConfig.KeysWithin = teams{s}, s.fleet, cfg.Settings.Discovery.ApplyWithin
 	}
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/verdict"
 )
@@ -14,6 +16,7 @@
 	TimeoutHeader   = "Lotuswing-Timeout"    // remaining time, a Go duration
 	LoadHeader      = "Lotuswing-Load"       // load report of the endpoint
 	TeamHeader      = "Lotuswing-Team"       // team whose key the caller has sent
+	LimitHeader     = "Lotuswing-Limit"      // requests a second that the endpoint takes from all balancers
 )
 
 // Dialect is the table of the headers that balancer, callers and endpoints use,
@@ -45,6 +48,10 @@
 	// its start, in whole milliseconds.
 	Warmup string
 
+	// Limit says in an answer how many requests a second the endpoint takes from all
+	// balancers together, for as long as its answers say so.
+	Limit string
+
 	// Team names to an endpoint the team whose key the caller has sent, whatever the caller
 	// itself sent there.
 	Team string
@@ -62,7 +69,18 @@
 		Load:          LoadHeader,
 		ParseLoad:     ParseLoad,
 		Team:          TeamHeader,
+		Limit:         LimitHeader,
+	}
+}
+
+// LimitOf returns what the header of an answer says of the endpoint's limit, to a request
+// that was sent at one time and whose answer came at another.
+func (d *Dialect) LimitOf(h http.Header, sent, now time.Time) limit.Answer {
+	if d.Limit == "" {
+		return limit.Answer{Mute: true, Asked: sent, Heard: now}
 	}
+	rate, said := limit.Parse(h.Values(d.Limit))
+	return limit.Answer{Said: said, Rate: rate, Asked: sent, Heard: now}
 }
 
 // FormatRetryAfter writes the time after which a caller may come back, at least a
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/coord/placement"
 )
 
@@ -21,6 +22,7 @@
 	Instance string // identity of the incarnation; empty where it is not told
 	Load     placement.LoadReport
 	Warmup   Warmup
+	Limit    limit.Answer
 }
 
 // Warmup is how much longer an endpoint is slow from its start, as it says itself.
@@ -56,16 +58,19 @@
 		return ProbeResult{}, fmt.Errorf("upstream: probe path: %w", err)
 	}
 	r := &http.Request{Method: http.MethodGet, URL: target, Host: addr, Header: http.Header{"User-Agent": {""}}}
+	sent := time.Now()
 	response, err := c.transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return ProbeResult{}, fmt.Errorf("upstream: probe: %w", err)
 	}
+	d, heard := c.dialect, time.Now()
 	defer func() { _ = response.Body.Close() }()
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, mostProbeBytes)); err != nil {
 		return ProbeResult{}, fmt.Errorf("upstream: probe: %w", err)
 	}
-	d := c.dialect
-	out := ProbeResult{Load: d.ParseLoad(response.Header.Get(d.Load)), Warmup: d.warmup(response.Header)}
+	out := ProbeResult{
+		Load: d.ParseLoad(response.Header.Get(d.Load)), Warmup: d.warmup(response.Header), Limit: d.LimitOf(response.Header, sent, heard),
+	}
 	if d.InstanceID != "" {
 		out.Instance = response.Header.Get(d.InstanceID)
 	}
