What on-call sees of limits: lotusctl limits, log fields, metrics; and two rules that tests found

lotusctl limits and /limits list endpoints that name a limit, what they name, how much of it this balancer has sent and its owner has let go. Log lines: chosen has limited, no endpoint chosen counts those at their limits.

Of a limit and its end that crossed the later one counts now. A word that comes back from another balancer is no news.

--- a/balancer/events.go
+++ b/balancer/events.go
@@ -32,6 +32,7 @@
 	}
 	x.log.Line(telemetry.EventChosen).Int("attempt", int64(number)).Text("endpoint", g.Endpoint.VM).Text("zone", g.Endpoint.Zone).
 		Millis("estimate_ms", g.Choice.Estimate).Float("pace", g.Choice.Pace).Int("busy", int64(g.Choice.Busy)).Bool("cold", g.Choice.Cold).
+		Bool("limited", g.Choice.Limited).
 		Int("age_ms", age).Int("probes", int64(g.Choice.Probes)).Millis("waited_ms", now.Sub(x.searching)).Done()
 	if x.route.Kind.Repeatable {
 		x.log.FlushWithin(now)
@@ -42,7 +43,7 @@
 
 func (x *exchange) logNoEndpoint(number int, r *placement.Refusal, now time.Time) {
 	x.log.Line(telemetry.EventNoEndpoint).Int("attempt", int64(number)).Text("reason", string(r.Reason)).
-		Int("known", int64(r.Search.Known)).Int("ejected", int64(r.Search.Ejected)).Int("full", int64(r.Search.Full)).
+		Int("known", int64(r.Search.Known)).Int("ejected", int64(r.Search.Ejected)).Int("full", int64(r.Search.Full)).Int("limited", int64(r.Search.Limited)).
 		Millis("best_ms", r.Search.Best).Int("probes", int64(r.Search.Probes)).Millis("waited_ms", now.Sub(x.searching)).Done()
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -52,6 +52,7 @@
 	addStatus(a)
 	addQuarantine(a)
 	addTeams(a)
+	addLimits(a)
 	addDemo(a)
 	addReplay(a)
 	addTrace(a)
--- a/coord/limit/book.go
+++ b/coord/limit/book.go
@@ -82,8 +82,11 @@
 		return
 	}
 	p, ok := b.known[t]
-	if !ok {
+	switch {
+	case !ok:
 		p = b.begin(t, now)
+	case p.word.echoes(w):
+		return
 	}
 	b.learn(p, p.word.Join(w), now)
 }
@@ -209,7 +212,7 @@
 	}
 	p.probes = p.probes || g.Probes
 	p.told = a.Word.Word(now)
-	b.learn(p, p.word.Join(g.Word.Word(now)), now)
+	b.Learn(a.Target, g.Word, now)
 	return g.Look
 }
 
--- a/coord/limit/bucket.go
+++ b/coord/limit/bucket.go
@@ -9,7 +9,7 @@
 	// burstFor is for how long a bucket saves up requests, and leastBurst how many it saves
 	// at the least: with one, what comes until somebody asks for the saved one would be lost.
 	burstFor   = 500 * time.Millisecond
-	leastBurst = 2
+	leastBurst = 3
 	// trialRate is at which rate, a second, a request goes to an endpoint that takes none:
 	// nothing else may tell that its limit is over.
 	trialRate = 0.1
@@ -19,7 +19,7 @@
 	lookBelow = 1
 	// asksEach is how often the owner wants to be asked for each request that it lets go, so
 	// that one asks soon after there is room and few ask in vain.
-	asksEach = 3
+	asksEach = 4
 	// leastSpread and mostSpread bound over which time those come back that asked in vain,
 	// and spreadStep is the factor by which an ask changes it.
 	leastSpread = 20 * time.Millisecond
@@ -84,13 +84,18 @@
 	return min(mostSpread, time.Duration(max(0, 1-b.tokens)/rate*float64(time.Second)))
 }
 
+// asksAt returns the rate, a second, at which the owner is asked as of now.
+func (b bucket) asksAt(now time.Time) float64 {
+	if b.asked.IsZero() {
+		return 0
+	}
+	return b.asks * math.Exp(-now.Sub(b.asked).Seconds()/asksOver.Seconds())
+}
+
 // counted returns the bucket with one more ask in the rate of asks, and those that ask in vain
 // spread over more time where it is asked too often, over less where too seldom.
 func (b bucket) counted(rate float64, now time.Time) bucket {
-	if !b.asked.IsZero() {
-		b.asks *= math.Exp(-now.Sub(b.asked).Seconds() / asksOver.Seconds())
-	}
-	b.asks += 1 / asksOver.Seconds()
+	b.asks = b.asksAt(now) + 1/asksOver.Seconds()
 	b.asked = now
 	step := 1 / spreadStep
 	if b.asks > asksEach*rate {
--- a/coord/limit/word.go
+++ b/coord/limit/word.go
@@ -53,24 +53,33 @@
 	switch {
 	case a.Said == Named:
 		return w.Join(Word{rate: a.Rate, asked: a.Asked, heard: a.Heard})
-	case a.Said == Unreadable || a.Mute || !w.Known() || w.lifted:
+	case a.Said == Unreadable || a.Mute || !w.Known() || w.lifted || a.Asked.Before(w.heard):
 		return w
 	}
 	return w.Join(Word{rate: w.rate, lifted: true, asked: a.Asked, heard: a.Heard})
 }
 
 // Join returns which of two words of one endpoint counts: the one whose request was sent after
-// the other one had come. Of two that crossed, nobody knows which was said last; the stricter
-// counts, until an answer comes that was asked for later.
+// the other one had come. Of two that crossed, nobody knows which was said last. The lower limit
+// counts, until an answer comes that was asked for later; but between a limit and its end the
+// one that came last does: whoever said that it is over had asked after a word that named it.
 func (w Word) Join(o Word) Word {
 	switch {
 	case !w.Known(), o.Known() && !o.asked.Before(w.heard):
 		return o
 	case !o.Known(), !w.asked.Before(o.heard):
 		return w
-	case w.stricter(o):
-		return w
-	case o.stricter(w), o.heard.After(w.heard):
+	case w.lifted == o.lifted && w.rate != o.rate:
+		return lower(w, o)
+	case o.heard.After(w.heard):
+		return o
+	}
+	return w
+}
+
+// lower returns the word that names less.
+func lower(w, o Word) Word {
+	if o.rate < w.rate {
 		return o
 	}
 	return w
@@ -84,6 +93,15 @@
 	return w.rate < o.rate
 }
 
+// echoFor is how much later a word may seem that comes back from another balancer than it was
+// heard here: what ages do not tell is the time on the way.
+const echoFor = 250 * time.Millisecond
+
+// echoes reports whether a word from another balancer is this one once more.
+func (w Word) echoes(o Word) bool {
+	return w.rate == o.rate && w.lifted == o.lifted && o.heard.Sub(w.heard).Abs() < echoFor
+}
+
 // RateAt returns how many requests a second the endpoint gets at now from all balancers
 // together; limited is false where there is no bound. After a limit is lifted the rate grows
 // for a while before there is none.
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -108,6 +108,7 @@
 	Busy     int           // requests that it is thought to hold, this one included
 	Side     Side          // which version of the service the endpoint runs, while one comes in
 	Cold     bool          // it warms up
+	Limited  bool          // it names how many requests a second it takes, and has room for this one
 	Estimate time.Duration // until the response
 	Age      time.Duration // of the report; below 0 without one
 	Probes   int           // load reports asked for before this choice
@@ -116,6 +117,7 @@
 // Search is what was known of a service's endpoints when none was chosen.
 type Search struct {
 	Known, Ejected, Full int           // numbers of endpoints
+	Limited              int           // of these, at the limits that they name
 	Best                 time.Duration // lowest estimate
 	Probes               int           // load reports asked for
 }
--- a/coord/selection/decide.go
+++ b/coord/selection/decide.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 )
@@ -96,6 +97,9 @@
 		if r.list[i].Full {
 			s.Full++
 		}
+		if r.list[i].Limit == limit.Withheld {
+			s.Limited++
+		}
 	}
 	if len(r.list) > 0 {
 		s.Best = r.Best().Estimate
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/coord/selection"
@@ -213,7 +214,7 @@
 	e.state = e.state.WithSent()
 	load := e.state.Load()
 	choice := placement.Choice{
-		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, Estimate: best.Estimate, Age: -1, Probes: s.probes,
+		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, Limited: best.Limit == limit.Held, Estimate: best.Estimate, Age: -1, Probes: s.probes,
 	}
 	if age := load.Age(now); age < oldestAge {
 		choice.Age = age
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -76,6 +76,11 @@
 
 // newRigForgetting looks for endpoints that are gone as often as told.
 func newRigForgetting(endpoints int, opts selection.Options, forgetEvery time.Duration) *rig {
+	return newRigWith(endpoints, opts, forgetEvery, nil)
+}
+
+// newRigWith is newRigForgetting with what holds endpoints to their limits.
+func newRigWith(endpoints int, opts selection.Options, forgetEvery time.Duration, l direct.Limits) *rig {
 	d := directory.New()
 	var entries []directory.Entry
 	prober := &fakeProber{answers: map[string]upstream.ProbeResult{}, asked: map[string]int{}}
@@ -94,7 +99,7 @@
 	config := &directory.Config{Version: 5, Routes: routes, Services: map[string]tenant.Service{"s": {ProbePath: "/health"}}}
 	d.Apply(directory.Changes{Config: config, Entries: entries}, time.Now())
 	return &rig{directory: d, prober: prober, Chooser: direct.New(direct.Config{
-		ID: "vm-1", Zone: "near", Directory: d, Client: prober, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Options: opts, ForgetEvery: forgetEvery,
+		ID: "vm-1", Zone: "near", Directory: d, Client: prober, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Options: opts, ForgetEvery: forgetEvery, Limits: l,
 	})}
 }
 
--- a/server/admin.go
+++ b/server/admin.go
@@ -32,6 +32,7 @@
 	mux.HandleFunc("GET /trace", s.trace)
 	s.addQuarantine(mux)
 	s.addTeams(mux)
+	s.addLimits(mux)
 	s.addRollouts(mux)
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
@@ -111,6 +112,9 @@
 	if s.directory != nil {
 		metrics.GetOrRegisterGauge("evacuated_zones", s.metrics).Update(int64(len(s.directory.Snapshot().Evacuated)))
 	}
+	if s.limits != nil {
+		metrics.GetOrRegisterGauge("limited_endpoints", s.metrics).Update(int64(s.limits.Limited(time.Now())))
+	}
 	if s.relays != nil {
 		st := s.relays.Status(time.Now())
 		metrics.GetOrRegisterGauge("first_copy_ms", s.metrics).Update(st.FirstAfter.Milliseconds())
--- a/server/limits_test.go
+++ b/server/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 	"github.com/lotuswing/lotuswing/tenant"
 	"gotest.tools/v3/assert"
@@ -116,6 +118,26 @@
 	return most
 }
 
+// checkListed checks what operators are told of the only endpoint that names a limit: each
+// balancer knows it, and one of them is its owner.
+func checkListed(t *testing.T, all []platformBalancer, perSecond float64) {
+	t.Helper()
+	owners := 0
+	for _, b := range all {
+		resp, err := http.Get("http://" + b.admin + "/limits")
+		assert.NilError(t, err)
+		var list []limits.Status
+		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&list))
+		assert.NilError(t, resp.Body.Close())
+		assert.Assert(t, len(list) == 1 && list[0].Endpoint == "l-0" && list[0].State == "named" && list[0].PerSecond == perSecond, "%+v", list)
+		if list[0].Owns {
+			owners++
+			assert.Assert(t, list[0].Given > 0, "%+v", list)
+		}
+	}
+	assert.Equal(t, owners, 1)
+}
+
 // TestLimitHoldsForTheFleet: an endpoint that names a limit gets no more than it allows from
 // three balancers together, and the others take what it does not.
 func TestLimitHoldsForTheFleet(t *testing.T) {
@@ -132,6 +154,7 @@
 	time.Sleep(limitKnown + limitWindow + time.Second)
 	ends := time.Now()
 	stop()
+	checkListed(t, all, perSecond)
 	worst := worstWindow(endpoints[0].Arrivals(), known, ends)
 	allowed := limitFactor*perSecond*limitWindow.Seconds() + limitExtra
 	t.Logf("%d in the worst window of %v; %d answered with 200, %d with 503", worst, allowed, got.of(http.StatusOK), got.of(http.StatusServiceUnavailable))
