--- a/audit/audit.go
+++ b/audit/audit.go
@@ -34,6 +34,7 @@
 	NeverReverts  Rule = "a configuration never reverts"
 	InForce       Rule = "an accepted change is in force everywhere"
 	CrashesEnd    Rule = "a request that crashes endpoints is stopped, and no other one for it"
+	LimitsHold    Rule = "an endpoint gets no more than the limit that it names allows, from all balancers together"
 )
 
 // Violation is a broken promise.
--- a/demo/crash.go
+++ b/demo/crash.go
@@ -51,6 +51,7 @@
 	targets   []string
 	processes []*platformtest.Process
 	admins    []string
+	limited   *platformtest.Endpoint // names a limit
 
 	mu      sync.Mutex
 	refused int // sound requests
@@ -66,7 +67,9 @@
 	f.store.Publish(1, []tenant.PrefixRoute{{
 		Name: "fragile", Host: crashHost, Prefix: "/fragile/", Repeatable: true, Timeout: readyWithin, Target: time.Second, MaxAttempts: 2,
 		Split: []tenant.Share{{Service: "fragile", Weight: 1}},
-	}}, map[string]tenant.Service{"fragile": {Connections: 200, ProbePath: "/health"}})
+	}, limitedRoute()}, map[string]tenant.Service{
+		"fragile": {Connections: 200, ProbePath: "/health"}, limitedService: {Connections: 200, ProbePath: "/health"},
+	})
 	f.store.PutRaw("foreign", []byte(`{"address":17}`))
 	for i := range crashEndpoints {
 		p, err := platformtest.StartProcess(f.store, platformtest.ProcessConfig{
@@ -79,6 +82,9 @@
 		r.closers = append(r.closers, p.Stop)
 		f.processes = append(f.processes, p)
 	}
+	if err := r.startLimited(f); err != nil {
+		return nil, err
+	}
 	var links []string
 	for i := range crashBalancers {
 		link, err := r.startPlatformBalancer(f, fmt.Sprintf("vm-p%d", i+1), "http://"+addr, links)
@@ -181,6 +187,7 @@
 	plans := []load.Plan{
 		{Name: soundKind, Path: soundPath, Rate: soundRate, Check: check(soundKind)},
 		{Name: crashKind, Path: crashPath, Rate: crashRate, Check: check(crashKind)},
+		limitedPlan(check(limitedKind)),
 	}
 	rows := make([]Row, len(plans))
 	var all sync.WaitGroup
@@ -226,5 +233,5 @@
 	if f.refused > 0 {
 		found = append(found, audit.Violation{Rule: audit.CrashesEnd, What: fmt.Sprintf("%d sound requests were refused for it", f.refused)})
 	}
-	return found
+	return append(found, f.limitViolations()...)
 }
--- /dev/null
+++ b/demo/limits.go
@@ -0,0 +1,84 @@
+package demo
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/lotuswing/lotuswing/audit"
+	"github.com/lotuswing/lotuswing/load"
+	"github.com/lotuswing/lotuswing/platform/platformtest"
+	"github.com/lotuswing/lotuswing/tenant"
+)
+
+// Behind the balancers on the platform a service has four endpoints, one of which names how many
+// requests a second it takes from all of them together. The others take what it does not.
+
+const (
+	limitedKind      = "limited"
+	limitedService   = "limited"
+	limitedPath      = "/limited/"
+	limitedEndpoints = 4
+	limitedRate      = 40 // requests a second, of callers
+	limitPerSecond   = 1
+	// limitKnown is after how long the balancers keep it.
+	limitKnown = 500 * time.Millisecond
+	// limitWindow, limitFactor and limitExtra are what the operators bear with: in any window
+	// so many times the limit and some more.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
+)
+
+// limitedRoute is the route to these endpoints.
+func limitedRoute() tenant.PrefixRoute {
+	return tenant.PrefixRoute{
+		Name: limitedKind, Host: crashHost, Prefix: limitedPath, Repeatable: true, Timeout: readyWithin, Target: time.Second, MaxAttempts: 2,
+		Split: []tenant.Share{{Service: limitedService, Weight: 1}},
+	}
+}
+
+// startLimited starts the endpoints; the first one names its limit at once.
+func (r *run) startLimited(f *crashFleet) error {
+	for i := range limitedEndpoints {
+		id := fmt.Sprintf("limited-%d", i)
+		e := platformtest.NewEndpoint(id, platformtest.Behavior{Work: serviceTime})
+		if i == 0 {
+			e.Set(func(b *platformtest.Behavior) { b.Limit = strconv.Itoa(limitPerSecond) })
+			f.limited = e
+		}
+		addr, err := r.serve(e)
+		if err != nil {
+			return err
+		}
+		f.store.PutServer(id, platformtest.Server{Address: addr, Service: limitedService, Zone: "medina", Slots: 3})
+	}
+	return nil
+}
+
+// limitedPlan is what callers ask of these endpoints.
+func limitedPlan(check func(string, load.Answer)) load.Plan {
+	return load.Plan{Name: limitedKind, Path: limitedPath + "1", Rate: limitedRate, Check: check, Host: crashHost, Method: http.MethodGet}
+}
+
+// limitViolations compares what the endpoint with a limit got with what it named.
+func (f *crashFleet) limitViolations() []audit.Violation {
+	arrivals := f.limited.Arrivals()
+	if len(arrivals) == 0 {
+		return nil
+	}
+	known := arrivals[0].Add(limitKnown)
+	arrivals = slices.DeleteFunc(arrivals, func(at time.Time) bool { return at.Before(known) })
+	first := 0
+	for i, at := range arrivals {
+		for at.Sub(arrivals[first]) >= limitWindow {
+			first++
+		}
+		if n := i - first + 1; float64(n) > limitFactor*limitPerSecond*limitWindow.Seconds()+limitExtra {
+			return []audit.Violation{{Rule: audit.LimitsHold, What: fmt.Sprintf("%d requests in %v at an endpoint that takes %d a second", n, limitWindow, limitPerSecond)}}
+		}
+	}
+	return nil
+}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -22,6 +22,7 @@
 	NoLateWork       Promise = "an endpoint that leaves gets no new requests after a while"
 	NothingToEmptied Promise = "an endpoint of an emptied zone gets nothing after a while"
 	FewToCold        Promise = "an endpoint that warms up gets few requests in a second"
+	LimitsHold       Promise = "an endpoint that names a limit gets no more than the operators bear with"
 	InForce          Promise = "a configuration is in force after a while and never reverts"
 	CrashesEnd       Promise = "a request that crashes endpoints is sent a few times more at most once the fleet can know it"
 	NoSoundRefused   Promise = "no sound request is refused for what crashed endpoints"
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -229,3 +230,36 @@
 		assert.Equal(t, promises(l), c.want, c.name)
 	}
 }
+
+// TestPlantedFloodsOfLimitedEndpointsAreCaught: too many requests in a window, of balancers that
+// nothing disturbed.
+func TestPlantedFloodsOfLimitedEndpointsAreCaught(t *testing.T) {
+	for name, c := range map[string]struct {
+		requests  int
+		perSecond float64
+		disturbed bool
+		want      int
+	}{
+		"within":                   {requests: 10, perSecond: 1, want: 0},
+		"above":                    {requests: 12, perSecond: 1, want: 1},
+		"none allowed, a few sent": {requests: 5, perSecond: 0, want: 0},
+		"none allowed, more sent":  {requests: 6, perSecond: 0, want: 1},
+		"disturbed":                {requests: 12, perSecond: 1, disturbed: true, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, cal := newLedger(), &calendar{}
+			var ids []string
+			for i := range c.requests {
+				ids = append(ids, fmt.Sprintf("GET r-%d %s", i, readPrefix))
+				l.begin(&sentRequest{id: fmt.Sprintf("r-%d", i), method: http.MethodGet, path: readPrefix, repeatable: true, balancer: "vm-0", at: time.Now()})
+			}
+			e := planted(serviceAlpha, ids...)
+			cal.limit(limiting{endpoint: e, perSecond: c.perSecond, from: time.Now().Add(-2 * time.Second), to: time.Now().Add(time.Second)})
+			if c.disturbed {
+				cal.disturb("vm-0", time.Now().Add(-time.Second), time.Now())
+			}
+			l.checkLimits(cal)
+			assert.Equal(t, len(l.violations), c.want, "%v", l.violations)
+		})
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,7 @@
 // suspended is told to its process in a file.
 //
 // It owns the processes that it starts, and ends only these. The faults are in
-// faults.go, zones that are emptied in zones.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
+// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
 // endpoints saw in ledger.go, promises with a time limit in timed.go. It relies on
 // package platformtest for the platform.
 //
@@ -54,6 +54,8 @@
 	// Crash is the mean time between two faults about requests that crash endpoints, damaged
 	// entries and suspended VMs; 0 for none.
 	Crash time.Duration
+	// Limit is the mean time between two endpoints that begin to name limits; 0 for none.
+	Limit time.Duration
 	// Timed checks the promises that have a time limit, too. They depend on a
 	// machine that gives every process its turn.
 	Timed bool
@@ -154,6 +156,7 @@
 	if w.crashes != nil {
 		w.crashes.checkCrashes(sent, w.calendar)
 	}
+	sent.checkLimits(w.calendar)
 	if cfg.Timed {
 		sent.checkTimed(w.calendar, w.all)
 	}
@@ -254,11 +257,17 @@
 			callers.Go(func() { w.crashes.sound(calling, i, rng, sent) })
 		}
 	}
+	limited := map[string]int{}
+	if cfg.Limit > 0 {
+		rng := rand.New(rand.NewPCG(cfg.Seed, math.MaxUint64-100))
+		together.Go(func() { w.strikeLimits(disturbing, cfg.Limit, rng, func(kind string) { limited[kind]++ }) })
+	}
 	w.disturbUntil(disturbing, w.rng, func(kind string) { result.Faults[kind]++ })
 	together.Wait()
 	maps.Copy(result.Faults, struck)
 	maps.Copy(result.Faults, emptied)
 	maps.Copy(result.Faults, crashed)
+	maps.Copy(result.Faults, limited)
 	stopFaults()
 	stopCalls()
 	callers.Wait()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -124,3 +124,14 @@
 	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
 	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
 }
+
+// TestSoakOfLimits plays a soak in which endpoints name how many requests a second they take.
+func TestSoakOfLimits(t *testing.T) {
+	result, err := soak.Run(t.Context(), soak.Config{
+		Seed: 17, For: 14 * time.Second, Balancers: 4, Limit: 500 * time.Millisecond, Gap: 3 * time.Second, Command: present,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, result.Faults["limit named"] > 0, "%v", result.Faults)
+	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
+	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
+}
--- a/soak/timed.go
+++ b/soak/timed.go
@@ -31,6 +31,7 @@
 	versions     []version
 	emptyings    []emptying
 	coolings     []cooling
+	limitings    []limiting
 }
 
 // version is a configuration with the service that it sends "/move/" to.
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,7 +25,10 @@
 	ServiceTime time.Duration // mean; default 20 ms
 	Spread      float64       // of the logarithm of service times; 0 for none
 	ColdFor     time.Duration // how long after start it reports cold
-	ProbeTime   time.Duration // of a GET of /healthz
+	// Limit is what it names as the requests a second that it takes from all balancers
+	// together, as text; empty for none.
+	Limit     string
+	ProbeTime time.Duration // of a GET of /healthz
 }
 
 // Behavior of an endpoint that can be switched while it runs.
@@ -33,6 +37,7 @@
 	Slowness float64 `json:"slowness"`  // factor on service times; 0 for 1
 	FailFast bool    `json:"fail_fast"` // answer 503 at once, without a verdict
 	Shed     bool    `json:"shed"`      // answer not-run at once
+	Limit    string  `json:"limit"`     // requests a second that it names; empty for those of its options
 }
 
 // Run is one request that an endpoint ran.
@@ -133,6 +138,9 @@
 func (e *Endpoint) report(w http.ResponseWriter) {
 	load := placement.LoadReport{InFlight: e.inFlight, Slots: e.opts.Slots, State: e.state()}
 	w.Header().Set(upstream.LoadHeader, upstream.FormatLoad(load))
+	if limit := cmp.Or(e.behavior.Limit, e.opts.Limit); limit != "" {
+		w.Header().Set(upstream.LimitHeader, limit)
+	}
 }
 
 // begin takes a slot and records the run; the answer to a refusal is sent by
