allowedRegions of routes and teams bind where a request is served

The users' pages say that where a route or a team has allowedRegions it may be served in these regions only. The configuration is read, the setting regions says in which region each availability zone lies, and the choice passes over endpoints elsewhere, requests and probes alike; a route and a team both bind. Where the service has no endpoint there the request is refused at once (LW2013).

--- a/access/access.go
+++ b/access/access.go
@@ -35,6 +35,7 @@
 	Keys     []string
 	Priority int         // 0 the most urgent; no decision reads it yet
 	Quota    quota.Limit // of all balancers together; the zero value for none
+	Regions  []string    // in which its requests may be served; empty for all
 }
 
 // digestBytes is the length of a digest: half of a SHA-256, so that nobody finds a second
--- a/balancer/identify.go
+++ b/balancer/identify.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 	"github.com/lotuswing/lotuswing/access"
+	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 )
 
@@ -84,6 +85,16 @@
 	return b.refuseKey(x.key, access.Withdrawn, now)
 }
 
+// regions returns in which regions the request may be served: its route and its team both bind.
+func (x *exchange) regions(table *access.Table) placement.Regions {
+	regions := x.route.Kind.Regions
+	if table == nil || x.team == "" {
+		return regions
+	}
+	team, _ := table.Team(x.team)
+	return regions.With(placement.Within(team.Regions))
+}
+
 // nameTeam names the team to the endpoint and keeps the key from it, whatever the caller
 // sent.
 func (x *exchange) nameTeam(header string) {
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -103,6 +103,7 @@
 		Accepted: x.accepted,
 		Target:   kind.Target,
 		Alone:    x.pass.Trial,
+		Regions:  x.regions(b.teams()),
 	})
 	now := time.Now()
 	if refused != nil {
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -71,6 +71,7 @@
 	Accepted time.Time     // when the balancer accepted the request
 	Target   time.Duration // latency objective, counted from Accepted; 0 for none
 	Alone    bool          // an endpoint that holds nothing else is wanted, if there is one
+	Regions  Regions       // in which it may be served
 }
 
 // Grant is the right to send one request to one endpoint.
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -24,6 +24,7 @@
 	Quarantined      Code = "LW2010"
 	QuotaExceeded    Code = "LW2011"
 	EndpointsLimited Code = "LW2012"
+	OutOfRegion      Code = "LW2013"
 	DialFailed       Code = "LW3001"
 	NothingWritten   Code = "LW3002"
 	EndpointRefused  Code = "LW3003"
@@ -60,6 +61,7 @@
 	{Quarantined, "endpoints ended under this request", "Endpoints ended one after the other while they ran this request, told from others by caller, method, host, path, query and body, and none has run it to an end since: it is refused, or another balancer tries it just now. This try was not sent.", "'lotusctl quarantine list' shows the evidence. Find out at the endpoints why they end; then release the request with 'lotusctl quarantine release', or wait: a refusal ends ten minutes after the last end.", 503, "0.2.0", Urgent},
 	{QuotaExceeded, "the team's quota is used up", "The team has sent as many requests through all balancers together as its rate and burst allow. This one was not sent.", "Expected while the team sends more than its quota; the caller should come back after Retry-After. 'lotusctl quota' shows what is left and who takes it.", 429, "0.3.0", Info},
 	{EndpointsLimited, "all endpoints are at the limits that they name", "Each endpoint of the service that the request might go to names in its answers how many requests a second it takes from all balancers together, and they have got as many. The request was not sent.", "The caller should come back after Retry-After, when there is room. 'lotusctl limits' shows the endpoints and what they name; find out why they are in need, or add endpoints.", 503, "0.3.0", Warning},
+	{OutOfRegion, "no endpoint in a region where the request may be served", "The request's route or team, or both together, name the regions in which it may be served, and the service has no endpoint in any of them. The request was not sent.", "Add endpoints there, or change the regions of the route or the team; the setting 'regions' says in which region each availability zone lies.", 503, "0.3.0", Urgent},
 	{DialFailed, "no connection to the endpoint", "No connection could be opened, so nothing was sent.", "Check the endpoint's VM.", 503, firstRelease, Warning},
 	{NothingWritten, "connection failed before anything was sent", "The connection failed before the first byte of the request was written.", "Nothing; it is retried when time allows.", 503, firstRelease, Info},
 	{EndpointRefused, "the endpoint refused the request", "The endpoint answered that it did not run the request.", "Expected when endpoints shed load or drain.", 503, firstRelease, Info},
--- a/coord/selection/decide.go
+++ b/coord/selection/decide.go
@@ -28,6 +28,8 @@
 	Blind      bool // no endpoint could be probed, so waiting teaches nothing
 	CallerLeft bool
 	Evacuated  bool // the zones of all endpoints are being emptied
+	// OutOfRegion: the request may be served in no region that has endpoints.
+	OutOfRegion bool
 }
 
 // Action is what to do with a request.
@@ -55,6 +57,8 @@
 	giveUp := !now.Before(s.GiveUp)
 	opensIn, withheld := list.Withheld()
 	switch {
+	case list.Len() == 0 && s.OutOfRegion:
+		return Decision{Do: Refuse, Reason: reason.OutOfRegion}
 	case list.Len() == 0 && s.Evacuated:
 		return Decision{Do: Refuse, Reason: reason.Evacuated}
 	case list.Len() == 0:
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -40,7 +40,7 @@
 		now := time.Now()
 		d := c.opts.Decide(&s.ranking, r, selection.Situation{
 			GiveUp: giveUp, Blind: s.probes == probesBefore, CallerLeft: ctx.Err() != nil,
-			Evacuated: allEvacuated(s.listed),
+			Evacuated: allEvacuated(s.listed), OutOfRegion: c.allOutOfRegion(&s),
 		}, now)
 		switch d.Do {
 		case selection.Take:
@@ -82,6 +82,17 @@
 	return len(listed) > 0 && !slices.ContainsFunc(listed, func(e directory.Endpoint) bool { return !e.Evacuated })
 }
 
+// allOutOfRegion reports whether there are endpoints and the request may be served at none of
+// them because of the region in which it is.
+func (c *Chooser) allOutOfRegion(s *search) bool {
+	return len(s.listed) > 0 && !slices.ContainsFunc(s.listed, func(e directory.Endpoint) bool { return c.inRegion(s, &e) })
+}
+
+// inRegion reports whether the request may be served in the region of an endpoint.
+func (c *Chooser) inRegion(s *search, e *directory.Endpoint) bool {
+	return s.request.Regions.Allow(c.cfg.Regions[e.Zone])
+}
+
 // noteProspect notes what the endpoint is like that was probed last, where it told its
 // load in time.
 func (c *Chooser) noteProspect(s *search) {
@@ -143,7 +154,7 @@
 	s.ranking.Reset(len(members))
 	for _, i := range members {
 		e := &s.listed[i]
-		if !e.Usable(now) || side != placement.AnySide && e.Side != side || slices.Contains(s.request.Avoid, e.VM) {
+		if !e.Usable(now) || side != placement.AnySide && e.Side != side || slices.Contains(s.request.Avoid, e.VM) || !c.inRegion(s, e) {
 			continue
 		}
 		known := c.knownOf(s, members, e, now)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -45,6 +45,7 @@
 type Config struct {
 	ID        string // identity of the process
 	Zone      string
+	Regions   map[string]string // in which region each availability zone lies
 	Directory *directory.Directory
 	Client    Prober
 	// Suspensions tells of suspensions of the VM; nil for none.
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -99,7 +99,7 @@
 	config := &directory.Config{Version: 5, Routes: routes, Services: map[string]tenant.Service{"s": {ProbePath: "/health"}}}
 	d.Apply(directory.Changes{Config: config, Entries: entries}, time.Now())
 	return &rig{directory: d, prober: prober, Chooser: direct.New(direct.Config{
-		ID: "vm-1", Zone: "near", Directory: d, Client: prober, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Options: opts, ForgetEvery: forgetEvery, Limits: l,
+		ID: "vm-1", Zone: "near", Regions: map[string]string{"near": "west", "far": "east"}, Directory: d, Client: prober, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Options: opts, ForgetEvery: forgetEvery, Limits: l,
 	})}
 }
 
--- /dev/null
+++ b/direct/regions_test.go
@@ -0,0 +1,42 @@
+package direct_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/coord/selection"
+	"gotest.tools/v3/assert"
+)
+
+// TestRequestsStayInTheirRegions: even endpoints are in the region "west", odd ones in "east".
+// However good one elsewhere is, it is neither chosen nor asked.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	for name, c := range map[string]struct {
+		regions []string
+		chosen  string
+		reason  reason.Code
+	}{
+		"own region":           {regions: []string{"west"}, chosen: "e0"},
+		"another one":          {regions: []string{"east"}, chosen: "e1"},
+		"one that is not here": {regions: []string{"north"}, reason: reason.OutOfRegion},
+		"none is named":        {chosen: "e0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(2, selection.Options{})
+			request := ask()
+			request.Regions = placement.Within(c.regions)
+			g, refused := r.Acquire(context.Background(), request)
+			if c.reason != "" {
+				assert.Assert(t, refused != nil)
+				assert.Equal(t, refused.Reason, c.reason)
+				assert.Equal(t, r.prober.total("e0", "e1"), 0)
+				return
+			}
+			assert.Assert(t, refused == nil)
+			assert.Equal(t, g.Endpoint.VM, c.chosen)
+			assert.Equal(t, r.prober.total("e0", "e1"), r.prober.total(c.chosen))
+		})
+	}
+}
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -95,7 +95,7 @@
 // choiceConfig returns what choosing endpoints needs; stop ends the following of the store.
 func (s *Server) choiceConfig(stop func()) direct.Config {
 	return direct.Config{
-		ID: s.cfg.Settings.ID, Zone: s.cfg.Settings.Zone, Directory: s.directory, Client: s.cfg.Policy.Client,
+		ID: s.cfg.Settings.ID, Zone: s.cfg.Settings.Zone, Regions: s.cfg.Settings.Regions, Directory: s.directory, Client: s.cfg.Policy.Client,
 		Log: s.cfg.Log.Named("choice"), Metrics: s.metrics, Stop: stop, Suspensions: s.suspended,
 		Limits: s.limits,
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,13 +38,16 @@
 	Discovery Discovery `json:"discovery"`
 	Retries   Retries   `json:"retries"`
 	Quotas    Quotas    `json:"quotas"`
-	Cores     float64   `json:"cores"`     // processor share of the VM; larger ones take duties first; default 1
-	LinkRate  float64   `json:"link_mbps"` // of the VM's link, in Mbit/s; a balancer with a faster one hands more copies on; 0 where it is not known
-	Memory    int       `json:"memory_mb"` // what the process may use, in MiB; 0 for no limit
-	Trace     string    `json:"trace"`     // none or stderr; default none
-	Metrics   string    `json:"metrics"`   // address of metrics alone; empty for none beside the admin address
-	LogRate   int       `json:"log_rate"`  // lines a second about requests; default 200
-	Log       string    `json:"log_level"` // trace, debug, info, warn or error; default info
+	Cores     float64   `json:"cores"` // processor share of the VM; larger ones take duties first; default 1
+	// Regions says in which region each availability zone lies; empty where nothing is bound
+	// to regions.
+	Regions  map[string]string `json:"regions"`
+	LinkRate float64           `json:"link_mbps"` // of the VM's link, in Mbit/s; a balancer with a faster one hands more copies on; 0 where it is not known
+	Memory   int               `json:"memory_mb"` // what the process may use, in MiB; 0 for no limit
+	Trace    string            `json:"trace"`     // none or stderr; default none
+	Metrics  string            `json:"metrics"`   // address of metrics alone; empty for none beside the admin address
+	LogRate  int               `json:"log_rate"`  // lines a second about requests; default 200
+	Log      string            `json:"log_level"` // trace, debug, info, warn or error; default info
 }
 
 // Discovery kinds.
--- a/tenant/prefix.go
+++ b/tenant/prefix.go
@@ -32,6 +32,7 @@
 	MaxBody     int64         // bytes of a request's body; 0 for the process's limit alone
 	Split       []Share       // at least one
 	Public      bool          // callers need no key, where teams have keys
+	Regions     []string      // in which requests may be served; empty for all
 }
 
 // Faults returns what is wrong with the route, in the order of its fields.
@@ -104,6 +105,7 @@
 			MaxAttempts: r.MaxAttempts,
 			MaxBody:     r.MaxBody,
 			Public:      r.Public,
+			Regions:     placement.Within(r.Regions),
 		})
 	}
 	return entry
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -124,6 +124,7 @@
 	MaxAttempts int           // endpoints that one request may be sent to; 0 for the default
 	MaxBody     int64         // bytes of a request's body; 0 for the process's limit alone
 	Public      bool          // callers need no key, where teams have keys
+	Regions     placement.Regions
 
 	segments []string
 }
