--- a/relay/outage.go
+++ b/relay/outage.go
@@ -19,6 +19,11 @@
 	// turns the relay alone away is to be found out soon.
 	firstProbe = 200 * time.Millisecond
 	laterProbe = 500 * time.Millisecond
+	// shortRound is the mean time between two calls of one follower where there are few: the
+	// store may serve just one of them, and nobody else finds out for it. fewFollowers is how
+	// many that are more than their share of the calls.
+	shortRound   = 1500 * time.Millisecond
+	fewFollowers = 5
 	// lostFor is how long a relay's word that the store is lost holds. Chosen without a
 	// measurement.
 	lostFor = 3 * time.Second
@@ -51,10 +56,18 @@
 
 // withProbe returns the outage after this balancer asked the store in vain.
 func (o outage) withProbe(random float64, now time.Time) outage {
-	o.probeAt = now.Add(time.Duration((0.5 + random) * float64(o.askers) * float64(laterProbe)))
+	o.probeAt = now.Add(time.Duration((0.5 + random) * float64(o.round())))
 	return o
 }
 
+// round returns the mean time between two calls of one follower. Of many followers a store that
+// serves some of them serves one whose turn comes soon; of a few it may serve the one alone whose
+// turn comes last.
+func (o outage) round() time.Duration {
+	whole := time.Duration(o.askers) * laterProbe
+	return max(min(whole, shortRound), whole-fewFollowers*laterProbe)
+}
+
 // without returns the outage without what a relay said, which says so no more.
 func (o outage) without(addr string) outage {
 	if _, ok := o.lost[addr]; !ok {
