--- a/access/bearer.go
+++ b/access/bearer.go
@@ -15,8 +15,7 @@
 const (
 	// scheme begins the header's value, in any case (RFC 9110, section 11.1).
 	scheme = "bearer "
-	// mostKeyBytes bounds a key: longer ones are refused before they are hashed. Chosen
-	// without a measurement.
+	// mostKeyBytes bounds a key: longer ones are refused before they are hashed.
 	mostKeyBytes = 512
 )
 
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -15,8 +15,7 @@
 const (
 	// maxTimeout bounds what a caller may ask for; reason.BadTimeout names it.
 	maxTimeout = 24 * time.Hour
-	// notReadyRetry is when a caller of a balancer that is not ready yet may come
-	// back. Chosen without a measurement.
+	// notReadyRetry is when a caller of a balancer that is not ready yet may come back.
 	notReadyRetry = time.Second
 )
 
--- a/balancer/screen.go
+++ b/balancer/screen.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// trialPatience is the part of the target, one in so many, that a request waits while
-	// another balancer tries the same one, and trialWait the same where there is no target: a
-	// trial takes as long as the request itself, so that this is the wait of one more. Chosen
-	// without a measurement.
+	// trialPatience is the part of the target, one in so many, that a request waits while another
+	// balancer tries the same one, and trialWait the same where there is no target: a trial takes
+	// as long as the request itself, so that this is the wait of one more.
 	trialPatience = 2
 	trialWait     = 200 * time.Millisecond
 	// shownWithin is how long the next attempt of a suspected request waits to know whether
@@ -112,8 +111,7 @@
 	}
 }
 
-// freshFor is the age up to which a report shows what an endpoint holds. Chosen without a
-// measurement.
+// freshFor is the age up to which a report shows what an endpoint holds.
 const freshFor = 10 * time.Millisecond
 
 // alone reports whether an endpoint held nothing but the request when it was chosen, by its
--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -96,14 +96,11 @@
 
 // Options of a Starter. Zero fields take the defaults.
 type Options struct {
-	// LookEvery is the time between two readings of the registrations while no copy
-	// has come; default 400 ms, by when a fleet that starts has its copies: with 200 ms
-	// 199 of 473 balancers read them twice.
+	// LookEvery is the time between two readings of the registrations while no copy has come;
+	// default 400 ms, by when a fleet that starts has its copies.
 	LookEvery time.Duration
-	// AskNextAfter is how long an answer is awaited before the next balancer is asked
-	// beside it; default 60 ms, three times what a copy takes from a relay that has one.
-	// With 150 ms a simulated fleet of 95 balancers that had lost power kept 0.721 and
-	// 0.677 of its worth on two days, 0.731 and 0.680 with 60 ms.
+	// AskNextAfter is how long an answer is awaited before the next balancer is asked beside it;
+	// default 60 ms, three times what a copy takes from a relay that has one.
 	AskNextAfter time.Duration
 	// WaitAtPeer is how long a balancer that has no copy yet itself may keep the
 	// question; default 300 ms. AskLimit bounds a whole question; default 800 ms.
@@ -115,9 +112,8 @@
 	// ReadSpread is the time over which balancers that find no relay begin to read the
 	// store; default 1 s. See ReadAfter.
 	ReadSpread time.Duration
-	// ReadAfterPart is how long a balancer that serves with a part waits for a copy of
-	// everything before it reads the store; default 2 s. With 0.5 s 42 of 320 balancers read
-	// it whose relays needed 0.8 s themselves (TestPartComesFirst).
+	// ReadAfterPart is how long a balancer that serves with a part waits for a copy of everything
+	// before it reads the store; default 2 s.
 	ReadAfterPart time.Duration
 	// RetryPause is the mean pause after a failed call of the store; default 500 ms.
 	RetryPause time.Duration
--- a/bootstrap/copy.go
+++ b/bootstrap/copy.go
@@ -10,14 +10,11 @@
 	"github.com/lotuswing/lotuswing/directory"
 )
 
-// maxUnpacked bounds what is unpacked of one copy, in bytes. Chosen without a
-// measurement.
+// maxUnpacked bounds what is unpacked of one copy, in bytes.
 const maxUnpacked = 64 << 20
 
-// Copy is everything that the store held at a revision, packed for other balancers.
-// It is an immutable value. 719 endpoints and 848 routes are 37 KB and unpacked in
-// 1.3 ms of processor time, where the store's JSON of them is 451 KB and takes 4.8 ms
-// (BenchmarkUnpack).
+// Copy is everything that the store held at a revision, packed for other balancers. It is an
+// immutable value.
 type Copy struct {
 	At     uint64 // revision up to which all is known
 	Packed []byte
--- a/bootstrap/giver.go
+++ b/bootstrap/giver.go
@@ -23,12 +23,10 @@
 }
 
 const (
-	// maxWait bounds how long a question waits, whatever it asks for. Chosen without a
-	// measurement.
+	// maxWait bounds how long a question waits, whatever it asks for.
 	maxWait = 2 * time.Second
-	// keptFor is how long a packed copy is handed on before a new one is made. A copy
-	// of a second ago is no worse than a stale read; packing costs 2.4 ms of processor
-	// time (BenchmarkPack).
+	// keptFor is how long a packed copy is handed on before a new one is made. A copy of a second
+	// ago is no worse than a stale read.
 	keptFor = time.Second
 )
 
--- a/bootstrap/progress.go
+++ b/bootstrap/progress.go
@@ -48,7 +48,7 @@
 	}
 )
 
-// mostQuestions bounds the questions that wait at once. Chosen without a measurement.
+// mostQuestions bounds the questions that wait at once.
 const mostQuestions = 4
 
 // begin makes the calls that are due at now.
@@ -89,10 +89,9 @@
 // hurry is how long questions wait, and the next balancer with them.
 type hurry struct{ nextAfter, wait, limit time.Duration }
 
-// hurry returns how much of it there is. Who serves with a part asks for everything without
-// any: one after the other, the relay of the own zone first. With the same hurry for both,
-// relays of other zones were asked beside the own one, which was reading the store, and each
-// sent a copy: 0.56 GB between the zones of 984 balancers that had lost power.
+// hurry returns how much of it there is. Who serves with a part asks for everything without any:
+// one after the other, the relay of the own zone first. With the same hurry for both, relays of
+// other zones were asked beside the own one, which was reading the store, and each sent a copy.
 func (p *progress) hurry() hurry {
 	if p.partly {
 		return hurry{nextAfter: p.opts.ReadAfterPart / 2, wait: p.opts.ReadAfterPart / 2, limit: p.opts.ReadAfterPart}
--- a/bootstrap/rules.go
+++ b/bootstrap/rules.go
@@ -9,21 +9,19 @@
 
 const (
 	// givingTime is of how long its link a balancer gives to copies for others within
-	// recipientsFor; whoever comes later is sent on. Eight copies of 37 KB each took
-	// 0.12 s of links of 20 Mbit/s, while a relay's link of 200 Mbit/s was idle. Chosen
-	// without a measurement of its own.
+	// recipientsFor; whoever comes later is sent on. Eight copies of 37 KB each took 0.12 s of
+	// links of 20 Mbit/s, while a relay's link of 200 Mbit/s was idle.
 	givingTime = 100 * time.Millisecond
-	// unknownFanOut is to how many others a balancer gives its copy whose link is not
-	// known, and fewest and most bound the number for any link: with one only, the
-	// copies would go along a chain. Chosen without a measurement.
+	// unknownFanOut is to how many others a balancer gives its copy whose link is not known, and
+	// fewest and most bound the number for any link: with one only, the copies would go along a
+	// chain.
 	unknownFanOut = 8
 	fewestGiven   = 2
 	mostGiven     = 64
-	// recipientsFor is how long those that were given a copy are remembered: a fleet
-	// that starts at once has its copies well within it. Chosen without a measurement.
+	// recipientsFor is how long those that were given a copy are remembered: a fleet that starts
+	// at once has its copies well within it.
 	recipientsFor = time.Second
-	// alternatives is how many recipients are named to whoever is sent on: one may be
-	// gone. Chosen without a measurement.
+	// alternatives is how many recipients are named to whoever is sent on: one may be gone.
 	alternatives = 2
 )
 
@@ -157,11 +155,10 @@
 }
 
 const (
-	// referenceCores is the processor share, in cores, of a VM that leaves a duty to
-	// others for just the time given. Chosen without a measurement.
+	// referenceCores is the processor share, in cores, of a VM that leaves a duty to others for
+	// just the time given.
 	referenceCores = 0.2
-	// smallestCores bounds the time that a small VM leaves it to larger ones. Chosen
-	// without a measurement.
+	// smallestCores bounds the time that a small VM leaves it to larger ones.
 	smallestCores = 0.1
 	// relaysFactor lengthens the wait while relays are known to ask: their copies are
 	// on the way, and each reading of everything delays them.
--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -110,8 +110,7 @@
 	}
 }
 
-// logFlushWait bounds the writing of the last log lines. Chosen without a
-// measurement.
+// logFlushWait bounds the writing of the last log lines.
 const logFlushWait = 500 * time.Millisecond
 
 // serverConfig chooses the source and the policy that the settings ask for.
@@ -126,8 +125,7 @@
 	return cfg
 }
 
-// Parts of the memory that the settings allow, chosen without a measurement. A
-// balancer uses 7 to 20 MB (MEASUREMENTS, sweeps).
+// A balancer uses 7 to 20 MB (MEASUREMENTS, sweeps).
 const (
 	heapPart       = 0.5 // of it that the heap may reach before it is collected at any cost
 	collectPercent = 60  // growth of the heap between two collections
--- a/cli/reload.go
+++ b/cli/reload.go
@@ -12,8 +12,7 @@
 	"github.com/lotuswing/lotuswing/settings"
 )
 
-// fileCheckPeriod is how often the settings file is looked at for a change that
-// nobody announces. Chosen without a measurement.
+// fileCheckPeriod is how often the settings file is looked at for a change that nobody announces.
 const fileCheckPeriod = 2 * time.Second
 
 // retryLimiter takes a changed bound on retries into force.
--- a/coord/contract/average.go
+++ b/coord/contract/average.go
@@ -5,7 +5,6 @@
 	"time"
 )
 
-// Chosen without a measurement.
 const (
 	// serviceTimeAlpha is the weight of one completion in the usual service time.
 	serviceTimeAlpha = 0.02
--- a/coord/contract/contract.go
+++ b/coord/contract/contract.go
@@ -78,12 +78,11 @@
 // Options of a ledger. Zero fields take the defaults. They stand at the head of each
 // recorded trace, by the names of the fields.
 //
-// Measured in virtual time (docs/MEASUREMENTS.md, "Rounds"): Overbook took the p99 of
-// interactive and patient requests at 90 percent load from 122.6 and 3,680 ms to
-// 113.7 and 1,456 ms, PatientSpare of 0.04 instead of 0.1 the latter to 571 ms,
-// PatientShare the p99 at 110 percent with an endpoint failing fast from 1,069 to
-// 134 ms. Without LearnFor and ShedPause a planned stop of a home refuses requests that
-// have room. The others were chosen without a measurement.
+// Measured in virtual time (docs/MEASUREMENTS.md, "Rounds"): Overbook took the p99 of interactive
+// and patient requests at 90 percent load from 122.6 and 3,680 ms to 113.7 and 1,456 ms,
+// PatientSpare of 0.04 instead of 0.1 the latter to 571 ms, PatientShare the p99 at 110 percent
+// with an endpoint failing fast from 1,069 to 134 ms. Without LearnFor and ShedPause a planned
+// stop of a home refuses requests that have room.
 type Options struct {
 	TTL          time.Duration // of a contract that is not renewed; default 3 s
 	QueueLimit   int           // waiting requests per class; default 2,000
--- a/coord/contract/endpoint.go
+++ b/coord/contract/endpoint.go
@@ -35,8 +35,7 @@
 	return &account{Endpoint: e, health: health.New(opts.Health), held: map[string]contractHeld{}}
 }
 
-// mostShedDoublings bounds the pause after sheds in a row: 10 ms to 1.28 s. Chosen
-// without a measurement, as loadWeight.
+// mostShedDoublings bounds the pause after sheds in a row: 10 ms to 1.28 s.
 const mostShedDoublings = 7
 
 // shed leaves the endpoint alone for a moment, doubled while it goes on. It is
--- a/coord/contract/ledger.go
+++ b/coord/contract/ledger.go
@@ -9,8 +9,7 @@
 	"github.com/lotuswing/lotuswing/coord/reason"
 )
 
-// failedPause is how long an endpoint that fails and is not ejected is left
-// alone. Chosen without a measurement.
+// failedPause is how long an endpoint that fails and is not ejected is left alone.
 const failedPause = 100 * time.Millisecond
 
 // Ledger is the account of one service's slots and of who waits for them.
--- a/coord/crash/crash.go
+++ b/coord/crash/crash.go
@@ -49,12 +49,10 @@
 	// keptEnds is how many ends of a request are kept; more change no decision.
 	keptEnds = 16
 	// probationFor is how long after its refusal ended a request is on trial from the start.
-	// Chosen without a measurement.
 	probationFor = time.Hour
 )
 
-// HoldFor is how long a request is refused after the last end under it. Chosen without a
-// measurement: one that crashes endpoints still ends one of them in so long a time.
+// HoldFor is how long a request is refused after the last end under it.
 const HoldFor = 10 * time.Minute
 
 // End says that an endpoint ended while it ran a request.
--- a/coord/document/apply.go
+++ b/coord/document/apply.go
@@ -57,8 +57,7 @@
 	Pause(ctx context.Context, d time.Duration)
 }
 
-// ApplyOptions bounds the attempts of Apply. The defaults were chosen without a
-// measurement.
+// ApplyOptions bounds the attempts of Apply.
 type ApplyOptions struct {
 	Attempts int           // rounds of a read and a write; default 5
 	Pause    time.Duration // between rounds; default 200 ms
--- a/coord/health/health.go
+++ b/coord/health/health.go
@@ -7,8 +7,7 @@
 // look-up can be compared. The average is taken of the logarithm: one request
 // from a heavy tail does not make an endpoint look slow.
 //
-// The package owns no state: a State is an immutable value. Its constants were chosen
-// without a measurement.
+// The package owns no state: a State is an immutable value.
 //
 // # Usage
 //
--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -30,9 +30,8 @@
 	"github.com/lotuswing/lotuswing/coord/store"
 )
 
-// marginDivisor is the share of the time to live that is given up against
-// clock drift between holder and store: one eighth. Chosen without a measurement; it
-// covers clocks that run apart by 12 percent.
+// marginDivisor is the share of the time to live that is given up against clock drift between
+// holder and store: one eighth.
 const marginDivisor = 8
 
 // ErrHeld is returned while another holder has the lease.
--- a/coord/member/digest.go
+++ b/coord/member/digest.go
@@ -5,8 +5,6 @@
 	"slices"
 )
 
-// Members sent with one message, chosen without a measurement: a heartbeat's digest
-// is then 310 bytes, whatever the size of the fleet (docs/CAPACITY.md).
 const (
 	digestNews = 8 // that changed
 	digestRest = 4 // others, in turn
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -56,7 +56,6 @@
 	SuspectFor time.Duration // before a suspect is dead; default 2 s
 }
 
-// Chosen without a measurement.
 const (
 	suspectFor = 2 * time.Second
 	forgetFor  = time.Hour // before a dead member is forgotten
--- a/coord/retry/after.go
+++ b/coord/retry/after.go
@@ -8,15 +8,14 @@
 // meets the same endpoints in the same state.
 
 const (
-	// noEndpointShare is the part of the target after which a caller comes back
-	// for whose request no endpoint was found. Measured against 0.8 as the share of worth
-	// served, of 1, on simulated days: 0.974 and 0.977 with 18 balancers, 0.908 and
-	// 0.900 with 13, no difference beyond noise.
+	// noEndpointShare is the part of the target after which a caller comes back for whose request
+	// no endpoint was found. 0.974 and 0.977 with 18 balancers, 0.908 and 0.900 with 13, no
+	// difference beyond noise.
 	noEndpointShare = 0.25
-	// failedDivisor divides the target for a caller whose request endpoints were
-	// tried for and did not run. Chosen without a measurement.
+	// failedDivisor divides the target for a caller whose request endpoints were tried for and
+	// did not run.
 	failedDivisor = 8
-	// withoutTarget is for kinds that have no target. Chosen without a measurement.
+	// withoutTarget is for kinds that have no target.
 	withoutTarget = time.Second
 )
 
--- a/coord/retry/bucket.go
+++ b/coord/retry/bucket.go
@@ -8,11 +8,10 @@
 }
 
 const (
-	// bucketPercent is how many retries 100 requests earn, so that a failing
-	// service gets at most 1.2 times its load. Chosen without a measurement;
-	// CAPACITY works out what it means for calls seven services deep.
+	// bucketPercent is how many retries 100 requests earn, so that a failing service gets at most
+	// 1.2 times its load.
 	bucketPercent = 20
-	// bucketLimit is how many retries are kept ready. Chosen without a measurement.
+	// bucketLimit is how many retries are kept ready.
 	bucketLimit = 20
 	hundredths  = 100
 )
--- a/coord/retry/retry.go
+++ b/coord/retry/retry.go
@@ -27,13 +27,11 @@
 )
 
 const (
-	// MaxAttempts is how many endpoints a request is sent to of which an attempt
-	// may have run, where its route sets no bound. It was chosen without a
-	// measurement.
+	// MaxAttempts is how many endpoints a request is sent to of which an attempt may have run,
+	// where its route sets no bound.
 	MaxAttempts = 4
-	// MaxRefusals is the same while every attempt is proved not to have run: then
-	// nothing is lost but a round trip. Four were used up within 40 ms by endpoints
-	// that shed load, as a log of a simulated day showed.
+	// MaxRefusals is the same while every attempt is proved not to have run: then nothing is lost
+	// but a round trip.
 	MaxRefusals = 12
 )
 
--- a/coord/retry/window.go
+++ b/coord/retry/window.go
@@ -18,10 +18,8 @@
 }
 
 const (
-	// processRatioShare leaves room between a process's share and the fleet's ratio
-	// for the allowances of processes that are more than the burst. Chosen without a
-	// measurement; TestFleetKeepsItsBudget checks the sum for up to 18 processes and
-	// a burst of 64.
+	// processRatioShare leaves room between a process's share and the fleet's ratio for the
+	// allowances of processes that are more than the burst.
 	processRatioShare = 0.85
 	// processAllowance lets a process that has few requests retry one at all.
 	processAllowance = 1
--- a/coord/rollout/rollout.go
+++ b/coord/rollout/rollout.go
@@ -58,15 +58,12 @@
 // quarter for a tenth of the time, which is as much again.
 var Stages = []float64{0.05, 0.25, 1}
 
-// Parts of the time of a roll-out, chosen without a measurement but for what Stages says.
 const (
 	provedAt  = 0.4  // until then the first stage lasts
 	secondFor = 0.1  // so long the second one
 	overAt    = 0.85 // by then it should be completed: news of four statuses take their time
-	// enoughPart is how many endpoints of the new version there are, against those of the
-	// old one, before it gets more: both together are about twice what the load needs. With
-	// 0.8 a roll-out stopped at a quarter of the requests until its time was over, on a
-	// simulated day on which a third of the endpoints ended while it went on.
+	// enoughPart is how many endpoints of the new version there are, against those of the old
+	// one, before it gets more: both together are about twice what the load needs.
 	enoughPart = 0.5
 )
 
--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -9,33 +9,27 @@
 )
 
 const (
-	// zoneDelay is added to the estimate for an endpoint of another zone: zones are
-	// about 1.5 ms apart one way. Chosen without a measurement.
+	// zoneDelay is added to the estimate for an endpoint of another zone: zones are about 1.5 ms
+	// apart one way.
 	zoneDelay = 4 * time.Millisecond
-	// zoneCost is added when endpoints are compared, for what traffic between zones
-	// costs: a crossing request costs 0.057 of its worth. With one probe at a time,
-	// simulated days of 13 balancers kept 0.856 of their worth before, 0.908 after.
+	// zoneCost is added when endpoints are compared, for what traffic between zones costs.
 	zoneCost = 60 * time.Millisecond
-	// connectionCost is added for an endpoint that has probably no open connection,
-	// for what a new one costs beside zoneCost: 13,043 new connections before, 10,132
-	// after on a simulated calm day of 123 balancers.
+	// connectionCost is added for an endpoint that has probably no open connection, for what a
+	// new one costs beside zoneCost.
 	connectionCost = 18 * time.Millisecond
-	// connectionLife is how long after a sign of the endpoint its connection is
-	// thought to be open: a second less than unused ones are kept. Measured with
-	// connectionCost.
+	// connectionLife is how long after a sign of the endpoint its connection is thought to be
+	// open: a second less than unused ones are kept.
 	connectionLife = 7 * time.Second
-	// unansweredCost is added for each probe in a row without a response. Chosen
-	// without a measurement.
+	// unansweredCost is added for each probe in a row without a response.
 	unansweredCost = 150 * time.Millisecond
 	// besideCost is added for an endpoint that holds something, for a request that should be
 	// alone there: more than any estimate that is still worth a choice.
 	besideCost = time.Hour
-	// slownessGrace is how many times the usual time completions may take before the
-	// estimate grows with them. Chosen without a measurement.
+	// slownessGrace is how many times the usual time completions may take before the estimate
+	// grows with them.
 	slownessGrace = 2
-	// goodPace is the pace up to which an endpoint is taken at once. That only
-	// endpoints near their usual pace are taken: simulated days of 18 balancers kept
-	// 0.758 of their worth before, 0.958 after; no run varied the figure alone.
+	// goodPace is the pace up to which an endpoint is taken at once. That only endpoints near
+	// their usual pace are taken.
 	goodPace = 1.6
 )
 
@@ -51,10 +45,8 @@
 	WarmTold time.Time // when that was told
 }
 
-// Usual is what was learnt of a request's kind and service. It belongs to one ranking:
-// it remembers the room of endpoints, most of which have the same number of slots.
-// Working it out for each, and looking each up twice, made a choice among 185 take 49 us
-// for 34 (BenchmarkAcquire).
+// Usual is what was learnt of a request's kind and service. It belongs to one ranking: it
+// remembers the room of endpoints, most of which have the same number of slots.
 type Usual struct {
 	Work     time.Duration // usual service time of the kind
 	Crowding Crowding      // of the service
@@ -154,9 +146,8 @@
 	return cmp.Compare(c.tie, o.tie)
 }
 
-// Ranking is a list of candidates that is put in order only as far as it is asked
-// for: of hundreds, a few are looked at. Sorting all of them took 157 us for 185
-// endpoints, this 41 us (BenchmarkAcquire). The zero value is empty.
+// Ranking is a list of candidates that is put in order only as far as it is asked for: of
+// hundreds, a few are looked at. The zero value is empty.
 type Ranking struct {
 	list   []Candidate
 	sorted int // so many stand in their places, the best first
--- a/coord/selection/crowding.go
+++ b/coord/selection/crowding.go
@@ -4,11 +4,9 @@
 	// levels is how finely an endpoint's occupancy is told apart.
 	levels = 16
 	// uncrowded is the level up to which requests are thought not to slow each other.
-	// Chosen without a measurement.
 	uncrowded = levels / 2
 	// firstFull is the factor of an endpoint's last slot before one has been used, and
-	// priorSamples for how many samples a factor counts that is not learnt. Chosen
-	// without a measurement.
+	// priorSamples for how many samples a factor counts that is not learnt.
 	firstFull    = 1.2
 	priorSamples = 3
 )
--- a/coord/selection/decide.go
+++ b/coord/selection/decide.go
@@ -10,7 +10,6 @@
 )
 
 // refuseAfter is for requests without a target what RefuseShare is for others.
-// Chosen without a measurement.
 const refuseAfter = 200 * time.Millisecond
 
 // GiveUpAt returns when a request that has found no good endpoint takes the best
--- a/coord/selection/endpoint.go
+++ b/coord/selection/endpoint.go
@@ -7,8 +7,7 @@
 	"github.com/lotuswing/lotuswing/coord/placement"
 )
 
-// shedPause is how long an endpoint that refused a request counts as full. Chosen
-// without a measurement.
+// shedPause is how long an endpoint that refused a request counts as full.
 const shedPause = 25 * time.Millisecond
 
 // Endpoint is what a balancer remembers of one endpoint. It is an immutable value.
--- a/coord/selection/estimate.go
+++ b/coord/selection/estimate.go
@@ -2,8 +2,7 @@
 
 import "time"
 
-// coldPace is the slowdown factor of an endpoint that still warms up. Chosen
-// without a measurement.
+// coldPace is the slowdown factor of an endpoint that still warms up.
 const coldPace = 2
 
 // Conditions are what an estimate needs to know beside the load.
--- a/coord/selection/learn.go
+++ b/coord/selection/learn.go
@@ -7,13 +7,10 @@
 	"github.com/lotuswing/lotuswing/coord/placement"
 )
 
-// targetShare is the part of its latency objective that a kind's work is thought to
-// take before one has completed: operators set objectives to a multiple of the work.
-// With 100 ms for all kinds a fleet that starts under load lost 0.0155 of the worth of a
-// simulated day of 17 balancers.
+// targetShare is the part of its latency objective that a kind's work is thought to take before
+// one has completed: operators set objectives to a multiple of the work.
 const targetShare = 1.0 / 3
 
-// Chosen without a measurement.
 const (
 	firstWork    = 100 * time.Millisecond // of a kind without a target that has not completed yet
 	sampleWeight = 0.05                   // of a new sample in an average
--- a/coord/selection/load.go
+++ b/coord/selection/load.go
@@ -8,17 +8,14 @@
 )
 
 const (
-	// paceMemory is the time constant with which a reported pace drifts back to
-	// meanPace. Chosen without a measurement.
+	// paceMemory is the time constant with which a reported pace drifts back to meanPace.
 	paceMemory = 150 * time.Millisecond
 	// meanPace is the pace expected of an endpoint of which nothing fresh is known.
-	// Chosen without a measurement.
 	meanPace = 1.8
-	// busyMemory is the age from which a report says nothing of other balancers'
-	// requests: an endpoint that was full then is as good as one that was never
-	// heard of. Counting them for ever kept endpoints out of use: simulated
-	// days of 13 balancers kept 0.921 of their worth before, 0.965 after. 0.4 s, 2 s
-	// and never made no difference with 123 balancers under overload.
+	// busyMemory is the age from which a report says nothing of other balancers' requests: an
+	// endpoint that was full then is as good as one that was never heard of. Counting them for
+	// ever kept endpoints out of use. 0.4 s, 2 s and never made no difference with 123 balancers
+	// under overload.
 	busyMemory = 400 * time.Millisecond
 )
 
--- a/coord/selection/probe.go
+++ b/coord/selection/probe.go
@@ -7,16 +7,11 @@
 )
 
 const (
-	// probeRounds is how often in one look other endpoints are probed when those probed
-	// before will not do. With 6 simulated days of overload of 95 balancers kept 0.762 and
-	// 0.799 of their worth, with 12 0.765 and 0.807, with 24 no more. That one endpoint is
-	// probed at a time, and not three: three were most of the bytes between zones on
-	// simulated days.
+	// probeRounds is how often in one look other endpoints are probed when those probed before
+	// will not do. That one endpoint is probed at a time, and not three.
 	probeRounds = 12
-	// fewestRounds is how often in each look of a request that has sent mostProbes. So
-	// many probes are what a request could send at most, in six looks, with six a look:
-	// when all endpoints are overloaded for long, 95 balancers sent each 30 a second, and
-	// operators bound that figure. Chosen without a measurement.
+	// fewestRounds is how often in each look of a request that has sent mostProbes. So many
+	// probes are what a request could send at most, in six looks, with six a look.
 	fewestRounds = 2
 	mostProbes   = 24
 )
--- a/coord/selection/prospect.go
+++ b/coord/selection/prospect.go
@@ -3,11 +3,10 @@
 import "time"
 
 const (
-	// prospects is how many of the last probes are remembered: few enough that a burst
-	// shows within a second at a request every 100 ms. Chosen without a measurement.
+	// prospects is how many of the last probes are remembered: few enough that a burst shows
+	// within a second at a request every 100 ms.
 	prospects = 16
-	// fewestProspects is from how many on they are relied on. Chosen without a
-	// measurement.
+	// fewestProspects is from how many on they are relied on.
 	fewestProspects = 3
 	// furtherCost is what another probe is thought to cost a request: the time for which
 	// it may wait for the response.
--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -44,10 +44,7 @@
 	LookAgain   time.Duration // pause before the endpoints are looked at again; default 40 ms
 }
 
-// Defaults of Options. RefuseShare: on simulated days 0.3 lost 0.011 of the worth, 0.12
-// made no difference. LookAgain: 10 ms lost 0.011 under overload, for probes that others
-// lack; 80 ms made no difference (docs/design, round 2). The others were chosen without a
-// measurement.
+// Defaults of Options.
 const (
 	probeFresh  = 4 * time.Millisecond
 	probeRate   = 3
--- a/coord/selection/warmup.go
+++ b/coord/selection/warmup.go
@@ -20,11 +20,11 @@
 //     for as long as one of them needs for a request, twice as long each time.
 
 const (
-	// warmupPause is the first pause where it is not known how many requests a second an
-	// endpoint that warms up bears. Chosen without a measurement.
+	// warmupPause is the first pause where it is not known how many requests a second an endpoint
+	// that warms up bears.
 	warmupPause = 400 * time.Millisecond
-	// warmupDoublings bounds the pause: 2^3 times the first one is about as long as
-	// endpoints warm up. Chosen without a measurement.
+	// warmupDoublings bounds the pause: 2^3 times the first one is about as long as endpoints
+	// warm up.
 	warmupDoublings = 3
 )
 
@@ -82,9 +82,7 @@
 	return usual.TellsLoad && now.Sub(e.heardAt) > usual.Fresh
 }
 
-// lotShare is for a request's looking at several endpoints before one is free for it. With
-// 0.5, endpoints whose work takes 60 ms while they warm up got up to 14 requests in a second
-// from 300 simulated balancers, of 11.75 allowed (TestColdEndpointsGetFewRequests).
+// lotShare is for a request's looking at several endpoints before one is free for it.
 const lotShare = 0.25
 
 // drawn reports whether a request that would take so long may go to the endpoint in a place
--- a/coord/subset/subset.go
+++ b/coord/subset/subset.go
@@ -20,11 +20,8 @@
 )
 
 const (
-	// Size is how many endpoints a subset has, about. A choice looks at all of them after
-	// each probe: among 5,772 it took 2.4 ms of a core and 387 KB for 12 us and 2 KB among
-	// 30 (BenchmarkAcquire), and a request makes two to four looks. Services of up to so many
-	// endpoints, as those of 300 balancers had, are chosen from whole. 984 balancers have each
-	// of 5,772 endpoints in some 33 subsets.
+	// Size is how many endpoints a subset has, about. A choice looks at all of them after each
+	// probe. 984 balancers have each of 5,772 endpoints in some 33 subsets.
 	Size = 192
 	// nearShare is the part of a subset that is of the balancer's own availability zone, as
 	// far as there are so many: requests leave the zone only where it has no room.
--- a/coord/tally/counter.go
+++ b/coord/tally/counter.go
@@ -131,10 +131,9 @@
 	return r
 }
 
-// Taken notes that a relay has taken a report. Until the next one it counts as not told: a
-// relay that ends may have kept to itself what it heard last. What is counted twice then is
-// what one pause brought; it was 1.01 of a quota that was given out in the worst window when
-// the relays of 300 balancers ended four times, and is 0.96 with this.
+// Taken notes that a relay has taken a report. Until the next one it counts as not told: a relay
+// that ends may have kept to itself what it heard last. What is counted twice then is what one
+// pause brought.
 func (c *Counter) Taken(r Report) {
 	for _, told := range r.Counts {
 		if k, ok := c.counts[told.Key]; ok {
--- a/coord/tally/ledger.go
+++ b/coord/tally/ledger.go
@@ -9,15 +9,12 @@
 	// unheardAfter is after which a balancer that was counting counts as not heard of.
 	// Reports come twice within it even where nothing presses.
 	unheardAfter = time.Second
-	// unheardFor is how long one that is not heard of is taken to count on at its rate of
-	// before. Chosen above what cuts of single VMs were seen to last (nine seconds on
-	// simulated days); a quota is that much tighter after VMs ended for good.
+	// unheardFor is how long one that is not heard of is taken to count on at its rate of before.
 	unheardFor = 15 * time.Second
 	// relayGoneFor is the same for a relay that is not registered any more: its balancers
 	// report elsewhere by then.
 	relayGoneFor = 4 * time.Second
-	// forgetAfter is when nothing more is remembered of a balancer. Chosen without a
-	// measurement.
+	// forgetAfter is when nothing more is remembered of a balancer.
 	forgetAfter = time.Minute
 )
 
--- a/coord/tally/tally.go
+++ b/coord/tally/tally.go
@@ -58,9 +58,8 @@
 	By  int64
 }
 
-// smoothing is the time constant of rates: long enough that two reports a second show no
-// jumps, short enough that a team which sends four times as much is seen to before its
-// burst is used up. Chosen without a measurement of its own.
+// smoothing is the time constant of rates: long enough that two reports a second show no jumps,
+// short enough that a team which sends four times as much is seen to before its burst is used up.
 const smoothing = 500 * time.Millisecond
 
 // rate is a smoothed rate a second. It is an immutable value.
--- a/direct/complete.go
+++ b/direct/complete.go
@@ -45,8 +45,7 @@
 	}
 }
 
-// slowFactor is how many times as long as was estimated a slow request takes. Chosen without
-// a measurement.
+// slowFactor is how many times as long as was estimated a slow request takes.
 const slowFactor = 3
 
 // noteTrial tells what became of a request while a version of its service comes in. Of an
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -11,7 +11,6 @@
 	"github.com/lotuswing/lotuswing/tenant"
 )
 
-// Chosen without a measurement.
 const (
 	// probeWait is how long a request waits for the response to a probe. A later
 	// one still counts for other requests.
--- a/directory/apply.go
+++ b/directory/apply.go
@@ -29,9 +29,8 @@
 	f.opts.Observe(changes)
 }
 
-// logMoved writes a line for each endpoint whose state changed. A first copy names all
-// there are: a line for each of 719 is 95 KB, which pushed all lines that followed out of
-// the queue of the log (BenchmarkFirstCopy: 1.6 ms for 1.0 ms of processor time).
+// logMoved writes a line for each endpoint whose state changed. A first copy names all there are.
+// 1.6 ms for 1.0 ms of processor time).
 func (f *Follower) logMoved(moved []Change, changes Changes) {
 	if (changes.Whole || changes.Part) && len(moved) > mostLines {
 		count := map[State]int{}
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -49,14 +49,12 @@
 	// store's return, and their entries are in force within the pause in which
 	// changes gather, at most 1.75 s.
 	lastResortFor = 4 * time.Second
-	// lossFactor tells a store that lost its entries from endpoints that left: so
-	// many times the listed endpoints must have gone missing within lastResortFor.
-	// In a release of a small service half of them may; with 1, requests reached
-	// endpoints that had left on a simulated day.
+	// lossFactor tells a store that lost its entries from endpoints that left: so many times the
+	// listed endpoints must have gone missing within lastResortFor. In a release of a small
+	// service half of them may.
 	lossFactor = 3
-	// missingFor is how long an endpoint whose entry went is remembered, and
-	// leavingFor the same for one that said that it leaves: its entry may be repeated
-	// by a late read. Chosen without a measurement.
+	// missingFor is how long an endpoint whose entry went is remembered, and leavingFor the same
+	// for one that said that it leaves: its entry may be repeated by a late read.
 	missingFor = 20 * time.Second
 	leavingFor = 10 * missingFor
 )
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -125,7 +125,6 @@
 	return now.Sub(f.began) - time.Duration(since)
 }
 
-// Chosen without a measurement.
 const (
 	unsettledFailures = 2                      // in a row
 	settledSlack      = 150 * time.Millisecond // beyond the time of a check and its answer
@@ -192,10 +191,9 @@
 	}
 }
 
-// backlog is the number of changes in one answer from which more of them are
-// thought to wait: a store bounds its answers, and a configuration may stand
-// behind thousands of entries, so nothing is left to gather then. Without it
-// changes of the configuration came late on a simulated day of 300 balancers.
+// backlog is the number of changes in one answer from which more of them are thought to wait: a
+// store bounds its answers, and a configuration may stand behind thousands of entries, so nothing
+// is left to gather then.
 const backlog = 100
 
 // noteAnswer notes that the store has answered.
--- a/directory/lists.go
+++ b/directory/lists.go
@@ -27,11 +27,9 @@
 // touchAll notes that all endpoints of a service may have changed; d.mu is held.
 func (d *Directory) touchAll(service string) { d.changed[service] = touched{all: true} }
 
-// publish brings what is known into force for the request path; d.mu is held. Only the lists
-// of services are made anew of which something has changed, or of which endpoints went
-// missing, since it depends on the time whether these are used: making the lists of 10,000
-// endpoints anew for each change took 13.8 ms of a core, 86 ms of a small VM's share, at
-// each balancer (BenchmarkOneChange: 0.11 ms now).
+// publish brings what is known into force for the request path; d.mu is held. Only the lists of
+// services are made anew of which something has changed, or of which endpoints went missing,
+// since it depends on the time whether these are used. 0.11 ms now).
 func (d *Directory) publish(now time.Time) {
 	before := d.snapshot.Load()
 	s := &Snapshot{
@@ -100,7 +98,7 @@
 }
 
 // mergeShare is the part of a list, one in so many, up to which changes are merged into it:
-// making it anew costs about as much as merging as many. Chosen without a measurement.
+// making it anew costs about as much as merging as many.
 const mergeShare = 4
 
 // merged returns a list with the changes of some endpoints, both in order of identity; d.mu
--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -75,8 +75,7 @@
 	}
 }
 
-// watchAccepted is how long a watch must have waited to be thought accepted by the
-// store. Chosen without a measurement.
+// watchAccepted is how long a watch must have waited to be thought accepted by the store.
 const watchAccepted = 200 * time.Millisecond
 
 // checkAnswered notes the answer to a cheap check. It shows that the store is
--- a/directory/options.go
+++ b/directory/options.go
@@ -43,17 +43,14 @@
 
 // The defaults and bounds that do not depend on how late a change may come.
 const (
-	// watchWait is how long one watch waits at the store. Chosen without a
-	// measurement.
+	// watchWait is how long one watch waits at the store.
 	watchWait = 25 * time.Second
-	// readWait bounds the reading of everything. Chosen without a measurement.
+	// readWait bounds the reading of everything.
 	readWait = 3 * time.Second
-	// exactCheckEvery: exact reads cost ten times as much as cheap ones. Chosen
-	// without a measurement.
+	// exactCheckEvery: exact reads cost ten times as much as cheap ones.
 	exactCheckEvery = time.Second
-	// retryPause and retryMost bound the tries while the store does not answer,
-	// which are paid for: 2,814 calls of a simulated day of 142 balancers
-	// when it was tried each 250 ms, 1,256 after, beside other changes.
+	// retryPause and retryMost bound the tries while the store does not answer, which are paid
+	// for.
 	retryPause = 500 * time.Millisecond
 	retryMost  = 2 * time.Second
 	// defaultBound is the bound for which the defaults are.
@@ -81,16 +78,13 @@
 	gatherShare = 0.7
 	// checkShare, stuckShare: 850 ms and 550 ms of 2 s. Together they stay below
 	// the bound.
-	checkShare = 0.425
-	stuckShare = 0.275
-	// checkWaitShare: chosen without a measurement.
+	checkShare     = 0.425
+	stuckShare     = 0.275
 	checkWaitShare = 0.3
-	// mostCheckEvery keeps the checks within the second in which cheap reads are
-	// fresh while the store drops its history. With 1.25 s changes of the configuration came
-	// late on a simulated day, with 0.85 s none did.
+	// mostCheckEvery keeps the checks within the second in which cheap reads are fresh while the
+	// store drops its history.
 	mostCheckEvery = 850 * time.Millisecond
-	// mostCheckWait: chosen without a measurement.
-	mostCheckWait = 600 * time.Millisecond
+	mostCheckWait  = 600 * time.Millisecond
 	// servingShare is the part of its pauses that remains to a follower on which
 	// other processes rely: what they add comes on top.
 	servingShare = 0.5
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	// shortest is the shortest pause between two reports, also after one that failed at
-	// once. Chosen without a measurement.
+	// shortest is the shortest pause between two reports, also after one that failed at once.
 	shortest = 20 * time.Millisecond
 	// untilWoken is a pause that a count ends: where nothing is counted nothing looks around.
 	untilWoken = time.Hour
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -23,9 +23,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Silence is how long written data may stay unacknowledged before the connection counts
-// as gone: several retransmissions on a lossy link of some milliseconds. Chosen without
-// a measurement.
+// Silence is how long written data may stay unacknowledged before the connection counts as gone:
+// several retransmissions on a lossy link of some milliseconds.
 const Silence = 1500 * time.Millisecond
 
 // Dialer returns a dialer whose dials take timeout at most and whose connections fail
--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -24,9 +24,8 @@
 	"time"
 )
 
-// least is the shortest suspension that counts. The two clocks are read one after the
-// other, so that a process that loses its processor in between sees a difference. Chosen
-// without a measurement: reports are taken for fresh for 4 ms, connections for 50 ms.
+// least is the shortest suspension that counts. The two clocks are read one after the other, so
+// that a process that loses its processor in between sees a difference.
 const least = 20 * time.Millisecond
 
 // Detector notices suspensions. It is safe for concurrent use; a nil one notices none.
--- a/link/client.go
+++ b/link/client.go
@@ -14,8 +14,7 @@
 	"github.com/lotuswing/lotuswing/internal/dial"
 )
 
-// dialTimeout bounds the opening of a connection to a peer; calls have bounds of
-// their own. Chosen without a measurement.
+// dialTimeout bounds the opening of a connection to a peer; calls have bounds of their own.
 const dialTimeout = 500 * time.Millisecond
 
 // ErrSilent says that the peer did not answer in time; it may still act on the
--- a/load/pipeline.go
+++ b/load/pipeline.go
@@ -17,7 +17,7 @@
 // behind others. The server may have begun it all the same.
 var errUnread = errors.New("load: connection ended before the answer")
 
-// dialTimeout bounds the opening of a connection. Chosen without a measurement.
+// dialTimeout bounds the opening of a connection.
 const dialTimeout = 10 * time.Second
 
 // Pipeline sends requests on a connection before those ahead of them have their answers,
--- a/node/acquire.go
+++ b/node/acquire.go
@@ -15,16 +15,13 @@
 
 const (
 	// homeWait bounds the first answer of a home; zones are milliseconds apart.
-	// Chosen without a measurement.
 	homeWait = 100 * time.Millisecond
-	// awaitSlice bounds one call that waits in the home's queue, so that a
-	// home that was paused is noticed. Chosen without a measurement.
+	// awaitSlice bounds one call that waits in the home's queue, so that a home that was paused
+	// is noticed.
 	awaitSlice = 250 * time.Millisecond
-	// avoidHome is how long a silent home is not asked again. Chosen without a
-	// measurement.
+	// avoidHome is how long a silent home is not asked again.
 	avoidHome = 300 * time.Millisecond
-	// defaultRetryAfter is when a caller may come back where nothing better is
-	// known. Chosen without a measurement.
+	// defaultRetryAfter is when a caller may come back where nothing better is known.
 	defaultRetryAfter = time.Second
 )
 
--- a/node/documents.go
+++ b/node/documents.go
@@ -14,8 +14,6 @@
 	"github.com/lotuswing/lotuswing/vm"
 )
 
-// Chosen without a measurement, but for watchers: with two, 2.4 calls a second at 3,
-// 16 and 64 balancers (MEASUREMENTS, "Shared configuration and control").
 const (
 	watchers     = 2 // balancers that watch the store for one document
 	watchWait    = 2 * time.Second
--- a/node/home.go
+++ b/node/home.go
@@ -9,8 +9,7 @@
 	"github.com/lotuswing/lotuswing/link"
 )
 
-// lateReport bounds calls that tell a home what is already decided. Chosen without
-// a measurement.
+// lateReport bounds calls that tell a home what is already decided.
 const lateReport = time.Second
 
 // call calls a method of a member; of this node itself, without the network.
--- a/node/marks.go
+++ b/node/marks.go
@@ -7,7 +7,6 @@
 	"github.com/lotuswing/lotuswing/coord/leaving"
 )
 
-// Chosen without a measurement.
 const (
 	// forgetPeriod is between two looks for marks that are no longer needed.
 	forgetPeriod = time.Minute
--- a/node/measure.go
+++ b/node/measure.go
@@ -18,7 +18,6 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// Chosen without a measurement.
 const (
 	measurePeriod = 100 * time.Millisecond
 	measureLease  = 5 * time.Second
--- a/node/node.go
+++ b/node/node.go
@@ -43,7 +43,6 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// Periods of the node's loops, chosen without a measurement.
 const (
 	heartbeatPeriod = 300 * time.Millisecond
 	heartbeatWait   = 200 * time.Millisecond // of one answer
--- a/node/vmlist.go
+++ b/node/vmlist.go
@@ -11,7 +11,6 @@
 	"github.com/lotuswing/lotuswing/vm"
 )
 
-// Chosen without a measurement.
 const (
 	vmListPeriod = 500 * time.Millisecond
 	vmListLimit  = 16 << 20 // bytes
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -41,8 +41,8 @@
 )
 
 const (
-	// maxAhead is how many requests of a connection are served beside the first; more
-	// wait unread. Chosen without a measurement.
+	// maxAhead is how many requests of a connection are served beside the first; more wait
+	// unread.
 	maxAhead = 16
 	// maxHead is how long, in bytes, a request may be that is served ahead, and how
 	// much of a connection is read ahead. One that is longer waits for its turn. It is
--- a/quarantine/admit.go
+++ b/quarantine/admit.go
@@ -71,7 +71,7 @@
 }
 
 // trialRetry is when a caller comes back for whose request the patience ended while another
-// balancer tried it: trials take as long as a request does. Chosen without a measurement.
+// balancer tried it: trials take as long as a request does.
 const trialRetry = 250 * time.Millisecond
 
 // look returns the case that decides about a request, with its fingerprint, until when
@@ -125,7 +125,7 @@
 }
 
 // trialsOfTarget is how many times its target a trial of a request may take before another
-// balancer may think that it is over. Chosen without a measurement.
+// balancer may think that it is over.
 const trialsOfTarget = 2
 
 // trialFor returns for how long nobody else tries a request, if nothing is heard of its trial.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -155,10 +155,7 @@
 	}
 }
 
-// Run keeps cases and records up to date until ctx ends. It waits for the first case: with a
-// look around each 0.25 s, and one for suspensions each 0.5 s, a balancer of 99 woke up 33
-// times a second at calm load in place of 22, and used 3.1 % of its processor's share in place
-// of 2.0 (simulated day).
+// Run keeps cases and records up to date until ctx ends. It waits for the first case.
 func (k *Keeper) Run(ctx context.Context) {
 	k.mu.Lock()
 	k.live = ctx
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -36,8 +36,8 @@
 }
 
 const (
-	// writeWithin bounds one try to write a record, and writePause is the pause after one
-	// that failed, doubled up to writeMost. Chosen without a measurement.
+	// writeWithin bounds one try to write a record, and writePause is the pause after one that
+	// failed, doubled up to writeMost.
 	writeWithin = 2 * time.Second
 	writePause  = 250 * time.Millisecond
 	writeMost   = 5 * time.Second
--- a/relay/askers.go
+++ b/relay/askers.go
@@ -7,8 +7,7 @@
 	"time"
 )
 
-// askedFor is how long a balancer that asked counts among a relay's askers. Chosen
-// without a measurement.
+// askedFor is how long a balancer that asked counts among a relay's askers.
 const askedFor = 2 * time.Second
 
 // askers are the balancers that asked a relay lately. The zero value is empty. It is not
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -75,11 +75,9 @@
 	g.penalized[r.Addr] = until
 }
 
-// forgive lets a relay be asked at once again that was left alone. One that has answered
-// a question that waited there for the store's return is well: without this its
-// followers left it alone for what remained of the penalty, and each followed the store.
-// On a simulated day of 473 balancers with an outage of eight seconds, calls of the store
-// cost 0.0336 of the worth before, 0.0240 after.
+// forgive lets a relay be asked at once again that was left alone. One that has answered a
+// question that waited there for the store's return is well: without this its followers left it
+// alone for what remained of the penalty, and each followed the store.
 func (g *Group) forgive(r Relay) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -10,8 +10,7 @@
 	"github.com/lotuswing/lotuswing/link"
 )
 
-// idle is the pause between two looks while there is nothing to ask. Chosen
-// without a measurement.
+// idle is the pause between two looks while there is nothing to ask.
 const idle = 200 * time.Millisecond
 
 // subscription is what follow remembers from one call of a relay to the next.
@@ -110,10 +109,9 @@
 	}
 }
 
-// findRelays looks for relays that have registered since the first copy was packed: the
-// balancer that handed it on has had it for longer and may know one by now. Otherwise the
-// store is asked, which each balancer of a fleet that starts for the first time did: 257
-// priced calls of a simulated start of 473 balancers before, 228 after.
+// findRelays looks for relays that have registered since the first copy was packed: the balancer
+// that handed it on has had it for longer and may know one by now. Otherwise the store is asked,
+// which each balancer of a fleet that starts for the first time did.
 func (g *Group) findRelays(ctx context.Context, s *subscription) {
 	if giver, ok := g.copyGiver(); ok {
 		err := g.ask(ctx, giver, false)
--- a/relay/options.go
+++ b/relay/options.go
@@ -41,9 +41,7 @@
 	}
 }
 
-// Parts of the bound and their limits. With those of a bound of 2 s calls to the
-// store went from 5,584 to 711 on a simulated day of 123 balancers; no run varied them
-// alone.
+// Parts of the bound and their limits.
 const (
 	waitShare  = 0.2
 	slackShare = 0.125
--- a/relay/outage.go
+++ b/relay/outage.go
@@ -7,11 +7,10 @@
 	"time"
 )
 
-// While the store does not answer, nobody needs to find that out alone: a relay says
-// so to its followers, which stay with it and ask the store by turns, so seldom that
-// the calls of all of them together do not grow with their number. The first one that
-// the store answers is named to the others, which follow it until a relay is settled
-// again. Without this 473 balancers made 4,249 calls in eight seconds.
+// While the store does not answer, nobody needs to find that out alone: a relay says so to its
+// followers, which stay with it and ask the store by turns, so seldom that the calls of all of
+// them together do not grow with their number. The first one that the store answers is named to
+// the others, which follow it until a relay is settled again.
 
 const (
 	// firstProbe and laterProbe are the mean times between two calls of the store by
@@ -24,8 +23,7 @@
 	// many that are more than their share of the calls.
 	shortRound   = 1500 * time.Millisecond
 	fewFollowers = 5
-	// lostFor is how long a relay's word that the store is lost holds. Chosen without a
-	// measurement.
+	// lostFor is how long a relay's word that the store is lost holds.
 	lostFor = 3 * time.Second
 )
 
--- a/relay/packer.go
+++ b/relay/packer.go
@@ -24,8 +24,7 @@
 
 func newPacker() *packer { return &packer{} }
 
-// maxPacked bounds what is unpacked of one answer, in bytes. Chosen
-// without a measurement.
+// maxPacked bounds what is unpacked of one answer, in bytes.
 const maxPacked = 64 << 20
 
 // pack encodes the records of a delta; nil where there are none.
--- a/relay/registration.go
+++ b/relay/registration.go
@@ -20,8 +20,8 @@
 	// renewals is how often a registration is renewed within its time to live, so
 	// that two renewals in a row may fail.
 	renewals = 3
-	// watchedFor is how long a watch must have waited, at the least, for a vacancy
-	// that it has not contradicted to be believed. Chosen without a measurement.
+	// watchedFor is how long a watch must have waited, at the least, for a vacancy that it has
+	// not contradicted to be believed.
 	watchedFor = 30 * time.Millisecond
 )
 
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -10,8 +10,8 @@
 	"github.com/lotuswing/lotuswing/directory"
 )
 
-// goneFor is how long the end of a key is remembered. A balancer that heard
-// nothing for longer is told everything. Chosen without a measurement.
+// goneFor is how long the end of a key is remembered. A balancer that heard nothing for longer is
+// told everything.
 const goneFor = 30 * time.Second
 
 // replica is the store's content as this process knows it: the last record of
@@ -262,9 +262,7 @@
 }
 
 // since returns what changed after a revision, in the order of revisions. It looks at what
-// changed alone: a relay tells each change to all balancers of its zone, and looking at all
-// keys for each of them was 0.2 ms with 10,000 endpoints, 33 ms of a core for 164 balancers
-// (BenchmarkSince: less than 1 us now).
+// changed alone.
 func (rep *replica) since(after uint64) delta {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
--- a/relay/rules.go
+++ b/relay/rules.go
@@ -10,12 +10,11 @@
 // The rules of following and registering, as functions of their arguments.
 
 const (
-	// unsettledDivisor shortens the penalty of a relay that answers but is not
-	// settled: asking it again costs little. Chosen without a measurement.
+	// unsettledDivisor shortens the penalty of a relay that answers but is not settled: asking it
+	// again costs little.
 	unsettledDivisor = 4
-	// otherRelaysFactor lengthens the random wait while relays of other zones serve:
-	// nothing presses then, and what another balancer registers becomes known late.
-	// Calls of a simulated day of 142 balancers 932 before, 740 and 781 after.
+	// otherRelaysFactor lengthens the random wait while relays of other zones serve: nothing
+	// presses then, and what another balancer registers becomes known late.
 	otherRelaysFactor = 10
 )
 
--- a/relay/telling.go
+++ b/relay/telling.go
@@ -20,12 +20,11 @@
 // bytes each.
 
 const (
-	// gatherNotes is how long a relay waits for further notes before it wakes those that
-	// wait at it, so that what many see at once is not handed on one by one. Chosen
-	// without a measurement.
+	// gatherNotes is how long a relay waits for further notes before it wakes those that wait at
+	// it, so that what many see at once is not handed on one by one.
 	gatherNotes = 5 * time.Millisecond
-	// tellPause and tellMost are the pauses after a relay did not take notes: the first
-	// one, which is doubled, and the longest. Chosen without a measurement.
+	// tellPause and tellMost are the pauses after a relay did not take notes: the first one,
+	// which is doubled, and the longest.
 	tellPause = 250 * time.Millisecond
 	tellMost  = 4 * time.Second
 )
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -22,11 +22,10 @@
 	// lookEvery is between two looks at a roll-out that this balancer leads: as often as
 	// relays tell one another what was counted while that presses.
 	lookEvery = 100 * time.Millisecond
-	// followEvery is between two looks whether this balancer leads one. Chosen without a
-	// measurement.
+	// followEvery is between two looks whether this balancer leads one.
 	followEvery = 500 * time.Millisecond
-	// writeWithin bounds one try to write a record; firstPause and longestPause are the
-	// pauses after one that failed. Chosen without a measurement.
+	// writeWithin bounds one try to write a record; firstPause and longestPause are the pauses
+	// after one that failed.
 	writeWithin  = 1500 * time.Millisecond
 	firstPause   = 200 * time.Millisecond
 	longestPause = 2 * time.Second
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -101,9 +101,8 @@
 	}
 }
 
-// spareShare is the part of what the operators bear with above a quota that a balancer gives
-// out to each team; the rest is for what balancers cannot know of one another. Chosen
-// without a measurement.
+// spareShare is the part of what the operators bear with above a quota that a balancer gives out
+// to each team; the rest is for what balancers cannot know of one another.
 const spareShare = 0.25
 
 // newFleet returns this balancer's knowledge of what all of them count.
--- a/server/server.go
+++ b/server/server.go
@@ -163,9 +163,8 @@
 	})
 }
 
-// firstWait is how long callers wait for the first configuration of a balancer
-// that has just started, rather than being refused: it is there after 30 ms where few
-// start, after 0.23 s at the median where 473 start at once (simulated fleets).
+// firstWait is how long callers wait for the first configuration of a balancer that has just
+// started, rather than being refused.
 const firstWait = 300 * time.Millisecond
 
 // serveFront serves callers as soon as requests can be routed. Connections that
--- a/server/stop.go
+++ b/server/stop.go
@@ -67,8 +67,7 @@
 	s.close()
 }
 
-// traceFlushWait bounds the sending of the last spans. Chosen without a
-// measurement.
+// traceFlushWait bounds the sending of the last spans.
 const traceFlushWait = time.Second
 
 // close ends what callers do not see. The listeners are closed whatever they say.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -119,9 +119,8 @@
 	Grace time.Duration `json:"grace"`
 }
 
-// Parts of the grace that the notice may take and that is left unused: of 6 s, 3 s
-// and 0.42 s, which a process on 0.16 of a core can need for its end. Chosen
-// without a measurement.
+// Parts of the grace that the notice may take and that is left unused: of 6 s, 3 s and 0.42 s,
+// which a process on 0.16 of a core can need for its end.
 const (
 	noticeShare = 0.5
 	spareShare  = 0.07
--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -31,7 +31,6 @@
 	"github.com/lotuswing/lotuswing/coord/store"
 )
 
-// Defaults of Options and bounds of a client, chosen without a measurement.
 const (
 	defaultTimeout  = 2 * time.Second
 	defaultRate     = 20              // calls a second
--- a/telemetry/queue.go
+++ b/telemetry/queue.go
@@ -9,8 +9,7 @@
 	"time"
 )
 
-// queueBytes bounds what waits to be written, in bytes. Chosen without a
-// measurement.
+// queueBytes bounds what waits to be written, in bytes.
 const queueBytes = 256 << 10
 
 // Queue is a writer of log lines that never waits for the reader of the log:
--- a/telemetry/requestlog.go
+++ b/telemetry/requestlog.go
@@ -82,8 +82,7 @@
 	}
 }
 
-// failedShare is the part of the rate that is kept for requests that failed. Chosen
-// without a measurement.
+// failedShare is the part of the rate that is kept for requests that failed.
 const failedShare = 0.5
 
 // RequestLog is the lines of one request that are not written yet. It belongs to
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -29,8 +29,7 @@
 	"github.com/lotuswing/lotuswing/internal/dial"
 )
 
-// Defaults of Options and bounds of a client. They were chosen without a
-// measurement.
+// Defaults of Options and bounds of a client.
 const (
 	defaultDialTimeout = time.Second
 	defaultIdleTimeout = 90 * time.Second
