The soak counts what balancers send to a limited endpoint once they were told

The users' rule sums over balancers that had passed on an answer with the limit half a second before; the check does now. TestPlantedFloodsOfLimitedEndpointsAreCaught shows that it still fails above the bound.

--- a/soak/limits.go
+++ b/soak/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strconv"
 	"sync"
@@ -29,7 +30,8 @@
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
 	limitExtra  = 5
-	// limitKnown is after how long all balancers that nothing disturbs keep a limit.
+	// limitKnown is how long after an answer with it a balancer keeps a limit that nothing
+	// disturbs.
 	limitKnown = 500 * time.Millisecond
 )
 
@@ -128,18 +130,38 @@
 }
 
 // ranQuietly returns when an endpoint ran what balancers sent that nothing disturbed since it
-// named a limit; c.mu is held.
+// named a limit, and that had passed on an answer with it some time before: of an endpoint whose
+// answers are lost, or in the name of others, nobody hears of a limit. c.mu is held.
 func (l *ledger) ranQuietly(c *calendar, named limiting) []time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	runs := named.endpoint.server.Runs()
+	told := l.toldOf(named, runs)
 	var ran []time.Time
-	for _, run := range named.endpoint.server.Runs() {
+	for _, run := range runs {
 		r := l.sent[run.Request]
-		if r == nil || run.At.Sub(named.from) < limitKnown || run.At.After(named.to) || !c.quiet(r.balancer, named.from, run.At) {
+		if r == nil || run.At.After(named.to) || !c.quiet(r.balancer, named.from, run.At) {
 			continue
 		}
-		ran = append(ran, run.At)
+		if at, ok := told[r.balancer]; ok && run.At.Sub(at) >= limitKnown {
+			ran = append(ran, run.At)
+		}
 	}
 	slices.SortFunc(ran, time.Time.Compare)
 	return ran
 }
+
+// toldOf returns when balancers first passed on an answer with a limit, by balancer; l.mu is held.
+func (l *ledger) toldOf(named limiting, runs []platformtest.Run) map[string]time.Time {
+	told := map[string]time.Time{}
+	for _, run := range runs {
+		r := l.sent[run.Request]
+		if r == nil || r.status != http.StatusOK || run.At.Before(named.from) || r.ended.IsZero() {
+			continue
+		}
+		if at, ok := told[r.balancer]; !ok || r.ended.Before(at) {
+			told[r.balancer] = r.ended
+		}
+	}
+	return told
+}
