--- a/coord/limit/book.go
+++ b/coord/limit/book.go
@@ -21,13 +21,14 @@
 // may send them and, at a relay, the buckets of those that it owns. It is not safe for
 // concurrent use.
 type Book struct {
-	known  map[Target]*page
+	known  map[Target]*entry
 	askers map[string]time.Time // who asked this balancer, and when
+	pruned time.Time            // when those were dropped last that ask no more
 	rng    *rand.Rand
 }
 
-// page is what is known of one endpoint.
-type page struct {
+// entry is what is known of one endpoint.
+type entry struct {
 	word    Word
 	probes  bool // its answers to probes name the limit, too
 	account account
@@ -37,14 +38,14 @@
 	denied  int64 // asks in vain
 
 	// At its owner.
-	bucket bucket
-	noted  Word      // as the last note told it
-	notedA time.Time // when; zero for never
+	bucket  bucket
+	noted   Word      // as the last note told it
+	notedAt time.Time // when; zero for never
 }
 
 // NewBook returns an empty book. seed is a random number.
 func NewBook(seed uint64) *Book {
-	return &Book{known: map[Target]*page{}, askers: map[string]time.Time{}, rng: rand.New(rand.NewPCG(seed, 1))}
+	return &Book{known: map[Target]*entry{}, askers: map[string]time.Time{}, rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // Len returns of how many endpoints anything is known.
@@ -92,7 +93,7 @@
 }
 
 // learn replaces the word on an endpoint. A looser one voids what was said of its room.
-func (b *Book) learn(p *page, w Word, now time.Time) {
+func (b *Book) learn(p *entry, w Word, now time.Time) {
 	p.seen = now
 	if p.word.stricter(w) && w.News(p.word) {
 		p.account = p.account.opened()
@@ -101,9 +102,9 @@
 }
 
 // begin begins to remember an endpoint.
-func (b *Book) begin(t Target, now time.Time) *page {
+func (b *Book) begin(t Target, now time.Time) *entry {
 	b.forget(now)
-	p := &page{seen: now}
+	p := &entry{seen: now}
 	b.known[t] = p
 	return p
 }
--- a/coord/limit/owner.go
+++ b/coord/limit/owner.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"maps"
 	"time"
 )
 
@@ -29,7 +30,7 @@
 }
 
 // grant decides about one ask.
-func (b *Book) grant(p *page, a Ask, settled bool, now time.Time) Grant {
+func (b *Book) grant(p *entry, a Ask, settled bool, now time.Time) Grant {
 	g := Grant{Target: a.Target, Permits: a.Want, Word: p.word.Told(now), Probes: p.probes}
 	rate, limited := p.word.RateAt(now)
 	if !limited || a.Want == 0 {
@@ -47,13 +48,13 @@
 	return g
 }
 
-// countAsker notes who asks and returns how many have lately.
+// countAsker notes who asks and returns how many have lately. Those that ask no more are dropped
+// seldom, because that looks at all.
 func (b *Book) countAsker(from string, now time.Time) int {
 	b.askers[from] = now
-	for addr, at := range b.askers {
-		if now.Sub(at) > askerFor {
-			delete(b.askers, addr)
-		}
+	if now.Sub(b.pruned) > askerFor/10 {
+		b.pruned = now
+		maps.DeleteFunc(b.askers, func(_ string, at time.Time) bool { return now.Sub(at) > askerFor })
 	}
 	return len(b.askers)
 }
@@ -65,12 +66,12 @@
 	if !known {
 		return Told{}, false
 	}
-	since := now.Sub(p.notedA)
+	since := now.Sub(p.notedAt)
 	renew := !p.word.Lifted() && since >= renewEvery
-	if !p.notedA.IsZero() && since < noteEvery || !p.word.News(p.noted) && !renew {
+	if !p.notedAt.IsZero() && since < noteEvery || !p.word.News(p.noted) && !renew {
 		return Told{}, false
 	}
-	p.noted, p.notedA = p.word, now
+	p.noted, p.notedAt = p.word, now
 	return p.word.Told(now), true
 }
 
@@ -81,5 +82,5 @@
 	if !known || !p.word.News(p.noted) {
 		return 0, false
 	}
-	return max(0, noteEvery-now.Sub(p.notedA)), true
+	return max(0, noteEvery-now.Sub(p.notedAt)), true
 }
