--- a/coord/quota/book.go
+++ b/coord/quota/book.go
@@ -115,16 +115,6 @@
 	return a
 }
 
-// newAccount returns the account of a team of which nothing was heard. A balancer that has lost
-// its relay will hear nothing of it, and nobody counts on for what it gives out: its part is then
-// that of one among all that it knows of, however many of them are cut off with it.
-func (b *Book) newAccount(l Limit, now time.Time) Account {
-	if b.lost && b.members > 0 {
-		return NewAccount(l, now).withLostPart(l, b.members)
-	}
-	return NewAccount(l, now)
-}
-
 // presses reports whether the relay should hear soon of requests of a team: while nothing
 // was heard of it, and while its bucket is no longer nearly full.
 func (b *Book) presses(a Account, l Limit, now time.Time) bool {
@@ -213,21 +203,6 @@
 	}
 }
 
-// Failed notes that a report was not answered. What a balancer gives out of teams on which it has
-// heard no word is little from then on.
-func (b *Book) Failed() {
-	b.counter.Failed()
-	if b.lost || b.members == 0 {
-		return
-	}
-	b.lost = true
-	for team, a := range b.accounts {
-		if !a.heard {
-			b.accounts[team] = a.withLostPart(b.limits[team], b.members)
-		}
-	}
-}
-
 // Status is what is known of a team's bucket, for operators.
 type Status struct {
 	Team   string
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -59,9 +59,6 @@
 	// after a start a first word takes a round trip, and where there is no relay yet all that
 	// were killed together may be in that state at once.
 	freshPart = 0.02
-	// lostPart is the part of a quota that all balancers together give out which hear of
-	// nobody and have never heard a word on its team: others may give out the whole.
-	lostPart = 0.25
 	// freshTokens are given out at the least before any word, so that the first requests of
 	// a small team need not wait for one.
 	freshTokens = 3
@@ -114,15 +111,6 @@
 	return Account{tokens: max(freshTokens, freshPart*(l.Rate+l.Burst)), at: now, part: freshPart, heardOf: 1}
 }
 
-// withLostPart returns the account of a balancer that has heard nothing of a team and hears of
-// nobody, one of so many.
-func (a Account) withLostPart(l Limit, members int) Account {
-	a.part = min(a.part, lostPart/float64(members))
-	a.tokens = min(a.tokens, a.part*(l.Rate+l.Burst))
-	a.lost = true
-	return a
-}
-
 // silent reports whether the account has to do without the relays.
 func (a Account) silent(now time.Time) bool {
 	return !a.heard || !a.waiting.IsZero() && now.Sub(a.waiting) > silentAfter
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -236,44 +236,62 @@
 		c := newCaller(i, w.balancers, sent, rand.New(rand.NewPCG(cfg.Seed, uint64(i)+2)))
 		callers.Go(func() { c.run(calling) })
 	}
-	disturbing, stopFaults := context.WithTimeout(ctx, cfg.For)
-	var together sync.WaitGroup
-	struck := map[string]int{}
-	if cfg.Together > 0 {
-		rng := rand.New(rand.NewPCG(cfg.Seed, 0))
-		together.Go(func() { w.strikeTogether(disturbing, cfg.Together, rng, func(kind string) { struck[kind]++ }) })
-	}
-	emptied := map[string]int{}
-	if cfg.Empty > 0 {
-		rng := rand.New(rand.NewPCG(cfg.Seed, math.MaxUint64))
-		together.Go(func() { w.strikeZones(disturbing, cfg.Empty, rng, func(kind string) { emptied[kind]++ }) })
-	}
-	crashed := map[string]int{}
 	if w.crashes != nil {
-		rng := rand.New(rand.NewPCG(cfg.Seed, math.MaxUint64-1))
-		together.Go(func() { w.crashes.strike(disturbing, cfg.Crash, rng, func(kind string) { crashed[kind]++ }) })
 		for i := range soundCallers {
 			rng := rand.New(rand.NewPCG(cfg.Seed, math.MaxUint64-2-uint64(i)))
 			callers.Go(func() { w.crashes.sound(calling, i, rng, sent) })
 		}
 	}
-	limited := map[string]int{}
-	if cfg.Limit > 0 {
-		rng := rand.New(rand.NewPCG(cfg.Seed, math.MaxUint64-100))
-		together.Go(func() { w.strikeLimits(disturbing, cfg.Limit, rng, func(kind string) { limited[kind]++ }) })
-	}
+	disturbing, stopFaults := context.WithTimeout(ctx, cfg.For)
+	beside := w.strikeBeside(disturbing, cfg)
 	w.disturbUntil(disturbing, w.rng, func(kind string) { result.Faults[kind]++ })
-	together.Wait()
-	maps.Copy(result.Faults, struck)
-	maps.Copy(result.Faults, emptied)
-	maps.Copy(result.Faults, crashed)
-	maps.Copy(result.Faults, limited)
+	maps.Copy(result.Faults, beside())
 	stopFaults()
 	stopCalls()
 	callers.Wait()
 	return result
 }
 
+// striker is a kind of fault that strikes beside the others.
+type striker struct {
+	gap    time.Duration // mean, between two of them; 0 for none
+	stream uint64        // of random numbers, so that the plays of seeds without it stay what they were
+	strike func(ctx context.Context, gap time.Duration, rng *rand.Rand, report func(string))
+}
+
+// strikeBeside lets these faults strike until ctx ends. The function that it returns waits for
+// their end and says how many there were of each kind.
+func (w *world) strikeBeside(ctx context.Context, cfg Config) func() map[string]int {
+	strikers := []striker{
+		{cfg.Together, 0, w.strikeTogether},
+		{cfg.Empty, math.MaxUint64, w.strikeZones},
+		{cfg.Limit, math.MaxUint64 - 100, w.strikeLimits},
+	}
+	if w.crashes != nil {
+		strikers = append(strikers, striker{cfg.Crash, math.MaxUint64 - 1, w.crashes.strike})
+	}
+	var (
+		done sync.WaitGroup
+		mu   sync.Mutex
+	)
+	struck := map[string]int{}
+	report := func(kind string) {
+		mu.Lock()
+		defer mu.Unlock()
+		struck[kind]++
+	}
+	for _, s := range strikers {
+		if s.gap > 0 {
+			rng := rand.New(rand.NewPCG(cfg.Seed, s.stream))
+			done.Go(func() { s.strike(ctx, s.gap, rng, report) })
+		}
+	}
+	return func() map[string]int {
+		done.Wait()
+		return struck
+	}
+}
+
 // end ends all that the soak started.
 func (w *world) end() error {
 	var errs []error
