limit: an ask for less than nothing gets nothing; names that need no explaining

Found by reading: a negative number of requests in an ask would have filled the owner's bucket. TestAskForLessThanNothing.

--- a/coord/limit/book.go
+++ b/coord/limit/book.go
@@ -53,8 +53,8 @@
 
 // Word returns what an endpoint last said.
 func (b *Book) Word(t Target) Word {
-	if p, ok := b.known[t]; ok {
-		return p.word
+	if e, ok := b.known[t]; ok {
+		return e.word
 	}
 	return Word{}
 }
@@ -62,18 +62,18 @@
 // Answered takes what an endpoint's answer said, to a request or to a probe. An answer to a
 // probe that lacks a limit says nothing unless one has named it.
 func (b *Book) Answered(t Target, a Answer, probe bool) {
-	p, ok := b.known[t]
+	e, ok := b.known[t]
 	switch {
 	case !ok && a.Said != Named:
 		return
 	case !ok:
-		p = b.begin(t, a.Heard)
+		e = b.begin(t, a.Heard)
 	}
 	if probe {
-		p.probes = p.probes || a.Said == Named
-		a.Mute = a.Mute || !p.probes
+		e.probes = e.probes || a.Said == Named
+		a.Mute = a.Mute || !e.probes
 	}
-	b.learn(p, p.word.With(a), a.Heard)
+	b.learn(e, e.word.With(a), a.Heard)
 }
 
 // Learn takes what another balancer tells of an endpoint.
@@ -82,44 +82,44 @@
 	if !w.Known() {
 		return
 	}
-	p, ok := b.known[t]
+	e, ok := b.known[t]
 	switch {
 	case !ok:
-		p = b.begin(t, now)
-	case p.word.echoes(w):
+		e = b.begin(t, now)
+	case e.word.echoes(w):
 		return
 	}
-	b.learn(p, p.word.Join(w), now)
+	b.learn(e, e.word.Join(w), now)
 }
 
 // learn replaces the word on an endpoint. A looser one voids what was said of its room.
-func (b *Book) learn(p *entry, w Word, now time.Time) {
-	p.seen = now
-	if p.word.stricter(w) && w.News(p.word) {
-		p.account = p.account.opened()
+func (b *Book) learn(e *entry, w Word, now time.Time) {
+	e.seen = now
+	if e.word.stricter(w) && w.News(e.word) {
+		e.account = e.account.opened()
 	}
-	p.word = w
+	e.word = w
 }
 
 // begin begins to remember an endpoint.
 func (b *Book) begin(t Target, now time.Time) *entry {
 	b.forget(now)
-	p := &entry{seen: now}
-	b.known[t] = p
-	return p
+	e := &entry{seen: now}
+	b.known[t] = e
+	return e
 }
 
 // forget drops what is too old, and the oldest where there is no place.
 func (b *Book) forget(now time.Time) {
 	var oldest Target
 	var seen time.Time
-	for t, p := range b.known {
-		if now.Sub(p.seen) > forgetAfter {
+	for t, e := range b.known {
+		if now.Sub(e.seen) > forgetAfter {
 			delete(b.known, t)
 			continue
 		}
-		if seen.IsZero() || p.seen.Before(seen) {
-			oldest, seen = t, p.seen
+		if seen.IsZero() || e.seen.Before(seen) {
+			oldest, seen = t, e.seen
 		}
 	}
 	if len(b.known) >= mostKnown {
@@ -141,19 +141,19 @@
 // Standing returns it, and how long it is withheld where that is known; 0 where an ask is under
 // way.
 func (b *Book) Standing(t Target, now time.Time) (Standing, time.Duration) {
-	p, ok := b.known[t]
+	e, ok := b.known[t]
 	if !ok {
 		return Free, 0
 	}
-	switch _, limited := p.word.RateAt(now); {
+	switch _, limited := e.word.RateAt(now); {
 	case !limited:
 		return Free, 0
-	case p.account.holds(now):
+	case e.account.holds(now):
 		return Held, 0
-	case p.account.asking:
+	case e.account.asking:
 		return Withheld, 0
-	case now.Before(p.account.closed):
-		return Withheld, p.account.closed.Sub(now)
+	case now.Before(e.account.closed):
+		return Withheld, e.account.closed.Sub(now)
 	}
 	return Askable, 0
 }
@@ -161,15 +161,15 @@
 // Use takes a permit for a request that goes to an endpoint now. It reports whether the request
 // may go.
 func (b *Book) Use(t Target, now time.Time) (may bool) {
-	p, ok := b.known[t]
+	e, ok := b.known[t]
 	if !ok {
 		return true
 	}
-	if _, limited := p.word.RateAt(now); !limited {
+	if _, limited := e.word.RateAt(now); !limited {
 		return true
 	}
-	if p.account, may = p.account.withUse(now); may {
-		p.sent++
+	if e.account, may = e.account.withUse(now); may {
+		e.sent++
 	}
 	return may
 }
@@ -185,55 +185,55 @@
 
 // Tell begins to tell an endpoint's owner what the endpoint has said, where that is news for it.
 func (b *Book) Tell(t Target, now time.Time) (a Ask, ok bool) {
-	p, known := b.known[t]
-	if !known || p.account.asking || !p.word.News(p.told) {
+	e, known := b.known[t]
+	if !known || e.account.asking || !e.word.News(e.told) {
 		return Ask{}, false
 	}
 	return b.ask(t, 0, now), true
 }
 
 func (b *Book) ask(t Target, want int, now time.Time) Ask {
-	p := b.known[t]
-	p.account.asking = true
-	return Ask{Target: t, Want: want, Word: p.word.Told(now), Probes: p.probes}
+	e := b.known[t]
+	e.account.asking = true
+	return Ask{Target: t, Want: want, Word: e.word.Told(now), Probes: e.probes}
 }
 
 // Replied takes the owner's answer to an ask. look says that the endpoint may be probed.
 func (b *Book) Replied(a Ask, g Grant, askers int, now time.Time) (look bool) {
-	p, ok := b.known[a.Target]
+	e, ok := b.known[a.Target]
 	if !ok {
 		return false
 	}
-	p.account = p.account.withAnswer(g, askers, now)
+	e.account = e.account.withAnswer(g, askers, now)
 	if a.Want > g.Permits {
-		p.denied++
+		e.denied++
 	}
 	if a.Want == 0 {
-		p.account.closed = time.Time{} // nothing was said of room
+		e.account.closed = time.Time{} // nothing was said of room
 	}
-	p.probes = p.probes || g.Probes
-	p.told = a.Word.Word(now)
+	e.probes = e.probes || g.Probes
+	e.told = a.Word.Word(now)
 	b.Learn(a.Target, g.Word, now)
 	return g.Look
 }
 
 // Unanswered notes that the owner did not answer an ask, or that nobody owns the endpoint.
 func (b *Book) Unanswered(a Ask, now time.Time) {
-	p, ok := b.known[a.Target]
+	e, ok := b.known[a.Target]
 	if !ok {
 		return
 	}
-	rate, _ := p.word.RateAt(now)
+	rate, _ := e.word.RateAt(now)
 	if a.Want == 0 {
-		p.account.asking = false
+		e.account.asking = false
 		return
 	}
-	p.account = p.account.withoutAnswer(rate, b.rng.Float64(), now)
+	e.account = e.account.withoutAnswer(rate, b.rng.Float64(), now)
 }
 
 // Resume notes that the VM was suspended: nobody knows how old a permit is.
 func (b *Book) Resume() {
-	for _, p := range b.known {
-		p.account.permits = 0
+	for _, e := range b.known {
+		e.account.permits = 0
 	}
 }
--- a/coord/limit/limit_test.go
+++ b/coord/limit/limit_test.go
@@ -148,3 +148,17 @@
 		assert.Assert(t, !bad.Word(at(0)).Known(), "%+v", bad)
 	}
 }
+
+// TestAskForLessThanNothing, or for all there could be, gets no more than there is.
+func TestAskForLessThanNothing(t *testing.T) {
+	b := NewBook(1)
+	word := Word{}.With(named(2, 0, 10)).Told(at(10))
+	target := Target{ID: "i-1"}
+	b.Asked("a", []Ask{{Target: target, Want: 1, Word: word}}, true, at(10))
+	for _, want := range []int{-1000, math.MinInt, 0} {
+		r := b.Asked("a", []Ask{{Target: target, Want: want, Word: word}}, true, at(20))
+		assert.Equal(t, r.Grants[0].Permits, 0)
+	}
+	r := b.Asked("a", []Ask{{Target: target, Want: math.MaxInt, Word: word}}, true, at(5000))
+	assert.Equal(t, r.Grants[0].Permits, leastBurst)
+}
--- a/coord/limit/owner.go
+++ b/coord/limit/owner.go
@@ -21,30 +21,31 @@
 	r := Reply{Taken: true, Askers: b.countAsker(from, now)}
 	for _, a := range asks {
 		b.Learn(a.Target, a.Word, now)
-		if p, ok := b.known[a.Target]; ok {
-			p.probes = p.probes || a.Probes
-			r.Grants = append(r.Grants, b.grant(p, a, settled, now))
+		if e, ok := b.known[a.Target]; ok {
+			e.probes = e.probes || a.Probes
+			r.Grants = append(r.Grants, b.grant(e, a, settled, now))
 		}
 	}
 	return r
 }
 
 // grant decides about one ask.
-func (b *Book) grant(p *entry, a Ask, settled bool, now time.Time) Grant {
-	g := Grant{Target: a.Target, Permits: a.Want, Word: p.word.Told(now), Probes: p.probes}
-	rate, limited := p.word.RateAt(now)
-	if !limited || a.Want == 0 {
+func (b *Book) grant(e *entry, a Ask, settled bool, now time.Time) Grant {
+	want := max(0, a.Want) // less than none would fill the bucket
+	g := Grant{Target: a.Target, Permits: want, Word: e.word.Told(now), Probes: e.probes}
+	rate, limited := e.word.RateAt(now)
+	if !limited || want == 0 {
 		return g
 	}
-	if !p.probes {
+	if !e.probes {
 		rate = max(rate, trialRate)
 	}
 	if !settled {
 		rate *= doubtfulPart
 	}
 	var d decision
-	p.bucket, d = p.bucket.withAsk(rate, a.Want, b.rng.Float64(), now)
-	g.Permits, g.After, g.Look = d.permits, d.after, d.look && p.probes
+	e.bucket, d = e.bucket.withAsk(rate, want, b.rng.Float64(), now)
+	g.Permits, g.After, g.Look = d.permits, d.after, d.look && e.probes
 	return g
 }
 
@@ -62,25 +63,25 @@
 // Note returns what all balancers should hear of an endpoint from its owner, where there is
 // something. It is told then.
 func (b *Book) Note(t Target, now time.Time) (told Told, ok bool) {
-	p, known := b.known[t]
+	e, known := b.known[t]
 	if !known {
 		return Told{}, false
 	}
-	since := now.Sub(p.notedAt)
-	renew := !p.word.Lifted() && since >= renewEvery
-	if !p.notedAt.IsZero() && since < noteEvery || !p.word.News(p.noted) && !renew {
+	since := now.Sub(e.notedAt)
+	renew := !e.word.Lifted() && since >= renewEvery
+	if !e.notedAt.IsZero() && since < noteEvery || !e.word.News(e.noted) && !renew {
 		return Told{}, false
 	}
-	p.noted, p.notedAt = p.word, now
-	return p.word.Told(now), true
+	e.noted, e.notedAt = e.word, now
+	return e.word.Told(now), true
 }
 
 // NoteDue returns when there may be something to tell all balancers of an endpoint that was told
 // of too lately; ok is false where there is nothing.
 func (b *Book) NoteDue(t Target, now time.Time) (after time.Duration, ok bool) {
-	p, known := b.known[t]
-	if !known || !p.word.News(p.noted) {
+	e, known := b.known[t]
+	if !known || !e.word.News(e.noted) {
 		return 0, false
 	}
-	return max(0, noteEvery-now.Sub(p.notedAt)), true
+	return max(0, noteEvery-now.Sub(e.notedAt)), true
 }
--- a/coord/limit/status.go
+++ b/coord/limit/status.go
@@ -31,22 +31,22 @@
 
 // Status returns what is known of one endpoint.
 func (b *Book) Status(t Target, now time.Time) Status {
-	p, ok := b.known[t]
+	e, ok := b.known[t]
 	if !ok {
 		return Status{}
 	}
-	rate, _ := p.word.RateAt(now)
+	rate, _ := e.word.RateAt(now)
 	return Status{
-		PerSecond: p.word.rate, Now: rate, Age: now.Sub(p.word.heard), Sent: p.sent, Denied: p.denied,
-		Alone: !p.account.opens.IsZero(), Given: p.bucket.given, Asks: p.bucket.asksAt(now),
+		PerSecond: e.word.rate, Now: rate, Age: now.Sub(e.word.heard), Sent: e.sent, Denied: e.denied,
+		Alone: !e.account.opens.IsZero(), Given: e.bucket.given, Asks: e.bucket.asksAt(now),
 	}
 }
 
 // Limited returns how many endpoints have a limit now.
 func (b *Book) Limited(now time.Time) int {
 	n := 0
-	for _, p := range b.known {
-		if _, limited := p.word.RateAt(now); limited {
+	for _, e := range b.known {
+		if _, limited := e.word.RateAt(now); limited {
 			n++
 		}
 	}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -157,18 +157,14 @@
 		return false
 	}
 	k.counters.asked.Inc(1)
-	done := make(chan bool, 1)
-	over := make(chan struct{})
+	var allowed atomic.Bool
+	done := make(chan struct{})
 	go func() {
-		done <- k.ask(context.WithoutCancel(ctx), e, a)
-		close(over)
+		allowed.Store(k.ask(context.WithoutCancel(ctx), e, a))
+		close(done)
 	}()
-	pause.Until(ctx, over, within)
-	select {
-	case look = <-done:
-	default: // nobody waits any more
-	}
-	return look
+	pause.Until(ctx, done, within)
+	return allowed.Load()
 }
 
 // ask carries an ask to the endpoint's owner. look says that the endpoint may be probed.
