--- a/direct/limits_test.go
+++ b/direct/limits_test.go
@@ -156,6 +156,21 @@
 	})
 }
 
+// TestCallerThatLeavesIsNotWaitedFor, while all endpoints are at their limits.
+func TestCallerThatLeavesIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeLimits()
+		r := newLimitedRig(2, f)
+		f.withhold(time.Minute, "e0", "e1")
+		ctx, leave := context.WithCancel(context.Background())
+		leave()
+		began := time.Now()
+		_, refused := r.Acquire(ctx, ask())
+		assert.Equal(t, refused.Reason, reason.CallerLeft)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
 // TestLimitsAreHeardInProbes, also in one that only asks whether a limit still holds; another
 // instance at the address speaks for itself alone.
 func TestLimitsAreHeardInProbes(t *testing.T) {
