TestStoreDown waits until every balancer has its first copy

Cause: the test begins as soon as one balancer is the relay, and another one may not have its first copy yet; counted beside eight busy processes, 2 of 120 had none at that moment. What the test checks is as strict as before: nobody who knew an endpoint loses it.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -337,6 +337,9 @@
 	publish(store, 1)
 	store.PutServer("i-1", platformtest.Server{Address: "127.0.0.1:1", Service: "s", Zone: "medina", Slots: 3})
 	all, _, _ := settled(t, store, 3)
+	for _, m := range all { // one that has just started may not have its first copy yet
+		until(t, "first copy", func() bool { return len(m.directory.Snapshot().Endpoints["s"]) == 1 })
+	}
 	for _, f := range []platformtest.Faults{{Refuse: true}, {Silent: true}, {Mute: true}} {
 		store.SetFaults(f)
 		until(t, "unsettled or mute", func() bool { return f.Mute || len(active(all)) == 0 })
