A relay that loses the store says so at once to those that wait there

Change: a failed call that makes a relay unsettled wakes the questions that wait, and they are answered with that. TestRelayThatLosesTheStoreSaysSoAtOnce, with a mutant.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -216,6 +216,7 @@
 	if !f.lost.Swap(true) {
 		f.opts.Log.Warn("store lost", "call", call, "error", err)
 	}
+	f.opts.OnFailure()
 	most := f.shortened(f.opts.retryPause(failures))
 	pause.For(ctx, most/2+rand.N(most/2+1))
 }
--- a/directory/options.go
+++ b/directory/options.go
@@ -34,8 +34,10 @@
 	// when ctx has ended; nil to read it from the store, which each process of a
 	// fleet that starts at once would do at the same time.
 	Begin func(ctx context.Context)
-	// OnAnswer is called after each answer of the store; may be nil.
-	OnAnswer func()
+	// OnAnswer is called after each answer of the store, and OnFailure after each call that it
+	// did not answer; they may be nil.
+	OnAnswer  func()
+	OnFailure func()
 	// Standby makes a follower that asks the store for nothing but its first
 	// reading until SetActive tells it to.
 	Standby bool
@@ -104,6 +106,9 @@
 	if o.OnAnswer == nil {
 		o.OnAnswer = func() {}
 	}
+	if o.OnFailure == nil {
+		o.OnFailure = func() {}
+	}
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
--- a/relay/askers.go
+++ b/relay/askers.go
@@ -100,6 +100,15 @@
 // OnAnswer notes that the store has answered; give it to the follower.
 func (g *Group) OnAnswer() { g.wakePatient() }
 
+// OnFailure notes that the store has not answered; give it to the follower. Questions that wait
+// here are told at once that this balancer is not settled any more, not at the end of their wait:
+// what changes meanwhile they have to hear of elsewhere.
+func (g *Group) OnFailure() {
+	if !g.follower.Settled(time.Now()) {
+		g.replica.wake()
+	}
+}
+
 // wakePatient lets the questions look again that wait for this balancer to be settled.
 func (g *Group) wakePatient() {
 	if g.patient.Load() > 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,7 +19,7 @@
 // # Usage
 //
 //	g := relay.New(relay.Config{ID: id, Zone: zone, Addr: addr, Registry: store, Decoder: store, Log: log})
-//	follower := directory.NewFollower(d, store, directory.Options{Standby: true, Observe: g.Observe, Begin: g.Begin, OnAnswer: g.OnAnswer})
+//	follower := directory.NewFollower(d, store, directory.Options{Standby: true, Observe: g.Observe, Begin: g.Begin, OnAnswer: g.OnAnswer, OnFailure: g.OnFailure})
 //	err := g.Start(listener, follower)
 //	defer g.Close()
 package relay
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -103,7 +103,7 @@
 	})
 	m.follower = directory.NewFollower(m.directory, m.source, directory.Options{
 		Log: log, Gather: short, RetryPause: short, CheckEvery: 100 * time.Millisecond, StuckAfter: 50 * time.Millisecond,
-		Standby: true, Observe: m.group.Observe, Begin: m.group.Begin, OnAnswer: m.group.OnAnswer,
+		Standby: true, Observe: m.group.Observe, Begin: m.group.Begin, OnAnswer: m.group.OnAnswer, OnFailure: m.group.OnFailure,
 	})
 	assert.NilError(t, m.group.Start(l, m.follower))
 	ctx, stop := context.WithCancel(context.Background())
--- a/relay/return_test.go
+++ b/relay/return_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/lotuswing/lotuswing/bootstrap"
 	"github.com/lotuswing/lotuswing/directory"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // still is a follower of which nothing changes.
@@ -137,3 +139,57 @@
 	got, ok = g.choose(&s, time.Now())
 	assert.Assert(t, ok && got.Addr == "10.0.0.3:1", "the relay of the own zone goes first")
 }
+
+// turning is a follower that is settled until it is told otherwise.
+type turning struct {
+	still
+	lost *atomic.Bool
+}
+
+// Settled is what it was told.
+func (f turning) Settled(time.Time) bool { return !f.lost.Load() }
+
+// TestRelayThatLosesTheStoreSaysSoAtOnce: a question that waits for changes is answered as soon as
+// the relay has lost the store, and not at the end of its wait. Users saw a configuration 70 ms
+// later than allowed: followers heard 1.3 s after the change that their relay had lost the store,
+// 0.4 s of which their questions waited there though it knew.
+func TestRelayThatLosesTheStoreSaysSoAtOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	lost := new(atomic.Bool)
+	relay := New(Config{ID: addr, Zone: "medina", Addr: addr, Registry: renewing{}, Log: hclog.NewNullLogger()})
+	assert.NilError(t, relay.Start(l, turning{still: still{read: new(atomic.Int64)}, lost: lost}))
+	t.Cleanup(relay.Close)
+	relay.replica.apply(directory.Changes{At: 2, Whole: true}, time.Now())
+	l, err = net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	follower := New(Config{ID: "b", Zone: "medina", Addr: l.Addr().String(), Registry: renewing{}, Log: hclog.NewNullLogger(), Options: Options{Wait: maxWait}})
+	assert.NilError(t, follower.Start(l, still{settled: false, read: new(atomic.Int64)}))
+	t.Cleanup(follower.Close)
+	follower.replica.apply(directory.Changes{At: 2, Whole: true}, time.Now())
+	answered := make(chan error, 1)
+	go func() { answered <- follower.ask(context.Background(), Relay{Addr: addr, Zone: "medina"}, false) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if relay.asks() == 0 {
+			return poll.Continue("not asked yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	lost.Store(true)
+	relay.OnFailure()
+	select {
+	case err := <-answered:
+		var unsettled unsettledError
+		assert.Assert(t, errors.As(err, &unsettled), "%v", err)
+	case <-time.After(maxWait / 2):
+		t.Fatal("it waits on")
+	}
+}
+
+// asks returns how many balancers have asked lately.
+func (g *Group) asks() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.askers.asked)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -78,7 +78,7 @@
 		*reply = g.unsettledReply(time.Now())
 		return nil
 	}
-	g.replica.waitAfter(context.Background(), args.After, wait, news)
+	g.replica.waitAfter(context.Background(), args.After, wait, func() bool { return news() || !g.follower.Settled(time.Now()) })
 	g.cfg.Suspensions.Check() // meanwhile
 	d := g.replica.since(args.After)
 	packed, err := g.packer.pack(d)
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -68,7 +68,8 @@
 		if s.relays, err = s.newRelays(); err != nil {
 			return nil, err
 		}
-		opts.Standby, opts.Begin, opts.OnAnswer = true, s.relays.Begin, s.relays.OnAnswer
+		opts.Standby, opts.Begin = true, s.relays.Begin
+		opts.OnAnswer, opts.OnFailure = s.relays.OnAnswer, s.relays.OnFailure
 	}
 	s.follower = directory.NewFollower(d, s.cfg.Source, opts)
 	ctx, stop := context.WithCancel(context.Background())
