A balancer counts as one that has lost its relay after four seconds without an answer

Cause: whoever had one report unanswered, as each follower of a relay that ends has, gave out next to nothing of teams on which it had not heard a word, and refused callers that kept to their quotas. Another relay is followed sooner than after four seconds; cuts last longer.

--- a/coord/quota/book.go
+++ b/coord/quota/book.go
@@ -42,7 +42,8 @@
 	limits   map[string]Limit // as of the last request
 	pause    time.Duration    // as told by the relay
 	members  int              // balancers that there are, as told by the relay; 0 for not known
-	lost     bool             // the last report was not answered
+	failing  time.Time        // since when no report was answered; zero while they are
+	lost     bool             // none was for so long that nothing will be heard
 	rng      *rand.Rand
 }
 
@@ -195,11 +196,12 @@
 // Answered takes a relay's answer to a report.
 func (b *Book) Answered(r tally.Report, answer Answer, now time.Time) {
 	if !answer.Taken {
-		b.Failed()
+		b.Failed(now)
 		return
 	}
 	b.counter.Taken(r)
-	b.pause, b.members, b.lost = answer.Pause, answer.Members, false
+	b.pause, b.members = answer.Pause, answer.Members
+	b.failing, b.lost = time.Time{}, false
 	for _, w := range answer.Words {
 		team := strings.TrimPrefix(w.Key, teamPrefix)
 		if l, ok := b.limits[team]; ok && !b.relay {
--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -157,7 +157,7 @@
 		if ok {
 			n.book.Answered(r, a, f.now)
 		} else {
-			n.book.Failed()
+			n.book.Failed(f.now)
 		}
 		f.wake(n)
 	}
--- a/coord/quota/lost.go
+++ b/coord/quota/lost.go
@@ -9,11 +9,16 @@
 // others may give out the whole.
 const lostPart = 0.25
 
+// lostAfter is how long no report is answered before a balancer counts as one that has lost its
+// relay: another one is registered and followed sooner than that where a relay ends, and callers of
+// small teams should not be refused for it.
+const lostAfter = 4 * time.Second
+
 // newAccount returns the account of a team of which nothing was heard. A balancer that has lost
 // its relay will hear nothing of it, and nobody counts on for what it gives out: its part is then
 // that of one among all that it knows of, however many of them are cut off with it.
 func (b *Book) newAccount(l Limit, now time.Time) Account {
-	if b.lost && b.members > 0 {
+	if b.lost {
 		return NewAccount(l, now).withLostPart(l, b.members)
 	}
 	return NewAccount(l, now)
@@ -30,9 +35,12 @@
 
 // Failed notes that a report was not answered. What a balancer gives out of teams on which it has
 // heard no word is little from then on.
-func (b *Book) Failed() {
+func (b *Book) Failed(now time.Time) {
 	b.counter.Failed()
-	if b.lost || b.members == 0 {
+	if b.failing.IsZero() {
+		b.failing = now
+	}
+	if b.lost || b.members == 0 || now.Sub(b.failing) < lostAfter {
 		return
 	}
 	b.lost = true
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -86,7 +86,7 @@
 	defer k.mu.Unlock()
 	if err != nil {
 		k.cfg.Log.Debug("counts not told", "relay", addr, "error", err)
-		k.book.Failed()
+		k.book.Failed(time.Now())
 		return
 	}
 	k.book.Answered(r, answer, time.Now())
