One count of the most events in a window, one clock of simulated fleets, one bound of limits

The same loop over a sliding window stood in seven places (the soak twice, the demo, and tests of the server, of quotas, of limits and of cold endpoints), the operators' bound of limits in three, the event queue of simulated fleets in two, and four tests of quotas had the same frame. They are coord/window, audit.LimitAllows, coord/internal/agenda and keepsQuota now.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -46,6 +46,20 @@
 // String returns the rule and what broke it.
 func (v Violation) String() string { return fmt.Sprintf("%s: %s", v.Rule, v.What) }
 
+// LimitWindow is the time in which the operators count what an endpoint with a limit gets, and
+// limitFactor and limitExtra are what they bear with in it: so many times the limit and some more.
+const (
+	LimitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
+)
+
+// LimitAllows returns how many requests an endpoint may get in a LimitWindow that takes so many a
+// second.
+func LimitAllows(perSecond float64) float64 {
+	return limitFactor*perSecond*LimitWindow.Seconds() + limitExtra
+}
+
 // Told is what one caller was told.
 type Told struct {
 	Key     string
--- a/coord/limit/fleet_test.go
+++ b/coord/limit/fleet_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lotuswing/lotuswing/coord/internal/agenda"
+	"github.com/lotuswing/lotuswing/coord/window"
 )
 
 // fleet simulates balancers in front of one endpoint that names a limit: their books are the
@@ -288,14 +289,11 @@
 }
 
 func most(list []arrival) int {
-	n, first := 0, 0
+	times := make([]time.Time, len(list))
 	for i, a := range list {
-		for a.at.Sub(list[first].at) >= windowFor {
-			first++
-		}
-		n = max(n, i-first+1)
+		times[i] = a.at
 	}
-	return n
+	return window.Most(times, windowFor)
 }
 
 // rate returns how many requests came a second between two times.
--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -11,20 +10,21 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lotuswing/lotuswing/coord/internal/agenda"
 	"github.com/lotuswing/lotuswing/coord/tally"
+	"github.com/lotuswing/lotuswing/coord/window"
 )
 
 // fleet simulates balancers that keep one team's quota: their books are the real ones, the
 // messages between them are late, lost and cut.
 type fleet struct {
-	now    time.Time
-	events events
-	rng    *rand.Rand
-	limit  Limit
-	nodes  []*simNode
-	zones  int
-	loss   float64
-	cut    func(a, b *simNode) bool // no message passes between them now
+	*agenda.Agenda
+	rng   *rand.Rand
+	limit Limit
+	nodes []*simNode
+	zones int
+	loss  float64
+	cut   func(a, b *simNode) bool // no message passes between them now
 	// returned is the part of the requests let through that is put back after simWait.
 	returned float64
 
@@ -43,28 +43,10 @@
 	flight bool
 }
 
-type event struct {
-	at time.Time
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newFleet(seed uint64, nodes, zones int, l Limit) *fleet {
-	f := &fleet{now: simStart, rng: rand.New(rand.NewPCG(seed, 1)), limit: l, zones: zones, cut: func(_, _ *simNode) bool { return false }}
+	f := &fleet{Agenda: agenda.New(simStart), rng: rand.New(rand.NewPCG(seed, 1)), limit: l, zones: zones, cut: func(_, _ *simNode) bool { return false }}
 	for i := range nodes {
 		n := &simNode{index: i, addr: fmt.Sprint(i), zone: i % zones}
 		f.nodes = append(f.nodes, n)
@@ -80,10 +62,6 @@
 	f.wake(n)
 }
 
-func (f *fleet) after(d time.Duration, do func()) {
-	heap.Push(&f.events, event{f.now.Add(d), do})
-}
-
 // relayOf returns the relay of a zone: its first node that is up.
 func (f *fleet) relayOf(zone int) *simNode {
 	for i := zone; i < len(f.nodes); i += f.zones {
@@ -113,15 +91,15 @@
 	if n.down {
 		return
 	}
-	n.book.SetRelay(f.isRelay(n), f.now)
-	at, ok := n.book.Due(f.now)
+	n.book.SetRelay(f.isRelay(n), f.Now())
+	at, ok := n.book.Due(f.Now())
 	switch {
 	case !ok || n.flight:
 		return
-	case at.After(f.now):
+	case at.After(f.Now()):
 		if n.due != at {
 			n.due = at
-			f.after(at.Sub(f.now), func() { f.wake(n) })
+			f.After(at.Sub(f.Now()), func() { f.wake(n) })
 		}
 		return
 	}
@@ -130,7 +108,7 @@
 	} else {
 		f.report(n)
 	}
-	f.after(urgentPause, func() { f.wake(n) })
+	f.After(urgentPause, func() { f.wake(n) })
 }
 
 // latency of one message.
@@ -147,7 +125,7 @@
 
 func (f *fleet) report(n *simNode) {
 	f.calls++
-	r, life, relay := n.book.Report(f.now), n.book, f.relayOf(n.zone)
+	r, life, relay := n.book.Report(f.Now()), n.book, f.relayOf(n.zone)
 	n.flight = true
 	done := func(a Answer, ok bool) {
 		if n.book != life {
@@ -155,42 +133,42 @@
 		}
 		n.flight = false
 		if ok {
-			n.book.Answered(r, a, f.now)
+			n.book.Answered(r, a, f.Now())
 		} else {
-			n.book.Failed(f.now)
+			n.book.Failed(f.Now())
 		}
 		f.wake(n)
 	}
 	if !f.carried(n, relay) {
-		f.after(simTimeout, func() { done(Answer{}, false) })
+		f.After(simTimeout, func() { done(Answer{}, false) })
 		return
 	}
-	f.after(f.latency(), func() {
-		a := relay.book.Hear(r, f.limitOf, f.now)
+	f.After(f.latency(), func() {
+		a := relay.book.Hear(r, f.limitOf, f.Now())
 		f.wake(relay)
 		if f.carried(relay, n) {
-			f.after(f.latency(), func() { done(a, true) })
+			f.After(f.latency(), func() { done(a, true) })
 		} else {
-			f.after(simTimeout, func() { done(Answer{}, false) })
+			f.After(simTimeout, func() { done(Answer{}, false) })
 		}
 	})
 }
 
 func (f *fleet) exchange(n *simNode) {
-	r, life := n.book.ZoneReport(f.registered, f.now), n.book
+	r, life := n.book.ZoneReport(f.registered, f.Now()), n.book
 	for z := range f.zones {
 		to := f.relayOf(z)
 		if to == n || !f.carried(n, to) {
 			continue
 		}
 		f.calls++
-		f.after(f.latency(), func() {
-			a := to.book.Hear(r, f.limitOf, f.now)
+		f.After(f.latency(), func() {
+			a := to.book.Hear(r, f.limitOf, f.Now())
 			f.wake(to)
 			if f.carried(to, n) {
-				f.after(f.latency(), func() {
+				f.After(f.latency(), func() {
 					if n.book == life {
-						n.book.ZoneAnswered(r, a, f.now)
+						n.book.ZoneAnswered(r, a, f.Now())
 					}
 				})
 			}
@@ -207,25 +185,25 @@
 func (f *fleet) sendOf(team string, perSecond float64, from, to time.Duration, pick func() *simNode) {
 	var next func()
 	next = func() {
-		if f.now.Sub(simStart) >= to {
+		if f.Elapsed() >= to {
 			return
 		}
 		if n := pick(); !n.down {
-			ok, _ := n.book.Take(team, f.limit, f.now)
+			ok, _ := n.book.Take(team, f.limit, f.Now())
 			switch {
 			case team != "team":
 			case ok && f.returned > 0 && f.rng.Float64() < f.returned:
 				f.putBack(n)
 			case ok:
-				f.sent = append(f.sent, f.now)
+				f.sent = append(f.sent, f.Now())
 			default:
-				f.refused = append(f.refused, f.now)
+				f.refused = append(f.refused, f.Now())
 			}
 			f.wake(n)
 		}
-		f.after(time.Duration(f.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+		f.After(time.Duration(f.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
-	f.after(from, next)
+	f.After(from, next)
 }
 
 // simWait is how long a request waits for room that there is not.
@@ -234,9 +212,9 @@
 // putBack puts a request back that was let through and could not be sent.
 func (f *fleet) putBack(n *simNode) {
 	life := n.book
-	f.after(simWait, func() {
+	f.After(simWait, func() {
 		if n.book == life && !n.down {
-			n.book.Return("team", f.now)
+			n.book.Return("team", f.Now())
 			f.wake(n)
 		}
 	})
@@ -247,29 +225,11 @@
 	return func() *simNode { return f.nodes[f.rng.IntN(n)] }
 }
 
-func (f *fleet) run(to time.Duration) {
-	for len(f.events) > 0 {
-		e := heap.Pop(&f.events).(event)
-		f.now = e.at
-		if f.now.Sub(simStart) > to {
-			return
-		}
-		e.do()
-	}
-}
-
 // worst returns the most that were let through in a window, as a part of what is allowed
 // there: the operators bound it by (rate x window + burst) x 1.1 + 20 in 5 s.
 func (f *fleet) worst(l Limit) float64 {
-	const window = 5 * time.Second
-	most, first := 0, 0
-	for i, at := range f.sent {
-		for at.Sub(f.sent[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return float64(most) / ((l.Rate*window.Seconds()+l.Burst)*1.1 + 20)
+	const length = 5 * time.Second
+	return float64(window.Most(f.sent, length)) / ((l.Rate*length.Seconds()+l.Burst)*1.1 + 20)
 }
 
 // refusedByOne returns how many of the requests a single bucket would have refused that
@@ -336,6 +296,20 @@
 	return 1
 }
 
+// keepsQuota plays something with fleets of all sizes and checks that the team never got more than
+// the operators bear with.
+func keepsQuota(t *testing.T, play func(f *fleet)) {
+	t.Helper()
+	for _, s := range sizes {
+		for seed := range min(3, seedsFor(s.nodes)) {
+			f := newFleet(seed, s.nodes, s.zones, s.limit)
+			play(f)
+			t.Logf("%d balancers: worst window %.2f", s.nodes, f.worst(s.limit))
+			assert.Assert(t, f.worst(s.limit) <= 1, "%d balancers, seed %d: %.2f", s.nodes, seed, f.worst(s.limit))
+		}
+	}
+}
+
 // testHotTeam has a team send many times its quota for five seconds.
 func testHotTeam(t *testing.T, seed uint64, nodes, zones int, limit Limit, times float64) {
 	t.Run(fmt.Sprint(nodes, " balancers, ", times, " times"), func(t *testing.T) {
@@ -343,7 +317,7 @@
 		f.send(0.62*limit.Rate, 0, 4*time.Second, f.anyOf(nodes))
 		f.send(times*limit.Rate, 4*time.Second, 9*time.Second, f.anyOf(nodes))
 		f.send(0.62*limit.Rate, 9*time.Second, 14*time.Second, f.anyOf(nodes))
-		f.run(15 * time.Second)
+		f.Run(15 * time.Second)
 		early, late := 0, 0
 		for _, at := range f.refused {
 			switch d := at.Sub(simStart); {
@@ -368,7 +342,7 @@
 			l := Limit{8, 8, spare}
 			f := newFleet(seed, nodes, 3, l)
 			f.send(5, time.Second, 20*time.Second, f.anyOf(min(nodes, 20)))
-			f.run(20 * time.Second)
+			f.Run(20 * time.Second)
 			ideal := f.refusedByOne()
 			assert.Assert(t, len(f.refused) <= ideal+len(f.sent)/100, "%d balancers, seed %d: %d of %d refused, %d by one bucket", nodes, seed, len(f.refused), len(f.refused)+len(f.sent), ideal)
 		}
@@ -378,21 +352,16 @@
 // TestCutOffBalancersKeepQuota: a third of the balancers hears no other one for nine
 // seconds, while the team sends four times its quota through all.
 func TestCutOffBalancersKeepQuota(t *testing.T) {
-	for _, s := range sizes {
-		for seed := range min(3, seedsFor(s.nodes)) {
-			f := newFleet(seed, s.nodes, s.zones, s.limit)
-			isCut := func(n *simNode) bool { return n.index%3 == 2 }
-			f.cut = func(a, b *simNode) bool {
-				at := f.now.Sub(simStart)
-				return at > 4*time.Second && at < 13*time.Second && (isCut(a) || isCut(b))
-			}
-			f.send(0.62*s.limit.Rate, 0, 6*time.Second, f.anyOf(s.nodes))
-			f.send(4*s.limit.Rate, 6*time.Second, 16*time.Second, f.anyOf(s.nodes))
-			f.run(18 * time.Second)
-			t.Logf("%d balancers: worst window %.2f", s.nodes, f.worst(s.limit))
-			assert.Assert(t, f.worst(s.limit) <= 1, "%d balancers, seed %d: %.2f", s.nodes, seed, f.worst(s.limit))
+	keepsQuota(t, func(f *fleet) {
+		isCut := func(n *simNode) bool { return n.index%3 == 2 }
+		f.cut = func(a, b *simNode) bool {
+			at := f.Elapsed()
+			return at > 4*time.Second && at < 13*time.Second && (isCut(a) || isCut(b))
 		}
-	}
+		f.send(0.62*f.limit.Rate, 0, 6*time.Second, f.anyOf(len(f.nodes)))
+		f.send(4*f.limit.Rate, 6*time.Second, 16*time.Second, f.anyOf(len(f.nodes)))
+		f.Run(18 * time.Second)
+	})
 }
 
 // TestCutOffBalancersKeepQuotaOfATeamThatIsNew: users saw a team get 1.11 of what is allowed in its
@@ -401,21 +370,16 @@
 // were cut off had never heard a word on it, and each gave out a fiftieth of its quota: 37 of them
 // three quarters of it, beside the whole that the others gave out.
 func TestCutOffBalancersKeepQuotaOfATeamThatIsNew(t *testing.T) {
-	for _, s := range sizes {
-		for seed := range min(3, seedsFor(s.nodes)) {
-			f := newFleet(seed, s.nodes, s.zones, s.limit)
-			isCut := func(n *simNode) bool { return n.index%3 == 2 }
-			f.cut = func(a, b *simNode) bool {
-				at := f.now.Sub(simStart)
-				return at > time.Second && at < 13*time.Second && (isCut(a) || isCut(b))
-			}
-			f.sendOf("another", 5*float64(s.nodes), 0, 16*time.Second, f.anyOf(s.nodes))
-			f.send(5*s.limit.Rate, 7*time.Second, 16*time.Second, f.anyOf(s.nodes))
-			f.run(18 * time.Second)
-			t.Logf("%d balancers: worst window %.2f", s.nodes, f.worst(s.limit))
-			assert.Check(t, f.worst(s.limit) <= 1, "%d balancers, seed %d: %.2f", s.nodes, seed, f.worst(s.limit))
+	keepsQuota(t, func(f *fleet) {
+		isCut := func(n *simNode) bool { return n.index%3 == 2 }
+		f.cut = func(a, b *simNode) bool {
+			at := f.Elapsed()
+			return at > time.Second && at < 13*time.Second && (isCut(a) || isCut(b))
 		}
-	}
+		f.sendOf("another", 5*float64(len(f.nodes)), 0, 16*time.Second, f.anyOf(len(f.nodes)))
+		f.send(5*f.limit.Rate, 7*time.Second, 16*time.Second, f.anyOf(len(f.nodes)))
+		f.Run(18 * time.Second)
+	})
 }
 
 // TestReturnsKeepQuota: a team sends many times its quota, and of what is let in a half is put back
@@ -423,43 +387,33 @@
 // the totals of balancers that put more back than they took fell, and a relay took what had been
 // told before the last report for what another relay had taken, so that it put it back twice.
 func TestReturnsKeepQuota(t *testing.T) {
-	for _, s := range sizes {
-		for seed := range min(3, seedsFor(s.nodes)) {
-			f := newFleet(seed, s.nodes, s.zones, s.limit)
-			f.returned = 0.5
-			f.send(0.62*s.limit.Rate, 0, 4*time.Second, f.anyOf(s.nodes))
-			f.send(5*s.limit.Rate, 4*time.Second, 14*time.Second, f.anyOf(s.nodes))
-			f.run(16 * time.Second)
-			t.Logf("%d balancers: worst window %.2f", s.nodes, f.worst(s.limit))
-			assert.Check(t, f.worst(s.limit) <= 1, "%d balancers, seed %d: %.2f", s.nodes, seed, f.worst(s.limit))
-		}
-	}
+	keepsQuota(t, func(f *fleet) {
+		f.returned = 0.5
+		f.send(0.62*f.limit.Rate, 0, 4*time.Second, f.anyOf(len(f.nodes)))
+		f.send(5*f.limit.Rate, 4*time.Second, 14*time.Second, f.anyOf(len(f.nodes)))
+		f.Run(16 * time.Second)
+	})
 }
 
 // TestRelaysThatEndKeepQuota: the relays end in turn and come back as new lives, messages
 // are lost, and the team sends four times its quota.
 func TestRelaysThatEndKeepQuota(t *testing.T) {
-	for _, s := range sizes {
-		for seed := range min(3, seedsFor(s.nodes)) {
-			f := newFleet(seed, s.nodes, s.zones, s.limit)
-			f.loss = 0.03
-			for k := range 4 {
-				f.after(time.Duration(5+2*k)*time.Second, func() {
-					for z := range f.zones {
-						if r := f.relayOf(z); r != nil && s.nodes > 3 {
-							r.down = true
-							f.after(2500*time.Millisecond, func() { f.start(r) })
-						}
+	keepsQuota(t, func(f *fleet) {
+		f.loss = 0.03
+		for k := range 4 {
+			f.After(time.Duration(5+2*k)*time.Second, func() {
+				for z := range f.zones {
+					if r := f.relayOf(z); r != nil && len(f.nodes) > 3 {
+						r.down = true
+						f.After(2500*time.Millisecond, func() { f.start(r) })
 					}
-				})
-			}
-			f.send(0.62*s.limit.Rate, 0, 4*time.Second, f.anyOf(s.nodes))
-			f.send(4*s.limit.Rate, 4*time.Second, 14*time.Second, f.anyOf(s.nodes))
-			f.run(15 * time.Second)
-			t.Logf("%d balancers: worst window %.2f", s.nodes, f.worst(s.limit))
-			assert.Assert(t, f.worst(s.limit) <= 1, "%d balancers, seed %d: %.2f", s.nodes, seed, f.worst(s.limit))
+				}
+			})
 		}
-	}
+		f.send(0.62*f.limit.Rate, 0, 4*time.Second, f.anyOf(len(f.nodes)))
+		f.send(4*f.limit.Rate, 4*time.Second, 14*time.Second, f.anyOf(len(f.nodes)))
+		f.Run(15 * time.Second)
+	})
 }
 
 // TestStartOfAllKeepsQuota: all balancers end together and start again, and the team sends
@@ -467,18 +421,18 @@
 func TestStartOfAllKeepsQuota(t *testing.T) {
 	for _, s := range sizes {
 		f := newFleet(1, s.nodes, s.zones, s.limit)
-		f.after(5*time.Second, func() {
+		f.After(5*time.Second, func() {
 			for _, n := range f.nodes {
 				n.down = true
 			}
 		})
-		f.after(6*time.Second, func() {
+		f.After(6*time.Second, func() {
 			for _, n := range f.nodes {
 				f.start(n)
 			}
 		})
 		f.send(4*s.limit.Rate, 2*time.Second, 12*time.Second, f.anyOf(s.nodes))
-		f.run(13 * time.Second)
+		f.Run(13 * time.Second)
 		t.Logf("%d balancers: worst window %.2f", s.nodes, f.worst(s.limit))
 		assert.Assert(t, f.worst(s.limit) <= 1, "%d balancers: %.2f", s.nodes, f.worst(s.limit))
 	}
@@ -490,8 +444,8 @@
 	f := newFleet(1, 100, 3, l)
 	lower := Limit{30, 30, spare}
 	f.send(200, 0, 12*time.Second, f.anyOf(100))
-	f.after(5*time.Second, func() { f.limit = lower })
-	f.run(12 * time.Second)
+	f.After(5*time.Second, func() { f.limit = lower })
+	f.Run(12 * time.Second)
 	var late []time.Time
 	for _, at := range f.sent {
 		if at.Sub(simStart) > 6*time.Second {
--- a/coord/selection/warmup_test.go
+++ b/coord/selection/warmup_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/selection"
+	"github.com/lotuswing/lotuswing/coord/window"
 	"gotest.tools/v3/assert"
 )
 
@@ -121,14 +122,7 @@
 
 // mostInASecond returns the highest number of arrivals in a second.
 func (e *coldEndpoint) mostInASecond() int {
-	most, first := 0, 0
-	for i, at := range e.arrivals {
-		for at.Sub(e.arrivals[first]) >= time.Second {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
+	return window.Most(e.arrivals, time.Second)
 }
 
 const (
--- a/demo/limits.go
+++ b/demo/limits.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/audit"
+	"github.com/lotuswing/lotuswing/coord/window"
 	"github.com/lotuswing/lotuswing/load"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 	"github.com/lotuswing/lotuswing/tenant"
@@ -25,11 +26,6 @@
 	limitPerSecond   = 1
 	// limitKnown is after how long the balancers keep it.
 	limitKnown = 500 * time.Millisecond
-	// limitWindow, limitFactor and limitExtra are what the operators bear with: in any window
-	// so many times the limit and some more.
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitExtra  = 5
 )
 
 // limitedRoute is the route to these endpoints.
@@ -71,14 +67,10 @@
 	}
 	known := arrivals[0].Add(limitKnown)
 	arrivals = slices.DeleteFunc(arrivals, func(at time.Time) bool { return at.Before(known) })
-	first := 0
-	for i, at := range arrivals {
-		for at.Sub(arrivals[first]) >= limitWindow {
-			first++
-		}
-		if n := i - first + 1; float64(n) > limitFactor*limitPerSecond*limitWindow.Seconds()+limitExtra {
-			return []audit.Violation{{Rule: audit.LimitsHold, What: fmt.Sprintf("%d requests in %v at an endpoint that takes %d a second", n, limitWindow, limitPerSecond)}}
-		}
+	most := window.Most(arrivals, audit.LimitWindow)
+	if float64(most) <= audit.LimitAllows(limitPerSecond) {
+		return nil
 	}
-	return nil
+	what := fmt.Sprintf("%d requests in %v at an endpoint that takes %d a second", most, audit.LimitWindow, limitPerSecond)
+	return []audit.Violation{{Rule: audit.LimitsHold, What: what}}
 }
--- a/server/limits_test.go
+++ b/server/limits_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/lotuswing/lotuswing/audit"
+	"github.com/lotuswing/lotuswing/coord/window"
 	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 	"github.com/lotuswing/lotuswing/tenant"
@@ -95,11 +97,6 @@
 }
 
 const (
-	// limitWindow is the time in which the operators count what a limited endpoint gets, and
-	// limitFactor and limitExtra what they bear with above its limit.
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitExtra  = 5
 	// limitKnown is how long after the naming balancers may not have heard of it.
 	limitKnown = 500 * time.Millisecond
 )
@@ -108,14 +105,7 @@
 func worstWindow(arrivals []time.Time, from, to time.Time) int {
 	arrivals = slices.DeleteFunc(arrivals, func(at time.Time) bool { return at.Before(from) || at.After(to) })
 	slices.SortFunc(arrivals, time.Time.Compare)
-	most, first := 0, 0
-	for i, at := range arrivals {
-		for at.Sub(arrivals[first]) >= limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
+	return window.Most(arrivals, audit.LimitWindow)
 }
 
 // checkListed checks what operators are told of the only endpoint that names a limit: each
@@ -151,12 +141,12 @@
 	time.Sleep(time.Second)
 	endpoints[0].Set(func(b *platformtest.Behavior) { b.Limit = fmt.Sprint(perSecond) })
 	known := time.Now().Add(limitKnown)
-	time.Sleep(limitKnown + limitWindow + time.Second)
+	time.Sleep(limitKnown + audit.LimitWindow + time.Second)
 	ends := time.Now()
 	stop()
 	checkListed(t, all, perSecond)
 	worst := worstWindow(endpoints[0].Arrivals(), known, ends)
-	allowed := limitFactor*perSecond*limitWindow.Seconds() + limitExtra
+	allowed := audit.LimitAllows(perSecond)
 	t.Logf("%d in the worst window of %v; %d answered with 200, %d with 503", worst, allowed, got.of(http.StatusOK), got.of(http.StatusServiceUnavailable))
 	assert.Assert(t, float64(worst) <= allowed, "%d in the worst window, %v allowed", worst, allowed)
 	assert.Assert(t, got.of(http.StatusOK) > 50, "%d", got.of(http.StatusOK))
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/lotuswing/lotuswing/audit"
+	"github.com/lotuswing/lotuswing/coord/window"
 	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 )
@@ -25,11 +27,6 @@
 	limitHolds = 8 * time.Second
 	// mostLimit is the highest limit, in requests a second.
 	mostLimit = 6
-	// limitWindow, limitFactor and limitExtra are what the operators bear with: in any
-	// window so many times the limit and some more.
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitExtra  = 5
 	// limitKnown is how long after an answer with it a balancer keeps a limit that nothing
 	// disturbs.
 	limitKnown = 500 * time.Millisecond
@@ -113,18 +110,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, named := range c.limitings {
-		ran := l.ranQuietly(c, named)
-		allowed := limitFactor*named.perSecond*limitWindow.Seconds() + limitExtra
-		first := 0
-		for i, at := range ran {
-			for at.Sub(ran[first]) >= limitWindow {
-				first++
-			}
-			if float64(i-first+1) > allowed {
-				l.broken(LimitsHold, named.endpoint.server.ID, "%d requests in %v, allowed %v of a limit of %v a second named at %v",
-					i-first+1, limitWindow, allowed, named.perSecond, named.from.Format(time.StampMilli))
-				break
-			}
+		most, allowed := window.Most(l.ranQuietly(c, named), audit.LimitWindow), audit.LimitAllows(named.perSecond)
+		if float64(most) > allowed {
+			l.broken(LimitsHold, named.endpoint.server.ID, "%d requests in %v, allowed %v of a limit of %v a second named at %v",
+				most, audit.LimitWindow, allowed, named.perSecond, named.from.Format(time.StampMilli))
 		}
 	}
 }
--- a/soak/zones.go
+++ b/soak/zones.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/window"
 	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 )
@@ -120,18 +122,11 @@
 		if !c.quiet("", cold.from, cold.to) {
 			continue
 		}
-		var lately []time.Time
-		for _, at := range cold.endpoint.server.Arrivals() {
-			if at.Before(cold.from) || at.After(cold.to) {
-				continue
-			}
-			for len(lately) > 0 && at.Sub(lately[0]) >= time.Second {
-				lately = lately[1:]
-			}
-			if lately = append(lately, at); float64(len(lately)) > coldLimit {
-				l.broken(FewToCold, cold.endpoint.server.ID, "%d requests in a second while it warmed up", len(lately))
-				break
-			}
+		arrivals := slices.DeleteFunc(cold.endpoint.server.Arrivals(), func(at time.Time) bool {
+			return at.Before(cold.from) || at.After(cold.to)
+		})
+		if most := window.Most(arrivals, time.Second); float64(most) > coldLimit {
+			l.broken(FewToCold, cold.endpoint.server.ID, "%d requests in a second while it warmed up", most)
 		}
 	}
 }
