limit: one look says how an endpoint stands when a request goes there; one test for closed channels

Use looked up the same endpoint twice, and whether a request may go was worked out in two packages from the same word: Book.Use returns the Standing, Standing.Admits says what it allows. isClosed stood in relay and in bootstrap: pause.Over. No behaviour changes.

--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -40,6 +40,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
 // Peer is another balancer.
@@ -161,7 +162,7 @@
 	defer cancel()
 	began := time.Now()
 	p := s.newProgress(began)
-	for ctx.Err() == nil && !isClosed(s.cfg.State.Known()) {
+	for ctx.Err() == nil && !pause.Over(s.cfg.State.Known()) {
 		p.begin(ctx, time.Now())
 		p.await(ctx, time.Now())
 	}
@@ -172,16 +173,6 @@
 	return r
 }
 
-// isClosed reports whether a channel on which nothing is sent is closed.
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
 // newProgress begins the search for a copy at a time.
 func (s *Starter) newProgress(now time.Time) *progress {
 	return &progress{
--- a/bootstrap/giver.go
+++ b/bootstrap/giver.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
 // CopyArgs asks a balancer for its copy. Package gob sends the names of the fields.
@@ -60,7 +62,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.whole.copy, g.whole.at = c, now
-	if !isClosed(g.received) {
+	if !pause.Over(g.received) {
 		close(g.received)
 	}
 }
@@ -70,7 +72,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.part.copy, g.part.at = c, now
-	if !isClosed(g.partly) {
+	if !pause.Over(g.partly) {
 		close(g.partly)
 	}
 }
@@ -119,9 +121,9 @@
 // pack packs a copy of what is known now, if anything is; g.mu is held.
 func (g *Giver) pack(k *kept, part bool, now time.Time) (err error) {
 	switch {
-	case part && isClosed(g.state.Partly()):
+	case part && pause.Over(g.state.Partly()):
 		k.copy, err = Pack(g.state.Part(), 0)
-	case !part && isClosed(g.state.Known()):
+	case !part && pause.Over(g.state.Known()):
 		k.copy, err = Pack(g.state.Records())
 	default:
 		return nil // what was received last is handed on
--- a/coord/limit/account.go
+++ b/coord/limit/account.go
@@ -73,13 +73,10 @@
 	return time.Duration(2 * random * mean * float64(time.Second))
 }
 
-// withUse returns the account after a request was sent under a permit, if there is one.
-func (a account) withUse(now time.Time) (account, bool) {
-	if !a.holds(now) {
-		return a, false
-	}
+// withUse returns the account after a request was sent under a permit.
+func (a account) withUse() account {
 	a.permits--
-	return a, true
+	return a
 }
 
 // opened returns the account after the limit has changed: what was said of room is void.
--- a/coord/limit/book.go
+++ b/coord/limit/book.go
@@ -130,6 +130,9 @@
 // Standing is what a balancer may do with an endpoint at one time.
 type Standing uint8
 
+// Admits reports whether a request may go to the endpoint.
+func (s Standing) Admits() bool { return s == Free || s == Held }
+
 // The standings.
 const (
 	Free     Standing = iota // there is no limit
@@ -158,20 +161,16 @@
 	return Askable, 0
 }
 
-// Use takes a permit for a request that goes to an endpoint now. It reports whether the request
-// may go.
-func (b *Book) Use(t Target, now time.Time) (may bool) {
-	e, ok := b.known[t]
-	if !ok {
-		return true
-	}
-	if _, limited := e.word.RateAt(now); !limited {
-		return true
-	}
-	if e.account, may = e.account.withUse(now); may {
+// Use takes a permit for a request that goes to an endpoint now, where its limit wants one, and
+// returns how the endpoint stood: the request may go where that is Free or Held.
+func (b *Book) Use(t Target, now time.Time) Standing {
+	s, _ := b.Standing(t, now)
+	if s == Held {
+		e := b.known[t]
+		e.account = e.account.withUse()
 		e.sent++
 	}
-	return may
+	return s
 }
 
 // Ask begins to ask an endpoint's owner for room. ok is false where an ask is under way or in
--- a/coord/limit/fleet_test.go
+++ b/coord/limit/fleet_test.go
@@ -240,7 +240,7 @@
 }
 
 func (f *fleet) send(n *node) {
-	if !n.book.Use(f.target, f.Now()) {
+	if !n.book.Use(f.target, f.Now()).Admits() {
 		return
 	}
 	asked := f.Now()
--- a/coord/limit/limit.go
+++ b/coord/limit/limit.go
@@ -22,7 +22,7 @@
 //		reply := owner.Asked(addr, []limit.Ask{ask}, true, now) // at the owner
 //		book.Replied(ask, reply.Grants[0], reply.Askers, now)
 //	}
-//	if book.Use(target, now) { send }
+//	if book.Use(target, now).Admits() { send }
 package limit
 
 import "strconv"
--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -126,13 +126,10 @@
 	c.cost += c.Estimate
 	c.Closed = cold && e.closed(usual, index, c.Estimate, now)
 	c.Full = c.Closed || c.Limit == limit.Withheld || c.Busy >= usual.roomOf(c.Slots) || now.Before(e.pausedUntil)
-	c.Good = !c.Full && c.admitted() && e.unanswered == 0 && e.load.Pace(now) <= goodPace
+	c.Good = !c.Full && c.Limit.Admits() && e.unanswered == 0 && e.load.Pace(now) <= goodPace
 	return c
 }
 
-// admitted reports whether the endpoint's limit lets the request go there.
-func (c *Candidate) admitted() bool { return c.Limit == limit.Free || c.Limit == limit.Held }
-
 // compare orders candidates: those with room first, then by cost.
 func (c *Candidate) compare(o *Candidate) int {
 	switch {
--- a/coord/selection/decide.go
+++ b/coord/selection/decide.go
@@ -84,7 +84,7 @@
 // slots are all taken is slower for everybody: without the rule simulated days of
 // 17 balancers under overload lost 0.032 of their worth, others nothing.
 func (c *Candidate) acceptable(r placement.Request, now time.Time) bool {
-	if c.Closed || !c.admitted() || c.Busy >= c.Slots {
+	if c.Closed || !c.Limit.Admits() || c.Busy >= c.Slots {
 		return false
 	}
 	return r.Target <= 0 || !now.Add(c.Estimate).After(r.Accepted.Add(r.Target))
--- a/coord/selection/probe.go
+++ b/coord/selection/probe.go
@@ -42,7 +42,7 @@
 func (o Options) NextProbe(list *Ranking, mayProbe func(index int) bool) (index int, ok bool) {
 	for i := range list.Len() {
 		c := list.At(i)
-		if c.Age > o.ProbeFresh && c.admitted() && mayProbe(c.Index) {
+		if c.Age > o.ProbeFresh && c.Limit.Admits() && mayProbe(c.Index) {
 			return c.Index, true
 		}
 	}
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -40,3 +40,13 @@
 
 // Pause waits for d, or until ctx ends.
 func (Clock) Pause(ctx context.Context, d time.Duration) { For(ctx, d) }
+
+// Over reports whether a channel on which nothing is sent is closed.
+func Over(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -136,14 +136,11 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	s, _ := k.book.Standing(e.target(), now)
-	if !k.book.Use(e.target(), now) {
-		return false
-	}
+	s := k.book.Use(e.target(), now)
 	if s == limit.Held {
 		k.counters.sent.Inc(1)
 	}
-	return true
+	return s.Admits()
 }
 
 // Seek asks an endpoint's owner for room, and waits for the answer a while; a later one still
--- a/relay/part_test.go
+++ b/relay/part_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/pause"
 	"gotest.tools/v3/assert"
 )
 
@@ -36,10 +37,10 @@
 	rep.apply(directory.Changes{Part: true, Records: []directory.Record{{Key: "op/config", Revision: 1}, {Key: "lotuswing/relays/a", Revision: 2}}}, start)
 	for from := 0; from < 1000; from += 200 {
 		rep.apply(page(from, 200), start)
-		assert.Assert(t, !isClosed(rep.partly) && !rep.isKnown())
+		assert.Assert(t, !pause.Over(rep.partly) && !rep.isKnown())
 	}
 	rep.apply(page(1000, 200), start)
-	assert.Assert(t, isClosed(rep.partly) && !rep.isKnown())
+	assert.Assert(t, pause.Over(rep.partly) && !rep.isKnown())
 	whole := page(0, 10000)
 	whole.Part, whole.Whole, whole.At = false, true, 10000
 	whole.Records = append(whole.Records, directory.Record{Key: "op/config", Revision: 1})
@@ -66,5 +67,5 @@
 	c := page(0, 300)
 	c.Part, c.Whole, c.At = false, true, 300
 	rep.apply(c, start)
-	assert.Assert(t, isClosed(rep.partly) && rep.isSmall())
+	assert.Assert(t, pause.Over(rep.partly) && rep.isSmall())
 }
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
 // goneFor is how long the end of a key is remembered. A balancer that heard nothing for longer is
@@ -82,7 +83,7 @@
 
 // notePart notes that a part has come, or everything.
 func (rep *replica) notePart(c directory.Changes) {
-	if isClosed(rep.partly) {
+	if pause.Over(rep.partly) {
 		return
 	}
 	if c.Part {
@@ -122,16 +123,6 @@
 	return rep.isKnown() && len(rep.records) < 2*directory.PartEntries
 }
 
-// isClosed reports whether a channel on which nothing is sent is closed.
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
 // applyRecord keeps a record that is newer than the one known.
 func (rep *replica) applyRecord(r directory.Record, now time.Time) {
 	if old, ok := rep.records[r.Key]; ok && old.Revision >= r.Revision {
@@ -290,4 +281,4 @@
 	return rep.at, rep.isKnown()
 }
 
-func (rep *replica) isKnown() bool { return isClosed(rep.known) }
+func (rep *replica) isKnown() bool { return pause.Over(rep.known) }
