--- a/server/crash_test.go
+++ b/server/crash_test.go
@@ -92,13 +92,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newPlatformRig(t)
 			all := r.processes(t, 8, c.newID)
-			first := r.start(t, "vm-1")
-			first.waitReady(t)
-			balancers := []platformBalancer{first, r.start(t, "vm-2", first.link), r.start(t, "vm-3", first.link)}
-			for _, b := range balancers {
-				b.waitReady(t)
-			}
-			waitOneRelay(t, balancers)
+			balancers := threeBalancers(t, r)
 			for i := range 30 {
 				balancers[i%len(balancers)].callFor(t, c.path)
 				time.Sleep(100 * time.Millisecond) // its caller comes back
--- a/server/platform_test.go
+++ b/server/platform_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -113,11 +114,18 @@
 
 // callFor is call for a path.
 func (b platformBalancer) callFor(t *testing.T, path string) int {
+	t.Helper()
+	return b.callAs(t, path, nil)
+}
+
+// callAs is callFor with headers.
+func (b platformBalancer) callAs(t *testing.T, path string, header http.Header) int {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
 	r, err := http.NewRequest(http.MethodGet, "http://"+b.front+path, nil)
 	assert.NilError(t, err)
 	r.Host = "a.example"
+	maps.Copy(r.Header, header)
 	r.Header.Set("Request-Id", fmt.Sprintf("r-%d", requests.Add(1)))
 	resp, err := client.Do(r)
 	assert.NilError(t, err)
--- a/server/teams_test.go
+++ b/server/teams_test.go
@@ -33,19 +33,11 @@
 // callWith calls a balancer with a key and returns the status.
 func (b platformBalancer) callWith(t *testing.T, path, key string) int {
 	t.Helper()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
-	r, err := http.NewRequest(http.MethodGet, "http://"+b.front+path, nil)
-	assert.NilError(t, err)
-	r.Host = "a.example"
-	r.Header.Set("Request-Id", fmt.Sprintf("r-%d", requests.Add(1)))
+	header := http.Header{"Tenant": {"what-a-caller-says"}}
 	if key != "" {
-		r.Header.Set("Authorization", "Bearer "+key)
+		header.Set("Authorization", "Bearer "+key)
 	}
-	r.Header.Set("Tenant", "what-a-caller-says")
-	resp, err := client.Do(r)
-	assert.NilError(t, err)
-	_ = resp.Body.Close() // only the status counts
-	return resp.StatusCode
+	return b.callAs(t, path, header)
 }
 
 // untilAll waits until all balancers answer a key with a status. Until then they may answer
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,18 +70,23 @@
 	assert.ErrorContains(t, err, "soak: start vm-0")
 }
 
-// TestSoakOfAllAtOnce plays a soak in which all balancers are lost at once, some of the
-// time with the store away while they start again.
-func TestSoakOfAllAtOnce(t *testing.T) {
-	result, err := soak.Run(t.Context(), soak.Config{
-		Seed: 5, For: 8 * time.Second, Balancers: 6, Together: 2 * time.Second, Gap: time.Second, Command: present,
-	})
+// keepsPromises plays a soak in which a kind of fault strikes, and no promise may be broken.
+func keepsPromises(t *testing.T, fault string, cfg soak.Config) {
+	t.Helper()
+	cfg.Command = present
+	result, err := soak.Run(t.Context(), cfg)
 	assert.NilError(t, err)
-	assert.Assert(t, result.Faults["all are killed"] > 0, "%v", result.Faults)
+	assert.Assert(t, result.Faults[fault] > 0, "%v", result.Faults)
 	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
 	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
 }
 
+// TestSoakOfAllAtOnce plays a soak in which all balancers are lost at once, some of the
+// time with the store away while they start again.
+func TestSoakOfAllAtOnce(t *testing.T) {
+	keepsPromises(t, "all are killed", soak.Config{Seed: 5, For: 8 * time.Second, Balancers: 6, Together: 2 * time.Second, Gap: time.Second})
+}
+
 // olderVariable names a lotuswing binary of an earlier version; where it is not
 // set, both versions of a fleet are the present one. .ci/older sets it.
 const olderVariable = "LOTUSWING_OLDER_BINARY"
@@ -104,34 +109,16 @@
 
 // TestSoakOfEmptiedZones plays a soak in which zones are emptied and come back cold.
 func TestSoakOfEmptiedZones(t *testing.T) {
-	result, err := soak.Run(t.Context(), soak.Config{
-		Seed: 11, For: 9 * time.Second, Balancers: 4, Empty: time.Second, Gap: time.Second, Command: present,
-	})
-	assert.NilError(t, err)
-	assert.Assert(t, result.Faults["zone emptied"] > 0, "%v", result.Faults)
-	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
-	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
+	keepsPromises(t, "zone emptied", soak.Config{Seed: 11, For: 9 * time.Second, Balancers: 4, Empty: time.Second, Gap: time.Second})
 }
 
 // TestSoakOfCrashingRequests plays a soak with requests that crash endpoints, entries of
 // other writers and suspended VMs.
 func TestSoakOfCrashingRequests(t *testing.T) {
-	result, err := soak.Run(t.Context(), soak.Config{
-		Seed: 3, For: 14 * time.Second, Balancers: 4, Crash: 300 * time.Millisecond, Gap: 2 * time.Second, Command: present,
-	})
-	assert.NilError(t, err)
-	assert.Assert(t, result.Faults["request crashes endpoints"] > 0, "%v", result.Faults)
-	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
-	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
+	keepsPromises(t, "request crashes endpoints", soak.Config{Seed: 3, For: 14 * time.Second, Balancers: 4, Crash: 300 * time.Millisecond, Gap: 2 * time.Second})
 }
 
 // TestSoakOfLimits plays a soak in which endpoints name how many requests a second they take.
 func TestSoakOfLimits(t *testing.T) {
-	result, err := soak.Run(t.Context(), soak.Config{
-		Seed: 17, For: 14 * time.Second, Balancers: 4, Limit: 500 * time.Millisecond, Gap: 3 * time.Second, Command: present,
-	})
-	assert.NilError(t, err)
-	assert.Assert(t, result.Faults["limit named"] > 0, "%v", result.Faults)
-	assert.Assert(t, result.Statuses[http.StatusOK] > 0, "nothing was served: %v", result.Statuses)
-	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
+	keepsPromises(t, "limit named", soak.Config{Seed: 17, For: 14 * time.Second, Balancers: 4, Limit: 500 * time.Millisecond, Gap: 3 * time.Second})
 }
