One reader of all that an answer says of its endpoint; on-call sees who leaves or wants no requests

What callers saw: nothing; the incident's logs could not tell whether a balancer knew that an endpoint leaves, or had asked for a time without requests.

Change: upstream.Reader reads load, warm-up, limit, leaving and Retry-After into one Report, for every answer of the endpoint's own: 2xx, 4xx, 5xx, refused, cut short, of a probe. Answers that may be of another request, another incarnation or made up on the way say nothing. Choosers take it in by Hear, as soon as the head of the answer is there. New: log lines 'endpoint says that it leaves', 'endpoint wants no requests', 'header of an endpoint not read' (once a name and service, 256 at most), fields leaving and backoff_ms of 'attempt ended', counters sent_after_leaving, sent_while_backing_off, headers_unread. With homes the words are read by the same reader.

No endpoint is chosen otherwise than before. One value is read elsewhere: a limit counts from the moment at which the head of its answer came, where it was the end of its body.

Tests: upstream/report_test.go (values, statuses, which answers speak, fuzzed), TestEachAnswerIsHeard.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,6 +56,8 @@
 	Ready() (ok bool, why string)
 	// Acquire chooses an endpoint, or says why there is none.
 	Acquire(ctx context.Context, r placement.Request) (placement.Grant, *placement.Refusal)
+	// Hear takes what an answer says of its endpoint, as soon as its head is there.
+	Hear(g placement.Grant, r upstream.Report)
 	// Complete reports how a granted request ended.
 	Complete(g placement.Grant, r placement.Result)
 }
@@ -109,8 +111,6 @@
 	Access Access
 	// KeysWithin is after which a key that was added is known to every balancer.
 	KeysWithin time.Duration
-	// EndpointLimits hears what endpoints say of their limits; nil for nobody.
-	EndpointLimits EndpointLimits
 	// Quotas bounds what teams send; nil for no bound.
 	Quotas Quotas
 	// Suspensions tells of suspensions of the VM; nil for none.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -24,6 +24,7 @@
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/telemetry"
 	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/upstream"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -48,6 +49,7 @@
 	mu      sync.Mutex
 	endings []placement.Result
 	granted int
+	heard   []heard
 }
 
 func (f *fakeChooser) NextID() string { return fmt.Sprintf("id-%d", f.sequence.Add(1)) }
@@ -98,6 +100,18 @@
 	return placement.Grant{ID: a.ID, Service: a.Service, Endpoint: f.endpoints[0]}, nil
 }
 
+func (f *fakeChooser) Hear(g placement.Grant, r upstream.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard = append(f.heard, heard{g.Endpoint.VM, r})
+}
+
+// heard is what an endpoint said.
+type heard struct {
+	vm     string
+	report upstream.Report
+}
+
 func (f *fakeChooser) Complete(_ placement.Grant, e placement.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -64,7 +64,7 @@
 // failedResult returns what an attempt shows about its endpoint whose response is
 // not passed on. A request on whose behalf nothing was written, or whose caller
 // left, shows nothing, nor does one that a suspension of the VM fell into.
-func failedResult(d *upstream.Dialect, a *attempt, callerLeft bool, took time.Duration) placement.Result {
+func failedResult(a *attempt, callerLeft bool, took time.Duration) placement.Result {
 	result := placement.Result{Outcome: placement.Failed, Took: took}
 	res := &a.result
 	switch {
@@ -74,16 +74,20 @@
 		result.Replaced = true
 	case res.Reason == reason.EndpointRefused:
 		result.Outcome = placement.Shed
-		result.Load = loadReport(d, res)
+		result.Load = a.report().Load
 	case callerLeft, res.Reason == reason.NothingWritten:
 		result.Outcome = placement.Unused
 	}
 	return result
 }
 
-// loadReport returns the load report that came with a response.
-func loadReport(d *upstream.Dialect, res *upstream.Result) placement.LoadReport {
-	return d.ParseLoad(res.Response.Header.Get(d.Load))
+// report returns what the answer says of its endpoint. Nobody knows how old one is that came while
+// the VM was suspended.
+func (a *attempt) report() upstream.Report {
+	if a.stale {
+		return a.result.Report.Undated()
+	}
+	return a.result.Report
 }
 
 // overall returns the verdict of all attempts together: what an earlier one left
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -38,12 +38,12 @@
 		b.countRepeat(x, time.Now())
 		a := b.send(ctx, x, number, grant)
 		a.stale = x.wake(b.cfg.Suspensions.Check())
-		b.noteLimit(&a, time.Now())
+		b.cfg.Chooser.Hear(grant, a.report())
 		b.noteEnd(ctx, x, &a)
 		if delivers(&a.result, x.route.Kind.Repeatable, b.cfg.Policy.RetryServerErrors) {
 			return nil, b.passOn(x, &a)
 		}
-		b.cfg.Chooser.Complete(grant, failedResult(&b.cfg.Policy.Dialect, &a, x.callerLeft(), time.Since(a.sent)))
+		b.cfg.Chooser.Complete(grant, failedResult(&a, x.callerLeft(), time.Since(a.sent)))
 		x.noteFailed(&a)
 		if !b.mayRetry(x, &a, time.Now()) {
 			return nil, b.giveUp(ctx, x, &a)
@@ -190,7 +190,7 @@
 func (b *Balancer) passOn(x *exchange, a *attempt) error {
 	x.ran = true
 	status := a.result.Response.StatusCode
-	result := placement.Result{Outcome: outcomeOf(status, false, nil), Load: loadReport(&b.cfg.Policy.Dialect, &a.result)}
+	result := placement.Result{Outcome: outcomeOf(status, false, nil), Load: a.report().Load}
 	if a.stale {
 		result = placement.Result{Outcome: placement.Unused}
 	}
--- a/compat/names_test.go
+++ b/compat/names_test.go
@@ -21,7 +21,7 @@
 
 // balancerPackages are the folders whose code runs in a balancer process.
 var balancerPackages = []string{
-	"access", "balancer", "bootstrap", "cli", "coord", "direct", "directory", "fleet", "link", "node", "platform", "quarantine", "relay", "rollout", "server", "storeclient", "telemetry", "upstream",
+	"access", "balancer", "bootstrap", "cli", "coord", "direct", "directory", "fleet", "limits", "link", "node", "platform", "quarantine", "relay", "rollout", "server", "storeclient", "telemetry", "upstream",
 }
 
 // sources parses the code of a balancer process, tests left out.
@@ -128,8 +128,8 @@
 func TestHeaderNames(t *testing.T) {
 	var b strings.Builder
 	for _, d := range []upstream.Dialect{upstream.Native(), platform.Dialect()} {
-		fmt.Fprintf(&b, "request id %q, timeout %q, instance %q and %q, not run %q, signature %q, load %q, team %q\n",
-			d.RequestID, d.Timeout, d.Instance, d.InstanceID, d.NotRun, d.Signature, d.Load, d.Team)
+		fmt.Fprintf(&b, "request id %q, timeout %q, instance %q and %q, not run %q, signature %q, load %q, team %q, limit %q, warm-up %q, leaving %q\n",
+			d.RequestID, d.Timeout, d.Instance, d.InstanceID, d.NotRun, d.Signature, d.Load, d.Team, d.Limit, d.Warmup, d.Leaving)
 	}
 	golden.Assert(t, b.String(), "headers.golden")
 }
--- a/coord/limit/limit.go
+++ b/coord/limit/limit.go
@@ -25,7 +25,7 @@
 //	if book.Use(target, now).Admits() { send }
 package limit
 
-import "strconv"
+import "github.com/lotuswing/lotuswing/coord/decimal"
 
 // Said is what the header of an answer says of a limit.
 type Said uint8
@@ -40,38 +40,17 @@
 // String returns the word used in logs.
 func (s Said) String() string { return [...]string{"nothing", "named", "unreadable"}[s] }
 
-// longest is the most characters of a limit. A float64 holds any number of so many digits.
-const longest = 64
-
 // Parse reads the values of the header: one decimal number, not below 0, such as 12 or 2.5, in
 // requests a second. Signs, exponents, names of numbers and a second header are unreadable: an
 // endpoint whose word can be read in two ways has said nothing.
 func Parse(values []string) (perSecond float64, s Said) {
-	switch {
-	case len(values) == 0:
+	switch len(values) {
+	case 0:
 		return 0, Nothing
-	case len(values) > 1 || !isDecimal(values[0]):
-		return 0, Unreadable
-	}
-	perSecond, err := strconv.ParseFloat(values[0], 64)
-	if err != nil {
-		return 0, Unreadable
-	}
-	return perSecond, Named
-}
-
-// isDecimal reports whether a text is digits with at most one point among them.
-func isDecimal(text string) bool {
-	digits, points := 0, 0
-	for _, c := range []byte(text) {
-		switch {
-		case c == '.':
-			points++
-		case c < '0' || c > '9':
-			return false
-		default:
-			digits++
+	case 1:
+		if perSecond, ok := decimal.Parse(values[0]); ok {
+			return perSecond, Named
 		}
 	}
-	return digits > 0 && points <= 1 && len(text) <= longest
+	return 0, Unreadable
 }
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -211,6 +211,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.known(target)
+	c.noteSent(e, now)
 	e.state = e.state.WithSent()
 	load := e.state.Load()
 	choice := placement.Choice{
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/selection"
@@ -72,6 +73,8 @@
 
 // Limits hears what endpoints say of how many requests a second they take.
 type Limits interface {
+	// Answered takes what the answer to a request said.
+	Answered(e limits.Endpoint, a limit.Answer)
 	// Probed takes what the answer to a probe said.
 	Probed(e limits.Endpoint, a limit.Answer)
 	// Quiet reports whether no endpoint has named a limit.
@@ -95,7 +98,7 @@
 
 // Prober asks an endpoint for its load.
 type Prober interface {
-	Probe(ctx context.Context, addr, path string, within time.Duration) (upstream.ProbeResult, error)
+	Probe(ctx context.Context, addr, path string, within time.Duration) (upstream.Report, error)
 }
 
 // Chooser chooses endpoints. It is safe for concurrent use.
@@ -105,6 +108,8 @@
 	sequence atomic.Uint64
 	born     int64
 	probes   metrics.Counter
+	unwanted unwanted
+	unread   *unreadHeaders
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint          // by identity
@@ -122,9 +127,10 @@
 // endpoint is what is remembered of one endpoint. Its values are replaced with
 // Chooser.mu held.
 type endpoint struct {
-	start  int64 // which start of it
-	state  selection.Endpoint
-	probes selection.ProbeBudget
+	start     int64 // which start of it
+	state     selection.Endpoint
+	admission admission.State
+	probes    selection.ProbeBudget
 }
 
 // New returns a chooser.
@@ -137,6 +143,8 @@
 		opts:      cfg.Options.WithDefaults(),
 		born:      now,
 		probes:    metrics.GetOrRegisterCounter("probes", cfg.Metrics),
+		unwanted:  newUnwanted(cfg.Metrics),
+		unread:    newUnreadHeaders(cfg.Log, cfg.Metrics),
 		endpoints: map[string]*endpoint{},
 		workloads: map[string]selection.Workload{},
 		crowding:  map[string]selection.Crowding{},
@@ -155,6 +163,7 @@
 	defer c.mu.Unlock()
 	for _, e := range c.endpoints {
 		e.state = e.state.WithSuspension(slept)
+		e.admission = e.admission.WithSuspension(slept)
 	}
 }
 
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -25,19 +25,19 @@
 // fakeProber answers for endpoints by address.
 type fakeProber struct {
 	mu      sync.Mutex
-	answers map[string]upstream.ProbeResult
+	answers map[string]upstream.Report
 	asked   map[string]int
 }
 
 var errSilent = errors.New("no answer")
 
-func (p *fakeProber) Probe(_ context.Context, addr, _ string, _ time.Duration) (upstream.ProbeResult, error) {
+func (p *fakeProber) Probe(_ context.Context, addr, _ string, _ time.Duration) (upstream.Report, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.asked[addr]++
 	answer, ok := p.answers[addr]
 	if !ok {
-		return upstream.ProbeResult{}, errSilent
+		return upstream.Report{}, errSilent
 	}
 	return answer, nil
 }
@@ -45,7 +45,7 @@
 func (p *fakeProber) set(addr string, running int, pace float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.answers[addr] = upstream.ProbeResult{
+	p.answers[addr] = upstream.Report{
 		Instance: addr,
 		Load:     placement.LoadReport{Known: true, InFlight: running, Slots: 3, Pace: pace, State: placement.Live},
 	}
@@ -83,7 +83,7 @@
 func newRigWith(endpoints int, opts selection.Options, forgetEvery time.Duration, l direct.Limits) *rig {
 	d := directory.New()
 	var entries []directory.Entry
-	prober := &fakeProber{answers: map[string]upstream.ProbeResult{}, asked: map[string]int{}}
+	prober := &fakeProber{answers: map[string]upstream.Report{}, asked: map[string]int{}}
 	for i := range endpoints {
 		id := fmt.Sprintf("e%d", i)
 		zone := []string{"near", "far"}[i%2]
--- a/direct/limits.go
+++ b/direct/limits.go
@@ -7,7 +7,6 @@
 	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/limits"
-	"github.com/lotuswing/lotuswing/upstream"
 )
 
 // Endpoints that name how many requests a second they take from all balancers together get a
@@ -22,15 +21,6 @@
 	return limits.Endpoint{ID: e.VM, Start: e.Start, Service: e.Service, Zone: e.Zone}
 }
 
-// noteLimit notes what an endpoint said of its limit to a probe. Another instance at its address
-// speaks for itself alone.
-func (c *Chooser) noteLimit(e *directory.Endpoint, answer upstream.ProbeResult) {
-	if c.cfg.Limits == nil || answer.Instance != "" && answer.Instance != e.VM {
-		return
-	}
-	c.cfg.Limits.Probed(limited(e), answer.Limit)
-}
-
 // standing returns whether a request may go to an endpoint.
 func (c *Chooser) standing(e *directory.Endpoint, now time.Time) (limit.Standing, time.Duration) {
 	if c.cfg.Limits == nil || c.cfg.Limits.Quiet() {
--- a/direct/limits_test.go
+++ b/direct/limits_test.go
@@ -26,11 +26,12 @@
 	used     []string                // in order
 	look     bool                    // asks allow a probe
 	probed   map[string]limit.Answer // by endpoint
+	answered map[string]limit.Answer // by endpoint
 }
 
 func newFakeLimits() *fakeLimits {
 	return &fakeLimits{
-		standing: map[string]limit.Standing{}, opens: map[string]time.Time{}, grants: map[string]bool{}, taken: map[string]int{}, probed: map[string]limit.Answer{},
+		standing: map[string]limit.Standing{}, opens: map[string]time.Time{}, grants: map[string]bool{}, taken: map[string]int{}, probed: map[string]limit.Answer{}, answered: map[string]limit.Answer{},
 	}
 }
 
@@ -40,6 +41,12 @@
 	f.probed[e.ID] = a
 }
 
+func (f *fakeLimits) Answered(e limits.Endpoint, a limit.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered[e.ID] = a
+}
+
 func (f *fakeLimits) Quiet() bool { return false }
 
 func (f *fakeLimits) Standing(e limits.Endpoint, now time.Time) (limit.Standing, time.Duration) {
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -95,7 +95,7 @@
 	}
 	now := time.Now()
 	if err == nil {
-		c.noteLimit(&t.listed, answer)
+		c.hearProbe(limited(&t.listed), answer)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/direct/probe_test.go
+++ b/direct/probe_test.go
@@ -16,8 +16,8 @@
 // idleProber answers that an endpoint is idle.
 type idleProber struct{}
 
-func (idleProber) Probe(context.Context, string, string, time.Duration) (upstream.ProbeResult, error) {
-	return upstream.ProbeResult{Load: placement.LoadReport{Known: true, Slots: 3, Pace: 1}}, nil
+func (idleProber) Probe(context.Context, string, string, time.Duration) (upstream.Report, error) {
+	return upstream.Report{Load: placement.LoadReport{Known: true, Slots: 3, Pace: 1}}, nil
 }
 
 // TestLateProbeBringsNothingBack: an endpoint that was forgotten while its probe was
--- a/direct/split_test.go
+++ b/direct/split_test.go
@@ -21,7 +21,7 @@
 // be off its weight's by a tenth.
 func TestSplitKeepsItsShares(t *testing.T) {
 	const requests, tolerance = 2000, 0.1
-	prober := &fakeProber{answers: map[string]upstream.ProbeResult{}, asked: map[string]int{}}
+	prober := &fakeProber{answers: map[string]upstream.Report{}, asked: map[string]int{}}
 	prober.set("full", 3, 1)
 	prober.set("idle", 0, 1)
 	entry := func(service, id string) directory.Entry {
--- a/node/complete.go
+++ b/node/complete.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/contract"
-	"github.com/lotuswing/lotuswing/coord/leaving"
 	"github.com/lotuswing/lotuswing/coord/member"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/link"
@@ -14,9 +13,6 @@
 // Complete ends a grant and tells the home, without keeping the caller.
 func (n *Node) Complete(g placement.Grant, r placement.Result) {
 	n.local.end(g, r, time.Now())
-	if r.Load.Known && r.Load.State == placement.Draining {
-		n.MarkLeaving(leaving.Mark{VM: g.Endpoint.VM, Source: leaving.Answer})
-	}
 	done := link.Done{Service: g.Service, ID: g.ID, VM: g.Endpoint.VM, Outcome: r.Outcome, Took: r.Took, Load: r.Load}
 	home, ok := n.snapshot.Load().homes[g.Service]
 	if ok {
--- /dev/null
+++ b/node/hear.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"github.com/lotuswing/lotuswing/coord/leaving"
+	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/upstream"
+)
+
+// Hear takes what the answer to an attempt says of its endpoint, as soon as its head is there.
+func (n *Node) Hear(g placement.Grant, r upstream.Report) {
+	n.hear(tenant.ServiceName(g.Service), g.Endpoint.VM, r, leaving.Answer)
+}
+
+// hear takes what any answer says of the endpoint itself.
+func (n *Node) hear(service, vm string, r upstream.Report, from leaving.Source) {
+	if r.None() {
+		return
+	}
+	if r.Word.Leaving {
+		n.MarkLeaving(leaving.Mark{VM: vm, Source: from})
+	}
+	if r.Word.Backoff > 0 {
+		n.log.Info("endpoint wants no requests", "id", vm, "service", service, "for", r.Word.Backoff.String(), "from", string(from))
+	}
+}
--- a/node/measure.go
+++ b/node/measure.go
@@ -9,7 +9,6 @@
 	"github.com/lotuswing/lotuswing/coord/budget"
 	"github.com/lotuswing/lotuswing/coord/lease"
 	"github.com/lotuswing/lotuswing/coord/leaving"
-	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/rendezvous"
 	"github.com/lotuswing/lotuswing/internal/bootclock"
 	"github.com/lotuswing/lotuswing/link"
@@ -144,34 +143,39 @@
 		if !m.spend(cfg.Measuring.Cost()) {
 			return
 		}
-		load := m.probe(ctx, "http://"+e.Addr+cfg.Services[service].ProbePath)
-		if load.Known && load.State == placement.Draining {
-			m.node.MarkLeaving(leaving.Mark{VM: e.VM, Source: leaving.Probe})
-		}
-		if load.Known {
-			m.node.tell(ctx, home, homeWait, link.Sign, link.SignArgs{Service: key, VM: e.VM, Load: load})
+		report := m.probe(ctx, "http://"+e.Addr+cfg.Services[service].ProbePath)
+		m.node.hear(service, e.VM, report, leaving.Probe)
+		if report.Load.Known {
+			m.node.tell(ctx, home, homeWait, link.Sign, link.SignArgs{Service: key, VM: e.VM, Load: report.Load})
 		}
 	}
 }
 
+// nativeReader reads what endpoints say of themselves.
+var nativeReader = func() *upstream.Reader {
+	d := upstream.Native()
+	return upstream.NewReader(&d)
+}()
+
 // probe asks an endpoint once; the lease is checked again just before. What it did
 // not learn is not known.
-func (m *meter) probe(ctx context.Context, url string) placement.LoadReport {
+func (m *meter) probe(ctx context.Context, url string) upstream.Report {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return placement.LoadReport{}
+		return upstream.Report{}
 	}
 	m.mu.Lock()
 	holds := m.account.Holds(bootclock.Now())
 	m.mu.Unlock()
 	if !holds {
-		return placement.LoadReport{}
+		return upstream.Report{}
 	}
+	asked := time.Now()
 	resp, err := m.http.Do(req)
 	if err != nil {
 		m.node.log.Debug("endpoint not measured", "tenant", m.tenant, "error", err)
-		return placement.LoadReport{}
+		return upstream.Report{}
 	}
 	_ = resp.Body.Close() // only the header counts
-	return upstream.ParseLoad(resp.Header.Get(upstream.LoadHeader))
+	return nativeReader.Read(resp.StatusCode, resp.Header, asked, time.Now())
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -39,7 +39,7 @@
 
 // Prober asks an endpoint for its load, which shows whether it lives.
 type Prober interface {
-	Probe(ctx context.Context, addr, path string, within time.Duration) (upstream.ProbeResult, error)
+	Probe(ctx context.Context, addr, path string, within time.Duration) (upstream.Report, error)
 }
 
 // Endpoints tells what is known of endpoints.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -182,14 +182,14 @@
 }
 
 // Probe asks an endpoint.
-func (r *rig) Probe(ctx context.Context, addr, _ string, _ time.Duration) (upstream.ProbeResult, error) {
+func (r *rig) Probe(ctx context.Context, addr, _ string, _ time.Duration) (upstream.Report, error) {
 	pause.For(ctx, time.Millisecond)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down[addr] {
-		return upstream.ProbeResult{}, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+		return upstream.Report{}, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 	}
-	return upstream.ProbeResult{Instance: r.instances[addr]}, nil
+	return upstream.Report{Instance: r.instances[addr]}, nil
 }
 
 // list puts an endpoint's entry into force.
--- a/server/server.go
+++ b/server/server.go
@@ -127,9 +127,6 @@
 	if s.keeper != nil {
 		balancerConfig.Quarantine = s.keeper
 	}
-	if s.limits != nil {
-		balancerConfig.EndpointLimits = s.limits
-	}
 	if s.fleet != nil {
 		balancerConfig.Access, balancerConfig.Quotas, balancerConfig.KeysWithin = teams{s}, s.fleet, cfg.Settings.Discovery.ApplyWithin
 	}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -70,6 +70,8 @@
 		{"reason", "reason code; empty where the endpoint ran the request"},
 		{"status", "HTTP status of the endpoint's answer, 0 without one"},
 		{"took_ms", "time from sending to the answer or its failure"},
+		{"leaving", "whether the answer says that the endpoint leaves"},
+		{"backoff_ms", "for how long the answer says that the endpoint wants no requests, 0 where it does not"},
 		{"error", "what failed"},
 	}},
 	{EventRetry, "Whether the request is sent again.", []Field{
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -52,6 +52,7 @@
 	transport *http.Transport
 	http2     bool
 	dialect   *Dialect
+	reader    *Reader
 }
 
 // NewClient returns a client.
@@ -81,7 +82,7 @@
 	}
 	t.Protocols.SetHTTP1(!opts.HTTP2)
 	t.Protocols.SetUnencryptedHTTP2(opts.HTTP2)
-	return &Client{transport: t, http2: opts.HTTP2, dialect: opts.Dialect}
+	return &Client{transport: t, http2: opts.HTTP2, dialect: opts.Dialect, reader: NewReader(opts.Dialect)}
 }
 
 // Close closes idle connections, as at the end of a client or when nobody knows for how long
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -1,11 +1,9 @@
 package upstream
 
 import (
-	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/verdict"
 )
@@ -52,6 +50,10 @@
 	// balancers together, for as long as its answers say so.
 	Limit string
 
+	// Leaving says in an answer, with the value 1, that the endpoint will end and wants no new
+	// requests. A load report may say the same.
+	Leaving string
+
 	// Team names to an endpoint the team whose key the caller has sent, whatever the caller
 	// itself sent there.
 	Team string
@@ -73,16 +75,6 @@
 	}
 }
 
-// LimitOf returns what the header of an answer says of the endpoint's limit, to a request
-// that was sent at one time and whose answer came at another.
-func (d *Dialect) LimitOf(h http.Header, sent, now time.Time) limit.Answer {
-	if d.Limit == "" {
-		return limit.Answer{Mute: true, Asked: sent, Heard: now}
-	}
-	rate, said := limit.Parse(h.Values(d.Limit))
-	return limit.Answer{Said: said, Rate: rate, Asked: sent, Heard: now}
-}
-
 // FormatRetryAfter writes the time after which a caller may come back, at least a
 // millisecond.
 func (d *Dialect) FormatRetryAfter(after time.Duration) string {
--- a/upstream/judge.go
+++ b/upstream/judge.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/verdict"
@@ -97,6 +98,17 @@
 	return res
 }
 
+// reportOf returns what a response says of the endpoint that the request was sent to. Another
+// incarnation at the address speaks for itself alone, and a response of another request, or one
+// that may have been made up on the way, for nobody.
+func (c *Client) reportOf(res *Result, response *http.Response, sent, heard time.Time) Report {
+	switch res.Reason {
+	case reason.AnswerForeign, reason.AnswerSpoiled, reason.EndpointReplaced:
+		return Report{}
+	}
+	return c.reader.Read(response.StatusCode, response.Header, sent, heard)
+}
+
 // failure decides what an attempt without a response proves. cause is why its
 // context ended, nil if it did not.
 func (x *exchange) failure(cause error, http2 bool, err error) Result {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -37,6 +37,9 @@
 	Reason  reason.Code // empty where the endpoint ran the request
 	// Response is set where the endpoint ran the request or said that it did not.
 	Response *http.Response
+	// Report is what the head of the response says of the endpoint, also of a response that is
+	// not passed on. One that may not be the endpoint's own says nothing.
+	Report   Report
 	Buffered bool // the response is whole, in memory
 	Rested   bool // nothing was sent, because the connection had rested for longer than MostIdle
 	// Broken: the request was sent and its connection ended before the response did, though
@@ -58,7 +61,8 @@
 
 // Send makes one attempt. ctx ends when the caller leaves.
 func (c *Client) Send(ctx context.Context, r Request) Result {
-	remaining := time.Until(r.Deadline)
+	sent := time.Now()
+	remaining := r.Deadline.Sub(sent)
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(remaining, func() { cancel(context.DeadlineExceeded) })
 	defer timer.Stop()
@@ -72,14 +76,16 @@
 		return res
 	}
 	res := c.received(response, r.ID, end)
+	report := c.reportOf(&res, response, sent, time.Now())
 	if res.Response != nil && r.BufferBytes > 0 {
 		res.buffer(r.BufferBytes)
 	}
 	if !timer.Stop() { // the deadline passed while the response arrived
 		_ = response.Body.Close() // its connection is given up
 		end()
-		return late(res.Verdict)
+		res = late(res.Verdict)
 	}
+	res.Report = report
 	return res
 }
 
