An endpoint that says in an answer that it leaves gets nothing more, from any balancer

What callers saw: nothing. Endpoints that left got requests for as long as the store did not say so, 13 seconds in the incident, and would have cut them at their end.

Cause: only the store's entry made an endpoint leave. Its own word, in each of its answers, was read by nobody; what is known of an endpoint that left was dropped after 200 s even while the store listed it.

Change: the word marks the start of the endpoint in the directory, which keeps the mark while the store lists it; a note tells all balancers, also those that start within ten minutes, and one whose entry is not known yet leaves as soon as it is. A request that was chosen before is withdrawn until its first byte is written (LW3011): its connection is sealed, which proves that it has not run, and another endpoint is chosen at no cost of its attempts.

Why it works: the one list that requests are chosen from is the directory's, and a mark in it is never taken back within a start. Tests: direct/leaving_test.go, TestWithdrawnRequestIsNotSent, TestWithdrawnRequestGoesElsewhere, TestLeavingIsRememberedWhileListed, TestDeparturesAreBounded, TestBalancerThatStartsHearsWhoLeaves.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,6 +56,8 @@
 	Ready() (ok bool, why string)
 	// Acquire chooses an endpoint, or says why there is none.
 	Acquire(ctx context.Context, r placement.Request) (placement.Grant, *placement.Refusal)
+	// Admits reports whether the endpoint of a grant still may get the request.
+	Admits(g placement.Grant, now time.Time) bool
 	// Hear takes what an answer says of its endpoint, as soon as its head is there.
 	Hear(g placement.Grant, r upstream.Report)
 	// Complete reports how a granted request ended.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,8 @@
 	endings []placement.Result
 	granted int
 	heard   []heard
+	// unwilling endpoints have come to want no requests since they were granted.
+	unwilling []string
 }
 
 func (f *fakeChooser) NextID() string { return fmt.Sprintf("id-%d", f.sequence.Add(1)) }
@@ -100,6 +103,12 @@
 	return placement.Grant{ID: a.ID, Service: a.Service, Endpoint: f.endpoints[0]}, nil
 }
 
+func (f *fakeChooser) Admits(g placement.Grant, _ time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !slices.Contains(f.unwilling, g.Endpoint.VM)
+}
+
 func (f *fakeChooser) Hear(g placement.Grant, r upstream.Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/balancer/hear_test.go
+++ b/balancer/hear_test.go
@@ -44,3 +44,27 @@
 		assert.Equal(t, heard[0].report.Word, want, status)
 	}
 }
+
+// TestWithdrawnRequestGoesElsewhere: an endpoint that wants no more requests by the time there is a
+// connection to it costs the request none of its attempts, and gets nothing.
+func TestWithdrawnRequestGoesElsewhere(t *testing.T) {
+	for _, path := range []string{"/read", "/once"} {
+		b := newBench(t, 3)
+		b.chooser.unwilling = []string{b.chooser.endpoints[0].VM, b.chooser.endpoints[1].VM}
+		got := b.call(t, "POST", path, "k", "body", http.Header{})
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, b.ran("k"), 1)
+		assert.Equal(t, b.chooser.ending(0).Outcome, placement.Unused)
+		assert.Equal(t, b.chooser.ending(1).Outcome, placement.Unused)
+	}
+}
+
+// TestNobodyWantsTheRequest: it is refused as one that has not run.
+func TestNobodyWantsTheRequest(t *testing.T) {
+	b := newBench(t, 1)
+	b.chooser.unwilling = []string{b.chooser.endpoints[0].VM}
+	got := b.call(t, "POST", "/once", "k", "body", http.Header{})
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.verdict, "not-run")
+	assert.Equal(t, b.ran("k"), 0)
+}
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -75,7 +75,7 @@
 	case res.Reason == reason.EndpointRefused:
 		result.Outcome = placement.Shed
 		result.Load = a.report().Load
-	case callerLeft, res.Reason == reason.NothingWritten:
+	case callerLeft, res.Reason == reason.NothingWritten, res.Reason == reason.Withdrawn:
 		result.Outcome = placement.Unused
 	}
 	return result
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
+	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
 	"go.opentelemetry.io/otel/attribute"
@@ -31,19 +32,15 @@
 	b.retries.addRequest(x.route.ServiceKey(), time.Now())
 	defer b.endTrial(x)
 	for number := 1; ; number++ {
-		grant, err := b.prepare(ctx, x, number)
+		a, err := b.try(ctx, x, number)
 		if err != nil {
 			return nil, err
 		}
-		b.countRepeat(x, time.Now())
-		a := b.send(ctx, x, number, grant)
-		a.stale = x.wake(b.cfg.Suspensions.Check())
-		b.cfg.Chooser.Hear(grant, a.report())
 		b.noteEnd(ctx, x, &a)
 		if delivers(&a.result, x.route.Kind.Repeatable, b.cfg.Policy.RetryServerErrors) {
 			return nil, b.passOn(x, &a)
 		}
-		b.cfg.Chooser.Complete(grant, failedResult(&a, x.callerLeft(), time.Since(a.sent)))
+		b.cfg.Chooser.Complete(a.grant, failedResult(&a, x.callerLeft(), time.Since(a.sent)))
 		x.noteFailed(&a)
 		if !b.mayRetry(x, &a, time.Now()) {
 			return nil, b.giveUp(ctx, x, &a)
@@ -52,6 +49,30 @@
 	}
 }
 
+// try makes one attempt. Where the endpoint wants no more requests once there is a connection to
+// it, nothing was sent and another one is chosen.
+func (b *Balancer) try(ctx context.Context, x *exchange, number int) (attempt, error) {
+	for chosen := 1; ; chosen++ {
+		grant, err := b.prepare(ctx, x, number)
+		if err != nil {
+			return attempt{}, err
+		}
+		if chosen == 1 {
+			b.countRepeat(x, time.Now())
+		}
+		a := b.send(ctx, x, number, grant)
+		a.stale = x.wake(b.cfg.Suspensions.Check())
+		if a.result.Withdrawn && x.body.Replayable() && chosen < retry.MaxRefusals {
+			b.cfg.Chooser.Complete(grant, placement.Result{Outcome: placement.Unused})
+			x.tried = append(x.tried, grant.Endpoint.VM)
+			b.endTrial(x)
+			continue
+		}
+		b.cfg.Chooser.Hear(grant, a.report())
+		return a, nil
+	}
+}
+
 // prepare finds out whether and where the request may be sent now. Where the VM was suspended
 // meanwhile, nothing of that holds any more and it begins anew, with the time that is left.
 func (b *Balancer) prepare(ctx context.Context, x *exchange, number int) (placement.Grant, error) {
@@ -129,6 +150,7 @@
 		Deadline:      x.deadline,
 		Instance:      grant.Endpoint.VM,
 		BufferBytes:   b.cfg.Policy.BufferBytes,
+		Admitted:      func() bool { return b.cfg.Chooser.Admits(grant, time.Now()) },
 		Informational: x.passOnInformational,
 	})
 	span.SetAttributes(attribute.String("verdict", a.result.Verdict.String()), attribute.String("reason", string(a.result.Reason)))
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -35,6 +35,7 @@
 	EndpointReplaced Code = "LW3008"
 	AnswerSpoiled    Code = "LW3009"
 	AnswerCut        Code = "LW3010"
+	Withdrawn        Code = "LW3011"
 )
 
 const firstRelease = "0.1.0"
@@ -72,4 +73,5 @@
 	{EndpointReplaced, "another endpoint has the address", "The request named the incarnation of the endpoint that it was meant for, and another one answered at the address. It did not run the request.", "Nothing; the endpoint is marked as gone and the request goes elsewhere.", 503, "0.2.0", Info},
 	{AnswerSpoiled, "the answer is not the endpoint's own", "The answer lacks the signature of an endpoint, or its body is encoded though nobody asked for that. It was discarded with its connection.", "As for LW3004; if it lasts, take the endpoint out and report the fault.", 502, "0.2.0", Warning},
 	{AnswerCut, "the answer was cut short", "The endpoint began an answer and the connection failed before its end. Nothing of it was passed on.", "As for LW3004; look for endpoints that crash.", 502, "0.2.0", Warning},
+	{Withdrawn, "the endpoint wants no more requests", "The endpoint said that it leaves, or wants no requests for a while, after it was chosen and before the request was written. Nothing was sent.", "Nothing: another endpoint is chosen. 'lotusctl endpoints' shows what endpoints say of themselves.", 503, "0.3.0", Info},
 }
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -57,6 +57,8 @@
 	Stop        func()                // ends what keeps the directory up to date; may be nil
 	Evidence    Evidence              // nil for none
 	Limits      Limits                // nil for none
+	// Tell tells all other balancers something; nil where there are none.
+	Tell func(topic string, data []byte) error
 
 	// Shortened by tests; zero for the defaults.
 	Options     selection.Options
@@ -109,6 +111,7 @@
 	born     int64
 	probes   metrics.Counter
 	unwanted unwanted
+	leavers  metrics.Counter
 	unread   *unreadHeaders
 
 	mu        sync.Mutex
@@ -144,6 +147,7 @@
 		born:      now,
 		probes:    metrics.GetOrRegisterCounter("probes", cfg.Metrics),
 		unwanted:  newUnwanted(cfg.Metrics),
+		leavers:   metrics.GetOrRegisterCounter("endpoints_said_leaving", cfg.Metrics),
 		unread:    newUnreadHeaders(cfg.Log, cfg.Metrics),
 		endpoints: map[string]*endpoint{},
 		workloads: map[string]selection.Workload{},
--- a/direct/hear.go
+++ b/direct/hear.go
@@ -47,6 +47,9 @@
 	if r.Word.Silent() {
 		return
 	}
+	if r.Word.Leaving {
+		c.leaves(e, from, r.Heard)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, ok := c.endpoints[e.ID]
@@ -55,9 +58,6 @@
 	}
 	before := known.admission
 	known.admission = before.With(r.Word, r.Heard)
-	if known.admission.Leaving() != before.Leaving() {
-		c.cfg.Log.Info("endpoint says that it leaves", "id", e.ID, "service", e.Service, "from", from, "listed", c.stateOf(e.ID))
-	}
 	if known.admission.Until() != before.Until() {
 		c.logBackoff(e, r, before.BackingOff(r.Heard), from)
 	}
@@ -73,15 +73,6 @@
 	log("endpoint wants no requests", "id", e.ID, "service", e.Service, "for", r.Word.Backoff.String(), "from", from)
 }
 
-// stateOf returns the state in which an endpoint is listed, as it is logged.
-func (c *Chooser) stateOf(id string) string {
-	e, ok := c.cfg.Directory.Endpoint(id)
-	if !ok {
-		return "unknown"
-	}
-	return e.State.String()
-}
-
 // noteSent counts a request that goes to an endpoint which has said that it wants none; c.mu is
 // held.
 func (c *Chooser) noteSent(e *endpoint, now time.Time) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,6 +27,8 @@
 package directory
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +45,16 @@
 	At        uint64                // revision up to which all changes are known
 }
 
+// Find returns an endpoint of a service that is listed, or missing while nearly all are.
+func (s *Snapshot) Find(service, id string) (*Endpoint, bool) {
+	list := s.Endpoints[service]
+	i, ok := slices.BinarySearchFunc(list, id, func(e Endpoint, id string) int { return cmp.Compare(e.VM, id) })
+	if !ok {
+		return nil, false
+	}
+	return &list[i], true
+}
+
 // Directory is a process's copy. It is safe for concurrent use.
 type Directory struct {
 	snapshot atomic.Pointer[Snapshot]
@@ -55,6 +67,7 @@
 	changed   map[string]touched         // by service, what has changed since the last snapshot
 	zones     evacuations
 	rollouts  rollouts
+	departed  departures // of endpoints whose entries are not known
 	at        uint64
 }
 
@@ -62,7 +75,7 @@
 func New() *Directory {
 	d := &Directory{
 		endpoints: map[string]Endpoint{}, ended: map[string]bool{}, services: map[string]map[string]bool{}, changed: map[string]touched{},
-		zones: evacuations{}, rollouts: rollouts{},
+		zones: evacuations{}, rollouts: rollouts{}, departed: departures{},
 	}
 	d.snapshot.Store(&Snapshot{Endpoints: map[string][]Endpoint{}})
 	return d
@@ -101,6 +114,7 @@
 // forget drops endpoints of which nothing has to be remembered any more. Only those that
 // are not listed are looked at: of 10,000 endpoints a few.
 func (d *Directory) forget(now time.Time) {
+	d.departed.forget(now)
 	for id := range d.ended {
 		e := d.endpoints[id]
 		if !e.forgotten(now) {
@@ -127,11 +141,16 @@
 
 // applyEntry notes an endpoint's entry.
 func (d *Directory) applyEntry(entry Entry, now time.Time, applied *Applied) {
-	if e, known := d.endpoints[entry.Endpoint.VM]; known {
-		d.set(e.withEntry(entry, now), applied)
-		return
+	e, known := d.endpoints[entry.Endpoint.VM]
+	if known {
+		e = e.withEntry(entry, now)
+	} else {
+		e = newEndpoint(entry, now)
+	}
+	if d.departed.take(e.VM, e.Start) && e.State != Leaving {
+		e = e.withState(Leaving, now)
 	}
-	d.set(newEndpoint(entry, now), applied)
+	d.set(e, applied)
 }
 
 // applyGone notes that an entry went.
@@ -203,17 +222,26 @@
 }
 
 // MarkLeaving notes that one start of an endpoint said that it leaves, or that another
-// incarnation answers at its address. It reports whether that was news.
+// incarnation answers at its address. It reports whether that was news. An endpoint whose entry is
+// read later is known to leave then.
 func (d *Directory) MarkLeaving(id string, start int64, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e, known := d.endpoints[id]
-	if !known || e.State == Leaving || e.Start != start {
-		return false
+	switch {
+	case known && e.Start == start:
+		if e.State == Leaving {
+			return false
+		}
+		d.keep(e, e.withState(Leaving, now))
+		d.publish(now)
+		return true
+	case known && start < e.Start:
+		return false // a start before the one that is known
 	}
-	d.keep(e, e.withState(Leaving, now))
-	d.publish(now)
-	return true
+	_, noted := d.departed[departure{id, start}]
+	d.departed.add(id, start, now)
+	return !noted
 }
 
 // isConfigured reports whether a service is one that requests can go to; d.mu is held.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -251,3 +251,43 @@
 		assert.Equal(t, tell(c.revision, c.left, c.after).WarmAt, start.Add(c.warmAt), c.name)
 	}
 }
+
+// TestLeavingIsRememberedWhileListed: the store may go on to say ready for as long as it likes.
+func TestLeavingIsRememberedWhileListed(t *testing.T) {
+	d := directory.New()
+	d.Apply(directory.Changes{Whole: true, At: 2, Entries: []directory.Entry{entry("a", 1), entry("b", 2)}}, start)
+	assert.Assert(t, d.MarkLeaving("a", 0, start))
+	revision := uint64(3)
+	for after := time.Minute; after < time.Hour; after += time.Minute {
+		d.Apply(directory.Changes{At: revision}, start.Add(after))
+		d.Apply(directory.Changes{Whole: true, At: revision, Entries: []directory.Entry{entry("a", 1), entry("b", 2)}}, start.Add(after))
+		assert.DeepEqual(t, listed(d), []string{"b"})
+		revision++
+	}
+	end := start.Add(time.Hour)
+	d.Apply(directory.Changes{At: revision, Gone: []directory.Gone{{ID: "a", Revision: revision}}}, end)
+	d.Apply(directory.Changes{At: revision + 1}, end.Add(time.Minute))
+	_, known := d.Endpoint("a")
+	assert.Assert(t, known, "a late read may repeat its entry")
+	d.Apply(directory.Changes{At: revision + 2}, end.Add(time.Hour))
+	_, known = d.Endpoint("a")
+	assert.Assert(t, !known, "nothing has to be remembered")
+}
+
+// TestDeparturesAreBounded, and the latest ones are kept.
+func TestDeparturesAreBounded(t *testing.T) {
+	d := directory.New()
+	const many = 5000
+	for i := range many {
+		assert.Assert(t, d.MarkLeaving(fmt.Sprint("e", i), 1, start.Add(time.Duration(i)*time.Millisecond)))
+	}
+	d.Apply(directory.Changes{Entries: []directory.Entry{startOf("e0", 1), startOf(fmt.Sprint("e", many-1), 1)}}, start.Add(time.Minute))
+	assert.DeepEqual(t, listed(d), []string{"e0"})
+}
+
+// startOf is an entry of one start.
+func startOf(id string, start int64) directory.Entry {
+	e := entry(id, 1)
+	e.Endpoint.Start = start
+	return e
+}
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -37,6 +37,7 @@
 	Changed  time.Time     // when the state was learnt
 	Revision uint64        // of the store's entry
 
+	Gone      bool // the store has no entry of it
 	Spoiled   bool // its entry is there and cannot be read, so that it names no server to use
 	Evacuated bool // its availability zone is being emptied; only a Snapshot tells
 	// Side is which version of the service it runs while one comes in; only a Snapshot tells.
@@ -76,7 +77,8 @@
 		return now.Sub(e.Changed) > missingFor
 	case Leaving:
 	}
-	return now.Sub(e.Changed) > leavingFor
+	// While the store still lists it, what it has said is remembered nowhere else.
+	return e.Gone && now.Sub(e.Changed) > leavingFor
 }
 
 // newEndpoint returns an endpoint that was not known before its entry was read.
@@ -138,9 +140,13 @@
 	if g.Revision < e.Revision {
 		return e
 	}
-	e.Revision, e.Spoiled = g.Revision, g.Spoiled
-	if e.State == Listed {
+	wentNow := !e.Gone && !g.Spoiled
+	e.Revision, e.Spoiled, e.Gone = g.Revision, g.Spoiled, !g.Spoiled
+	switch {
+	case e.State == Listed:
 		e.State, e.Changed = Missing, now
+	case e.State == Leaving && wentNow:
+		e.Changed = now
 	}
 	return e
 }
--- a/node/hear.go
+++ b/node/hear.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/lotuswing/lotuswing/coord/leaving"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/tenant"
@@ -24,3 +26,8 @@
 		n.log.Info("endpoint wants no requests", "id", vm, "service", service, "for", r.Word.Backoff.String(), "from", string(from))
 	}
 }
+
+// Admits reports whether the endpoint of a grant still may get the request.
+func (n *Node) Admits(g placement.Grant, _ time.Time) bool {
+	return !n.snapshot.Load().leaving.Has(g.Endpoint.VM)
+}
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -32,8 +32,7 @@
 func (s *Server) startChooser() error {
 	cfg := s.cfg
 	if cfg.Source != nil {
-		var err error
-		if s.direct, err = s.startDirect(); err != nil {
+		if err := s.startDirect(); err != nil {
 			return err
 		}
 		s.chooser = s.direct
@@ -51,7 +50,7 @@
 	return nil
 }
 
-func (s *Server) startDirect() (*direct.Chooser, error) {
+func (s *Server) startDirect() error {
 	settings := s.cfg.Settings
 	d := directory.New()
 	opts := directory.OptionsWithin(settings.Discovery.Within())
@@ -66,40 +65,48 @@
 	if s.cfg.Relays != nil && settings.Link != "" {
 		var err error
 		if s.relays, err = s.newRelays(); err != nil {
-			return nil, err
+			return err
 		}
 		opts.Standby, opts.Begin = true, s.relays.Begin
 		opts.OnAnswer, opts.OnFailure = s.relays.OnAnswer, s.relays.OnFailure
 	}
 	s.follower = directory.NewFollower(d, s.cfg.Source, opts)
 	ctx, stop := context.WithCancel(context.Background())
-	cfg := s.choiceConfig(stop)
+	s.direct = direct.New(s.choiceConfig(stop)) // before notes can come
 	if s.relays != nil {
-		if err := s.startRelays(&cfg); err != nil {
+		if err := s.startRelays(); err != nil {
 			stop()
-			return nil, err
+			return err
 		}
+		s.limits.SetCarrier(s.relays)
 	}
 	if s.keeper != nil {
 		go s.keeper.Run(ctx)
 		go s.rollouts.Run(ctx)
-		cfg.Evidence = s.rollouts
-	}
-	if s.relays != nil {
-		s.limits.SetCarrier(s.relays)
 	}
 	go s.fleet.Run(ctx, s.carrier())
 	go s.follower.Run(ctx)
-	return direct.New(cfg), nil
+	return nil
 }
 
 // choiceConfig returns what choosing endpoints needs; stop ends the following of the store.
 func (s *Server) choiceConfig(stop func()) direct.Config {
-	return direct.Config{
+	cfg := direct.Config{
 		ID: s.cfg.Settings.ID, Zone: s.cfg.Settings.Zone, Regions: s.cfg.Settings.Regions, Directory: s.directory, Client: s.cfg.Policy.Client,
 		Log: s.cfg.Log.Named("choice"), Metrics: s.metrics, Stop: stop, Suspensions: s.suspended,
-		Limits: s.limits,
+		Limits: s.limits, Tell: s.tell,
 	}
+	if s.keeper != nil {
+		cfg.Evidence = s.rollouts
+	}
+	if s.relays != nil {
+		cfg.Handover = s.relays.Leave
+		cfg.Stop = func() {
+			stop()
+			s.relays.Close()
+		}
+	}
+	return cfg
 }
 
 // spareShare is the part of what the operators bear with above a quota that a balancer gives out
@@ -163,12 +170,17 @@
 
 // hearNote takes a note of another balancer.
 func (s *Server) hearNote(n relay.Note) {
-	if n.Topic != limits.Topic {
+	var err error
+	switch n.Topic {
+	case limits.Topic:
+		err = s.limits.Hear(n)
+	case direct.LeavingTopic:
+		err = s.direct.HearNote(n)
+	default:
 		s.keeper.Hear(n)
-		return
 	}
-	if err := s.limits.Hear(n); err != nil {
-		s.cfg.Log.Warn("note not read", "from", n.Origin, "error", err)
+	if err != nil {
+		s.cfg.Log.Warn("note not read", "from", n.Origin, "topic", n.Topic, "error", err)
 	}
 }
 
@@ -203,8 +215,8 @@
 	}), nil
 }
 
-// startRelays starts it and lets it end with the chooser.
-func (s *Server) startRelays(cfg *direct.Config) error {
+// startRelays starts it.
+func (s *Server) startRelays() error {
 	l, err := net.Listen("tcp", s.cfg.Settings.Link)
 	if err != nil {
 		return fmt.Errorf("server: link address: %w", err)
@@ -212,11 +224,5 @@
 	if err := s.relays.Start(l, s.follower); err != nil {
 		return errors.Join(err, l.Close())
 	}
-	stop := cfg.Stop
-	cfg.Handover = s.relays.Leave
-	cfg.Stop = func() {
-		stop()
-		s.relays.Close()
-	}
 	return nil
 }
--- a/upstream/dialect_test.go
+++ b/upstream/dialect_test.go
@@ -198,3 +198,29 @@
 		assert.Equal(t, len(e.Requests()), 2)
 	}
 }
+
+// TestWithdrawnRequestIsNotSent: an endpoint that wants no more requests once there is a connection
+// gets nothing, on a new connection or on one that was used before.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	e := scriptedEndpoint(t, rawendpoint.Answer(signed))
+	c := platformClient(t, false)
+	send := func(admitted bool) upstream.Result {
+		in, err := http.NewRequest(http.MethodPost, "http://caller/x/", nil)
+		assert.NilError(t, err)
+		return c.Send(context.Background(), upstream.Request{
+			ID: "r1", Addr: e.Addr(), In: in, Body: upstream.NewBody(strings.NewReader("petition"), 1<<10),
+			Deadline: time.Now().Add(5 * time.Second), BufferBytes: 1 << 10, Admitted: func() bool { return admitted },
+		})
+	}
+	for _, earlier := range []int{0, 1, 2} {
+		res := send(false)
+		assert.Equal(t, res.Verdict, verdict.NotRun)
+		assert.Equal(t, res.Reason, reason.Withdrawn)
+		assert.Assert(t, res.Withdrawn)
+		res.Close()
+		assert.Equal(t, len(e.Requests()), earlier)
+		sent := send(true)
+		assert.Equal(t, sent.Verdict, verdict.Ran)
+		sent.Close()
+	}
+}
--- a/upstream/judge.go
+++ b/upstream/judge.go
@@ -117,6 +117,9 @@
 	switch {
 	case !x.got:
 		return Result{Verdict: verdict.NotRun, Reason: dialReason(cause), Err: err}
+	case x.withdrawn: // sealed before anything could be written
+		_ = x.conn.Close()
+		return Result{Verdict: verdict.NotRun, Reason: reason.Withdrawn, Withdrawn: true, Err: err}
 	case x.rested: // sealed before anything could be written
 		_ = x.conn.Close()
 		return Result{Verdict: verdict.NotRun, Reason: reason.NothingWritten, Rested: true, Err: err}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -27,6 +27,10 @@
 	// MostIdle is how long the connection may have rested that the request goes out on; 0
 	// for any time. Where only others are open the request is not sent, see Result.Rested.
 	MostIdle time.Duration
+	// Admitted reports, once there is a connection, whether the endpoint still may get the
+	// request; nil for yes. Where it may not, nothing is sent, see Result.Withdrawn. It is not
+	// asked over HTTP/2, whose connections have other requests on them.
+	Admitted func() bool
 	// Informational passes on 1xx responses; may be nil.
 	Informational func(code int, header http.Header)
 }
@@ -42,6 +46,8 @@
 	Report   Report
 	Buffered bool // the response is whole, in memory
 	Rested   bool // nothing was sent, because the connection had rested for longer than MostIdle
+	// Withdrawn: nothing was sent, because the endpoint may not get the request any more.
+	Withdrawn bool
 	// Broken: the request was sent and its connection ended before the response did, though
 	// there was time left, as it does where the endpoint ends.
 	Broken bool
@@ -67,6 +73,9 @@
 	timer := time.AfterFunc(remaining, func() { cancel(context.DeadlineExceeded) })
 	defer timer.Stop()
 	x := &exchange{mostIdle: r.MostIdle}
+	if !c.http2 {
+		x.admitted = r.Admitted
+	}
 	response, err := c.transport.RoundTrip(c.outgoing(httptrace.WithClientTrace(ctx, x.trace(r)), r, remaining))
 	end := func() { cancel(context.Canceled) }
 	if err != nil {
@@ -115,12 +124,14 @@
 // exchange watches which connection an attempt was given.
 type exchange struct {
 	mostIdle time.Duration // 0 for any
+	admitted func() bool   // nil for always
 
-	mu     sync.Mutex
-	got    bool
-	conn   *conn
-	begun  int64 // writes on the connection before this attempt
-	rested bool  // the connection had rested for too long and is sealed
+	mu        sync.Mutex
+	got       bool
+	conn      *conn
+	begun     int64 // writes on the connection before this attempt
+	rested    bool  // the connection had rested for too long and is sealed
+	withdrawn bool  // the endpoint may not get the request any more, and the connection is sealed
 }
 
 func (x *exchange) gotConn(info httptrace.GotConnInfo) {
@@ -131,7 +142,11 @@
 	if x.conn != nil {
 		x.begun = x.conn.writes.Load()
 	}
-	x.rested = x.conn != nil && x.mostIdle > 0 && info.Reused && info.IdleTime > x.mostIdle && x.conn.seal(x.begun)
+	if x.conn == nil {
+		return
+	}
+	x.withdrawn = x.admitted != nil && !x.admitted() && x.conn.seal(x.begun)
+	x.rested = !x.withdrawn && x.mostIdle > 0 && info.Reused && info.IdleTime > x.mostIdle && x.conn.seal(x.begun)
 }
 
 func (x *exchange) trace(r Request) *httptrace.ClientTrace {
