An endpoint that refuses with Retry-After gets nothing from this balancer until then, and little at first

What callers saw: up to a tenth of the requests of a service refused while eight of its ten endpoints had room, because two that refused everything were chosen again and again.

Cause: a refusal counted for 25 ms. Retry-After of an endpoint was read only to be passed on to the caller, for whom it is not meant, and the endpoint's load report went on to promise an idle one.

Change: coord/admission is the one rule whether and from when an endpoint may get a request, of what is listed, what its answers say, its limit, and what became of requests since it wanted none. While it wants none it gets neither requests nor probes, and those chosen before are withdrawn. Afterwards it gets one at a time until it has run one, and a share of the usual requests that grows to all of them within as long as the backoff, two seconds at most; more urgent kinds first: priorities of routes and teams, which no decision read, decide that. Where all endpoints want none, requests are refused at once (LW2014), with when the first one opens and a spread. A refusal's own Retry-After goes to no caller any more.

Why it works: a refusal with a time is the endpoint's word on all requests, whatever its load report says, so it comes before it. Nothing takes it back but time or another start.

--- a/access/access.go
+++ b/access/access.go
@@ -33,7 +33,7 @@
 type Team struct {
 	Name     string
 	Keys     []string
-	Priority int         // 0 the most urgent; no decision reads it yet
+	Priority int         // 0 the most urgent; it goes before that of a route
 	Quota    quota.Limit // of all balancers together; the zero value for none
 	Regions  []string    // in which its requests may be served; empty for all
 }
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -44,6 +44,7 @@
 func (x *exchange) logNoEndpoint(number int, r *placement.Refusal, now time.Time) {
 	x.log.Line(telemetry.EventNoEndpoint).Int("attempt", int64(number)).Text("reason", string(r.Reason)).
 		Int("known", int64(r.Search.Known)).Int("ejected", int64(r.Search.Ejected)).Int("full", int64(r.Search.Full)).Int("limited", int64(r.Search.Limited)).
+		Int("backing_off", int64(r.Search.BackingOff)).
 		Millis("best_ms", r.Search.Best).Int("probes", int64(r.Search.Probes)).Millis("waited_ms", now.Sub(x.searching)).Done()
 }
 
--- a/balancer/identify.go
+++ b/balancer/identify.go
@@ -95,6 +95,16 @@
 	return regions.With(placement.Within(team.Regions))
 }
 
+// priority returns how urgent the request is, 0 the most: that of its team goes before that of its
+// route.
+func (x *exchange) priority(table *access.Table) int {
+	if table == nil || x.team == "" {
+		return x.route.Kind.Priority
+	}
+	team, _ := table.Team(x.team)
+	return team.Priority
+}
+
 // nameTeam names the team to the endpoint and keeps the key from it, whatever the caller
 // sent.
 func (x *exchange) nameTeam(header string) {
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -124,6 +124,7 @@
 		Accepted: x.accepted,
 		Target:   kind.Target,
 		Alone:    x.pass.Trial,
+		Priority: x.priority(b.teams()),
 		Regions:  x.regions(b.teams()),
 	})
 	now := time.Now()
@@ -247,7 +248,8 @@
 	res.Verdict = overall(res.Verdict, x.mayHaveRun)
 	retryAfter := retryAfterFailure(x)
 	if res.Response != nil && (res.Reason == "" || !b.cfg.Policy.OwnRefusals) {
-		if res.Response.Header.Get("Retry-After") == "" {
+		if res.Reason != "" || res.Response.Header.Get("Retry-After") == "" {
+			// The refusal's own time is for this balancer, which may have other endpoints.
 			res.Response.Header.Set("Retry-After", b.cfg.Policy.Dialect.FormatRetryAfter(retryAfter))
 		}
 		if err := b.forward(x, res); err != nil {
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -70,6 +70,7 @@
 	Kind     string        // request kind, whose usual service time is learnt
 	Accepted time.Time     // when the balancer accepted the request
 	Target   time.Duration // latency objective, counted from Accepted; 0 for none
+	Priority int           // 0 the most urgent
 	Alone    bool          // an endpoint that holds nothing else is wanted, if there is one
 	Regions  Regions       // in which it may be served
 }
@@ -109,6 +110,7 @@
 	Busy     int           // requests that it is thought to hold, this one included
 	Side     Side          // which version of the service the endpoint runs, while one comes in
 	Cold     bool          // it warms up
+	Trial    bool          // it had wanted no requests for a while, and has run none since
 	Limited  bool          // it names how many requests a second it takes, and has room for this one
 	Estimate time.Duration // until the response
 	Age      time.Duration // of the report; below 0 without one
@@ -119,6 +121,7 @@
 type Search struct {
 	Known, Ejected, Full int           // numbers of endpoints
 	Limited              int           // of these, at the limits that they name
+	BackingOff           int           // of these, that want no requests for a while, or few after it
 	Best                 time.Duration // lowest estimate
 	Probes               int           // load reports asked for
 }
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -25,17 +25,19 @@
 	QuotaExceeded    Code = "LW2011"
 	EndpointsLimited Code = "LW2012"
 	OutOfRegion      Code = "LW2013"
-	DialFailed       Code = "LW3001"
-	NothingWritten   Code = "LW3002"
-	EndpointRefused  Code = "LW3003"
-	AnswerUnknown    Code = "LW3004"
-	AnswerLate       Code = "LW3005"
-	AnswerForeign    Code = "LW3006"
-	UpgradeFailed    Code = "LW3007"
-	EndpointReplaced Code = "LW3008"
-	AnswerSpoiled    Code = "LW3009"
-	AnswerCut        Code = "LW3010"
-	Withdrawn        Code = "LW3011"
+
+	EndpointsBackingOff Code = "LW2014"
+	DialFailed          Code = "LW3001"
+	NothingWritten      Code = "LW3002"
+	EndpointRefused     Code = "LW3003"
+	AnswerUnknown       Code = "LW3004"
+	AnswerLate          Code = "LW3005"
+	AnswerForeign       Code = "LW3006"
+	UpgradeFailed       Code = "LW3007"
+	EndpointReplaced    Code = "LW3008"
+	AnswerSpoiled       Code = "LW3009"
+	AnswerCut           Code = "LW3010"
+	Withdrawn           Code = "LW3011"
 )
 
 const firstRelease = "0.1.0"
@@ -63,6 +65,7 @@
 	{QuotaExceeded, "the team's quota is used up", "The team has sent as many requests through all balancers together as its rate and burst allow. This one was not sent.", "Expected while the team sends more than its quota; the caller should come back after Retry-After. 'lotusctl quota' shows what is left and who takes it.", 429, "0.3.0", Info},
 	{EndpointsLimited, "all endpoints are at the limits that they name", "Each endpoint of the service that the request might go to names in its answers how many requests a second it takes from all balancers together, and they have got as many. The request was not sent.", "The caller should come back after Retry-After, when there is room. 'lotusctl limits' shows the endpoints and what they name; find out why they are in need, or add endpoints.", 503, "0.3.0", Warning},
 	{OutOfRegion, "no endpoint in a region where the request may be served", "The request's route or team, or both together, name the regions in which it may be served, and the service has no endpoint in any of them. The request was not sent.", "Add endpoints there, or change the regions of the route or the team; the setting 'regions' says in which region each availability zone lies.", 503, "0.3.0", Urgent},
+	{EndpointsBackingOff, "all endpoints want no requests for a while", "Each endpoint of the service that the request might go to has refused requests of this balancer with 503 and Retry-After, and that time has not passed, or has just passed and the endpoint gets requests again little by little. The request was not sent.", "The caller should come back after Retry-After, when the first endpoint takes requests again. 'lotusctl endpoints' shows which endpoints want none and until when; find out why they refuse, or add endpoints.", 503, "0.3.0", Warning},
 	{DialFailed, "no connection to the endpoint", "No connection could be opened, so nothing was sent.", "Check the endpoint's VM.", 503, firstRelease, Warning},
 	{NothingWritten, "connection failed before anything was sent", "The connection failed before the first byte of the request was written.", "Nothing; it is retried when time allows.", 503, firstRelease, Info},
 	{EndpointRefused, "the endpoint refused the request", "The endpoint answered that it did not run the request.", "Expected when endpoints shed load or drain.", 503, firstRelease, Info},
--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/lotuswing/lotuswing/coord/limit"
+	"github.com/lotuswing/lotuswing/coord/admission"
 )
 
 const (
@@ -37,12 +37,10 @@
 type Listing struct {
 	Slots    int
 	SameZone bool // as the balancer
-	// Limit is whether it may be sent anything, where it names how many requests a second it
-	// takes, and OpensIn for how long it may not; 0 where that is not known.
-	Limit    limit.Standing
-	OpensIn  time.Duration
-	WarmAt   time.Time // until then it warms up
-	WarmTold time.Time // when that was told
+	// Admission is whether and from when the request may go there; it is not Never.
+	Admission admission.Decision
+	WarmAt    time.Time // until then it warms up
+	WarmTold  time.Time // when that was told
 }
 
 // Usual is what was learnt of a request's kind and service. It belongs to one ranking: it
@@ -73,18 +71,17 @@
 
 // Candidate is an endpoint that may get a request, as it is at one time.
 type Candidate struct {
-	Index    int           // in the list that the candidates were made of
-	Estimate time.Duration // until its response
-	Age      time.Duration // of its last report; very old where there is none
-	Busy     int           // requests that it is thought to hold
-	Slots    int           // requests that it works on at once
-	Full     bool          // it should hold no more
-	Good     bool          // there is no need to look for a better one
-	Ejected  bool          // for failures
-	Cold     bool          // it warms up
-	Closed   bool          // it warms up, and may get nothing now
-	Limit    limit.Standing
-	OpensIn  time.Duration // see Listing
+	Index     int           // in the list that the candidates were made of
+	Estimate  time.Duration // until its response
+	Age       time.Duration // of its last report; very old where there is none
+	Busy      int           // requests that it is thought to hold
+	Slots     int           // requests that it works on at once
+	Full      bool          // it should hold no more
+	Good      bool          // there is no need to look for a better one
+	Ejected   bool          // for failures
+	Cold      bool          // it warms up
+	Closed    bool          // it warms up, and may get nothing now
+	Admission admission.Decision
 
 	cost time.Duration // the estimate with zoneCost and connectionCost
 	tie  uint32        // random, decides between equals
@@ -102,16 +99,15 @@
 		Crowding: &usual.Crowding,
 	}
 	c := Candidate{
-		Index:    index,
-		Estimate: e.load.Estimate(conditions, usual.Work, now) + time.Duration(e.unanswered)*unansweredCost,
-		Age:      e.load.Age(now),
-		Busy:     e.load.Busy(now),
-		Slots:    e.load.Slots(l.Slots),
-		Ejected:  e.health.Ejected(now),
-		Cold:     cold,
-		Limit:    l.Limit,
-		OpensIn:  l.OpensIn,
-		tie:      tie,
+		Index:     index,
+		Estimate:  e.load.Estimate(conditions, usual.Work, now) + time.Duration(e.unanswered)*unansweredCost,
+		Age:       e.load.Age(now),
+		Busy:      e.load.Busy(now),
+		Slots:     e.load.Slots(l.Slots),
+		Ejected:   e.health.Ejected(now),
+		Cold:      cold,
+		Admission: l.Admission,
+		tie:       tie,
 	}
 	if !l.SameZone {
 		c.Estimate += zoneDelay
@@ -125,8 +121,8 @@
 	}
 	c.cost += c.Estimate
 	c.Closed = cold && e.closed(usual, index, c.Estimate, now)
-	c.Full = c.Closed || c.Limit == limit.Withheld || c.Busy >= usual.roomOf(c.Slots) || now.Before(e.pausedUntil)
-	c.Good = !c.Full && c.Limit.Admits() && e.unanswered == 0 && e.load.Pace(now) <= goodPace
+	c.Full = c.Closed || c.Admission.Access == admission.Shut || c.Busy >= usual.roomOf(c.Slots) || now.Before(e.pausedUntil)
+	c.Good = !c.Full && c.Admission.Admits() && e.unanswered == 0 && e.load.Pace(now) <= goodPace
 	return c
 }
 
@@ -182,19 +178,19 @@
 	return nil, false
 }
 
-// Withheld reports whether nothing may be sent to any candidate because of the limits that they
-// name, and after which time the first one may be asked again; 0 where that is not known.
-func (r *Ranking) Withheld() (opensIn time.Duration, all bool) {
+// Shut reports whether no candidate may get the request now, why the first one that opens may not,
+// and after which time it may; 0 where that is not known.
+func (r *Ranking) Shut() (first admission.Decision, all bool) {
 	for i := range r.list {
-		c := &r.list[i]
-		if c.Limit != limit.Withheld {
-			return 0, false
+		d := r.list[i].Admission
+		if d.Access != admission.Shut {
+			return admission.Decision{}, false
 		}
-		if i == 0 || c.OpensIn < opensIn {
-			opensIn = c.OpensIn
+		if i == 0 || d.OpensIn < first.OpensIn {
+			first = d
 		}
 	}
-	return opensIn, len(r.list) > 0
+	return first, len(r.list) > 0
 }
 
 // Len returns the number of candidates.
--- a/coord/selection/decide.go
+++ b/coord/selection/decide.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"time"
 
-	"github.com/lotuswing/lotuswing/coord/limit"
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 )
@@ -54,7 +54,7 @@
 // passed; then it takes the best one if that is acceptable.
 func (o Options) Decide(list *Ranking, r placement.Request, s Situation, now time.Time) Decision {
 	giveUp := !now.Before(s.GiveUp)
-	opensIn, withheld := list.Withheld()
+	first, shut := list.Shut()
 	switch {
 	case list.Len() == 0 && s.OutOfRegion:
 		return Decision{Do: Refuse, Reason: reason.OutOfRegion}
@@ -64,10 +64,10 @@
 		return Decision{Do: Refuse, Reason: reason.NoEndpoint}
 	case s.CallerLeft:
 		return Decision{Do: Refuse, Reason: reason.CallerLeft}
-	case withheld && (giveUp || now.Add(opensIn).After(s.GiveUp)):
-		return Decision{Do: Refuse, Reason: reason.EndpointsLimited, After: opensIn}
-	case withheld:
-		return Decision{Do: Wait, Pause: cmp.Or(min(opensIn, s.GiveUp.Sub(now)), o.LookAgain)}
+	case shut && (giveUp || now.Add(first.OpensIn).After(s.GiveUp)):
+		return Decision{Do: Refuse, Reason: whyShut(first.Cause), After: first.OpensIn}
+	case shut:
+		return Decision{Do: Wait, Pause: cmp.Or(min(first.OpensIn, s.GiveUp.Sub(now)), o.LookAgain)}
 	case list.Best().Good, (s.Blind || giveUp) && list.Best().acceptable(r, now):
 		return Decision{Do: Take}
 	case !now.Before(r.Deadline):
@@ -78,13 +78,21 @@
 	return Decision{Do: Wait, Pause: min(o.LookAgain, s.GiveUp.Sub(now))}
 }
 
+// whyShut returns why a request is refused that no endpoint may get.
+func whyShut(c admission.Cause) reason.Code {
+	if c == admission.Limited {
+		return reason.EndpointsLimited
+	}
+	return reason.EndpointsBackingOff
+}
+
 // acceptable reports whether a candidate has a free slot and is thought to respond
 // within the target. A request never waits at an endpoint: it would start there at
 // whatever pace the endpoint has when a slot becomes free, and an endpoint whose
 // slots are all taken is slower for everybody: without the rule simulated days of
 // 17 balancers under overload lost 0.032 of their worth, others nothing.
 func (c *Candidate) acceptable(r placement.Request, now time.Time) bool {
-	if c.Closed || !c.Limit.Admits() || c.Busy >= c.Slots {
+	if c.Closed || !c.Admission.Admits() || c.Busy >= c.Slots {
 		return false
 	}
 	return r.Target <= 0 || !now.Add(c.Estimate).After(r.Accepted.Add(r.Target))
@@ -100,8 +108,11 @@
 		if r.list[i].Full {
 			s.Full++
 		}
-		if r.list[i].Limit == limit.Withheld {
+		switch r.list[i].Admission.Cause {
+		case admission.Limited:
 			s.Limited++
+		case admission.BackingOff, admission.SlowStart:
+			s.BackingOff++
 		}
 	}
 	if len(r.list) > 0 {
--- a/coord/selection/probe.go
+++ b/coord/selection/probe.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotuswing/lotuswing/coord/limit"
+	"github.com/lotuswing/lotuswing/coord/admission"
 )
 
 const (
@@ -30,19 +30,19 @@
 		return false
 	}
 	best := list.Best()
-	if best.Limit == limit.Askable {
+	if best.Admission.Access == admission.Askable {
 		return false // there may be no room for the request
 	}
 	return !best.Good || best.Age > o.ProbeFresh || usual.looksFurther(best)
 }
 
 // NextProbe returns the best candidate whose report is not fresh and that mayProbe allows, by
-// its index in the list that the candidates were made of. An endpoint at its limit is spared
-// probes as well.
+// its index in the list that the candidates were made of. An endpoint that wants no requests is
+// spared probes as well.
 func (o Options) NextProbe(list *Ranking, mayProbe func(index int) bool) (index int, ok bool) {
 	for i := range list.Len() {
 		c := list.At(i)
-		if c.Age > o.ProbeFresh && c.Limit.Admits() && mayProbe(c.Index) {
+		if c.Age > o.ProbeFresh && c.Admission.Admits() && mayProbe(c.Index) {
 			return c.Index, true
 		}
 	}
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -7,8 +7,9 @@
 	"slices"
 	"time"
 
-	"github.com/lotuswing/lotuswing/coord/limit"
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/coord/selection"
 	"github.com/lotuswing/lotuswing/directory"
@@ -143,17 +144,35 @@
 	s.ranking.Reset(len(members))
 	for _, i := range members {
 		e := &s.listed[i]
-		if !e.Usable(now) || side != placement.AnySide && e.Side != side || slices.Contains(s.request.Avoid, e.VM) || !c.inRegion(s, e) {
+		if side != placement.AnySide && e.Side != side || slices.Contains(s.request.Avoid, e.VM) || !c.inRegion(s, e) || !e.Usable(now) {
 			continue
 		}
 		known := c.knownOf(s, members, e, now)
-		listing := selection.Listing{Slots: e.Slots, SameZone: e.Zone == c.cfg.Zone, WarmAt: e.WarmAt, WarmTold: e.WarmTold}
-		listing.Limit, listing.OpensIn = c.standing(e, now)
+		admitted := c.admission(s, i, known, now)
+		if admitted.Access == admission.Never {
+			continue
+		}
+		listing := selection.Listing{Slots: e.Slots, SameZone: e.Zone == c.cfg.Zone, Admission: admitted, WarmAt: e.WarmAt, WarmTold: e.WarmTold}
 		s.ranking.Add(selection.NewCandidate(&known.state, i, listing, &s.usual, c.rng.Uint32(), now))
 	}
 	s.ranking.DropEjected()
 }
 
+// admission decides whether and from when a request may go to an endpoint; c.mu is held.
+func (c *Chooser) admission(s *search, index int, known *endpoint, now time.Time) admission.Decision {
+	e := &s.listed[index]
+	f := admission.Facts{Usable: e.Usable(now), State: known.admission, Lot: s.lotOf(index), Priority: s.request.Priority}
+	f.Limit, f.LimitOpens = c.standing(e, now)
+	return admission.Decide(f, now)
+}
+
+// lotOf returns the request's random number for an endpoint, by its place in the list. It is the
+// same however often the request looks.
+func (s *search) lotOf(index int) float64 {
+	const goldenRatio = 0x9e3779b9 // spreads neighbouring places
+	return float64((s.lot^uint32(index+1)*goldenRatio)*goldenRatio) / (1 << 32)
+}
+
 // knownOf returns what is remembered of an endpoint. One that appears after the
 // service's others has joined it, and is tried by as many balancers as use each of the
 // others. Another start under the identity of an earlier one has joined it, too: what was
@@ -212,10 +231,11 @@
 	defer c.mu.Unlock()
 	e := c.known(target)
 	c.noteSent(e, now)
-	e.state = e.state.WithSent()
+	trial := e.admission.OnTrial(now)
+	e.state, e.admission = e.state.WithSent(), e.admission.WithSent(now)
 	load := e.state.Load()
 	choice := placement.Choice{
-		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, Limited: best.Limit == limit.Held, Estimate: best.Estimate, Age: -1, Probes: s.probes,
+		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, Trial: trial, Limited: best.Admission.Held, Estimate: best.Estimate, Age: -1, Probes: s.probes,
 	}
 	if age := load.Age(now); age < oldestAge {
 		choice.Age = age
@@ -228,6 +248,16 @@
 // oldestAge is the age from which a report counts as none in the log.
 const oldestAge = time.Hour
 
+// retryAfter returns when the caller of a refused request should come back. Callers that wait for
+// the end of one backoff are spread behind it.
+func retryAfter(d selection.Decision, target time.Duration) time.Duration {
+	spread := retry.AfterNoEndpoint(target, rand.Float64())
+	if d.Reason == reason.EndpointsBackingOff {
+		return d.After + spread
+	}
+	return max(d.After, spread)
+}
+
 // refuse says why there is no endpoint, with what was known of them.
 func (c *Chooser) refuse(s *search, d selection.Decision) *placement.Refusal {
 	c.mu.Lock()
@@ -235,7 +265,7 @@
 	c.mu.Unlock()
 	return &placement.Refusal{
 		Reason:     d.Reason,
-		RetryAfter: max(d.After, retry.AfterNoEndpoint(s.request.Target, rand.Float64())),
+		RetryAfter: retryAfter(d, s.request.Target),
 		Search:     s.ranking.Search(s.probes),
 	}
 }
--- a/direct/complete.go
+++ b/direct/complete.go
@@ -96,7 +96,7 @@
 		}
 	}
 	for id, e := range c.endpoints {
-		if !listed[id] && e.state.Load().InFlight() == 0 {
+		if !listed[id] && e.state.Load().InFlight() == 0 && !e.admission.BackingOff(now) {
 			delete(c.endpoints, id)
 		}
 	}
--- a/direct/hear.go
+++ b/direct/hear.go
@@ -27,6 +27,9 @@
 		c.cfg.Limits.Answered(e, r.Limit)
 	}
 	c.hear(e, r, fromAnswer)
+	if r.Ran && g.Choice.Trial {
+		c.proved(e, r)
+	}
 }
 
 // hearProbe takes what the answer to a probe says. Another instance at the address speaks for
@@ -63,6 +66,15 @@
 	}
 }
 
+// proved notes that an endpoint which had wanted no requests for a while has run one.
+func (c *Chooser) proved(e limits.Endpoint, r upstream.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.endpoints[e.ID]; ok && known.start == e.Start {
+		known.admission = known.admission.WithRun(r.Asked)
+	}
+}
+
 // logBackoff logs that an endpoint asks for a backoff. One that does so again while it lasts is
 // logged for debugging only.
 func (c *Chooser) logBackoff(e limits.Endpoint, r upstream.Report, again bool, from string) {
--- a/direct/leaving.go
+++ b/direct/leaving.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/relay"
@@ -73,6 +74,15 @@
 
 // Admits reports whether the endpoint of a grant still may get the request.
 func (c *Chooser) Admits(g placement.Grant, now time.Time) bool {
-	e, ok := c.cfg.Directory.Snapshot().Find(tenant.ServiceName(g.Service), g.Endpoint.VM)
-	return ok && e.Start == g.Choice.Start && e.Usable(now)
+	listed, ok := c.cfg.Directory.Snapshot().Find(tenant.ServiceName(g.Service), g.Endpoint.VM)
+	if !ok || listed.Start != g.Choice.Start {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.endpoints[g.Endpoint.VM]
+	if !ok || known.start != g.Choice.Start {
+		return listed.Usable(now)
+	}
+	return admission.Willing(listed.Usable(now), known.admission, now)
 }
--- a/direct/limits.go
+++ b/direct/limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/limits"
@@ -41,7 +42,7 @@
 		return false
 	}
 	best := s.ranking.Best()
-	if best.Limit != limit.Askable || best.Closed {
+	if best.Admission.Access != admission.Askable || best.Closed {
 		return false
 	}
 	e := s.listed[best.Index]
--- a/server/platform_test.go
+++ b/server/platform_test.go
@@ -1,6 +1,7 @@
 package server_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,7 +79,7 @@
 	assert.NilError(t, err)
 	store := platform.NewStore(s.Discovery.URL)
 	srv, err := server.Start(server.Config{
-		Settings: s, Log: hclog.NewNullLogger(), Traces: io.Discard, Source: store, Relays: store, Policy: platform.Policy(s.Retries),
+		Settings: s, Log: failureLog(t, name), Traces: io.Discard, Source: store, Relays: store, Policy: platform.Policy(s.Retries),
 		Suspended: r.suspended,
 	})
 	assert.NilError(t, err)
@@ -85,6 +87,36 @@
 	return b
 }
 
+// logBuffer keeps what is logged. It is safe for concurrent use.
+type logBuffer struct {
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.String()
+}
+
+// failureLog returns a log that is printed if the test fails.
+func failureLog(t *testing.T, name string) hclog.Logger {
+	t.Helper()
+	var out logBuffer
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("\n" + out.String())
+		}
+	})
+	return hclog.New(&hclog.LoggerOptions{Name: name, Output: &out, Level: hclog.Info})
+}
+
 // isReady reports whether a balancer says that it is ready.
 func (b platformBalancer) isReady() bool {
 	resp, err := http.Get("http://" + b.admin + "/readyz")
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -59,6 +59,7 @@
 		{"ejected", "of these, ejected for failures"},
 		{"full", "of these, thought to have no room"},
 		{"limited", "of these, at the limits that they name"},
+		{"backing_off", "of these, that want no requests for a while, or few after it"},
 		{"best_ms", "lowest estimate among them"},
 		{"probes", "endpoints asked"},
 		{"waited_ms", "time spent looking"},
--- a/tenant/prefix.go
+++ b/tenant/prefix.go
@@ -27,7 +27,7 @@
 	Repeatable  bool
 	Timeout     time.Duration // longest time a request is held
 	Target      time.Duration // an answer within it has its full worth
-	Priority    int           // as configured, 0 the most urgent; no decision reads it yet
+	Priority    int           // 0 the most urgent
 	MaxAttempts int           // endpoints that one request may be sent to
 	MaxBody     int64         // bytes of a request's body; 0 for the process's limit alone
 	Split       []Share       // at least one
@@ -102,6 +102,7 @@
 			Patience:    r.Timeout,
 			Timeout:     r.Timeout,
 			Target:      r.Target,
+			Priority:    r.Priority,
 			MaxAttempts: r.MaxAttempts,
 			MaxBody:     r.MaxBody,
 			Public:      r.Public,
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -121,6 +121,7 @@
 
 	// Of routes by prefix; zero in templates.
 	Target      time.Duration // an answer within it has its full worth
+	Priority    int           // 0 the most urgent; that of a team goes before it
 	MaxAttempts int           // endpoints that one request may be sent to; 0 for the default
 	MaxBody     int64         // bytes of a request's body; 0 for the process's limit alone
 	Public      bool          // callers need no key, where teams have keys
--- a/upstream/judge.go
+++ b/upstream/judge.go
@@ -106,7 +106,9 @@
 	case reason.AnswerForeign, reason.AnswerSpoiled, reason.EndpointReplaced:
 		return Report{}
 	}
-	return c.reader.Read(response.StatusCode, response.Header, sent, heard)
+	report := c.reader.Read(response.StatusCode, response.Header, sent, heard)
+	report.Ran = res.Verdict == verdict.Ran && !promisesNotRun(response.StatusCode)
+	return report
 }
 
 // failure decides what an attempt without a response proves. cause is why its
--- a/upstream/report.go
+++ b/upstream/report.go
@@ -19,6 +19,7 @@
 type Report struct {
 	Asked time.Time // when the request was sent
 	Heard time.Time // when the head of the answer came; zero for no answer of the endpoint's own
+	Ran   bool      // it is the answer to a request that the endpoint ran
 
 	Instance string // identity of the incarnation; empty where it is not told
 	Load     placement.LoadReport
@@ -42,7 +43,7 @@
 // that leaves does so for good, and a backoff counted from a later time ends later. Loads,
 // limits and warm-ups are as of their time.
 func (r Report) Undated() Report {
-	return Report{Asked: r.Asked, Heard: r.Heard, Instance: r.Instance, Word: r.Word, Unread: r.Unread, Limit: limit.Answer{Mute: true, Asked: r.Asked, Heard: r.Heard}}
+	return Report{Asked: r.Asked, Heard: r.Heard, Ran: r.Ran, Instance: r.Instance, Word: r.Word, Unread: r.Unread, Limit: limit.Answer{Mute: true, Asked: r.Asked, Heard: r.Heard}}
 }
 
 const (
