A request on trial is not sent to a start of an endpoint that has ended under it

What callers saw: up to nine endpoints ended under one crashing request where six may (TestCrashingRequestIsStopped, one run in ten or twenty).

Cause: an endpoint that crashes and starts again within 50 ms is listed under its former start for up to 0.7 s, in which changes are gathered. Trials went there again, ended the next start, and were counted as the end of the former one once more: one start ends once. The evidence for a refusal stayed at one end while endpoints went on ending.

Change: a pass names the incarnations that ended under the request, and the choice leaves them out; another start of the same endpoint is tried. Endpoints that tell no start are as before. The test's addresses are given once: two tests could get the same free one, which failed 'must run once, under new ids' once.

--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -124,6 +124,7 @@
 		Accepted: x.accepted,
 		Target:   kind.Target,
 		Alone:    x.pass.Trial,
+		Ended:    x.pass.Ended,
 		Priority: x.priority(b.teams()),
 		Regions:  x.regions(b.teams()),
 	})
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -72,9 +72,16 @@
 	Target   time.Duration // latency objective, counted from Accepted; 0 for none
 	Priority int           // 0 the most urgent
 	Alone    bool          // an endpoint that holds nothing else is wanted, if there is one
+	Ended    []Incarnation // that ended under it; they get it no more, however long they are listed
 	Regions  Regions       // in which it may be served
 }
 
+// Incarnation is one start of an endpoint.
+type Incarnation struct {
+	VM    string
+	Start int64 // as it is listed
+}
+
 // Grant is the right to send one request to one endpoint.
 type Grant struct {
 	ID       string
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -144,7 +144,7 @@
 	s.ranking.Reset(len(members))
 	for _, i := range members {
 		e := &s.listed[i]
-		if side != placement.AnySide && e.Side != side || slices.Contains(s.request.Avoid, e.VM) || !c.inRegion(s, e) || !e.Usable(now) {
+		if side != placement.AnySide && e.Side != side || s.avoids(e) || !c.inRegion(s, e) || !e.Usable(now) {
 			continue
 		}
 		known := c.knownOf(s, members, e, now)
@@ -158,6 +158,12 @@
 	s.ranking.DropEjected()
 }
 
+// avoids reports whether the request must not go to an endpoint: it was there, or the endpoint has
+// ended under it.
+func (s *search) avoids(e *directory.Endpoint) bool {
+	return slices.Contains(s.request.Avoid, e.VM) || slices.Contains(s.request.Ended, placement.Incarnation{VM: e.VM, Start: e.Start})
+}
+
 // admission decides whether and from when a request may go to an endpoint; c.mu is held.
 func (c *Chooser) admission(s *search, index int, known *endpoint, now time.Time) admission.Decision {
 	e := &s.listed[index]
--- a/direct/start_test.go
+++ b/direct/start_test.go
@@ -86,3 +86,17 @@
 	assert.Equal(t, r.prober.total("e0"), probes+1)
 	assert.Assert(t, grant.Choice.Age < time.Hour)
 }
+
+// TestStartThatEndedUnderARequest gets it no more, however long it is listed; another start of the
+// endpoint does.
+func TestStartThatEndedUnderARequest(t *testing.T) {
+	r := newRig(1, selection.Options{ProbeBurst: 1000, LookAgain: time.Millisecond})
+	r.restart("e0", 7, 2)
+	request := ask()
+	request.Ended = []placement.Incarnation{{VM: "e0", Start: 7}}
+	_, refused := r.Acquire(context.Background(), request)
+	assert.Assert(t, refused != nil)
+	r.restart("e0", 8, 3)
+	_, refused = r.Acquire(context.Background(), request)
+	assert.Assert(t, refused == nil)
+}
--- a/quarantine/admit.go
+++ b/quarantine/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/crash"
+	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/relay"
 )
@@ -32,6 +33,10 @@
 	// Suspected: an endpoint has ended under it already. Whether another one ends is to be
 	// known before it is sent again.
 	Suspected bool
+	// Ended are the incarnations of endpoints that ended under a request on trial. The store may list
+	// them for a while after that: whatever has taken their place would end unnoticed, as the same end
+	// once more.
+	Ended []placement.Incarnation
 }
 
 // Refusal says why a request is not sent.
@@ -121,7 +126,18 @@
 	if err != nil {
 		k.cfg.Log.Warn("trial without the store's word that nobody else has one", "fingerprint", string(f), "request", r.ID, "error", err)
 	}
-	return Pass{Trial: true, Suspected: true}, nil, true
+	return Pass{Trial: true, Suspected: true, Ended: ended(is)}, nil, true
+}
+
+// ended returns the incarnations that ended under a request, as far as starts can be told apart.
+func ended(is crash.Case) []placement.Incarnation {
+	var all []placement.Incarnation
+	for _, e := range is.Ends() {
+		if e.Start != 0 {
+			all = append(all, placement.Incarnation{VM: e.Endpoint, Start: e.Start})
+		}
+	}
+	return all
 }
 
 // trialsOfTarget is how many times its target a trial of a request may take before another
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -301,7 +301,8 @@
 		assert.Assert(t, refused != nil, "the store's record tells it")
 		other := request("b")
 		pass, refused := late.Admit(r.ctx, other)
-		assert.Assert(t, refused == nil && pass == quarantine.Pass{}, "another request is none of this")
+		assert.Assert(t, refused == nil)
+		assert.DeepEqual(t, pass, quarantine.Pass{}) // another request is none of this
 	})
 }
 
@@ -337,6 +338,19 @@
 	})
 }
 
+// TestTrialNamesWhatHasEnded, so that the request is not sent to what the store still lists.
+func TestTrialNamesWhatHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		q := request("a")
+		r.ends(r.keepers[0], q, "e0", quarantine.Pass{})
+		r.ends(r.keepers[0], q, "e1", quarantine.Pass{})
+		pass, refused := r.keepers[1].Admit(r.ctx, q)
+		assert.Assert(t, refused == nil && pass.Trial)
+		assert.DeepEqual(t, pass.Ended, []placement.Incarnation{{VM: "e0", Start: 1}, {VM: "e1", Start: 1}})
+	})
+}
+
 // TestTrialThatShowsNothing: others that run out of patience are refused, not sent, and one
 // may try again after a while.
 func TestTrialThatShowsNothing(t *testing.T) {
--- a/server/platform_test.go
+++ b/server/platform_test.go
@@ -62,12 +62,20 @@
 // goes out that could take it.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.3:0")
-	assert.NilError(t, err)
-	assert.NilError(t, l.Close())
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.3:0")
+		assert.NilError(t, err)
+		assert.NilError(t, l.Close())
+		// The kernel may give an address again that nobody listens on yet.
+		if _, given := givenAddrs.LoadOrStore(l.Addr().String(), true); !given {
+			return l.Addr().String()
+		}
+	}
 }
 
+// givenAddrs are the addresses that freeAddr has returned.
+var givenAddrs sync.Map
+
 // start starts a balancer that knows others by their link addresses.
 func (r *platformRig) start(t *testing.T, name string, peers ...string) platformBalancer {
 	t.Helper()
