Balancers tell one another of backoffs, and send to such endpoints last

What callers saw: with hundreds of balancers, refusals as before: each of them learns of a backoff by a request of its own, and sends one endpoint less than a request in that time.

Cause: what one balancer has learnt of an endpoint is known to itself alone.

Change: a note, of a topic that is kept for ten seconds only, names the endpoint and the time. It binds nobody: such an endpoint counts as 150 ms slower, and that wears off as the slow start does. A balancer tells of a backoff that nobody has told of yet, twice a second at most, and while it has heard of fewer than 20 in the last second: where very many endpoints want no requests there is nowhere else to go.

Why it works: what an endpoint refuses to one it most likely refuses to others. At 20 notes of 150 bytes a second it costs a balancer 3 KB/s at any size, and the store nothing.

--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -70,6 +70,8 @@
 	Cause   Cause
 	OpensIn time.Duration // where it is Shut: for how long; 0 where that is not known
 	Held    bool          // it is Open because the owner of the endpoint's limit has given room
+	// Deferred: the endpoint is likely to refuse the request, so that others go before it.
+	Deferred bool
 }
 
 // Admits reports whether the request may go there now.
@@ -78,7 +80,7 @@
 // Decide is the rule for one request and one endpoint. What the endpoint says of all requests
 // comes before what it says of how many.
 func Decide(f Facts, now time.Time) Decision {
-	opens, tried := f.State.opens(f.Lot, f.Priority), f.State.tried(now)
+	opens, tried := f.State.own.opens(f.Lot, f.Priority), f.State.tried(now)
 	switch {
 	case f.State.Leaving():
 		return Decision{Access: Never, Cause: Leaving}
@@ -95,7 +97,8 @@
 	case f.Limit == limit.Askable:
 		return Decision{Access: Askable, Cause: Limited}
 	}
-	return Decision{Access: Open, Held: f.Limit == limit.Held}
+	deferred := now.Before(f.State.others.opens(f.Lot, f.Priority))
+	return Decision{Access: Open, Held: f.Limit == limit.Held, Deferred: deferred}
 }
 
 // Willing reports whether the endpoint still may get a request that was chosen for it before: no
--- a/coord/admission/state.go
+++ b/coord/admission/state.go
@@ -18,10 +18,20 @@
 // requests sent there since. It is an immutable value; the zero value has heard nothing.
 type State struct {
 	leaving bool
-	until   time.Time     // end of its backoff
-	slow    time.Duration // of the slow start after it
-	proved  bool          // it has run a request since
-	trial   time.Time     // when a request was last sent there while that was not so
+	own     pause     // for which it wanted no requests from this balancer
+	proved  bool      // it has run a request since
+	trial   time.Time // when a request was last sent there while that was not so
+	others  pause     // for which it wanted no requests from another balancer
+}
+
+// pause is a time without requests and the slow start after it.
+type pause struct {
+	until time.Time
+	slow  time.Duration
+}
+
+func newPause(d time.Duration, from time.Time) pause {
+	return pause{until: from.Add(d), slow: min(max(d, shortestSlowStart), longestSlowStart)}
 }
 
 // With returns the state after an answer that came at a time. Nothing takes a word back: an
@@ -29,10 +39,17 @@
 // since answers cross on their way.
 func (s State) With(w Word, heard time.Time) State {
 	s.leaving = s.leaving || w.Leaving
-	until := heard.Add(w.Backoff)
-	if w.Backoff > 0 && until.After(s.until) {
-		s.until, s.proved, s.trial = until, false, time.Time{}
-		s.slow = min(max(w.Backoff, shortestSlowStart), longestSlowStart)
+	if p := newPause(w.Backoff, heard); w.Backoff > 0 && p.until.After(s.own.until) {
+		s.own, s.proved, s.trial = p, false, time.Time{}
+	}
+	return s
+}
+
+// WithHint returns the state after another balancer told that the endpoint wants no requests from
+// it for a while. That binds nobody else, but the endpoint is likely to refuse others as well.
+func (s State) WithHint(d time.Duration, heard time.Time) State {
+	if p := newPause(d, heard); d > 0 && p.until.After(s.others.until) {
+		s.others = p
 	}
 	return s
 }
@@ -47,7 +64,7 @@
 
 // WithRun returns the state after the endpoint ran a request that was sent at a time.
 func (s State) WithRun(sent time.Time) State {
-	if !s.until.IsZero() && !sent.Before(s.until) {
+	if !s.own.until.IsZero() && !sent.Before(s.own.until) {
 		s.proved = true
 	}
 	return s
@@ -56,7 +73,7 @@
 // WithSuspension returns the state after the VM was suspended for a while, in which its clock
 // stood still.
 func (s State) WithSuspension(slept time.Duration) State {
-	for _, at := range []*time.Time{&s.until, &s.trial} {
+	for _, at := range []*time.Time{&s.own.until, &s.others.until, &s.trial} {
 		if !at.IsZero() {
 			*at = at.Add(-slept)
 		}
@@ -68,10 +85,10 @@
 func (s State) Leaving() bool { return s.leaving }
 
 // Until returns when the endpoint's backoff ends; zero where it has never asked for one.
-func (s State) Until() time.Time { return s.until }
+func (s State) Until() time.Time { return s.own.until }
 
 // BackingOff reports whether the endpoint wants no request at now.
-func (s State) BackingOff(now time.Time) bool { return now.Before(s.until) }
+func (s State) BackingOff(now time.Time) bool { return now.Before(s.own.until) }
 
 // OnTrial reports whether a request that is sent at now tries whether the endpoint runs requests
 // again.
@@ -79,22 +96,24 @@
 
 // slowStart reports whether the endpoint gets requests again little by little.
 func (s State) slowStart(now time.Time) bool {
-	return !s.until.IsZero() && !now.Before(s.until) && now.Before(s.until.Add(s.slow))
+	return !s.own.until.IsZero() && !now.Before(s.own.until) && now.Before(s.own.until.Add(s.own.slow))
 }
 
-// opens returns when a request may go to the endpoint, as far as its backoff decides. From the
-// end of the backoff the share of the requests that may grows to all of them: lot, a random number
-// in [0,1) of the request and the endpoint, is its place among them. A share of the usual requests
-// is right however many balancers there are. The more urgent ones, of lower priority numbers, come
-// first.
-func (s State) opens(lot float64, priority int) time.Time {
-	if s.until.IsZero() {
+// opens returns when a request may go to the endpoint, as far as the pause decides. From its end the
+// share of the requests that may grows to all of them: lot, a random number in [0,1) of the request
+// and the endpoint, is its place among them. A share of the usual requests is right however many
+// balancers there are. The more urgent ones, of lower priority numbers, come first.
+func (p pause) opens(lot float64, priority int) time.Time {
+	if p.until.IsZero() {
 		return time.Time{}
 	}
 	rank := 1 / float64(1+max(0, priority))
-	return s.until.Add(time.Duration(float64(s.slow) * math.Pow(lot, rank)))
+	return p.until.Add(time.Duration(float64(p.slow) * math.Pow(lot, rank)))
 }
 
+// Hinted reports whether another balancer has told that the endpoint wants no requests at now.
+func (s State) Hinted(now time.Time) bool { return now.Before(s.others.until) }
+
 // tried returns until when a request is waited for that tries whether the endpoint runs requests
 // again; zero where none is.
 func (s State) tried(now time.Time) time.Time {
--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -25,6 +25,8 @@
 	// besideCost is added for an endpoint that holds something, for a request that should be
 	// alone there: more than any estimate that is still worth a choice.
 	besideCost = time.Hour
+	// deferredCost is added for an endpoint that is likely to refuse the request.
+	deferredCost = 150 * time.Millisecond
 	// slownessGrace is how many times the usual time completions may take before the estimate
 	// grows with them.
 	slownessGrace = 2
@@ -119,6 +121,9 @@
 	if usual.Alone && c.Busy > 0 {
 		c.cost += besideCost
 	}
+	if l.Admission.Deferred {
+		c.cost += deferredCost
+	}
 	c.cost += c.Estimate
 	c.Closed = cold && e.closed(usual, index, c.Estimate, now)
 	c.Full = c.Closed || c.Admission.Access == admission.Shut || c.Busy >= usual.roomOf(c.Slots) || now.Before(e.pausedUntil)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -124,6 +124,7 @@
 	waiters   map[string]waiters            // by service
 	listed    map[string]bool               // services whose endpoints were ranked before
 	pools     map[string]pool               // by service
+	hints     admission.Hints
 	rng       *rand.Rand
 }
 
--- a/direct/hear.go
+++ b/direct/hear.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/tenant"
@@ -53,17 +54,23 @@
 	if r.Word.Leaving {
 		c.leaves(e, from, r.Heard)
 	}
+	if before, after := c.noteWord(e, r); after.Until() != before.Until() {
+		c.logBackoff(e, r, before.BackingOff(r.Heard), from)
+		c.tellBackoff(e, r.Word.Backoff, r.Heard)
+	}
+}
+
+// noteWord notes what an endpoint says, and returns what it had said before and what it has now.
+func (c *Chooser) noteWord(e limits.Endpoint, r upstream.Report) (before, after admission.State) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, ok := c.endpoints[e.ID]
 	if !ok || known.start != e.Start {
-		return
+		return before, after
 	}
-	before := known.admission
+	before = known.admission
 	known.admission = before.With(r.Word, r.Heard)
-	if known.admission.Until() != before.Until() {
-		c.logBackoff(e, r, before.BackingOff(r.Heard), from)
-	}
+	return before, known.admission
 }
 
 // proved notes that an endpoint which had wanted no requests for a while has run one.
--- a/direct/leaving.go
+++ b/direct/leaving.go
@@ -61,6 +61,9 @@
 
 // HearNote takes a note of another balancer.
 func (c *Chooser) HearNote(n relay.Note) error {
+	if n.Topic == BackoffTopic {
+		return c.hearBackoff(n, time.Now())
+	}
 	var said leavingNote
 	if err := json.Unmarshal(n.Data, &said); err != nil {
 		return fmt.Errorf("direct: note: %w", err)
--- a/relay/notes.go
+++ b/relay/notes.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,12 +27,26 @@
 	// 200 bytes are less than a megabyte. The oldest go first.
 	notesFor  = 10 * time.Minute
 	mostNotes = 4096
+	// briefNotesFor is how long a note of a topic is handed on that begins with Brief.
+	briefNotesFor = 10 * time.Second
 	// mostNoteBytes bounds the data of one note.
 	mostNoteBytes = 1 << 10
 	// pruneEvery is between two looks for notes that are too old.
 	pruneEvery = 10 * time.Second
 )
 
+// Brief begins the topics of notes that are of use for seconds only: who starts later does not hear
+// them, and they take no room from others.
+const Brief = "brief/"
+
+// keptFor returns how long a note is handed on.
+func (n Note) keptFor() time.Duration {
+	if strings.HasPrefix(n.Topic, Brief) {
+		return briefNotesFor
+	}
+	return notesFor
+}
+
 // ErrNoteTooLong says that the data of a note is longer than a kilobyte.
 var ErrNoteTooLong = errors.New("relay: note too long")
 
@@ -76,7 +91,7 @@
 	l.forget(now)
 	var news []Note
 	for _, n := range notes {
-		if l.known[n.key()] || n.Age > notesFor || len(n.Data) > mostNoteBytes {
+		if l.known[n.key()] || n.Age > n.keptFor() || len(n.Data) > mostNoteBytes {
 			continue
 		}
 		l.at++
@@ -96,7 +111,7 @@
 	l.pruned = now
 	kept := l.held[:0]
 	for _, h := range l.held {
-		if now.Sub(h.told) > notesFor {
+		if now.Sub(h.told) > h.note.keptFor() {
 			delete(l.known, h.note.key())
 			continue
 		}
@@ -136,7 +151,7 @@
 	var notes []Note
 	for _, h := range l.held {
 		age := now.Sub(h.told)
-		if h.at <= p.at || age > notesFor || origin != "" && h.note.Origin != origin {
+		if h.at <= p.at || age > h.note.keptFor() || origin != "" && h.note.Origin != origin {
 			continue
 		}
 		n := h.note
--- a/relay/notes_test.go
+++ b/relay/notes_test.go
@@ -46,6 +46,23 @@
 	assert.Equal(t, len(l.add([]Note{old}, noteStart.Add(2*time.Minute))), 0)
 }
 
+// TestBriefNotesEndSoon, and leave the others their room.
+func TestBriefNotesEndSoon(t *testing.T) {
+	l := newNoteLog()
+	brief, other := numbered("a", 1), numbered("a", 2)
+	brief.Topic = Brief + "x"
+	l.add([]Note{brief, other}, noteStart)
+	notes, _ := l.since(place{}, "", noteStart.Add(briefNotesFor))
+	assert.Equal(t, len(notes), 2)
+	notes, _ = l.since(place{}, "", noteStart.Add(briefNotesFor+time.Second))
+	assert.Equal(t, len(notes), 1)
+	l.add(nil, noteStart.Add(2*briefNotesFor))
+	assert.Equal(t, len(l.held), 1)
+	assert.Equal(t, len(l.known), 1)
+	brief.Age = briefNotesFor + time.Second
+	assert.Equal(t, len(l.add([]Note{brief}, noteStart.Add(briefNotesFor+time.Second))), 0, "it comes again")
+}
+
 // TestNotesAreBounded: however many are told, so many are kept, the last ones.
 func TestNotesAreBounded(t *testing.T) {
 	l := newNoteLog()
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -174,7 +174,7 @@
 	switch n.Topic {
 	case limits.Topic:
 		err = s.limits.Hear(n)
-	case direct.LeavingTopic:
+	case direct.LeavingTopic, direct.BackoffTopic:
 		err = s.direct.HearNote(n)
 	default:
 		s.keeper.Hear(n)
