With homes, endpoints that want no requests get none either

What callers saw: requests refused by endpoints that had asked for a time without any.

Cause: the same as without homes: nobody there read Retry-After. A refusal kept the home's ledger from an endpoint for 10 ms to 1.28 s, whatever it said.

One home grants for all, so that nothing has to be spread. A balancer that chooses alone keeps to what it was told itself. Where no endpoint is left, requests are refused at once, with LW2014 and when the first one comes back; before, a second was named whatever was known.

--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -65,7 +65,7 @@
 // not passed on. A request on whose behalf nothing was written, or whose caller
 // left, shows nothing, nor does one that a suspension of the VM fell into.
 func failedResult(a *attempt, callerLeft bool, took time.Duration) placement.Result {
-	result := placement.Result{Outcome: placement.Failed, Took: took}
+	result := placement.Result{Outcome: placement.Failed, Took: took, Backoff: a.report().Word.Backoff}
 	res := &a.result
 	switch {
 	case a.stale:
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -214,7 +214,7 @@
 func (b *Balancer) passOn(x *exchange, a *attempt) error {
 	x.ran = true
 	status := a.result.Response.StatusCode
-	result := placement.Result{Outcome: outcomeOf(status, false, nil), Load: a.report().Load}
+	result := placement.Result{Outcome: outcomeOf(status, false, nil), Load: a.report().Load, Backoff: a.report().Word.Backoff}
 	if a.stale {
 		result = placement.Result{Outcome: placement.Unused}
 	}
--- a/compat/wire_test.go
+++ b/compat/wire_test.go
@@ -55,6 +55,7 @@
 	"CountReply":   {{"Limits", "Answer.Members"}},
 	"CopyArgs":     {{"Part"}},
 	"CopyReply":    {{"Part"}},
+	"Done":         {{"Backoff"}},
 }
 
 // ofVersion returns a value with the fields zero that a version lacks, counted from 0.
--- a/coord/admission/state.go
+++ b/coord/admission/state.go
@@ -122,3 +122,22 @@
 	}
 	return s.trial.Add(trialFor)
 }
+
+// Snapshot is the part of a State that decides for one ledger of all requests, as it is written to a
+// trace.
+type Snapshot struct {
+	Until  time.Time     `json:"until"`
+	Slow   time.Duration `json:"slow_start"`
+	Proved bool          `json:"proved"`
+	Trial  time.Time     `json:"trial"`
+}
+
+// Snapshot returns the state in a form that can be stored.
+func (s State) Snapshot() Snapshot {
+	return Snapshot{Until: s.own.until, Slow: s.own.slow, Proved: s.proved, Trial: s.trial}
+}
+
+// Restore returns the state that a snapshot was taken of.
+func Restore(s Snapshot) State {
+	return State{own: pause{until: s.Until, slow: s.Slow}, proved: s.Proved, trial: s.Trial}
+}
--- a/coord/contract/admit.go
+++ b/coord/contract/admit.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/placement"
@@ -13,7 +14,7 @@
 	d := Decision{Request: r.ID, Kind: Refused}
 	usable := l.usableSlots(now)
 	if usable == 0 {
-		d.Reason, d.RetryAfter = reason.NoEndpoint, l.nextReturn(now)
+		d.Reason, d.RetryAfter = l.whyNone(now), l.nextReturn(now)
 		return d, true
 	}
 	if l.queues[r.Class].len() >= l.opts.QueueLimit {
@@ -65,13 +66,30 @@
 	return n
 }
 
-// nextReturn returns when the first ejected endpoint comes back.
+// whyNone returns why no endpoint may get a request.
+func (l *Ledger) whyNone(now time.Time) reason.Code {
+	for _, s := range l.order {
+		if !s.leaving && s.admission.BackingOff(now) {
+			return reason.EndpointsBackingOff
+		}
+	}
+	return reason.NoEndpoint
+}
+
+// noReturn is when a request is looked at again where no endpoint is known to come back.
+const noReturn = time.Second
+
+// nextReturn returns when the first endpoint comes back that is ejected or wants no requests.
 func (l *Ledger) nextReturn(now time.Time) time.Duration {
-	next := time.Second
+	var next time.Duration
 	for _, s := range l.order {
-		if s.health.Ejected(now) {
-			next = min(next, s.health.EjectedUntil().Sub(now))
+		until := s.health.EjectedUntil()
+		if s.admission.Until().After(until) {
+			until = s.admission.Until()
+		}
+		if left := until.Sub(now); !s.leaving && left > 0 && (next == 0 || left < next) {
+			next = left
 		}
 	}
-	return next
+	return cmp.Or(next, noReturn)
 }
--- a/coord/contract/endpoint.go
+++ b/coord/contract/endpoint.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/health"
 	"github.com/lotuswing/lotuswing/coord/placement"
 )
@@ -22,6 +23,7 @@
 type account struct {
 	placement.Endpoint
 	health     health.State
+	admission  admission.State // what it has said of whether it wants requests
 	held       map[string]contractHeld
 	leaving    bool
 	cold       bool
@@ -49,9 +51,9 @@
 // capacity returns how many requests the endpoint may have in flight at now.
 func (s *account) capacity(now time.Time, opts Options) int {
 	switch {
-	case s.leaving, s.health.Ejected(now):
+	case s.leaving, s.health.Ejected(now), s.admission.BackingOff(now):
 		return 0
-	case s.health.OnTrial(now):
+	case s.health.OnTrial(now), s.admission.OnTrial(now):
 		return 1
 	case s.cold:
 		return min(opts.ColdSlots, s.Slots)
--- a/coord/contract/ledger.go
+++ b/coord/contract/ledger.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/health"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
@@ -128,6 +129,13 @@
 	return decisions
 }
 
+// Backoff notes that an endpoint wants no requests for a while.
+func (l *Ledger) Backoff(now time.Time, vm string, d time.Duration) {
+	if s, ok := l.endpoints[vm]; ok {
+		s.admission = s.admission.With(admission.Word{Backoff: d}, now)
+	}
+}
+
 // Complete ends a contract and learns from its outcome. took counts from the
 // sending of the request.
 func (l *Ledger) Complete(now time.Time, id string, o placement.Outcome, took time.Duration) []Decision {
@@ -136,12 +144,13 @@
 		l.ended[id] = now
 		return nil
 	}
-	class, booked := s.held[id].class, s.held[id].booked
+	class, booked, granted := s.held[id].class, s.held[id].booked, s.held[id].granted
 	l.drop(s, id)
 	l.ended[id] = now
 	switch o {
 	case placement.Completed:
 		s.sheds = 0
+		s.admission = s.admission.WithRun(granted)
 		l.serviceTimes[class].add(took)
 		s.health = s.health.WithCompletion(float64(took) / float64(max(l.serviceTimes[class].typical(), 1)))
 	case placement.Shed:
--- a/coord/contract/state.go
+++ b/coord/contract/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/health"
 	"github.com/lotuswing/lotuswing/coord/placement"
 )
@@ -34,6 +35,7 @@
 	PauseUntil time.Time          `json:"pause_until"`
 	LastTrial  time.Time          `json:"last_trial"`
 	Sheds      int                `json:"sheds"`
+	Admission  admission.Snapshot `json:"admission,omitzero"`
 }
 
 // HeldState is one contract.
@@ -72,6 +74,7 @@
 		e := EndpointState{
 			Endpoint: s.Endpoint, Health: s.health.Snapshot(), Leaving: s.leaving, Cold: s.cold,
 			LastSign: s.lastSign, PauseUntil: s.pauseUntil, LastTrial: s.lastTrial, Sheds: s.sheds,
+			Admission: s.admission.Snapshot(),
 		}
 		for _, h := range s.held {
 			e.Held = append(e.Held, HeldState{ID: h.id, Holder: h.holder, Class: h.class, Granted: h.granted, Until: h.until, Booked: h.booked})
@@ -104,6 +107,7 @@
 		s.health = health.Restore(l.opts.Health, e.Health)
 		s.leaving, s.cold = e.Leaving, e.Cold
 		s.lastSign, s.pauseUntil, s.lastTrial, s.sheds = e.LastSign, e.PauseUntil, e.LastTrial, e.Sheds
+		s.admission = admission.Restore(e.Admission)
 		for _, h := range e.Held {
 			s.held[h.ID] = contractHeld{id: h.ID, holder: h.Holder, class: h.Class, granted: h.Granted, until: h.Until, booked: h.Booked}
 			l.owner[h.ID] = s
--- a/coord/contract/step.go
+++ b/coord/contract/step.go
@@ -18,6 +18,7 @@
 	OpSign      Op = "sign"      // an endpoint said that it stays
 	OpAcquire   Op = "acquire"
 	OpComplete  Op = "complete"
+	OpBackoff   Op = "backoff" // an endpoint wants no requests for a while
 	OpCancel    Op = "cancel"
 	OpRenew     Op = "renew" // contracts in use are extended, unknown ones adopted
 	OpTick      Op = "tick"
@@ -44,6 +45,7 @@
 	ID        string               `json:"id,omitempty"`
 	Outcome   placement.Outcome    `json:"outcome,omitempty"`
 	Took      time.Duration        `json:"took,omitempty"`
+	For       time.Duration        `json:"for,omitempty"` // of a backoff
 	Holder    string               `json:"holder,omitempty"`
 	Held      []Held               `json:"held,omitempty"`
 	Decisions []Decision           `json:"decisions,omitempty"`
@@ -70,6 +72,9 @@
 		return l.Acquire(s.At, s.Request)
 	case OpComplete:
 		return l.Complete(s.At, s.ID, s.Outcome, s.Took)
+	case OpBackoff:
+		l.Backoff(s.At, s.VM, s.For)
+		return nil
 	case OpCancel:
 		return l.Cancel(s.At, s.ID)
 	case OpRenew:
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -161,6 +161,7 @@
 	Outcome  Outcome
 	Took     time.Duration // from sending to the end of the response
 	Load     LoadReport    // that came with the response
+	Backoff  time.Duration // for which the endpoint wants no requests; 0 where it did not say
 	Replaced bool          // another incarnation answers at the endpoint's address
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -79,6 +79,7 @@
 	Outcome placement.Outcome
 	Took    time.Duration
 	Load    placement.LoadReport
+	Backoff time.Duration // for which the endpoint wants no requests; 0 where it did not say
 }
 
 // CancelArgs takes back a request.
--- a/node/alone.go
+++ b/node/alone.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/leaving"
 	"github.com/lotuswing/lotuswing/coord/pick"
 	"github.com/lotuswing/lotuswing/coord/placement"
@@ -74,8 +75,11 @@
 	candidates = make([]pick.Candidate, len(list))
 	for i, e := range list {
 		o := known[e.VM]
-		usable := !marks.Has(e.VM) && !o.health.Ejected(now)
+		usable := admission.Willing(!marks.Has(e.VM), o.admission, now) && !o.health.Ejected(now)
 		share := max(1, aloneLimit*e.Slots/max(1, balancers))
+		if o.admission.OnTrial(now) {
+			share = 1
+		}
 		free := o.inFlight < share && !slices.Contains(avoid, e.VM)
 		full = full || usable && !free
 		candidates[i] = pick.Candidate{Usable: usable && free, InFlight: o.inFlight, Slowness: o.health.Slowness()}
--- a/node/complete.go
+++ b/node/complete.go
@@ -13,7 +13,7 @@
 // Complete ends a grant and tells the home, without keeping the caller.
 func (n *Node) Complete(g placement.Grant, r placement.Result) {
 	n.local.end(g, r, time.Now())
-	done := link.Done{Service: g.Service, ID: g.ID, VM: g.Endpoint.VM, Outcome: r.Outcome, Took: r.Took, Load: r.Load}
+	done := link.Done{Service: g.Service, ID: g.ID, VM: g.Endpoint.VM, Outcome: r.Outcome, Took: r.Took, Load: r.Load, Backoff: r.Backoff}
 	home, ok := n.snapshot.Load().homes[g.Service]
 	if ok {
 		n.report(home, done)
--- a/node/hear.go
+++ b/node/hear.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/leaving"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/tenant"
@@ -12,6 +13,7 @@
 // Hear takes what the answer to an attempt says of its endpoint, as soon as its head is there.
 func (n *Node) Hear(g placement.Grant, r upstream.Report) {
 	n.hear(tenant.ServiceName(g.Service), g.Endpoint.VM, r, leaving.Answer)
+	n.local.hear(g, r)
 }
 
 // hear takes what any answer says of the endpoint itself.
@@ -28,6 +30,6 @@
 }
 
 // Admits reports whether the endpoint of a grant still may get the request.
-func (n *Node) Admits(g placement.Grant, _ time.Time) bool {
-	return !n.snapshot.Load().leaving.Has(g.Endpoint.VM)
+func (n *Node) Admits(g placement.Grant, now time.Time) bool {
+	return admission.Willing(!n.snapshot.Load().leaving.Has(g.Endpoint.VM), n.local.admission(g.Endpoint.VM), now)
 }
--- a/node/local.go
+++ b/node/local.go
@@ -4,8 +4,10 @@
 	"sync"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/health"
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/upstream"
 )
 
 // local is what this node knows from its own requests, for choosing without a
@@ -19,8 +21,9 @@
 
 // own is this node's own account of one endpoint.
 type own struct {
-	inFlight int
-	health   health.State
+	inFlight  int
+	health    health.State
+	admission admission.State
 }
 
 func (p *local) begin(g placement.Grant) {
@@ -55,6 +58,31 @@
 	p.endpoints[g.Endpoint.VM] = o
 }
 
+// hear takes what an answer says of whether its endpoint wants requests.
+func (p *local) hear(g placement.Grant, r upstream.Report) {
+	if r.Word.Silent() && !r.Ran {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o, ok := p.endpoints[g.Endpoint.VM]
+	if !ok {
+		return
+	}
+	o.admission = o.admission.With(r.Word, r.Heard)
+	if r.Ran {
+		o.admission = o.admission.WithRun(r.Asked)
+	}
+	p.endpoints[g.Endpoint.VM] = o
+}
+
+// admission returns what an endpoint has said to this node.
+func (p *local) admission(vm string) admission.State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endpoints[vm].admission
+}
+
 func (p *local) isSilent(home string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/receiver.go
+++ b/node/receiver.go
@@ -61,6 +61,9 @@
 	h := r.node.homes.get(d.Service)
 	now := r.node.now()
 	applyLoad(h, now, d.VM, d.Load)
+	if d.Backoff > 0 { // before its slot is granted again
+		h.apply(contract.Step{At: now, Op: contract.OpBackoff, VM: d.VM, For: d.Backoff})
+	}
 	h.apply(contract.Step{At: now, Op: contract.OpComplete, ID: d.ID, Outcome: d.Outcome, Took: d.Took})
 	return nil
 }
