--- a/upstream/report.go
+++ b/upstream/report.go
@@ -155,24 +155,29 @@
 
 // backoff reads for how long the endpoint wants no requests. With status 503 Retry-After speaks
 // for the endpoint, with 429 only if the endpoint refused the request unrun: otherwise it is its
-// application's word to the caller. Of several values the longest one counts that can be read;
-// read is false where one cannot.
+// application's word to the caller. read is false where there is a value that cannot be read.
 func (d *Dialect) backoff(status int, h http.Header, heard time.Time) (longest time.Duration, read bool) {
-	values := h.Values(retryAfter)
 	ofEndpoint := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests && d.refused(status, h)
-	if len(values) == 0 || !ofEndpoint {
+	if !ofEndpoint {
 		return 0, true
 	}
+	longest, read = RetryAfter(h, heard)
+	return min(longest, longestBackoff), read
+}
+
+// RetryAfter reads the header of that name in an answer that came at a time: the longest of the times
+// that can be read; read is false where one cannot.
+func RetryAfter(h http.Header, heard time.Time) (longest time.Duration, read bool) {
 	date, err := http.ParseTime(h.Get("Date"))
 	if err != nil {
 		date = heard
 	}
 	read = true
-	for _, value := range values {
+	for _, value := range h.Values(retryAfter) {
 		after, ok := parseRetryAfter(value, date)
 		longest, read = max(longest, after), read && ok
 	}
-	return min(longest, longestBackoff), read
+	return longest, read
 }
 
 // parseRetryAfter reads a value of Retry-After: seconds, with or without fractions, or a date,
