An endpoint that wants no requests is not probed to find out whether it has ended

Cause: an attempt that broke off there was followed by up to three probes at once, within the time for which the endpoint wanted nothing.

Change: the quarantine asks the choice first; what became of the endpoint its entry tells, as where it cannot be probed at all. Test: TestEndpointThatWantsNoRequestsIsNotProbed.

--- a/direct/leaving.go
+++ b/direct/leaving.go
@@ -89,3 +89,11 @@
 	}
 	return admission.Willing(listed.Usable(now), known.admission, now)
 }
+
+// Willing reports whether an endpoint may be asked something: it does not want to be left alone.
+func (c *Chooser) Willing(id string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.endpoints[id]
+	return !ok || !known.admission.BackingOff(now)
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -70,6 +70,9 @@
 	// Serving reports whether this balancer does for its zone what one of it should do; nil
 	// for always.
 	Serving func() bool
+	// Willing reports whether an endpoint may be probed: it has not asked this balancer for a time
+	// without requests; nil for always.
+	Willing func(endpoint string) bool
 	Options Options
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -43,6 +43,8 @@
 	storeDown bool
 	deaf      map[int]bool // keepers that hear and tell nothing
 	calls     int          // of the store
+	unwilling string       // endpoint that wants no requests
+	probes    int
 }
 
 type record struct {
@@ -87,6 +89,7 @@
 		ID: fmt.Sprintf("vm-%d", number), Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Endpoints: r.directory, Prober: r, Registry: r,
 		Tell:    func(topic string, data []byte) error { return r.tell(number, topic, data) },
 		Serving: func() bool { return number == 0 },
+		Willing: func(endpoint string) bool { return endpoint != r.unwilling },
 		Options: quarantine.Options{Now: time.Now, LookEvery: r.lookEvery},
 	})
 	r.keepers = append(r.keepers, k)
@@ -186,6 +189,7 @@
 	pause.For(ctx, time.Millisecond)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.probes++
 	if r.down[addr] {
 		return upstream.Report{}, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 	}
@@ -338,6 +342,18 @@
 	})
 }
 
+// TestEndpointThatWantsNoRequestsIsNotProbed: what became of it its entry tells.
+func TestEndpointThatWantsNoRequestsIsNotProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		r.unwilling = "e0"
+		r.ends(r.keepers[0], request("a"), "e0", quarantine.Pass{})
+		assert.Equal(t, r.probes, 0)
+		r.ends(r.keepers[0], request("a"), "e1", quarantine.Pass{})
+		assert.Assert(t, r.probes > 0)
+	})
+}
+
 // TestTrialNamesWhatHasEnded, so that the request is not sent to what the store still lists.
 func TestTrialNamesWhatHasEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/quarantine/verify.go
+++ b/quarantine/verify.go
@@ -88,6 +88,9 @@
 	}
 	for _, after := range probeAfter {
 		pause.For(ctx, after)
+		if k.cfg.Willing != nil && !k.cfg.Willing(a.Endpoint) {
+			return ""
+		}
 		result, err := k.cfg.Prober.Probe(ctx, a.Addr, path, probeWithin)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/lotuswing/lotuswing/balancer"
 	"github.com/lotuswing/lotuswing/direct"
@@ -157,6 +158,7 @@
 	return quarantine.New(quarantine.Config{
 		ID: s.cfg.Settings.ID, Log: s.cfg.Log.Named("quarantine"), Metrics: s.metrics,
 		Endpoints: s.directory, Prober: s.cfg.Policy.Client, Registry: s.cfg.Relays, Tell: s.tell, Serving: s.serving,
+		Willing: func(endpoint string) bool { return s.direct.Willing(endpoint, time.Now()) },
 	})
 }
 
