--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -351,6 +351,7 @@
 		assert.Equal(t, r.probes, 0)
 		r.ends(r.keepers[0], request("a"), "e1", quarantine.Pass{})
 		assert.Assert(t, r.probes > 0)
+		time.Sleep(10 * time.Second) // the first one is watched
 	})
 }
 
