lotusctl said: what endpoints say of themselves; soaks of endpoints that leave or want no requests

On call: 'lotusctl said' and /said list which endpoints leave, which want no requests and for how much longer, which get few at first, what others have told of and which name limits; gauges endpoints_backing_off and endpoints_leaving.

What arrived is compared with what they had said, of balancers that nothing disturbed. Planted violations are caught (TestPlantedWordsThatDoNotHoldAreCaught).

--- a/coord/admission/state.go
+++ b/coord/admission/state.go
@@ -92,10 +92,10 @@
 
 // OnTrial reports whether a request that is sent at now tries whether the endpoint runs requests
 // again.
-func (s State) OnTrial(now time.Time) bool { return !s.proved && s.slowStart(now) }
+func (s State) OnTrial(now time.Time) bool { return !s.proved && s.SlowStart(now) }
 
-// slowStart reports whether the endpoint gets requests again little by little.
-func (s State) slowStart(now time.Time) bool {
+// SlowStart reports whether the endpoint gets requests again little by little.
+func (s State) SlowStart(now time.Time) bool {
 	return !s.own.until.IsZero() && !now.Before(s.own.until) && now.Before(s.own.until.Add(s.own.slow))
 }
 
@@ -111,6 +111,9 @@
 	return p.until.Add(time.Duration(float64(p.slow) * math.Pow(lot, rank)))
 }
 
+// HintedUntil returns when the backoff ends that another balancer told of; zero for none.
+func (s State) HintedUntil() time.Time { return s.others.until }
+
 // Hinted reports whether another balancer has told that the endpoint wants no requests at now.
 func (s State) Hinted(now time.Time) bool { return now.Before(s.others.until) }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -221,6 +221,18 @@
 	return e, known
 }
 
+// Leaving returns the endpoints that leave and that the store still lists.
+func (d *Directory) Leaving() (all []Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.ended {
+		if e := d.endpoints[id]; e.State == Leaving && !e.Gone {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
 // MarkLeaving notes that one start of an endpoint said that it leaves, or that another
 // incarnation answers at its address. It reports whether that was news. An endpoint whose entry is
 // read later is known to leave then.
--- a/server/admin.go
+++ b/server/admin.go
@@ -33,6 +33,7 @@
 	s.addQuarantine(mux)
 	s.addTeams(mux)
 	s.addLimits(mux)
+	s.addSaid(mux)
 	s.addRollouts(mux)
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
@@ -112,6 +113,10 @@
 	if s.directory != nil {
 		metrics.GetOrRegisterGauge("evacuated_zones", s.metrics).Update(int64(len(s.directory.Snapshot().Evacuated)))
 	}
+	if s.direct != nil {
+		metrics.GetOrRegisterGauge("endpoints_backing_off", s.metrics).Update(int64(s.direct.BackingOff(time.Now())))
+		metrics.GetOrRegisterGauge("endpoints_leaving", s.metrics).Update(int64(len(s.directory.Leaving())))
+	}
 	if s.limits != nil {
 		metrics.GetOrRegisterGauge("limited_endpoints", s.metrics).Update(int64(s.limits.Limited(time.Now())))
 	}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -23,6 +23,7 @@
 	NothingToEmptied Promise = "an endpoint of an emptied zone gets nothing after a while"
 	FewToCold        Promise = "an endpoint that warms up gets few requests in a second"
 	LimitsHold       Promise = "an endpoint that names a limit gets no more than the operators bear with"
+	WordsHold        Promise = "an endpoint that says that it leaves, or wants no requests, gets none"
 	InForce          Promise = "a configuration is in force after a while and never reverts"
 	CrashesEnd       Promise = "a request that crashes endpoints is sent a few times more at most once the fleet can know it"
 	NoSoundRefused   Promise = "no sound request is refused for what crashed endpoints"
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/lotuswing/lotuswing/platform/platformtest"
@@ -271,3 +273,44 @@
 		})
 	}
 }
+
+// TestPlantedWordsThatDoNotHoldAreCaught: requests to endpoints that had said that they leave, or that
+// they want none, of balancers that nothing disturbed.
+func TestPlantedWordsThatDoNotHoldAreCaught(t *testing.T) {
+	for name, c := range map[string]struct {
+		behavior  platformtest.Behavior
+		after     time.Duration // of the requests, since the word
+		disturbed bool
+		want      int
+	}{
+		"leaves, soon after":   {behavior: platformtest.Behavior{Leaving: true}, after: leaveLimit - time.Second},
+		"leaves, long after":   {behavior: platformtest.Behavior{Leaving: true}, after: leaveLimit + time.Second, want: 4},
+		"leaves, disturbed":    {behavior: platformtest.Behavior{Leaving: true}, after: leaveLimit + time.Second, disturbed: true},
+		"backs off":            {behavior: platformtest.Behavior{Decline: true, RetryAfter: "5"}, after: time.Second, want: 1},
+		"backs off, over":      {behavior: platformtest.Behavior{Decline: true, RetryAfter: "0.9"}, after: time.Second},
+		"backs off, no time":   {behavior: platformtest.Behavior{Decline: true, RetryAfter: "soon"}, after: time.Second},
+		"backs off, disturbed": {behavior: platformtest.Behavior{Decline: true, RetryAfter: "5"}, after: time.Second, disturbed: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			l, cal := newLedger(), &calendar{}
+			e := &endpoint{server: platformtest.NewEndpoint("i-1", c.behavior), service: serviceAlpha}
+			began := time.Now()
+			send := func(id string) {
+				l.begin(&sentRequest{id: id, method: http.MethodGet, path: readPrefix, repeatable: true, balancer: "vm-0", at: time.Now()})
+				r := httptest.NewRequest(http.MethodGet, readPrefix, nil)
+				r.Header.Set("Request-Id", id)
+				e.server.ServeHTTP(httptest.NewRecorder(), r)
+			}
+			send("first")
+			time.Sleep(c.after)
+			for i := range 4 {
+				send(fmt.Sprint("r-", i))
+			}
+			if c.disturbed {
+				cal.disturb("vm-0", began, time.Now())
+			}
+			l.checkWords(cal, []*endpoint{e})
+			assert.Equal(t, len(l.violations), c.want, "%s: %v", name, l.violations)
+		})
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,7 @@
 // suspended is told to its process in a file.
 //
 // It owns the processes that it starts, and ends only these. The faults are in
-// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
+// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, those that leave or want no requests by their answers in words.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
 // endpoints saw in ledger.go, promises with a time limit in timed.go. It relies on
 // package platformtest for the platform.
 //
@@ -56,6 +56,9 @@
 	Crash time.Duration
 	// Limit is the mean time between two endpoints that begin to name limits; 0 for none.
 	Limit time.Duration
+	// Words is the mean time between two endpoints that say in their answers that they leave, or that
+	// they want no requests for a while; 0 for none.
+	Words time.Duration
 	// Timed checks the promises that have a time limit, too. They depend on a
 	// machine that gives every process its turn.
 	Timed bool
@@ -157,6 +160,7 @@
 		w.crashes.checkCrashes(sent, w.calendar)
 	}
 	sent.checkLimits(w.calendar)
+	sent.checkWords(w.calendar, w.all)
 	if cfg.Timed {
 		sent.checkTimed(w.calendar, w.all)
 	}
@@ -266,6 +270,7 @@
 		{cfg.Together, 0, w.strikeTogether},
 		{cfg.Empty, math.MaxUint64, w.strikeZones},
 		{cfg.Limit, math.MaxUint64 - 100, w.strikeLimits},
+		{cfg.Words, math.MaxUint64 - 200, w.strikeWords},
 	}
 	if w.crashes != nil {
 		strikers = append(strikers, striker{cfg.Crash, math.MaxUint64 - 1, w.crashes.strike})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -122,3 +122,9 @@
 func TestSoakOfLimits(t *testing.T) {
 	keepsPromises(t, "limit named", soak.Config{Seed: 17, For: 14 * time.Second, Balancers: 4, Limit: 500 * time.Millisecond, Gap: 3 * time.Second})
 }
+
+// TestSoakOfWords plays a soak in which endpoints say in their answers that they leave, or that they
+// want no requests for a while.
+func TestSoakOfWords(t *testing.T) {
+	keepsPromises(t, "leaving said", soak.Config{Seed: 23, For: 14 * time.Second, Balancers: 4, Words: 700 * time.Millisecond, Gap: 3 * time.Second})
+}
