--- a/control/standins.go
+++ b/control/standins.go
@@ -27,6 +27,7 @@
 		c.Flag("spread", "of the logarithm of service times").Default("0").Float64Var(&opts.Spread)
 		c.Flag("cold-for", "how long it reports to be cold").DurationVar(&opts.ColdFor)
 		c.Flag("limit", "requests a second that it names as what it takes from all balancers together; empty for none").StringVar(&opts.Limit)
+		c.Flag("retry-after", "for how many seconds it wants no requests when it sheds one; empty for nothing said").StringVar(&opts.RetryAfter)
 		c.Flag("probe-time", "time of a probe").Default("6ms").DurationVar(&opts.ProbeTime)
 		return func() error { return serveUntilSignal(a.Env, *addr, standin.NewEndpoint(opts)) }
 	})
--- a/demo/crash.go
+++ b/demo/crash.go
@@ -56,6 +56,7 @@
 	processes []*platformtest.Process
 	admins    []string
 	limited   *platformtest.Endpoint // names a limit
+	spoken    []*platformtest.Endpoint
 
 	mu      sync.Mutex
 	refused int // sound requests
@@ -71,8 +72,9 @@
 	f.store.Publish(1, []tenant.PrefixRoute{{
 		Name: "fragile", Host: crashHost, Prefix: "/fragile/", Repeatable: true, Timeout: readyWithin, Target: time.Second, MaxAttempts: 2,
 		Split: []tenant.Share{{Service: "fragile", Weight: 1}},
-	}, limitedRoute()}, map[string]tenant.Service{
+	}, limitedRoute(), spokenRoute()}, map[string]tenant.Service{
 		"fragile": {Connections: 200, ProbePath: "/health"}, limitedService: {Connections: 200, ProbePath: "/health"},
+		spokenService: {Connections: 200, ProbePath: "/health"},
 	})
 	f.store.PutRaw("foreign", []byte(`{"address":17}`))
 	for i := range crashEndpoints {
@@ -86,7 +88,7 @@
 		r.closers = append(r.closers, p.Stop)
 		f.processes = append(f.processes, p)
 	}
-	if err := r.startLimited(f); err != nil {
+	if err := errors.Join(r.startLimited(f), r.startSpoken(f)); err != nil {
 		return nil, err
 	}
 	var links []string
@@ -191,8 +193,9 @@
 	plans := []load.Plan{
 		{Name: soundKind, Path: soundPath, Rate: soundRate, Check: check(soundKind)},
 		{Name: crashKind, Path: crashPath, Rate: crashRate, Check: check(crashKind)},
-		limitedPlan(check(limitedKind)),
+		limitedPlan(check(limitedKind)), spokenPlan(check(spokenKind)),
 	}
+	go f.speak(ctx)
 	rows := make([]Row, len(plans))
 	var all sync.WaitGroup
 	for i, p := range plans {
@@ -249,5 +252,5 @@
 	if f.refused > 0 {
 		found = append(found, audit.Violation{Rule: audit.CrashesEnd, What: fmt.Sprintf("%d sound requests were refused for it", f.refused)})
 	}
-	return append(found, f.limitViolations()...)
+	return slices.Concat(found, f.limitViolations(), f.spokenViolations())
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -2,9 +2,9 @@
 // VMs, both tenants' endpoints at today's sizes, three balancers and callers,
 // with an endpoint that drains, one that turns slow and a change of
 // configuration while it runs, and beside them balancers on the platform with a request that
-// crashes endpoints and an endpoint that names a limit. It checks every promise that it can see.
+// crashes endpoints, an endpoint that names a limit, one that leaves and one that wants no requests. It checks every promise that it can see.
 //
-// It owns all that it starts: start.go the parts, crash.go the balancers on the platform, limits.go an endpoint there that names a limit, disturb.go what happens to them,
+// It owns all that it starts: start.go the parts, crash.go the balancers on the platform, limits.go an endpoint there that names a limit, words.go two that say in answers that they leave or want no requests, disturb.go what happens to them,
 // report.go what is checked, progress.go what is shown meanwhile.
 //
 // # Usage
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -27,8 +27,11 @@
 	ColdFor     time.Duration // how long after start it reports cold
 	// Limit is what it names as the requests a second that it takes from all balancers
 	// together, as text; empty for none.
-	Limit     string
-	ProbeTime time.Duration // of a GET of /healthz
+	Limit string
+	// RetryAfter is for how many seconds it wants no requests when it sheds one, as text; empty for
+	// nothing said.
+	RetryAfter string
+	ProbeTime  time.Duration // of a GET of /healthz
 }
 
 // Behavior of an endpoint that can be switched while it runs.
@@ -38,6 +41,8 @@
 	FailFast bool    `json:"fail_fast"` // answer 503 at once, without a verdict
 	Shed     bool    `json:"shed"`      // answer not-run at once
 	Limit    string  `json:"limit"`     // requests a second that it names; empty for those of its options
+
+	RetryAfter string `json:"retry_after"` // with what it sheds; empty for that of its options
 }
 
 // Run is one request that an endpoint ran.
@@ -159,6 +164,9 @@
 	}
 	if e.behavior.Shed || e.inFlight >= e.opts.Slots+e.opts.Queue {
 		w.Header().Set(verdict.Header, verdict.NotRun.String())
+		if after := cmp.Or(e.behavior.RetryAfter, e.opts.RetryAfter); after != "" {
+			w.Header().Set("Retry-After", after)
+		}
 		return false, http.StatusServiceUnavailable
 	}
 	e.inFlight++
