--- a/balancer/hear_test.go
+++ b/balancer/hear_test.go
@@ -68,3 +68,17 @@
 	assert.Equal(t, got.verdict, "not-run")
 	assert.Equal(t, b.ran("k"), 0)
 }
+
+// TestRefusalsOwnTimeIsNotPassedOn: what an endpoint wants of this balancer is nothing to the caller,
+// whom others may serve at once.
+func TestRefusalsOwnTimeIsNotPassedOn(t *testing.T) {
+	b := newBench(t, 1)
+	scripted, err := rawendpoint.NewScripted("Lotuswing-Request-Id", rawendpoint.Answer(
+		"HTTP/1.1 503 Busy\r\nLotuswing-Verdict: not-run\r\nRetry-After: 3600\r\nContent-Length: 0\r\n\r\n"))
+	assert.NilError(t, err)
+	t.Cleanup(scripted.Close)
+	b.chooser.endpoints = []placement.Endpoint{{VM: "odd", Addr: scripted.Addr()}}
+	got := b.call(t, "POST", "/once", "k", "body", http.Header{})
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.retry, "1")
+}
--- a/direct/backoff_test.go
+++ b/direct/backoff_test.go
@@ -10,6 +10,7 @@
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/selection"
+	"github.com/lotuswing/lotuswing/directory"
 	"gotest.tools/v3/assert"
 )
 
@@ -111,3 +112,22 @@
 		assert.Equal(t, served(), 100)
 	})
 }
+
+// TestBackoffOutlivesItsEntry: entries lapse while the store is away, and come back.
+func TestBackoffOutlivesItsEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRigForgetting(1, selection.Options{}, time.Nanosecond)
+		g, other := grant(t, r), grant(t, r)
+		r.Hear(g, word(admission.Word{Backoff: time.Minute}))
+		r.Complete(g, placement.Result{Outcome: placement.Shed})
+		r.directory.Apply(directory.Changes{Gone: []directory.Gone{{ID: "e0", Revision: 2}}}, time.Now())
+		time.Sleep(30 * time.Second)
+		r.Complete(other, placement.Result{Outcome: placement.Unused}) // looks for what can be forgotten
+		r.restart("e0", 0, 3)
+		request := ask()
+		request.Target = time.Second
+		_, refused := r.Acquire(context.Background(), request)
+		assert.Assert(t, refused != nil)
+		assert.Equal(t, refused.Reason, reason.EndpointsBackingOff)
+	})
+}
