--- a/balancer/hear_test.go
+++ b/balancer/hear_test.go
@@ -10,6 +10,7 @@
 	"github.com/lotuswing/lotuswing/balancer"
 	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/internal/rawendpoint"
 	"github.com/lotuswing/lotuswing/platform"
 	"gotest.tools/v3/assert"
@@ -49,7 +50,7 @@
 // connection to it costs the request none of its attempts, and gets nothing.
 func TestWithdrawnRequestGoesElsewhere(t *testing.T) {
 	for _, path := range []string{"/read", "/once"} {
-		b := newBench(t, 3)
+		b := newBenchWith(t, 3, func(c *balancer.Config) { c.Policy.Retries = &retry.WindowLimit{Span: time.Second} })
 		b.chooser.unwilling = []string{b.chooser.endpoints[0].VM, b.chooser.endpoints[1].VM}
 		got := b.call(t, "POST", path, "k", "body", http.Header{})
 		assert.Equal(t, got.status, http.StatusOK)
--- a/coord/admission/admission_test.go
+++ b/coord/admission/admission_test.go
@@ -41,6 +41,7 @@
 		{"one was tried for long", admission.Facts{Usable: true, State: tried}, backoff + time.Second, admission.Decision{}},
 		{"after the slow start", admission.Facts{Usable: true, State: tried, Lot: 0.999}, backoff + 2*time.Second, admission.Decision{}},
 		{"it has run one", admission.Facts{Usable: true, State: proved.WithSent(after(backoff + 10*time.Millisecond))}, backoff + 20*time.Millisecond, admission.Decision{}},
+		{"it has run one, and its share still grows", admission.Facts{Usable: true, State: proved, Lot: 0.5}, backoff + 20*time.Millisecond, admission.Decision{Access: admission.Shut, Cause: admission.SlowStart, OpensIn: 980 * time.Millisecond}},
 		{"no room under its limit", admission.Facts{Usable: true, Limit: limit.Withheld, LimitOpens: 7}, 0, admission.Decision{Access: admission.Shut, Cause: admission.Limited, OpensIn: 7}},
 		{"its owner may have room", admission.Facts{Usable: true, Limit: limit.Askable}, 0, admission.Decision{Access: admission.Askable, Cause: admission.Limited}},
 		{"its owner has given room", admission.Facts{Usable: true, Limit: limit.Held}, 0, admission.Decision{Held: true}},
--- a/direct/backoff_test.go
+++ b/direct/backoff_test.go
@@ -122,8 +122,9 @@
 		r.Complete(g, placement.Result{Outcome: placement.Shed})
 		r.directory.Apply(directory.Changes{Gone: []directory.Gone{{ID: "e0", Revision: 2}}}, time.Now())
 		time.Sleep(30 * time.Second)
+		r.directory.Apply(directory.Changes{At: 3}, time.Now())
 		r.Complete(other, placement.Result{Outcome: placement.Unused}) // looks for what can be forgotten
-		r.restart("e0", 0, 3)
+		r.restart("e0", 0, 4)
 		request := ask()
 		request.Target = time.Second
 		_, refused := r.Acquire(context.Background(), request)
@@ -131,3 +132,22 @@
 		assert.Equal(t, refused.Reason, reason.EndpointsBackingOff)
 	})
 }
+
+// TestCallersComeBackSpread behind the end of the first backoff, also where many endpoints end
+// theirs at once and the first one of them opens right then.
+func TestCallersComeBackSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const endpoints = 40
+		r := newRig(endpoints, selection.Options{})
+		for range endpoints {
+			r.backsOff(grant(t, r))
+		}
+		for range 50 {
+			request := ask()
+			request.Target = 4 * time.Second
+			_, refused := r.Acquire(context.Background(), request)
+			assert.Assert(t, refused != nil)
+			assert.Assert(t, refused.RetryAfter >= backoff+request.Target/8, "%v", refused.RetryAfter)
+		}
+	})
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -258,7 +258,7 @@
 	d.Apply(directory.Changes{Whole: true, At: 2, Entries: []directory.Entry{entry("a", 1), entry("b", 2)}}, start)
 	assert.Assert(t, d.MarkLeaving("a", 0, start))
 	revision := uint64(3)
-	for after := time.Minute; after < time.Hour; after += time.Minute {
+	for after := 5 * time.Minute; after < time.Hour; after += 5 * time.Minute {
 		d.Apply(directory.Changes{At: revision}, start.Add(after))
 		d.Apply(directory.Changes{Whole: true, At: revision, Entries: []directory.Entry{entry("a", 1), entry("b", 2)}}, start.Add(after))
 		assert.DeepEqual(t, listed(d), []string{"b"})
