--- a/demo/limits.go
+++ b/demo/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/lotuswing/lotuswing/coord/window"
 	"github.com/lotuswing/lotuswing/load"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
-	"github.com/lotuswing/lotuswing/tenant"
 )
 
 // Behind the balancers on the platform a service has four endpoints, one of which names how many
@@ -28,14 +26,6 @@
 	limitKnown = 500 * time.Millisecond
 )
 
-// limitedRoute is the route to these endpoints.
-func limitedRoute() tenant.PrefixRoute {
-	return tenant.PrefixRoute{
-		Name: limitedKind, Host: crashHost, Prefix: limitedPath, Repeatable: true, Timeout: readyWithin, Target: time.Second, MaxAttempts: 2,
-		Split: []tenant.Share{{Service: limitedService, Weight: 1}},
-	}
-}
-
 // startLimited starts the endpoints; the first one names its limit at once.
 func (r *run) startLimited(f *crashFleet) error {
 	for i := range limitedEndpoints {
@@ -56,7 +46,7 @@
 
 // limitedPlan is what callers ask of these endpoints.
 func limitedPlan(check func(string, load.Answer)) load.Plan {
-	return load.Plan{Name: limitedKind, Path: limitedPath + "1", Rate: limitedRate, Check: check, Host: crashHost, Method: http.MethodGet}
+	return load.Plan{Name: limitedKind, Path: limitedPath + "1", Rate: limitedRate, Check: check}
 }
 
 // limitViolations compares what the endpoint with a limit got with what it named.
--- a/demo/words.go
+++ b/demo/words.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/lotuswing/lotuswing/audit"
 	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/load"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
-	"github.com/lotuswing/lotuswing/tenant"
 )
 
 // Behind the balancers on the platform a service has four endpoints. After a second one says in its
@@ -29,14 +27,6 @@
 	leavingWithin = time.Second
 )
 
-// spokenRoute is the route to these endpoints.
-func spokenRoute() tenant.PrefixRoute {
-	return tenant.PrefixRoute{
-		Name: spokenKind, Host: crashHost, Prefix: spokenPath, Repeatable: true, Timeout: readyWithin, Target: time.Second, MaxAttempts: 2,
-		Split: []tenant.Share{{Service: spokenService, Weight: 1}},
-	}
-}
-
 // startSpoken starts the endpoints.
 func (r *run) startSpoken(f *crashFleet) error {
 	for i := range spokenEndpoints {
@@ -60,7 +50,7 @@
 
 // spokenPlan is what callers ask of these endpoints.
 func spokenPlan(check func(string, load.Answer)) load.Plan {
-	return load.Plan{Name: spokenKind, Path: spokenPath + "1", Rate: spokenRate, Check: check, Host: crashHost, Method: http.MethodGet}
+	return load.Plan{Name: spokenKind, Path: spokenPath + "1", Rate: spokenRate, Check: check}
 }
 
 // spokenViolations compares what they got with what they had said. Which balancer a request came from
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -9,8 +9,6 @@
 
 	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/placement"
-	"github.com/lotuswing/lotuswing/coord/reason"
-	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/coord/selection"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/tenant"
@@ -144,11 +142,10 @@
 	s.ranking.Reset(len(members))
 	for _, i := range members {
 		e := &s.listed[i]
-		if side != placement.AnySide && e.Side != side || s.avoids(e) || !c.inRegion(s, e) || !e.Usable(now) {
+		if side != placement.AnySide && e.Side != side || s.avoids(e) || !c.inRegion(s, e) {
 			continue
 		}
-		known := c.knownOf(s, members, e, now)
-		admitted := c.admission(s, i, known, now)
+		known, admitted := c.admission(s, members, i, now)
 		if admitted.Access == admission.Never {
 			continue
 		}
@@ -158,27 +155,6 @@
 	s.ranking.DropEjected()
 }
 
-// avoids reports whether the request must not go to an endpoint: it was there, or the endpoint has
-// ended under it.
-func (s *search) avoids(e *directory.Endpoint) bool {
-	return slices.Contains(s.request.Avoid, e.VM) || slices.Contains(s.request.Ended, placement.Incarnation{VM: e.VM, Start: e.Start})
-}
-
-// admission decides whether and from when a request may go to an endpoint; c.mu is held.
-func (c *Chooser) admission(s *search, index int, known *endpoint, now time.Time) admission.Decision {
-	e := &s.listed[index]
-	f := admission.Facts{Usable: e.Usable(now), State: known.admission, Lot: s.lotOf(index), Priority: s.request.Priority}
-	f.Limit, f.LimitOpens = c.standing(e, now)
-	return admission.Decide(f, now)
-}
-
-// lotOf returns the request's random number for an endpoint, by its place in the list. It is the
-// same however often the request looks.
-func (s *search) lotOf(index int) float64 {
-	const goldenRatio = 0x9e3779b9 // spreads neighbouring places
-	return float64((s.lot^uint32(index+1)*goldenRatio)*goldenRatio) / (1 << 32)
-}
-
 // knownOf returns what is remembered of an endpoint. One that appears after the
 // service's others has joined it, and is tried by as many balancers as use each of the
 // others. Another start under the identity of an earlier one has joined it, too: what was
@@ -253,25 +229,3 @@
 
 // oldestAge is the age from which a report counts as none in the log.
 const oldestAge = time.Hour
-
-// retryAfter returns when the caller of a refused request should come back. Callers that wait for
-// the end of one backoff are spread behind it.
-func retryAfter(d selection.Decision, target time.Duration) time.Duration {
-	spread := retry.AfterNoEndpoint(target, rand.Float64())
-	if d.Reason == reason.EndpointsBackingOff {
-		return d.After + spread
-	}
-	return max(d.After, spread)
-}
-
-// refuse says why there is no endpoint, with what was known of them.
-func (c *Chooser) refuse(s *search, d selection.Decision) *placement.Refusal {
-	c.mu.Lock()
-	c.workloads[s.request.Kind] = c.workloads[s.request.Kind].WithRefusal()
-	c.mu.Unlock()
-	return &placement.Refusal{
-		Reason:     d.Reason,
-		RetryAfter: retryAfter(d, s.request.Target),
-		Search:     s.ranking.Search(s.probes),
-	}
-}
--- a/direct/hints_test.go
+++ b/direct/hints_test.go
@@ -42,7 +42,9 @@
 				o.prober.set(id, 3, 1) // full
 			}
 		}
+		began := time.Now()
 		assert.Equal(t, grant(t, o).Endpoint.VM, first.Endpoint.VM, "nowhere else is room")
+		assert.Equal(t, time.Since(began), time.Duration(0), "it binds nobody")
 	})
 }
 
--- a/direct/leaving.go
+++ b/direct/leaving.go
@@ -6,11 +6,8 @@
 	"fmt"
 	"time"
 
-	"github.com/lotuswing/lotuswing/coord/admission"
-	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/relay"
-	"github.com/lotuswing/lotuswing/tenant"
 )
 
 // LeavingTopic is that of the notes by which the balancer that an endpoint has told that it leaves
@@ -74,26 +71,3 @@
 	c.markLeaving(limits.Endpoint{ID: said.ID, Start: said.Start, Service: said.Service}, fromNote, time.Now())
 	return nil
 }
-
-// Admits reports whether the endpoint of a grant still may get the request.
-func (c *Chooser) Admits(g placement.Grant, now time.Time) bool {
-	listed, ok := c.cfg.Directory.Snapshot().Find(tenant.ServiceName(g.Service), g.Endpoint.VM)
-	if !ok || listed.Start != g.Choice.Start {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	known, ok := c.endpoints[g.Endpoint.VM]
-	if !ok || known.start != g.Choice.Start {
-		return listed.Usable(now)
-	}
-	return admission.Willing(listed.Usable(now), known.admission, now)
-}
-
-// Willing reports whether an endpoint may be asked something: it does not want to be left alone.
-func (c *Chooser) Willing(id string, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	known, ok := c.endpoints[id]
-	return !ok || !known.admission.BackingOff(now)
-}
--- a/direct/said.go
+++ b/direct/said.go
@@ -30,7 +30,7 @@
 	defer c.mu.Unlock()
 	for _, endpoints := range c.cfg.Directory.Snapshot().Endpoints {
 		for i := range endpoints {
-			if said, any := c.saidBy(&endpoints[i], now); any {
+			if said, anything := c.saidBy(&endpoints[i], now); anything {
 				list = append(list, said)
 			}
 		}
@@ -42,7 +42,7 @@
 }
 
 // saidBy returns what a listed endpoint has said, and whether that is anything; c.mu is held.
-func (c *Chooser) saidBy(e *directory.Endpoint, now time.Time) (said Said, any bool) {
+func (c *Chooser) saidBy(e *directory.Endpoint, now time.Time) (said Said, anything bool) {
 	known, ok := c.endpoints[e.VM]
 	if !ok || known.start != e.Start {
 		return Said{}, false
--- a/directory/departed.go
+++ b/directory/departed.go
@@ -52,3 +52,38 @@
 		}
 	}
 }
+
+// Leaving returns the endpoints that leave and that the store still lists.
+func (d *Directory) Leaving() (all []Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.ended {
+		if e := d.endpoints[id]; e.State == Leaving && !e.Gone {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// MarkLeaving notes that one start of an endpoint said that it leaves, or that another
+// incarnation answers at its address. It reports whether that was news. An endpoint whose entry is
+// read later is known to leave then.
+func (d *Directory) MarkLeaving(id string, start int64, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, known := d.endpoints[id]
+	switch {
+	case known && e.Start == start:
+		if e.State == Leaving {
+			return false
+		}
+		d.keep(e, e.withState(Leaving, now))
+		d.publish(now)
+		return true
+	case known && start < e.Start:
+		return false // a start before the one that is known
+	}
+	_, noted := d.departed[departure{id, start}]
+	d.departed.add(id, start, now)
+	return !noted
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,34 +27,11 @@
 package directory
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Snapshot is what the request path reads. It is never changed.
-type Snapshot struct {
-	Config    *Config               // nil until one is known
-	Endpoints map[string][]Endpoint // by service, in order of identity: listed ones, and missing ones while nearly all are; see Endpoint.Usable
-	Known     int                   // endpoints that are listed, of services that are configured
-	Rollouts  []Rollout             // of versions that come in, or have, in the order of the services
-	Shares    map[string]float64    // by service, the part of the requests for the version that comes in, where one does
-	Evacuated []string              // availability zones that are being emptied, in order; their endpoints are not usable
-	At        uint64                // revision up to which all changes are known
-}
-
-// Find returns an endpoint of a service that is listed, or missing while nearly all are.
-func (s *Snapshot) Find(service, id string) (*Endpoint, bool) {
-	list := s.Endpoints[service]
-	i, ok := slices.BinarySearchFunc(list, id, func(e Endpoint, id string) int { return cmp.Compare(e.VM, id) })
-	if !ok {
-		return nil, false
-	}
-	return &list[i], true
-}
-
 // Directory is a process's copy. It is safe for concurrent use.
 type Directory struct {
 	snapshot atomic.Pointer[Snapshot]
@@ -221,41 +198,6 @@
 	return e, known
 }
 
-// Leaving returns the endpoints that leave and that the store still lists.
-func (d *Directory) Leaving() (all []Endpoint) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id := range d.ended {
-		if e := d.endpoints[id]; e.State == Leaving && !e.Gone {
-			all = append(all, e)
-		}
-	}
-	return all
-}
-
-// MarkLeaving notes that one start of an endpoint said that it leaves, or that another
-// incarnation answers at its address. It reports whether that was news. An endpoint whose entry is
-// read later is known to leave then.
-func (d *Directory) MarkLeaving(id string, start int64, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	e, known := d.endpoints[id]
-	switch {
-	case known && e.Start == start:
-		if e.State == Leaving {
-			return false
-		}
-		d.keep(e, e.withState(Leaving, now))
-		d.publish(now)
-		return true
-	case known && start < e.Start:
-		return false // a start before the one that is known
-	}
-	_, noted := d.departed[departure{id, start}]
-	d.departed.add(id, start, now)
-	return !noted
-}
-
 // isConfigured reports whether a service is one that requests can go to; d.mu is held.
 func (d *Directory) isConfigured(service string) bool {
 	if d.config == nil {
--- a/quarantine/admit.go
+++ b/quarantine/admit.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/crash"
@@ -129,17 +128,6 @@
 	return Pass{Trial: true, Suspected: true, Ended: ended(is)}, nil, true
 }
 
-// ended returns the incarnations that ended under a request, as far as starts can be told apart.
-func ended(is crash.Case) []placement.Incarnation {
-	var all []placement.Incarnation
-	for _, e := range is.Ends() {
-		if e.Start != 0 {
-			all = append(all, placement.Incarnation{VM: e.Endpoint, Start: e.Start})
-		}
-	}
-	return all
-}
-
 // trialsOfTarget is how many times its target a trial of a request may take before another
 // balancer may think that it is over.
 const trialsOfTarget = 2
@@ -227,25 +215,3 @@
 	k.denied.Inc(1)
 	return &Refusal{RetryAfter: after, Evidence: fmt.Sprintf("fingerprint %s: %s", f, evidence(is, now))}
 }
-
-// evidence tells on what a decision rests.
-func evidence(is crash.Case, now time.Time) string {
-	var parts []string
-	for _, e := range is.Ends() {
-		text := fmt.Sprintf("%s ended %s ago, seen by %s", e.Endpoint, now.Sub(e.At).Round(time.Millisecond), e.SeenBy)
-		switch {
-		case e.Trial && e.Alone:
-			text += ", on trial alone"
-		case e.Trial:
-			text += ", on trial"
-		}
-		parts = append(parts, text)
-	}
-	if is.Ordered() {
-		parts = append(parts, "ordered by an operator")
-	}
-	if len(parts) == 0 {
-		return "none"
-	}
-	return strings.Join(parts, "; ")
-}
