An endpoint that is shut to a request hides no other one

What callers saw: nothing yet; found by reading. A request could be refused as one that cannot be served in time (LW2002) though an endpoint would have taken it.

Cause: endpoints that want no requests, or are at their limits, counted as full, and full ones were ordered by cost: one that refuses everything looks idle, so it came before one that had room but had just refused another request, and could not be taken.

Evidence: TestEndpointThatIsShutHidesNoOther, and two rows of TestOrderOfCandidates, before: Wait in place of Take.

Change: those that may not get the request come last.

--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -126,14 +126,21 @@
 	}
 	c.cost += c.Estimate
 	c.Closed = cold && e.closed(usual, index, c.Estimate, now)
-	c.Full = c.Closed || c.Admission.Access == admission.Shut || c.Busy >= usual.roomOf(c.Slots) || now.Before(e.pausedUntil)
+	c.Full = c.Closed || c.shut() || c.Busy >= usual.roomOf(c.Slots) || now.Before(e.pausedUntil)
 	c.Good = !c.Full && c.Admission.Admits() && e.unanswered == 0 && e.load.Pace(now) <= goodPace
 	return c
 }
 
-// compare orders candidates: those with room first, then by cost.
+// shut reports whether the request may not go there now, whatever room there is.
+func (c *Candidate) shut() bool { return c.Admission.Access == admission.Shut }
+
+// compare orders candidates: those that may get the request first, then those with room, then by cost.
 func (c *Candidate) compare(o *Candidate) int {
 	switch {
+	case c.shut() != o.shut() && c.shut():
+		return 1
+	case c.shut() != o.shut():
+		return -1
 	case c.Full != o.Full && c.Full:
 		return 1
 	case c.Full != o.Full:
--- a/coord/selection/decide_test.go
+++ b/coord/selection/decide_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/selection"
@@ -65,6 +66,22 @@
 	assert.Equal(t, options.GiveUpAt(withoutTarget, start), start.Add(200*time.Millisecond))
 }
 
+// shut is of an endpoint that wants no requests.
+var shut = selection.Listing{Slots: 3, SameZone: true, Admission: admission.Decision{Access: admission.Shut, Cause: admission.BackingOff, OpensIn: time.Second}}
+
+// TestEndpointThatIsShutHidesNoOther: one that wants no requests looks idle; a request that may go to
+// another one, which is no good choice, is not refused for that.
+func TestEndpointThatIsShutHidesNoOther(t *testing.T) {
+	idle, crowded := probed(0, 1), probed(0, 1).WithOutcome(placement.Shed, 1, start)
+	var r selection.Ranking
+	r.Add(selection.NewCandidate(&idle, 0, shut, &usual, 0, start))
+	r.Add(selection.NewCandidate(&crowded, 1, near, &usual, 1, start))
+	request := placement.Request{Accepted: start, Target: time.Second, Deadline: start.Add(2 * time.Second)}
+	d := options.Decide(&r, request, selection.Situation{GiveUp: options.GiveUpAt(request, start), Blind: true}, start)
+	assert.Equal(t, d.Do, selection.Take)
+	assert.Equal(t, r.Best().Index, 1)
+}
+
 // TestOrderOfCandidates: what makes an endpoint worse than another one.
 func TestOrderOfCandidates(t *testing.T) {
 	idle := probed(0, 1)
@@ -88,6 +105,8 @@
 		{"an open connection", probed(0, 1.8), silent, near, near},
 		{"answered probes", idle, unanswered, near, near},
 		{"one that did not refuse", probed(0, 5), shed, near, near},
+		{"one that may get the request, though it just refused another", shed, idle, near, shut},
+		{"one that refuses nobody else", probed(0, 1.4), idle, near, selection.Listing{Slots: 3, SameZone: true, Admission: admission.Decision{Deferred: true}}},
 	} {
 		var r selection.Ranking
 		r.Add(selection.NewCandidate(&c.worse, 0, c.worsL, &usual, 0, start))
