--- a/coord/retry/after.go
+++ b/coord/retry/after.go
@@ -9,8 +9,7 @@
 
 const (
 	// noEndpointShare is the part of the target after which a caller comes back for whose request
-	// no endpoint was found. 0.974 and 0.977 with 18 balancers, 0.908 and 0.900 with 13, no
-	// difference beyond noise.
+	// no endpoint was found.
 	noEndpointShare = 0.25
 	// failedDivisor divides the target for a caller whose request endpoints were tried for and
 	// did not run.
--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -30,8 +30,7 @@
 	// slownessGrace is how many times the usual time completions may take before the estimate
 	// grows with them.
 	slownessGrace = 2
-	// goodPace is the pace up to which an endpoint is taken at once. That only endpoints near
-	// their usual pace are taken.
+	// goodPace is the pace up to which an endpoint is taken at once.
 	goodPace = 1.6
 )
 
--- a/coord/selection/decide.go
+++ b/coord/selection/decide.go
@@ -89,8 +89,7 @@
 // acceptable reports whether a candidate has a free slot and is thought to respond
 // within the target. A request never waits at an endpoint: it would start there at
 // whatever pace the endpoint has when a slot becomes free, and an endpoint whose
-// slots are all taken is slower for everybody: without the rule simulated days of
-// 17 balancers under overload lost 0.032 of their worth, others nothing.
+// slots are all taken is slower for everybody.
 func (c *Candidate) acceptable(r placement.Request, now time.Time) bool {
 	if c.Closed || !c.Admission.Admits() || c.Busy >= c.Slots {
 		return false
--- a/coord/selection/load.go
+++ b/coord/selection/load.go
@@ -13,9 +13,7 @@
 	// meanPace is the pace expected of an endpoint of which nothing fresh is known.
 	meanPace = 1.8
 	// busyMemory is the age from which a report says nothing of other balancers' requests: an
-	// endpoint that was full then is as good as one that was never heard of. Counting them for
-	// ever kept endpoints out of use. 0.4 s, 2 s and never made no difference with 123 balancers
-	// under overload.
+	// endpoint that was full then is as good as one that was never heard of.
 	busyMemory = 400 * time.Millisecond
 )
 
--- a/coord/selection/probe.go
+++ b/coord/selection/probe.go
@@ -8,10 +8,9 @@
 
 const (
 	// probeRounds is how often in one look other endpoints are probed when those probed before
-	// will not do. That one endpoint is probed at a time, and not three.
+	// will not do.
 	probeRounds = 12
-	// fewestRounds is how often in each look of a request that has sent mostProbes. So many
-	// probes are what a request could send at most, in six looks, with six a look.
+	// fewestRounds is the same for a request that has sent mostProbes.
 	fewestRounds = 2
 	mostProbes   = 24
 )
--- a/directory/apply.go
+++ b/directory/apply.go
@@ -29,8 +29,8 @@
 	f.opts.Observe(changes)
 }
 
-// logMoved writes a line for each endpoint whose state changed. A first copy names all there are.
-// 1.6 ms for 1.0 ms of processor time).
+// logMoved writes a line for each endpoint whose state changed, and one line for a first copy, which
+// names all there are.
 func (f *Follower) logMoved(moved []Change, changes Changes) {
 	if (changes.Whole || changes.Part) && len(moved) > mostLines {
 		count := map[State]int{}
--- a/directory/lists.go
+++ b/directory/lists.go
@@ -29,7 +29,7 @@
 
 // publish brings what is known into force for the request path; d.mu is held. Only the lists of
 // services are made anew of which something has changed, or of which endpoints went missing,
-// since it depends on the time whether these are used. 0.11 ms now).
+// since it depends on the time whether these are used.
 func (d *Directory) publish(now time.Time) {
 	before := d.snapshot.Load()
 	s := &Snapshot{
--- a/directory/options.go
+++ b/directory/options.go
@@ -74,9 +74,7 @@
 
 // Parts of the bound.
 const (
-	// gatherShare: of a bound of 2 s, 1.4 s. Each call to the store is paid for;
-	// 1 s and 1.4 s made no difference beyond noise in the score (MEASUREMENTS,
-	// rounds).
+	// gatherShare: each call to the store is paid for.
 	gatherShare = 0.7
 	// checkShare, stuckShare: 850 ms and 550 ms of 2 s. Together they stay below
 	// the bound.
--- a/directory/read.go
+++ b/directory/read.go
@@ -25,9 +25,8 @@
 }
 
 // PartEntries is how many endpoints a balancer has to know, at the least, to serve before it
-// has a copy of everything. So many are read in some 5 of the 50 pages of 10,000 and packed to
-// 50 KB where all are 350 KB: 984 balancers that had lost power served after 2.3 s while each
-// waited for the whole copy. Deployments with fewer endpoints get the whole copy at once.
+// has a copy of everything, which takes long where there are thousands. Deployments with fewer
+// endpoints get the whole copy at once.
 const PartEntries = 1024
 
 // ReadRegistrations reads the registrations of balancers alone, cheaply, and brings
--- a/node/alone.go
+++ b/node/alone.go
@@ -14,8 +14,6 @@
 	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
-// That patient requests come second took the p99 of interactive ones from 1,190 to 841 ms, beside
-// other changes.
 const (
 	// aloneLimit is how many requests a balancer that chooses alone has in
 	// flight on one endpoint, for each of its slots that would be its share.
