A relay watches again as soon as the store answers another of its calls

Cause, by a trace of each call: a relay that has lost the store pauses for up to 2 s between two watches. Meanwhile two or three followers whose turn came followed the store themselves, with a check every 100 ms each. Ruled out: load (the calls are those of followers that are in touch), the rule of turns (5 to 9 calls of 12 followers while the store was lost).

Change: an answer to any other call of the balancer ends the pause (Follower.Retry): noteAnswer for the follower's own, the relay for the registration and its renewals. Each renewal that is answered costs one watch at the most, and none while watches are answered.

Why it works: what followed the store in the relay's place stops as soon as the relay is settled, which needs one answered watch.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -43,16 +43,17 @@
 	directory *Directory
 	source    Source
 	opts      Options
-	active    *gate        // whether the store is followed
-	serving   atomic.Bool  // others rely on this follower
-	lost      atomic.Bool  // the store does not answer
-	failures  atomic.Int64 // calls in a row that failed
-	answered  atomic.Int64 // when the store last answered, in ns since began
-	began     time.Time    // of the steady clock
-	calls     atomic.Int64 // made so far
-	giveUp    chan advice  // what to do instead of a watch that is not trusted
-	watching  atomic.Int64 // since when a watch waits, in ns since began; 0 for none
-	compacted atomic.Bool  // the history went since the monitor last looked
+	active    *gate         // whether the store is followed
+	serving   atomic.Bool   // others rely on this follower
+	lost      atomic.Bool   // the store does not answer
+	failures  atomic.Int64  // calls in a row that failed
+	answered  atomic.Int64  // when the store last answered, in ns since began
+	began     time.Time     // of the steady clock
+	calls     atomic.Int64  // made so far
+	giveUp    chan advice   // what to do instead of a watch that is not trusted
+	retry     chan struct{} // ends the pause after a failure
+	watching  atomic.Int64  // since when a watch waits, in ns since began; 0 for none
+	compacted atomic.Bool   // the history went since the monitor last looked
 }
 
 // NewFollower returns a follower of a source.
@@ -60,7 +61,7 @@
 	opts = opts.withDefaults()
 	return &Follower{
 		directory: d, source: source, opts: opts, active: newGate(!opts.Standby), began: time.Now(),
-		giveUp: make(chan advice, 1),
+		giveUp: make(chan advice, 1), retry: make(chan struct{}, 1),
 	}
 }
 
@@ -203,20 +204,34 @@
 	if f.lost.Swap(false) {
 		f.opts.Log.Info("store regained")
 	}
+	f.Retry()
 	f.opts.OnAnswer()
 }
 
+// Retry ends the pause after a failed call. It is for those whose own calls the store has just
+// answered: until the pause ends this follower would not notice that it does.
+func (f *Follower) Retry() {
+	select {
+	case f.retry <- struct{}{}:
+	default:
+	}
+}
+
 // failed notes that the store has not answered, and pauses: longer with each
 // failure in a row, since refused calls are paid for too.
 func (f *Follower) failed(ctx context.Context, call string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	select {
+	case <-f.retry: // the store answered before this failure
+	default:
+	}
 	failures := f.failures.Add(1)
 	if !f.lost.Swap(true) {
 		f.opts.Log.Warn("store lost", "call", call, "error", err)
 	}
 	f.opts.OnFailure()
 	most := f.shortened(f.opts.retryPause(failures))
-	pause.For(ctx, most/2+rand.N(most/2+1))
+	pause.Until(ctx, f.retry, most/2+rand.N(most/2+1))
 }
--- a/directory/follow_test.go
+++ b/directory/follow_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/lotuswing/lotuswing/directory"
@@ -150,6 +151,46 @@
 	assert.Assert(t, !f.Lost())
 }
 
+// TestAnswerToAnotherCallEndsThePause: a follower that pauses after failures watches again as soon as
+// the store answers anything else.
+func TestAnswerToAnotherCallEndsThePause(t *testing.T) {
+	for name, answered := range map[string]func(context.Context, *directory.Follower) error{
+		"registrations are read": func(ctx context.Context, f *directory.Follower) error { return f.ReadRegistrations(ctx) },
+		"a registration is renewed": func(_ context.Context, f *directory.Follower) error {
+			f.Retry()
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source, d := newFakeSource(), directory.New()
+				source.publish(1)
+				f := directory.NewFollower(d, source, directory.Options{})
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				go f.Run(ctx)
+				synctest.Wait()
+				source.set(func(s *fakeSource) { s.down = true })
+				for !f.Lost() {
+					time.Sleep(time.Second)
+				}
+				time.Sleep(time.Minute) // the pauses have grown
+				calls := f.Calls()
+				for f.Calls() == calls { // the next pause has just begun
+					time.Sleep(time.Millisecond)
+				}
+				source.publish(2)
+				source.set(func(s *fakeSource) { s.down = false })
+				synctest.Wait()
+				assert.Equal(t, d.Snapshot().Config.Version, uint64(1))
+				assert.NilError(t, answered(ctx, f))
+				synctest.Wait()
+				assert.Equal(t, d.Snapshot().Config.Version, uint64(2))
+			})
+		})
+	}
+}
+
 // TestForgottenHistoryIsReadAgain.
 func TestForgottenHistoryIsReadAgain(t *testing.T) {
 	s := newFakeSource()
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -11,7 +11,7 @@
 //
 //	k := limits.New(limits.Config{Addr: link, Log: log, Metrics: registry})
 //	k.SetCarrier(relays)
-//	k.Answered(endpoint, dialect.LimitOf(header, sent, now))
+//	k.Answered(endpoint, report.Limit)
 //	if standing, _ := k.Standing(endpoint, now); standing == limit.Askable {
 //		k.Seek(ctx, endpoint, wait)
 //	}
--- a/relay/registration.go
+++ b/relay/registration.go
@@ -126,6 +126,7 @@
 		g.registered.Store(int64(time.Since(g.began)))
 		g.follower.SetServing(true)
 		g.follower.SetActive(true)
+		g.follower.Retry()
 	}
 	g.replica.waitRegistration(ctx, g.cfg.Zone, g.opts.TTL)
 }
@@ -137,5 +138,7 @@
 	defer cancel()
 	if err := g.cfg.Registry.Renew(ctx, own.lease); err != nil {
 		g.cfg.Log.Warn("registration not renewed", "zone", g.cfg.Zone, "lease", own.lease, "error", err)
+		return
 	}
+	g.follower.Retry()
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -66,6 +66,7 @@
 	Apply(directory.Changes)
 	SetActive(active bool)
 	SetServing(serving bool)
+	Retry()
 	Read(ctx context.Context) error
 	ReadRegistrations(ctx context.Context) error
 	Active() bool
--- a/relay/return_test.go
+++ b/relay/return_test.go
@@ -20,6 +20,7 @@
 	Follower
 	settled bool
 	read    *atomic.Int64 // readings of the registrations
+	retried *atomic.Int64 // how often a pause was ended
 }
 
 // Settled is as it was made.
@@ -34,6 +35,9 @@
 // SetServing changes nothing.
 func (f still) SetServing(bool) {}
 
+// Retry is counted.
+func (f still) Retry() { f.retried.Add(1) }
+
 // ReadRegistrations finds none.
 func (f still) ReadRegistrations(context.Context) error {
 	f.read.Add(1)
@@ -41,10 +45,40 @@
 }
 
 // renewing is a registry whose leases never end.
-type renewing struct{ Registry }
+type renewing struct {
+	Registry
+	down bool // nothing is answered
+}
 
 // Renew extends it.
-func (renewing) Renew(context.Context, uint64) error { return nil }
+func (r renewing) Renew(context.Context, uint64) error {
+	if r.down {
+		return errors.New("store is down")
+	}
+	return nil
+}
+
+// Register registers a balancer.
+func (r renewing) Register(context.Context, string, []byte, time.Duration) error {
+	return r.Renew(context.Background(), 0)
+}
+
+// TestAnswerToARelayEndsItsPause: the store's answer to a registration or to its renewal has the
+// changes asked for at once; a call that fails has not.
+func TestAnswerToARelayEndsItsPause(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		f := still{retried: new(atomic.Int64)}
+		g := New(Config{Zone: "medina", Registry: renewing{down: down}, Log: hclog.NewNullLogger(), Options: Options{TTL: time.Millisecond}})
+		g.follower = f
+		g.renew(t.Context(), Relay{})
+		g.register(t.Context(), nil)
+		want := int64(2)
+		if down {
+			want = 0
+		}
+		assert.Equal(t, f.retried.Load(), want)
+	}
+}
 
 // startStill starts a balancer with such a follower, and returns it with its address.
 func startStill(t *testing.T, settled bool) (*Group, string) {
@@ -53,7 +87,7 @@
 	assert.NilError(t, err)
 	addr := l.Addr().String()
 	g := New(Config{ID: addr, Zone: "medina", Addr: addr, Registry: renewing{}, Log: hclog.NewNullLogger()})
-	assert.NilError(t, g.Start(l, still{settled: settled, read: new(atomic.Int64)}))
+	assert.NilError(t, g.Start(l, still{settled: settled, read: new(atomic.Int64), retried: new(atomic.Int64)}))
 	t.Cleanup(g.Close)
 	return g, addr
 }
@@ -90,7 +124,7 @@
 func TestRelayThatAnswersIsAskedAgain(t *testing.T) {
 	now := time.Now()
 	g := New(Config{Zone: "medina", Addr: "10.0.0.2:1", Log: hclog.NewNullLogger()})
-	g.follower = still{}
+	g.follower = still{retried: new(atomic.Int64)}
 	g.replica.apply(directory.Changes{At: 2, Whole: true, Registrations: []directory.Record{
 		{Key: "relays/medina", Value: []byte(`{"id":"vm","addr":"10.0.0.1:1"}`), Revision: 2},
 	}}, now)
@@ -113,7 +147,7 @@
 	giver, giverAddr := startStill(t, false)
 	readings := new(atomic.Int64)
 	g := New(Config{Zone: "medina", Addr: "10.0.0.2:1", Log: hclog.NewNullLogger(), Options: Options{StartPoll: time.Millisecond}})
-	g.follower = still{read: readings}
+	g.follower = still{read: readings, retried: new(atomic.Int64)}
 	g.starting.Store(true)
 	g.first = bootstrap.Result{From: giverAddr}
 	var s subscription
@@ -159,13 +193,13 @@
 	addr := l.Addr().String()
 	lost := new(atomic.Bool)
 	relay := New(Config{ID: addr, Zone: "medina", Addr: addr, Registry: renewing{}, Log: hclog.NewNullLogger()})
-	assert.NilError(t, relay.Start(l, turning{still: still{read: new(atomic.Int64)}, lost: lost}))
+	assert.NilError(t, relay.Start(l, turning{still: still{read: new(atomic.Int64), retried: new(atomic.Int64)}, lost: lost}))
 	t.Cleanup(relay.Close)
 	relay.replica.apply(directory.Changes{At: 2, Whole: true}, time.Now())
 	l, err = net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	follower := New(Config{ID: "b", Zone: "medina", Addr: l.Addr().String(), Registry: renewing{}, Log: hclog.NewNullLogger(), Options: Options{Wait: maxWait}})
-	assert.NilError(t, follower.Start(l, still{settled: false, read: new(atomic.Int64)}))
+	assert.NilError(t, follower.Start(l, still{read: new(atomic.Int64), retried: new(atomic.Int64)}))
 	t.Cleanup(follower.Close)
 	follower.replica.apply(directory.Changes{At: 2, Whole: true}, time.Now())
 	answered := make(chan error, 1)
