Nobody counts on for a balancer that rests

While the team sent its usual, 1.4 to 2.1 requests a second were taken from its bucket beside its own: 0.84 tokens were left where one bucket held 9.

Cause: a balancer that has counted nothing for three seconds stops reporting. A relay took that for a balancer which is cut off and goes on counting, for 15 s, at the part of the rate that it was told; when it counted again, what "was counted in its place" was taken off what it told.

Who rests has little to give out on its own, as one that has lost its relay.

Measured: TestBalancerThatRestsIsNotCountedOn failed before (5 a second counted on for it, not 0) and passes; all tests of coord/quota pass.

--- a/coord/quota/book.go
+++ b/coord/quota/book.go
@@ -190,6 +190,9 @@
 			b.accounts[team] = b.accounts[team].with(b.limits[team], now).WithAsked(now)
 		}
 	}
+	if r.Rests {
+		b.rest()
+	}
 	return r
 }
 
--- a/coord/quota/lost.go
+++ b/coord/quota/lost.go
@@ -33,6 +33,15 @@
 	return a
 }
 
+// rest makes little of what this balancer gives out once it hears no word: relays count on for it no
+// longer. The next word tells its part anew.
+func (b *Book) rest() {
+	for team, a := range b.accounts {
+		a.part = min(a.part, lostPart/float64(max(1, b.members)))
+		b.accounts[team] = a
+	}
+}
+
 // Failed notes that a report was not answered. What a balancer gives out of teams on which it has
 // heard no word is little from then on.
 func (b *Book) Failed(now time.Time) {
--- a/coord/tally/counter.go
+++ b/coord/tally/counter.go
@@ -27,6 +27,7 @@
 	dirty    bool      // something was counted since
 	urgent   bool      // something was counted since whose news press
 	hurry    bool      // something waits for the answer to the next report
+	rests    bool      // the last report told that nothing is counted any more
 }
 
 type counted struct {
@@ -101,7 +102,7 @@
 		return c.reported.Add(p.Urgent), true
 	case c.dirty:
 		return c.reported.Add(p.Calm), true
-	case c.active(now):
+	case c.active(now), !c.rests && !c.reported.IsZero():
 		return c.reported.Add(heartbeat), true
 	}
 	return time.Time{}, false
@@ -121,7 +122,8 @@
 func (c *Counter) Report(now time.Time) Report {
 	c.number++
 	c.reported, c.dirty, c.urgent, c.hurry = now, false, false, false
-	r := Report{From: c.from, Zone: c.zone, Life: c.life, Number: c.number}
+	c.rests = !c.active(now)
+	r := Report{From: c.from, Zone: c.zone, Life: c.life, Number: c.number, Rests: c.rests}
 	for key, k := range c.counts {
 		if now.Sub(k.changed) <= activeFor || k.total != k.told {
 			r.Counts = append(r.Counts, Count{Key: key, Total: k.total, Told: k.told})
--- a/coord/tally/ledger.go
+++ b/coord/tally/ledger.go
@@ -34,6 +34,7 @@
 	zone         string
 	members      int
 	heard        time.Time
+	rests        bool // it said that it reports no more before it counts again
 	counts       map[string]*noted
 }
 
@@ -60,7 +61,10 @@
 		return nil
 	}
 	silent := min(now.Sub(o.heard), unheardFor) - unheardAfter
-	o.number, o.heard, o.zone, o.members = r.Number, now, r.Zone, r.Members
+	if o.rests {
+		silent = 0
+	}
+	o.number, o.heard, o.rests, o.zone, o.members = r.Number, now, r.Rests, r.Zone, r.Members
 	var changes []Change
 	for _, c := range r.Counts {
 		by := o.note(c, silent, now)
@@ -211,7 +215,7 @@
 func (l *Ledger) Unheard(key string, isRelay IsRelay, now time.Time) (own, all float64) {
 	for addr, o := range l.origins {
 		n, ok := o.counts[key]
-		if !ok {
+		if !ok || o.rests {
 			continue
 		}
 		age := now.Sub(o.heard)
--- a/coord/tally/tally.go
+++ b/coord/tally/tally.go
@@ -49,7 +49,10 @@
 	Relay   bool   // the counts are sums of the zone
 	Members int    // balancers of the zone that were heard of; only relays tell it
 	Wants   bool   // the reporter is a relay that has just become one, and wants to hear what others know
-	Counts  []Count
+	// Rests: the reporter has counted nothing lately, and reports no more before it counts again. It
+	// is not one that went on counting and is no longer heard of.
+	Rests  bool
+	Counts []Count
 }
 
 // Change is by how much more has been counted under a key than was known.
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -98,7 +98,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	r := k.book.ZoneReport(carrier.IsRelay, time.Now())
-	if len(r.Counts) == 0 {
+	if len(r.Counts) == 0 && !r.Rests {
 		return
 	}
 	for _, addr := range carrier.Others() {
