A relay counts on for those that it does not hear of, also of teams that are new

Cause: a relay that is cut off alone, and the others, count on for balancers that have told something of a team (Unheard). Of a team that is new nobody had: each side gave out the whole quota.

--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -297,11 +297,11 @@
 }
 
 // keepsQuota plays something with fleets of all sizes and checks that the team never got more than
-// the operators bear with.
-func keepsQuota(t *testing.T, play func(f *fleet)) {
+// the operators bear with. Seeds that did it before are played as well.
+func keepsQuota(t *testing.T, play func(f *fleet), more ...uint64) {
 	t.Helper()
 	for _, s := range sizes {
-		for seed := range min(3, seedsFor(s.nodes)) {
+		for _, seed := range append([]uint64{0, 1, 2}[:min(3, seedsFor(s.nodes))], more...) {
 			f := newFleet(seed, s.nodes, s.zones, s.limit)
 			play(f)
 			t.Logf("%d balancers: worst window %.2f", s.nodes, f.worst(s.limit))
@@ -379,7 +379,7 @@
 		f.sendOf("another", 5*float64(len(f.nodes)), 0, 16*time.Second, f.anyOf(len(f.nodes)))
 		f.send(5*f.limit.Rate, 7*time.Second, 16*time.Second, f.anyOf(len(f.nodes)))
 		f.Run(18 * time.Second)
-	})
+	}, 18, 25)
 }
 
 // TestReturnsKeepQuota: a team sends many times its quota, and of what is let in a half is put back
--- a/coord/quota/relay.go
+++ b/coord/quota/relay.go
@@ -49,6 +49,7 @@
 		l := b.limits[team]
 		b.ledger.HoldRelays(teamPrefix+team, l.Rate, now)
 		_, unheard := b.ledger.Unheard(teamPrefix+team, isRelay, now)
+		unheard += l.Rate * b.ledger.Untold(teamPrefix+team, isRelay, now)
 		b.accounts[team] = a.AsRelay(l, min(unheard, l.Rate), now)
 	}
 }
--- a/coord/tally/ledger.go
+++ b/coord/tally/ledger.go
@@ -231,6 +231,26 @@
 	return own, own + all
 }
 
+// Untold returns which part of what all may count under a key those may count that are not heard of
+// and have told nothing of it.
+func (l *Ledger) Untold(key string, isRelay IsRelay, now time.Time) (part float64) {
+	total := l.total(key, now)
+	_, all := l.Members(now)
+	for addr, o := range l.origins {
+		age := now.Sub(o.heard)
+		if _, told := o.counts[key]; told || o.rests || age <= unheardAfter || age > unheardFor {
+			continue
+		}
+		switch {
+		case !o.relay:
+			part += Part(0, total, 1, all)
+		case isRelay(addr) || age <= relayGoneFor:
+			part += Part(0, total, o.members, all)
+		}
+	}
+	return part
+}
+
 // Members returns how many balancers have been heard of lately: in the own zone, and in all.
 func (l *Ledger) Members(now time.Time) (own, all int) {
 	for _, o := range l.origins {
--- a/coord/tally/rest_test.go
+++ b/coord/tally/rest_test.go
@@ -55,3 +55,22 @@
 		})
 	}
 }
+
+// TestUntoldPart: who is not heard of may begin to count what it has never counted.
+func TestUntoldPart(t *testing.T) {
+	heard := func(l *Ledger, from string, relay bool, members int, rests bool, age time.Duration, key string) {
+		l.Note(Report{From: from, Zone: from, Life: 1, Number: 1, Relay: relay, Members: members, Rests: rests, Counts: []Count{{Key: key, Total: 1}}}, start.Add(-age))
+	}
+	l := NewLedger("10.0.0.1:1", "medina", 1)
+	heard(l, "10.0.0.2:1", false, 0, false, 2*time.Second, "other")
+	heard(l, "10.0.0.3:1", false, 0, false, 0, "other")
+	heard(l, "10.0.0.4:1", false, 0, true, 2*time.Second, "other")
+	heard(l, "10.0.0.5:1", false, 0, false, 20*time.Second, "other")
+	heard(l, "10.0.0.6:1", true, 5, false, 6*time.Second, "other")
+	heard(l, "10.0.0.7:1", true, 2, false, 2*time.Second, "other")
+	all := 1.0 + 1 + 1 + 5 + 2 // the one that has been gone for 20 s is forgotten
+	registered := func(addr string) bool { return addr == "10.0.0.6:1" }
+	assert.Equal(t, l.Untold("team", registered, start), 1/all+5/all+2/all)
+	assert.Equal(t, l.Untold("team", never, start), 1/all+2/all, "a relay that is not registered any more is gone sooner")
+	assert.Equal(t, l.Untold("other", registered, start), 0.0, "they have told of it")
+}
