Requests of a team that each balancer seldom sees wait for the fleet's word

Cause: a balancer that has heard no word on a team, or none for two seconds, lets the next request go and asks then. With fewer requests than balancers in that time each of them does so, and the quota binds nobody. Ruled out: late reports (each came within 0.1 s), cuts (none).

Change: where a balancer's part of rate and burst is less than two requests, its next request first asks the relay it follows for a word and waits for it, 25 ms at most (quota.Book.Asks, fleet.Keeper.Await), unless one came within the last 0.1 s, or the relay does not answer. Such counts are told within 0.1 s.

Why it works: at most what is sent within a report's way is not known to the bucket, whatever the number of balancers.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -89,6 +89,9 @@
 
 // Quotas bounds what teams send through all balancers together.
 type Quotas interface {
+	// Await waits a moment for what other balancers let through where that is not known well enough
+	// to take the team's next request.
+	Await(ctx context.Context, team string, l quota.Limit)
 	// Take takes a request out of a team's quota, or says when there may be room.
 	Take(team string, l quota.Limit, now time.Time) (ok bool, retryAfter time.Duration)
 	// Repeat counts one that is sent once more, after an attempt that may have run.
--- a/balancer/identify.go
+++ b/balancer/identify.go
@@ -138,6 +138,7 @@
 		if b.cfg.Quotas == nil || !ok || team.Quota.Unlimited() {
 			return next(ctx, x)
 		}
+		b.cfg.Quotas.Await(ctx, team.Name, team.Quota)
 		if ok, after := b.cfg.Quotas.Take(team.Name, team.Quota, time.Now()); !ok {
 			return nil, refusal{reason: reason.QuotaExceeded, message: "team " + team.Name, retryAfter: after}
 		}
--- a/balancer/identify_test.go
+++ b/balancer/identify_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -47,6 +48,8 @@
 	back     []string
 }
 
+func (f *fakeQuotas) Await(context.Context, string, quota.Limit) {}
+
 func (f *fakeQuotas) Take(team string, _ quota.Limit, _ time.Time) (bool, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/compat/fill_test.go
+++ b/compat/fill_test.go
@@ -17,6 +17,9 @@
 	return out.Interface()
 }
 
+// inserted are fields that stand before some that earlier versions send: these keep their numbers.
+var inserted = map[string]bool{"tally.Report.Rests": true}
+
 func fill(v reflect.Value, n *int) {
 	*n++
 	switch {
@@ -54,7 +57,13 @@
 		v.SetMapIndex(key, value)
 	case reflect.Struct:
 		for i := range v.NumField() {
-			if v.Type().Field(i).IsExported() {
+			field := v.Type().Field(i)
+			switch {
+			case !field.IsExported():
+			case inserted[v.Type().String()+"."+field.Name]:
+				own := *n
+				fill(v.Field(i), &own)
+			default:
 				fill(v.Field(i), n)
 			}
 		}
--- a/compat/wire_test.go
+++ b/compat/wire_test.go
@@ -51,7 +51,7 @@
 var addedLater = map[string][][]string{
 	"ChangesArgs":  {{"From", "Patient", "InTouch"}, {"TakesNotes", "NotesLife", "NotesAfter"}},
 	"ChangesReply": {{"StoreLost", "Askers", "Instead"}, {"Notes", "NotesLife", "NotesAt"}},
-	"CountArgs":    {{"From", "Asks"}},
+	"CountArgs":    {{"From", "Asks"}, {"Report.Rests"}},
 	"CountReply":   {{"Limits", "Answer.Members"}},
 	"CopyArgs":     {{"Part"}},
 	"CopyReply":    {{"Part"}},
--- a/coord/quota/book.go
+++ b/coord/quota/book.go
@@ -122,9 +122,9 @@
 }
 
 // presses reports whether the relay should hear soon of requests of a team: while nothing
-// was heard of it, and while its bucket is no longer nearly full.
+// was heard of it, while its bucket is no longer nearly full, and where balancers seldom see it.
 func (b *Book) presses(a Account, l Limit, now time.Time) bool {
-	return a.silent(now) || a.tokens < calmFill*l.Burst
+	return a.silent(now) || a.tokens < calmFill*l.Burst || !b.relay && b.seldom(l)
 }
 
 const (
--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -41,6 +41,8 @@
 	down   bool // stopped, or paused
 	due    time.Time
 	flight bool
+	// waiting are requests that wait for a word.
+	waiting []func()
 }
 
 var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -58,7 +60,7 @@
 // start gives a node a new life.
 func (f *fleet) start(n *simNode) {
 	n.book = NewBook(n.addr, fmt.Sprint(n.zone), f.rng.Uint64())
-	n.down, n.flight = false, false
+	n.down, n.flight, n.waiting = false, false, nil
 	f.wake(n)
 }
 
@@ -108,7 +110,7 @@
 	} else {
 		f.report(n)
 	}
-	f.After(urgentPause, func() { f.wake(n) })
+	f.After(hurryPause, func() { f.wake(n) })
 }
 
 // latency of one message.
@@ -137,6 +139,7 @@
 		} else {
 			n.book.Failed(f.Now())
 		}
+		f.answered(n, life)
 		f.wake(n)
 	}
 	if !f.carried(n, relay) {
@@ -189,23 +192,58 @@
 			return
 		}
 		if n := pick(); !n.down {
-			ok, _ := n.book.Take(team, f.limit, f.Now())
-			switch {
-			case team != "team":
-			case ok && f.returned > 0 && f.rng.Float64() < f.returned:
-				f.putBack(n)
-			case ok:
-				f.sent = append(f.sent, f.Now())
-			default:
-				f.refused = append(f.refused, f.Now())
-			}
-			f.wake(n)
+			f.arrive(n, team)
 		}
 		f.After(time.Duration(f.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	f.After(from, next)
 }
 
+// arrive has a request of a team come to a node, and wait for a word where it has to.
+func (f *fleet) arrive(n *simNode, team string) {
+	life, deadline := n.book, f.Now().Add(AskWithin)
+	var look func()
+	look = func() {
+		switch {
+		case n.book != life || n.down:
+		case f.Now().Before(deadline) && n.book.Asks(team, f.limit, f.Now()):
+			n.waiting = append(n.waiting, look)
+			f.wake(n)
+		default:
+			f.take(n, team)
+		}
+	}
+	look()
+	f.After(AskWithin, func() { f.answered(n, life) })
+}
+
+// answered has the requests look again that wait for a word.
+func (f *fleet) answered(n *simNode, life *Book) {
+	if n.book != life {
+		return
+	}
+	waiting := n.waiting
+	n.waiting = nil
+	for _, look := range waiting {
+		look()
+	}
+}
+
+// take lets a request through or refuses it.
+func (f *fleet) take(n *simNode, team string) {
+	ok, _ := n.book.Take(team, f.limit, f.Now())
+	switch {
+	case team != "team":
+	case ok && f.returned > 0 && f.rng.Float64() < f.returned:
+		f.putBack(n)
+	case ok:
+		f.sent = append(f.sent, f.Now())
+	default:
+		f.refused = append(f.refused, f.Now())
+	}
+	f.wake(n)
+}
+
 // simWait is how long a request waits for room that there is not.
 const simWait = 300 * time.Millisecond
 
@@ -276,6 +314,7 @@
 // TestFleetKeepsQuota while a team sends four or ten times its quota, whatever the size of
 // the fleet, and refuses nothing of one that keeps to it.
 func TestFleetKeepsQuota(t *testing.T) {
+	t.Parallel()
 	for _, s := range sizes {
 		for _, times := range []float64{4, 10} {
 			for seed := range seedsFor(s.nodes) {
@@ -335,12 +374,15 @@
 	})
 }
 
+// smallLimit is the quota of a team that sends some requests a second.
+var smallLimit = Limit{8, 8, spare}
+
 // TestSmallTeamIsNotRefused: one that sends some requests a second through many balancers.
 func TestSmallTeamIsNotRefused(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{3, 30, 107} {
 		for seed := range uint64(5) {
-			l := Limit{8, 8, spare}
-			f := newFleet(seed, nodes, 3, l)
+			f := newFleet(seed, nodes, 3, smallLimit)
 			f.send(5, time.Second, 20*time.Second, f.anyOf(min(nodes, 20)))
 			f.Run(20 * time.Second)
 			ideal := f.refusedByOne()
@@ -349,9 +391,28 @@
 	}
 }
 
+// TestSmallTeamKeepsQuota: such a team sends four or ten times its quota through balancers of which
+// each has a part of less than a request.
+func TestSmallTeamKeepsQuota(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{3, 30, 107, 300, 984} {
+		for _, times := range []float64{4, 10} {
+			for seed := range seedsFor(nodes) {
+				f := newFleet(seed, nodes, 3, smallLimit)
+				f.send(5, 0, 4*time.Second, f.anyOf(nodes))
+				f.send(times*smallLimit.Rate, 4*time.Second, 14*time.Second, f.anyOf(nodes))
+				f.Run(15 * time.Second)
+				t.Logf("%d balancers, %v times: worst window %.2f", nodes, times, f.worst(smallLimit))
+				assert.Assert(t, f.worst(smallLimit) <= 1, "%d balancers, %v times, seed %d: %.2f", nodes, times, seed, f.worst(smallLimit))
+			}
+		}
+	}
+}
+
 // TestCutOffBalancersKeepQuota: a third of the balancers hears no other one for nine
 // seconds, while the team sends four times its quota through all.
 func TestCutOffBalancersKeepQuota(t *testing.T) {
+	t.Parallel()
 	keepsQuota(t, func(f *fleet) {
 		isCut := func(n *simNode) bool { return n.index%3 == 2 }
 		f.cut = func(a, b *simNode) bool {
@@ -370,6 +431,7 @@
 // were cut off had never heard a word on it, and each gave out a fiftieth of its quota: 37 of them
 // three quarters of it, beside the whole that the others gave out.
 func TestCutOffBalancersKeepQuotaOfATeamThatIsNew(t *testing.T) {
+	t.Parallel()
 	keepsQuota(t, func(f *fleet) {
 		isCut := func(n *simNode) bool { return n.index%3 == 2 }
 		f.cut = func(a, b *simNode) bool {
@@ -387,6 +449,7 @@
 // the totals of balancers that put more back than they took fell, and a relay took what had been
 // told before the last report for what another relay had taken, so that it put it back twice.
 func TestReturnsKeepQuota(t *testing.T) {
+	t.Parallel()
 	keepsQuota(t, func(f *fleet) {
 		f.returned = 0.5
 		f.send(0.62*f.limit.Rate, 0, 4*time.Second, f.anyOf(len(f.nodes)))
@@ -398,6 +461,7 @@
 // TestRelaysThatEndKeepQuota: the relays end in turn and come back as new lives, messages
 // are lost, and the team sends four times its quota.
 func TestRelaysThatEndKeepQuota(t *testing.T) {
+	t.Parallel()
 	keepsQuota(t, func(f *fleet) {
 		f.loss = 0.03
 		for k := range 4 {
@@ -419,6 +483,7 @@
 // TestStartOfAllKeepsQuota: all balancers end together and start again, and the team sends
 // four times its quota all the while.
 func TestStartOfAllKeepsQuota(t *testing.T) {
+	t.Parallel()
 	for _, s := range sizes {
 		f := newFleet(1, s.nodes, s.zones, s.limit)
 		f.After(5*time.Second, func() {
--- a/coord/tally/ledger.go
+++ b/coord/tally/ledger.go
@@ -234,8 +234,7 @@
 // Untold returns which part of what all may count under a key those may count that are not heard of
 // and have told nothing of it.
 func (l *Ledger) Untold(key string, isRelay IsRelay, now time.Time) (part float64) {
-	total := l.total(key, now)
-	_, all := l.Members(now)
+	members := 0
 	for addr, o := range l.origins {
 		age := now.Sub(o.heard)
 		if _, told := o.counts[key]; told || o.rests || age <= unheardAfter || age > unheardFor {
@@ -243,12 +242,16 @@
 		}
 		switch {
 		case !o.relay:
-			part += Part(0, total, 1, all)
+			members++
 		case isRelay(addr) || age <= relayGoneFor:
-			part += Part(0, total, o.members, all)
+			members += o.members
 		}
 	}
-	return part
+	if members == 0 {
+		return 0
+	}
+	_, all := l.Members(now)
+	return Part(0, l.total(key, now), members, all)
 }
 
 // Members returns how many balancers have been heard of lately: in the own zone, and in all.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 //
 //	k := fleet.New(fleet.Config{Addr: link, Zone: zone, Limit: limit, Log: log, Metrics: registry})
 //	go k.Run(ctx, relays)
+//	k.Await(ctx, "medina", limit)
 //	ok, after := k.Take("medina", limit, time.Now())
 package fleet
 
@@ -24,6 +25,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/quota"
 	"github.com/lotuswing/lotuswing/coord/tally"
+	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -57,23 +59,57 @@
 type Keeper struct {
 	cfg     Config
 	refused metrics.Counter
+	awaited metrics.Counter
 	wake    chan struct{} // of one place
 
 	mu      sync.Mutex
 	carrier Carrier // nil before Run, and where there is none
 	book    *quota.Book
-	planned time.Time       // when the loop looks again
-	telling map[string]bool // relays that are being told, by address
+	planned time.Time // when the loop looks again
+	// answered is closed and replaced when a report was answered, or was not.
+	answered chan struct{}
+	telling  map[string]bool // relays that are being told, by address
 }
 
 // New returns a keeper that has counted nothing.
 func New(cfg Config) *Keeper {
 	return &Keeper{
-		cfg: cfg, refused: metrics.GetOrRegisterCounter("quota_refusals", cfg.Metrics), wake: make(chan struct{}, 1),
-		book: quota.NewBook(cfg.Addr, cfg.Zone, cmp.Or(rand.Uint64(), 1)), telling: map[string]bool{},
+		cfg: cfg, refused: metrics.GetOrRegisterCounter("quota_refusals", cfg.Metrics),
+		awaited: metrics.GetOrRegisterCounter("quota_words_awaited", cfg.Metrics), wake: make(chan struct{}, 1),
+		book: quota.NewBook(cfg.Addr, cfg.Zone, cmp.Or(rand.Uint64(), 1)), telling: map[string]bool{}, answered: make(chan struct{}),
 	}
 }
 
+// Await waits for the fleet's word on a team's quota where its next request needs one, until ctx ends
+// or for quota.AskWithin.
+func (k *Keeper) Await(ctx context.Context, team string, l quota.Limit) {
+	began := time.Now()
+	answered, asks := k.ask(team, l, began)
+	if asks {
+		k.awaited.Inc(1)
+	}
+	for asks && ctx.Err() == nil {
+		left := time.Until(began.Add(quota.AskWithin))
+		if left <= 0 {
+			return
+		}
+		pause.Until(ctx, answered, left)
+		answered, asks = k.ask(team, l, time.Now())
+	}
+}
+
+// ask asks for a word on a team's quota where its next request needs one. The channel is closed when
+// the present report was answered, or was not.
+func (k *Keeper) ask(team string, l quota.Limit, now time.Time) (answered <-chan struct{}, asks bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.book.Asks(team, k.spared(l), now) {
+		return nil, false
+	}
+	k.plan(now)
+	return k.answered, true
+}
+
 // Take takes one request out of a team's quota, or says when there may be room.
 func (k *Keeper) Take(team string, l quota.Limit, now time.Time) (bool, time.Duration) {
 	k.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,7 +15,10 @@
 	"gotest.tools/v3/assert"
 )
 
-var limit = quota.Limit{Rate: 1, Burst: 100}
+var (
+	limit = quota.Limit{Rate: 1, Burst: 100}
+	small = quota.Limit{Rate: 1e-6, Burst: 4} // of the team "small"
+)
 
 // network carries reports between keepers by their addresses.
 type network struct {
@@ -58,7 +61,12 @@
 func newKeeper(addr string) *fleet.Keeper {
 	return fleet.New(fleet.Config{
 		Addr: addr, Zone: addr, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
-		Limit: func(string) (quota.Limit, bool) { return limit, true },
+		Limit: func(team string) (quota.Limit, bool) {
+			if team == "small" {
+				return small, true
+			}
+			return limit, true
+		},
 	})
 }
 
@@ -111,6 +119,46 @@
 	})
 }
 
+// TestRequestOfASmallTeamWaitsForAWord: a balancer that has heard nothing of a team, of whose quota
+// each balancer's part is little, knows what others have taken before it lets a request through.
+func TestRequestOfASmallTeamWaitsForAWord(t *testing.T) {
+	n := start(t)
+	taken := 0
+	until(func() bool {
+		ok, _ := n.keepers["a"].Take("small", small, time.Now())
+		if ok {
+			taken++
+		}
+		return !ok
+	})
+	assert.Assert(t, taken > 0)
+	for _, addr := range []string{"a1", "b1"} {
+		until(func() bool { // the wait is bounded, and the relays may not have told each other yet
+			n.keepers[addr].Await(context.Background(), "small", small)
+			st := n.keepers[addr].Status(time.Now())
+			return len(st) == 1 && !st[0].Alone && st[0].Tokens < 1
+		})
+		ok, _ := n.keepers[addr].Take("small", small, time.Now())
+		assert.Assert(t, !ok, "%s lets a request through", addr)
+	}
+}
+
+// TestNobodyWaitsForAWordThatDoesNotCome: a balancer whose relay cannot be reached takes requests
+// without one, as soon as it has found that out.
+func TestNobodyWaitsForAWordThatDoesNotCome(t *testing.T) {
+	n := start(t)
+	n.mu.Lock()
+	n.cut["a1"] = true
+	n.mu.Unlock()
+	k := n.keepers["a1"]
+	k.Await(context.Background(), "team", limit)
+	ok, _ := k.Take("team", limit, time.Now())
+	assert.Assert(t, ok)
+	ended, end := context.WithCancel(context.Background())
+	end()
+	n.keepers["b1"].Await(ended, "team", limit)
+}
+
 // TestAloneKeepsQuota: without other balancers one keeps the whole quota.
 func TestAloneKeepsQuota(t *testing.T) {
 	k := newKeeper("")
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -84,6 +84,7 @@
 	answer, err := carrier.Count(ctx, addr, r)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	defer k.wakeAwaiting()
 	if err != nil {
 		k.cfg.Log.Debug("counts not told", "relay", addr, "error", err)
 		k.book.Failed(time.Now())
@@ -92,6 +93,12 @@
 	k.book.Answered(r, answer, time.Now())
 }
 
+// wakeAwaiting has requests look again that wait for a word; k.mu is held.
+func (k *Keeper) wakeAwaiting() {
+	close(k.answered)
+	k.answered = make(chan struct{})
+}
+
 // tellRelays reports to the relays of other zones. Nobody is waited for: one that is still
 // being told is told more with the next report.
 func (k *Keeper) tellRelays(ctx context.Context, carrier Carrier) {
