A small team is refused nothing while its bucket has tokens

Causes: (a) below a quarter of the burst a balancer may take its part of the tokens left, and the part of one or two tokens is less than one; (b) a bucket of which a relay has heard nothing began with four fifths of its burst, however long the team had rested.

Change: (a) of few tokens a balancer takes one of as many as others send until the relay has told of them, which for a small team is one; (b) such a bucket has filled since the relay became one, as long as all balancers are heard of.

--- a/coord/quota/book.go
+++ b/coord/quota/book.go
@@ -32,19 +32,21 @@
 // Book has the accounts of all teams of one balancer, with what it and, at a relay, others
 // have counted.
 type Book struct {
-	from     string
-	zone     string
-	life     uint64
-	counter  *tally.Counter
-	ledger   *tally.Ledger
-	relay    bool
-	accounts map[string]Account
-	limits   map[string]Limit // as of the last request
-	pause    time.Duration    // as told by the relay
-	members  int              // balancers that there are, as told by the relay; 0 for not known
-	failing  time.Time        // since when no report was answered; zero while they are
-	lost     bool             // none was for so long that nothing will be heard
-	rng      *rand.Rand
+	from    string
+	zone    string
+	life    uint64
+	counter *tally.Counter
+	ledger  *tally.Ledger
+	relay   bool
+	// relaySince is when this balancer became a relay.
+	relaySince time.Time
+	accounts   map[string]Account
+	limits     map[string]Limit // as of the last request
+	pause      time.Duration    // as told by the relay
+	members    int              // balancers that there are, as told by the relay; 0 for not known
+	failing    time.Time        // since when no report was answered; zero while they are
+	lost       bool             // none was for so long that nothing will be heard
+	rng        *rand.Rand
 }
 
 // NewBook returns the book of one life of a balancer, which a random number tells from
@@ -116,11 +118,20 @@
 		a = b.newAccount(l, now)
 	}
 	if b.relay && !a.heard {
-		a = a.AsRelay(l, 0, now)
+		a = a.AsRelay(l, 0, b.unusedSince(now), now)
 	}
 	return a
 }
 
+// unusedSince returns since when nobody has used a team's quota of which this relay has heard nothing.
+// Those that it does not hear of may have.
+func (b *Book) unusedSince(now time.Time) time.Time {
+	if b.ledger.HearsAll(now) {
+		return b.relaySince
+	}
+	return now
+}
+
 // presses reports whether the relay should hear soon of requests of a team: while nothing
 // was heard of it, while its bucket is no longer nearly full, and where balancers seldom see it.
 func (b *Book) presses(a Account, l Limit, now time.Time) bool {
@@ -167,12 +178,12 @@
 	if relay == b.relay {
 		return
 	}
-	b.relay = relay
+	b.relay, b.relaySince = relay, now
 	b.life++ // what others have told meanwhile was told to others
 	b.ledger = tally.NewLedger(b.from, b.zone, b.life)
 	for team, a := range b.accounts {
 		if relay {
-			b.accounts[team] = a.AsRelay(b.limits[team], 0, now)
+			b.accounts[team] = a.AsRelay(b.limits[team], 0, now, now)
 		} else {
 			b.accounts[team] = a.AsFollower()
 		}
--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -381,7 +381,7 @@
 func TestSmallTeamIsNotRefused(t *testing.T) {
 	t.Parallel()
 	for _, nodes := range []int{3, 30, 107} {
-		for seed := range uint64(5) {
+		for seed := range uint64(60) {
 			f := newFleet(seed, nodes, 3, smallLimit)
 			f.send(5, time.Second, 20*time.Second, f.anyOf(min(nodes, 20)))
 			f.Run(20 * time.Second)
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -93,6 +93,7 @@
 	tokens  float64
 	at      time.Time // as of which
 	others  float64   // taken by others, a second
+	rivals  float64   // requests that others send until the relay has told of them
 	part    float64   // of the quota that is this balancer's, for lack of a newer word
 	word    float64   // tokens that the last word told
 	taken   float64   // requests taken since
@@ -160,7 +161,8 @@
 
 // mayTake reports whether one more request is within what a balancer may take before it hears the
 // next word: its part of the tokens that the last one told and of what came since. All see the same
-// tokens: if each took all of them, many times the quota would be sent.
+// tokens: if each took all of them, many times the quota would be sent. Of a team that sends little
+// that part is less than a request, but hardly anybody else asks for the same tokens meanwhile.
 func (a Account) mayTake(l Limit, now time.Time) bool {
 	if a.told.IsZero() || a.silent(now) || a.relay {
 		return true
@@ -171,6 +173,8 @@
 		mine = max(mine, calmTokens)
 	case a.word >= easyFill*l.Burst:
 		mine = max(mine, easyTokens+a.lot)
+	default:
+		mine = max(mine, 1/max(1, a.rivals))
 	}
 	return a.taken+a.lot <= mine
 }
@@ -199,16 +203,17 @@
 func (a Account) WithWord(l Limit, w Word, unreported, lot float64, now time.Time) Account {
 	return Account{
 		tokens: w.Tokens - unreported, at: now, others: certain(w.Others), part: w.Part, heardOf: 1, heard: true, told: now,
-		word: w.Tokens, taken: unreported, lot: lot,
+		rivals: w.Others * urgentPause.Seconds(),
+		word:   w.Tokens, taken: unreported, lot: lot,
 	}.with(l, now)
 }
 
 // AsRelay returns the account of a relay, which hears of the others' requests as they
 // happen; unheard is the rate of those of which it does not. These hold their part of the
-// burst as well.
-func (a Account) AsRelay(l Limit, unheard float64, now time.Time) Account {
+// burst as well. A bucket of which it has heard nothing has filled since a time.
+func (a Account) AsRelay(l Limit, unheard float64, since, now time.Time) Account {
 	if !a.heard {
-		a = Account{tokens: startFill * l.Burst, at: now, heardOf: 1, heard: true, told: now, young: now.Add(youngFor)}
+		a = Account{tokens: startFill * l.Burst, at: since, heardOf: 1, heard: true, told: now, young: now.Add(youngFor)}
 	}
 	a.waiting, a.relay = time.Time{}, true
 	a.others, a.told = unheard, now
--- a/coord/quota/relay.go
+++ b/coord/quota/relay.go
@@ -50,7 +50,7 @@
 		b.ledger.HoldRelays(teamPrefix+team, l.Rate, now)
 		_, unheard := b.ledger.Unheard(teamPrefix+team, isRelay, now)
 		unheard += l.Rate * b.ledger.Untold(teamPrefix+team, isRelay, now)
-		b.accounts[team] = a.AsRelay(l, min(unheard, l.Rate), now)
+		b.accounts[team] = a.AsRelay(l, min(unheard, l.Rate), now, now)
 	}
 }
 
--- a/coord/tally/ledger.go
+++ b/coord/tally/ledger.go
@@ -254,6 +254,16 @@
 	return Part(0, l.total(key, now), members, all)
 }
 
+// HearsAll reports whether every balancer is heard of that has been, but for those that rest.
+func (l *Ledger) HearsAll(now time.Time) bool {
+	for _, o := range l.origins {
+		if !o.rests && now.Sub(o.heard) > unheardAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // Members returns how many balancers have been heard of lately: in the own zone, and in all.
 func (l *Ledger) Members(now time.Time) (own, all int) {
 	for _, o := range l.origins {
