The soak plays teams with keys and quotas

Callers have keys (--teams GAP): teams send eight times their quotas through all balancers, keys are taken away while somebody still uses them. Checked: no team has more run than its quota and what operators bear with, endpoints learn the team and never a key, a key that was taken away serves nobody after three seconds at a balancer that nothing disturbed, and one that is held is never unknown (401).

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/lotuswing/lotuswing/access"
 	"github.com/lotuswing/lotuswing/platform"
 )
 
@@ -41,6 +42,8 @@
 	ledger    *ledger
 	rng       *rand.Rand
 	client    *http.Client
+	team      string
+	key       func() string // nil for none
 }
 
 func newCaller(number int, balancers []*balancer, l *ledger, rng *rand.Rand) *caller {
@@ -91,7 +94,7 @@
 	prefix := []string{readPrefix, filePrefix, movePrefix}[c.rng.IntN(3)]
 	r := &sentRequest{
 		id: fmt.Sprintf("c%d-%d", c.number, n), method: http.MethodGet, path: fmt.Sprintf("%s%d?n=%d", prefix, c.number, n),
-		repeatable: prefix != filePrefix, balancer: b.id, at: time.Now(),
+		repeatable: prefix != filePrefix, balancer: b.id, at: time.Now(), team: c.team, key: c.present(),
 	}
 	payload := ""
 	if !r.repeatable {
@@ -105,11 +108,25 @@
 	req.GetBody = nil // the caller's own transport must send nothing twice
 	req.Header.Set(dialect.RequestID, r.id)
 	req.Header.Set(dialect.Timeout, dialect.FormatTimeout(routeTimeout))
+	if r.key != "" {
+		req.Header.Set(access.Header, bearer+r.key)
+	}
 	c.ledger.begin(r)
 	status := c.exchange(req, r, payload)
 	c.ledger.end(r, status, time.Now())
 }
 
+// bearer begins what a caller sends of its key.
+const bearer = "Bearer "
+
+// present returns the caller's key; empty for none.
+func (c *caller) present() string {
+	if c.key == nil {
+		return ""
+	}
+	return c.key()
+}
+
 // exchange sends a request and returns the status of a whole answer, or 0.
 func (c *caller) exchange(req *http.Request, r *sentRequest, payload string) int {
 	if r.method == http.MethodGet {
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -67,7 +67,7 @@
 // fragileRoute is the route to the endpoints that crash.
 func fragileRoute() tenant.PrefixRoute {
 	return tenant.PrefixRoute{
-		Name: "fragile", Host: host, Prefix: fragilePrefix, Repeatable: true, Timeout: routeTimeout, Target: routeTimeout / 4, MaxAttempts: 2,
+		Name: "fragile", Host: host, Prefix: fragilePrefix, Repeatable: true, Public: true, Timeout: routeTimeout, Target: routeTimeout / 4, MaxAttempts: 2,
 		Split: []tenant.Share{{Service: serviceFragile, Weight: 1}},
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -180,23 +180,23 @@
 }
 
 func (w *world) reconfigure() (string, func()) {
-	w.publish()
+	w.publish(w.rng)
 	return "", func() {}
 }
 
 func (w *world) storm() (string, func()) {
 	for range 5 {
-		w.publish()
+		w.publish(w.rng)
 		time.Sleep(30 * time.Millisecond)
 	}
 	return "", func() {}
 }
 
 // publish moves the route "/move/" to the other service.
-func (w *world) publish() {
+func (w *world) publish(rng *rand.Rand) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.version += 1 + w.rng.Uint64N(4)
+	w.version += 1 + rng.Uint64N(4)
 	w.moveTo = map[string]string{serviceAlpha: serviceBeta, serviceBeta: serviceAlpha}[w.moveTo]
 	route := func(name, prefix, service string, repeatable bool) tenant.PrefixRoute {
 		return tenant.PrefixRoute{
@@ -217,7 +217,11 @@
 		routes = append(routes, fragileRoute())
 		services[serviceFragile] = tenant.Service{ProbePath: "/health", Connections: 200}
 	}
-	w.store.Publish(w.version, routes, services)
+	var all []platformtest.Team
+	if w.teams != nil {
+		all = w.teams.all()
+	}
+	w.store.PublishTeams(w.version, routes, services, all)
 	w.calendar.publish(version{number: w.version, service: w.moveTo, at: time.Now()})
 }
 
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -24,6 +24,9 @@
 	FewToCold        Promise = "an endpoint that warms up gets few requests in a second"
 	LimitsHold       Promise = "an endpoint that names a limit gets no more than the operators bear with"
 	WordsHold        Promise = "an endpoint that says that it leaves, or wants no requests, gets none"
+	QuotasHold       Promise = "a team has no more run than its quota and what the operators bear with"
+	KeysStay         Promise = "an endpoint learns whose request it gets, and never a key"
+	KeysEnd          Promise = "a key that was taken away serves nobody after a while, and one that is held is known"
 	InForce          Promise = "a configuration is in force after a while and never reverts"
 	CrashesEnd       Promise = "a request that crashes endpoints is sent a few times more at most once the fleet can know it"
 	NoSoundRefused   Promise = "no sound request is refused for what crashed endpoints"
@@ -47,6 +50,7 @@
 	path       string
 	repeatable bool
 	balancer   string
+	team, key  string // of the caller; empty where callers have none
 	at         time.Time
 	ended      time.Time
 	status     int  // 0 where no whole answer came
--- a/soak/pipelined.go
+++ b/soak/pipelined.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/lotuswing/lotuswing/access"
 )
 
 // mostPipelined is how many requests a caller sends at once on a connection.
@@ -55,12 +57,16 @@
 		}
 		r := &sentRequest{
 			id: fmt.Sprintf("c%d-%d-%d", c.number, n, i), method: http.MethodGet, path: fmt.Sprintf("%s%d?n=%d-%d", prefix, c.number, n, i),
-			repeatable: prefix != filePrefix, balancer: b.id, at: time.Now(),
+			repeatable: prefix != filePrefix, balancer: b.id, at: time.Now(), team: c.team, key: c.present(),
 		}
 		// One that must run once is a GET, too: what may begin early is decided by its
 		// route, not by its method.
-		fmt.Fprintf(&text, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n\r\n",
+		fmt.Fprintf(&text, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n",
 			r.path, host, dialect.RequestID, r.id, dialect.Timeout, dialect.FormatTimeout(routeTimeout))
+		if r.key != "" {
+			fmt.Fprintf(&text, "%s: %s%s\r\n", access.Header, bearer, r.key)
+		}
+		text.WriteString("\r\n")
 		c.ledger.begin(r)
 		requests = append(requests, r)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,7 @@
 // suspended is told to its process in a file.
 //
 // It owns the processes that it starts, and ends only these. The faults are in
-// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, those that leave or want no requests by their answers in words.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
+// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, those that leave or want no requests by their answers in words.go, teams with keys and quotas in teams.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
 // endpoints saw in ledger.go, promises with a time limit in timed.go. It relies on
 // package platformtest for the platform.
 //
@@ -59,6 +59,9 @@
 	// Words is the mean time between two endpoints that say in their answers that they leave, or that
 	// they want no requests for a while; 0 for none.
 	Words time.Duration
+	// Teams is the mean time between two teams that send many times their quotas, or lose a key; 0 for
+	// callers without keys.
+	Teams time.Duration
 	// Timed checks the promises that have a time limit, too. They depend on a
 	// machine that gives every process its turn.
 	Timed bool
@@ -116,6 +119,8 @@
 	moveTo    string
 	everyZone bool // endpoints stand in all zones
 	crashes   *crashes
+	teams     *teams // nil where callers have no keys
+	sent      *ledger
 	failure   error // the soak itself went wrong
 }
 
@@ -150,7 +155,7 @@
 	if err := w.begin(ctx, cfg, dir, l.Addr().String()); err != nil {
 		return Result{}, errors.Join(err, w.end())
 	}
-	sent := newLedger()
+	sent := w.sent
 	result = w.play(ctx, cfg, sent)
 	if err := errors.Join(w.failure, w.end()); err != nil {
 		return Result{}, err
@@ -161,6 +166,9 @@
 	}
 	sent.checkLimits(w.calendar)
 	sent.checkWords(w.calendar, w.all)
+	if w.teams != nil {
+		sent.checkTeams(w.teams, w.calendar, w.all)
+	}
 	if cfg.Timed {
 		sent.checkTimed(w.calendar, w.all)
 	}
@@ -176,11 +184,15 @@
 
 // newWorld returns the world of a soak, in which nothing runs yet.
 func newWorld(cfg Config) *world {
-	return &world{
+	w := &world{
 		log: cfg.Log, store: platformtest.NewStore(), calendar: &calendar{}, gap: cfg.Gap,
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), moveTo: serviceAlpha,
-		everyZone: cfg.Empty > 0,
+		everyZone: cfg.Empty > 0, sent: newLedger(),
+	}
+	if cfg.Teams > 0 {
+		w.teams = newTeams()
 	}
+	return w
 }
 
 // begin starts endpoints and balancers and waits until all are ready.
@@ -202,7 +214,7 @@
 			return err
 		}
 	}
-	w.publish()
+	w.publish(w.rng)
 	free := &addresses{given: map[int]bool{}}
 	for i := range cfg.Balancers {
 		b, err := newBalancer(dir, fmt.Sprintf("vm-%d", i), zoneName(i%zones), storeAddr, free, cfg.Command)
@@ -238,6 +250,9 @@
 	var callers sync.WaitGroup
 	for i := range cfg.Callers {
 		c := newCaller(i, w.balancers, sent, rand.New(rand.NewPCG(cfg.Seed, uint64(i)+2)))
+		if w.teams != nil {
+			c.team, c.key = commonTeam, func() string { return w.teams.key(commonTeam) }
+		}
 		callers.Go(func() { c.run(calling) })
 	}
 	if w.crashes != nil {
@@ -271,6 +286,7 @@
 		{cfg.Empty, math.MaxUint64, w.strikeZones},
 		{cfg.Limit, math.MaxUint64 - 100, w.strikeLimits},
 		{cfg.Words, math.MaxUint64 - 200, w.strikeWords},
+		{cfg.Teams, math.MaxUint64 - 300, w.strikeTeams},
 	}
 	if w.crashes != nil {
 		strikers = append(strikers, striker{cfg.Crash, math.MaxUint64 - 1, w.crashes.strike})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,6 +87,11 @@
 	keepsPromises(t, "all are killed", soak.Config{Seed: 5, For: 8 * time.Second, Balancers: 6, Together: 2 * time.Second, Gap: time.Second})
 }
 
+// TestSoakWithTeams plays a soak in which teams send many times their quotas and lose keys.
+func TestSoakWithTeams(t *testing.T) {
+	keepsPromises(t, "team sends too much", soak.Config{Seed: 6, For: 12 * time.Second, Balancers: 4, Teams: time.Second, Gap: time.Second})
+}
+
 // olderVariable names a lotuswing binary of an earlier version; where it is not
 // set, both versions of a fleet are the present one. .ci/older sets it.
 const olderVariable = "LOTUSWING_OLDER_BINARY"
