One place says whether an answer is of another instance; two mutants hold again

upstream.Report.OfAnother was written three times (direct twice, quarantine). The mutants promise-after-attempt and joined-while-cold no longer applied to code that had moved; for the second no test failed in its new place, which TestJoinedEndpointIsLikeOthersWhileCold now does.

--- a/coord/selection/decide_test.go
+++ b/coord/selection/decide_test.go
@@ -200,6 +200,17 @@
 	}
 }
 
+// TestJoinedEndpointIsLikeOthersWhileCold: nothing is taken to be known of it before it is warm.
+func TestJoinedEndpointIsLikeOthersWhileCold(t *testing.T) {
+	cold := near
+	cold.WarmAt = start.Add(time.Hour)
+	listed, joined := selection.NewEndpoint(), selection.NewJoined()
+	var r selection.Ranking
+	r.Add(selection.NewCandidate(&listed, 0, cold, &usual, 0, start))
+	r.Add(selection.NewCandidate(&joined, 1, cold, &usual, 1, start))
+	assert.Equal(t, r.Best().Index, 0, "of equals the lower tie")
+}
+
 // TestProbeRounds: many in the first looks, few in those of a request that has asked many.
 func TestProbeRounds(t *testing.T) {
 	total := 0
--- a/direct/hear.go
+++ b/direct/hear.go
@@ -36,7 +36,7 @@
 // hearProbe takes what the answer to a probe says. Another instance at the address speaks for
 // itself alone.
 func (c *Chooser) hearProbe(e limits.Endpoint, r upstream.Report) {
-	if r.Instance != "" && r.Instance != e.ID {
+	if r.OfAnother(e.ID) {
 		return
 	}
 	if c.cfg.Limits != nil {
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -108,7 +108,7 @@
 	if answer.Warmup.Told {
 		e.state = e.state.WithWarmup(answer.Warmup.Left, now)
 	}
-	if answer.Instance != "" && answer.Instance != id && c.cfg.Directory.MarkLeaving(id, t.listed.Start, now) {
+	if answer.OfAnother(id) && c.cfg.Directory.MarkLeaving(id, t.listed.Start, now) {
 		c.cfg.Log.Info("endpoint", "id", id, "state", "leaving", "why", "a probe found another instance", "instance", answer.Instance)
 	}
 }
--- a/quarantine/verify.go
+++ b/quarantine/verify.go
@@ -95,7 +95,7 @@
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return "its address refuses connections"
-		case err == nil && result.Instance != "" && result.Instance != a.Endpoint:
+		case err == nil && result.OfAnother(a.Endpoint):
 			return "another instance answers at its address"
 		case err == nil:
 			return "" // it lives, or has started again: its entry will tell
--- a/upstream/report.go
+++ b/upstream/report.go
@@ -36,6 +36,9 @@
 	Left time.Duration
 }
 
+// OfAnother reports whether the answer names another instance than the one that was asked.
+func (r Report) OfAnother(instance string) bool { return r.Instance != "" && r.Instance != instance }
+
 // None reports whether there was no answer that the endpoint itself gave.
 func (r Report) None() bool { return r.Heard.IsZero() }
 
