A new version that is found bad is taken out by a note, not by the store alone

Cause: the balancer that leads writes the roll-back to the store, and all others take the version out when they read it: it kept its twentieth of the requests for ten more seconds.

Change: the leader marks the version as bad at once and tells all balancers by a note (topic rollout/bad), which binds that order alone, also where the order is read later. Who leads then writes it, as before, also a successor that has counted nothing itself.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -44,7 +44,8 @@
 	changed   map[string]touched         // by service, what has changed since the last snapshot
 	zones     evacuations
 	rollouts  rollouts
-	departed  departures // of endpoints whose entries are not known
+	bad       map[string]uint64 // revisions of orders whose versions were found bad, by service
+	departed  departures        // of endpoints whose entries are not known
 	at        uint64
 }
 
@@ -52,7 +53,7 @@
 func New() *Directory {
 	d := &Directory{
 		endpoints: map[string]Endpoint{}, ended: map[string]bool{}, services: map[string]map[string]bool{}, changed: map[string]touched{},
-		zones: evacuations{}, rollouts: rollouts{}, departed: departures{},
+		zones: evacuations{}, rollouts: rollouts{}, departed: departures{}, bad: map[string]uint64{},
 	}
 	d.snapshot.Store(&Snapshot{Endpoints: map[string][]Endpoint{}})
 	return d
--- a/directory/rollout.go
+++ b/directory/rollout.go
@@ -8,6 +8,7 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/lotuswing/lotuswing/coord/placement"
@@ -52,11 +53,23 @@
 	Record RolloutRecord
 	// Revision of the record; 0 where there is none.
 	Revision uint64
+	// Bad: a balancer has found the version bad; the record says so later.
+	Bad bool
 }
 
-// Status returns how far the roll-out has come. An order that nobody has begun to carry out
-// has come nowhere, and of one that was taken back only the end counts.
+// Status returns how far the roll-out has come. A version that was found bad comes in no more,
+// whatever the record says so far.
 func (r Rollout) Status() rollout.Status {
+	recorded := r.Recorded()
+	if r.Bad && !r.Order.Over && recorded.State == rollout.Running {
+		recorded.State = rollout.RolledBack
+	}
+	return recorded
+}
+
+// Recorded returns how far it has come by the record. An order that nobody has begun to carry out
+// has come nowhere, and of one that was taken back only the end counts.
+func (r Rollout) Recorded() rollout.Status {
 	begun := r.Revision > 0 && (r.Record.Order == r.Order.Revision || r.Order.Over)
 	switch {
 	case !begun:
@@ -218,6 +231,34 @@
 	return newer[:int(math.Ceil(share*float64(len(newer))))]
 }
 
+// MarkBad notes that the version of an order was found bad, and reports whether that was news. The
+// order may be told later.
+func (d *Directory) MarkBad(service string, order uint64, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if order <= d.bad[service] {
+		return false
+	}
+	d.bad[service] = order
+	if d.applyBad(service) {
+		d.touchAll(service)
+		d.publish(now)
+	}
+	return true
+}
+
+// applyBad notes of a service's roll-out whether its version was found bad, and reports whether it
+// was.
+func (d *Directory) applyBad(service string) bool {
+	r, known := d.rollouts[service]
+	if !known {
+		return false
+	}
+	r.Bad = r.Order.Revision == d.bad[service]
+	d.rollouts[service] = r
+	return r.Bad
+}
+
 // applyRollouts notes orders and records of versions that come in.
 func (d *Directory) applyRollouts(c Changes, applied *Applied) {
 	orders := c.Rollouts
@@ -226,6 +267,7 @@
 	}
 	for _, o := range orders {
 		if d.rollouts.noteOrder(o) {
+			d.applyBad(o.Service)
 			d.touchAll(o.Service)
 			applied.Rollouts = append(applied.Rollouts, d.rollouts[o.Service])
 		}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -9,7 +9,8 @@
 // writes nothing over what its successor wrote, and who leads need not be agreed. What the
 // store holds comes to every balancer like any other change (package directory), and decides
 // there which endpoints take part. While the store is away nothing grows and nothing is
-// completed; a version that turns out bad then keeps the part that it has.
+// completed. A version that turns out bad is told to all balancers by a note as well, which take
+// it out at once (notes.go); whoever leads then writes it.
 //
 // A Keeper owns what was judged so far, which a successor learns anew, and the loop. It
 // relies on a Directory for orders and records, on Counts, on a Registry for the store, and
@@ -35,6 +36,8 @@
 // Directory knows orders and records, and the endpoints of services.
 type Directory interface {
 	Snapshot() *directory.Snapshot
+	// MarkBad notes that the version of an order was found bad, and reports whether that was news.
+	MarkBad(service string, order uint64, now time.Time) bool
 }
 
 // Counts adds up over the fleet.
@@ -66,7 +69,9 @@
 	Directory Directory
 	Counts    Counts
 	Registry  Registry
-	Zones     Zones // nil where this balancer is the only one
+	// Tell tells all other balancers something; nil where there are none.
+	Tell  func(topic string, data []byte) error
+	Zones Zones // nil where this balancer is the only one
 	// Settle is how long a change takes to be in force at all balancers, and what was sent
 	// before to be answered.
 	Settle  time.Duration
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -36,6 +36,10 @@
 
 func (w *world) Snapshot() *directory.Snapshot { return w.directory.Snapshot() }
 
+func (w *world) MarkBad(service string, order uint64, now time.Time) bool {
+	return w.directory.MarkBad(service, order, now)
+}
+
 func (w *world) Add(key string, n int64, _ time.Time) { w.counts[key] += n }
 
 func (w *world) Sums(prefix string) map[string]int64 {
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -50,7 +50,7 @@
 func (k *Keeper) look(ctx context.Context) (open, leads bool) {
 	s := k.cfg.Directory.Snapshot()
 	for _, r := range s.Rollouts {
-		if r.Order.Over || r.Begun() && r.Status().State != rollout.Running {
+		if r.Order.Over || r.Begun() && r.Recorded().State != rollout.Running {
 			continue
 		}
 		open = true
@@ -82,7 +82,7 @@
 		t = &trial{order: r.Order.Revision, seen: now, kinds: map[string]*kind{}}
 		k.trials[r.Order.Service] = t
 	}
-	if status := r.Status(); t.revision != r.Revision || t.status != status {
+	if status := r.Recorded(); t.revision != r.Revision || t.status != status {
 		t.status, t.revision, t.reached, t.pause = status, r.Revision, now, 0
 	}
 	return t
@@ -92,6 +92,9 @@
 func (k *Keeper) lead(ctx context.Context, r directory.Rollout, t *trial, listed []directory.Endpoint) {
 	now := k.cfg.Now()
 	next, changed := k.next(r, t, listed, now)
+	if next.State == rollout.RolledBack {
+		k.takeOut(r)
+	}
 	if !changed || now.Sub(t.tried) < t.pause {
 		return
 	}
@@ -119,7 +122,7 @@
 	}
 	bad, proved := t.judge(k.cfg.Counts.Sums(prefixOf(r.Order.Service, r.Order.Revision)))
 	facts := rollout.Facts{
-		Since: now.Sub(t.seen), InStage: now.Sub(t.reached), Bad: bad, Proved: proved,
+		Since: now.Sub(t.seen), InStage: now.Sub(t.reached), Bad: bad || r.Bad, Proved: proved,
 	}
 	facts.New, facts.Old = countVersions(listed, r.Order.Version, now)
 	plan := rollout.Plan{Duration: r.Order.Duration, Settle: k.cfg.Settle}
@@ -168,7 +171,7 @@
 // Stop has a version rolled back that comes in, whatever the evidence.
 func (k *Keeper) Stop(ctx context.Context, service string) error {
 	r, ok := find(k.cfg.Directory.Snapshot(), service)
-	if !ok || r.Order.Over || r.Begun() && r.Status().State != rollout.Running {
+	if !ok || r.Order.Over || r.Begun() && r.Recorded().State != rollout.Running {
 		return ErrNone
 	}
 	err := k.write(ctx, r, rollout.Status{State: rollout.RolledBack})
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -127,7 +127,7 @@
 func (s *Server) newRollouts() *rollout.Keeper {
 	settings := s.cfg.Settings
 	cfg := rollout.Config{
-		ID: settings.ID, Zone: settings.Zone, Directory: s.directory, Counts: s.fleet, Registry: s.cfg.Relays,
+		ID: settings.ID, Zone: settings.Zone, Directory: s.directory, Counts: s.fleet, Registry: s.cfg.Relays, Tell: s.tell,
 		Settle: settings.Discovery.ApplyWithin, Log: s.cfg.Log.Named("rollout"), Metrics: s.metrics,
 	}
 	if settings.Link != "" {
@@ -178,6 +178,8 @@
 		err = s.limits.Hear(n)
 	case direct.LeavingTopic, direct.BackoffTopic:
 		err = s.direct.HearNote(n)
+	case rollout.Topic:
+		err = s.rollouts.Hear(n)
 	default:
 		s.keeper.Hear(n)
 	}
