--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -409,16 +409,73 @@
 	}
 }
 
+// TestSmallTeamKeepsQuotaThroughCuts: such a team sends ten times its quota while a third of the
+// balancers hears nobody, or while the relays end.
+func TestSmallTeamKeepsQuotaThroughCuts(t *testing.T) {
+	t.Parallel()
+	for name, disturb := range map[string]func(*fleet){
+		"a third is cut off": func(f *fleet) { f.cutOffThird(2*time.Second, 13*time.Second) },
+		"relays end":         (*fleet).endRelays,
+	} {
+		for _, nodes := range []int{3, 30, 107, 300, 984} {
+			f := newFleet(1, nodes, 3, smallLimit)
+			disturb(f)
+			f.send(5, 0, 4*time.Second, f.anyOf(nodes))
+			f.send(10*smallLimit.Rate, 4*time.Second, 14*time.Second, f.anyOf(nodes))
+			f.Run(16 * time.Second)
+			if worst := f.worst(smallLimit); worst > 1 {
+				t.Errorf("%s, %d balancers: %.2f", name, nodes, worst)
+			}
+		}
+	}
+}
+
+// TestHotTeamKeepsQuotaAsACutBegins: a team begins to send ten times its quota at the moment at which
+// a third of the balancers is cut off.
+func TestHotTeamKeepsQuotaAsACutBegins(t *testing.T) {
+	t.Parallel()
+	for _, s := range sizes[:4] {
+		f := newFleet(1, s.nodes, s.zones, s.limit)
+		f.cutOffThird(4*time.Second, 13*time.Second)
+		f.send(0.62*s.limit.Rate, 0, 4*time.Second, f.anyOf(s.nodes))
+		f.send(10*s.limit.Rate, 4*time.Second, 14*time.Second, f.anyOf(s.nodes))
+		f.Run(16 * time.Second)
+		if worst := f.worst(s.limit); worst > 1 {
+			t.Errorf("%d balancers: %.2f", s.nodes, worst)
+		}
+	}
+}
+
+// cutOffThird has a third of the balancers hear nobody from one time to another.
+func (f *fleet) cutOffThird(from, to time.Duration) {
+	isCut := func(n *simNode) bool { return n.index%3 == 2 }
+	f.cut = func(a, b *simNode) bool {
+		at := f.Elapsed()
+		return at > from && at < to && (isCut(a) || isCut(b))
+	}
+}
+
+// endRelays has the relays end in turn and come back as new lives, while messages are lost.
+func (f *fleet) endRelays() {
+	f.loss = 0.03
+	for k := range 4 {
+		f.After(time.Duration(5+2*k)*time.Second, func() {
+			for z := range f.zones {
+				if r := f.relayOf(z); r != nil && len(f.nodes) > 3 {
+					r.down = true
+					f.After(2500*time.Millisecond, func() { f.start(r) })
+				}
+			}
+		})
+	}
+}
+
 // TestCutOffBalancersKeepQuota: a third of the balancers hears no other one for nine
 // seconds, while the team sends four times its quota through all.
 func TestCutOffBalancersKeepQuota(t *testing.T) {
 	t.Parallel()
 	keepsQuota(t, func(f *fleet) {
-		isCut := func(n *simNode) bool { return n.index%3 == 2 }
-		f.cut = func(a, b *simNode) bool {
-			at := f.Elapsed()
-			return at > 4*time.Second && at < 13*time.Second && (isCut(a) || isCut(b))
-		}
+		f.cutOffThird(4*time.Second, 13*time.Second)
 		f.send(0.62*f.limit.Rate, 0, 6*time.Second, f.anyOf(len(f.nodes)))
 		f.send(4*f.limit.Rate, 6*time.Second, 16*time.Second, f.anyOf(len(f.nodes)))
 		f.Run(18 * time.Second)
@@ -433,11 +490,7 @@
 func TestCutOffBalancersKeepQuotaOfATeamThatIsNew(t *testing.T) {
 	t.Parallel()
 	keepsQuota(t, func(f *fleet) {
-		isCut := func(n *simNode) bool { return n.index%3 == 2 }
-		f.cut = func(a, b *simNode) bool {
-			at := f.Elapsed()
-			return at > time.Second && at < 13*time.Second && (isCut(a) || isCut(b))
-		}
+		f.cutOffThird(time.Second, 13*time.Second)
 		f.sendOf("another", 5*float64(len(f.nodes)), 0, 16*time.Second, f.anyOf(len(f.nodes)))
 		f.send(5*f.limit.Rate, 7*time.Second, 16*time.Second, f.anyOf(len(f.nodes)))
 		f.Run(18 * time.Second)
@@ -463,17 +516,7 @@
 func TestRelaysThatEndKeepQuota(t *testing.T) {
 	t.Parallel()
 	keepsQuota(t, func(f *fleet) {
-		f.loss = 0.03
-		for k := range 4 {
-			f.After(time.Duration(5+2*k)*time.Second, func() {
-				for z := range f.zones {
-					if r := f.relayOf(z); r != nil && len(f.nodes) > 3 {
-						r.down = true
-						f.After(2500*time.Millisecond, func() { f.start(r) })
-					}
-				}
-			})
-		}
+		f.endRelays()
 		f.send(0.62*f.limit.Rate, 0, 4*time.Second, f.anyOf(len(f.nodes)))
 		f.send(4*f.limit.Rate, 4*time.Second, 14*time.Second, f.anyOf(len(f.nodes)))
 		f.Run(15 * time.Second)
