--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -2,9 +2,8 @@
 // the store holds, so that a fleet that starts at once is back in service at once.
 //
 // A store has one link for all. If each balancer read everything from it, a fleet would
-// wait for that link: 473 balancers and 500 KB each, at 1,000 Mbit/s, for 1.9 s. So the
-// few registered relays read the store, and the others ask a relay for its copy, packed
-// to 20 to 50 KB. A balancer hands a copy to a few others and sends whoever asks after
+// wait for that link. So the few registered relays read the store, and the others ask a
+// relay for its copy, packed. A balancer hands a copy to a few others and sends whoever asks after
 // them on to these, so that the copies spread as a tree whose depth is the logarithm of
 // the fleet's size (Recipients). Nobody waits for a single machine: whoever hears nothing
 // asks the next one meanwhile (Order), and reads the store itself in the end (ReadAfter).
--- a/bootstrap/rules.go
+++ b/bootstrap/rules.go
@@ -9,8 +9,7 @@
 
 const (
 	// givingTime is of how long its link a balancer gives to copies for others within
-	// recipientsFor; whoever comes later is sent on. Eight copies of 37 KB each took 0.12 s of
-	// links of 20 Mbit/s, while a relay's link of 200 Mbit/s was idle.
+	// recipientsFor; whoever comes later is sent on. Wide links give more copies than narrow ones.
 	givingTime = 100 * time.Millisecond
 	// unknownFanOut is to how many others a balancer gives its copy whose link is not known, and
 	// fewest and most bound the number for any link: with one only, the copies would go along a
--- a/relay/outage.go
+++ b/relay/outage.go
@@ -107,7 +107,7 @@
 // this one is in touch with the store, as long as that one says that it has lost it. The
 // predecessor names it to those that still wait there, and follows it itself: where its
 // registration has ended and the store turns it away, nothing else tells it of the next:
-// alone in its zone it stayed with what it knew, in three of three runs of a test for 20 s.
+// alone in its zone it would stay with what it knew.
 func (g *Group) tellPredecessor(ctx context.Context, s *subscription) {
 	if !s.outage.said(s.last.Addr, time.Now()) {
 		return
--- a/relay/rules.go
+++ b/relay/rules.go
@@ -81,16 +81,12 @@
 // leastScatter is the part of its bound that the random part of the wait has at least. The
 // wait of a VM grows with the inverse of its processor share, so that with this part all of
 // a zone's VMs with four times the share of the others have waited to the end before the
-// first of these may register, however many they are. Without it one of 22 small VMs was as
-// likely the first as one of two large ones, and a relay with a link of 10 Mbit/s needs
-// 0.34 s to read the store when a fleet starts, one with 200 Mbit/s 0.04 s.
+// first of these may register, however many they are: their links are narrow.
 const leastScatter = 0.25
 
 // turn returns which part of the random wait a balancer draws, given a random number from 0
 // to 1. Seeds come after all others of their size: they are asked for first copies anyway,
-// so that a fleet that starts has more balancers to ask where its relays are others. Where
-// the only two relays were seeds, which the platform starts last, 95 simulated balancers
-// had their first copies 0.51 s after their starts at the mean.
+// so that a fleet that starts has more balancers to ask where its relays are others.
 func turn(isSeed bool, random float64) float64 {
 	if isSeed {
 		return (1 + random) / 2
