--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -7,7 +7,8 @@
 // two words a balancer goes on from there: its own requests take tokens, the others are
 // taken to go on as fast as before. One that hears no word keeps to the part of the rate
 // that was its own while it heard, and the relays count on for those that they do not hear:
-// the sum stays within the quota on either side of a cut.
+// the sum stays within the quota on either side of a cut. Where a balancer's part is a request
+// or two, its next request waits for a word that is new (Book.Asks).
 //
 // An Account is what one balancer, relay or not, knows of one team's bucket. It is an
 // immutable value; the Book keeps those of all teams. Neither is safe for concurrent use.
@@ -15,7 +16,11 @@
 // # Usage
 //
 //	book := quota.NewBook(addr, zone, life)
-//	ok, after := book.Take("medina", quota.Limit{Rate: 20, Burst: 40}, now)
+//	limit := quota.Limit{Rate: 20, Burst: 40}
+//	if book.Asks("medina", limit, now) {
+//		// report, and wait for the answer or for AskWithin
+//	}
+//	ok, after := book.Take("medina", limit, now)
 package quota
 
 import (
