directory: log when cheap reads of the store lag

Which checks of the store's revision a balancer makes depends on whether its cheap reads lag, and no line of the log says whether they do.

--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -49,7 +49,11 @@
 	if f.compacted.Swap(false) {
 		w.observeCompaction()
 	}
+	lagged := w.lagging
 	action := w.observe(time.Now(), revision, f.directory.Snapshot().Revision, f.watchingSince.Load() != 0, err)
+	if w.lagging != lagged {
+		f.opts.Log.Info("cheap reads of the store", "lagging", w.lagging, "revision", revision, "known", w.highest)
+	}
 	if action != checkExactly {
 		return action
 	}
--- a/directory/watchdog.go
+++ b/directory/watchdog.go
@@ -27,6 +27,7 @@
 	checkEvery time.Duration // time between cheap checks while the watch can be trusted
 
 	lastFailed     bool      // the last cheap check was not answered
+	lagging        bool      // the last cheap check that was answered returned less than highest
 	highest        uint64    // highest revision seen
 	aheadSince     time.Time // when a check first saw a revision that the watch has not brought yet; zero for none
 	exactCheckedAt time.Time // time of the last exact check
@@ -46,16 +47,16 @@
 		w.highest = max(w.highest, revision)
 		return watchAgain
 	}
-	lagging := revision < w.highest
+	w.lagging = revision < w.highest
 	w.highest = max(w.highest, revision)
-	if !lagging {
+	if !w.lagging {
 		w.compacted = false
 	}
 	if w.highest > at && watching {
 		return w.checkStuck(now)
 	}
 	w.aheadSince = time.Time{}
-	if lagging && !w.compacted && now.Sub(w.exactCheckedAt) >= w.exactEvery {
+	if w.lagging && !w.compacted && now.Sub(w.exactCheckedAt) >= w.exactEvery {
 		w.exactCheckedAt = now
 		return checkExactly
 	}
