--- /dev/null
+++ b/directory/compaction_test.go
@@ -0,0 +1,231 @@
+package directory_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lotuswing/lotuswing/directory"
+	"gotest.tools/v3/assert"
+)
+
+// compactingSource is a store that compacts its history as the platform's store does. It withholds
+// changes from watches for a while, then drops its history. Watches that began before the gap are cut
+// at its end. Those that began in the gap receive nothing until the next change, then ErrCompacted.
+// Cheap reads may lag.
+//
+// Each revision from the second on is written by the endpoint "e" followed by the revision, when it
+// starts to leave.
+type compactingSource struct {
+	mu          sync.Mutex
+	written     []time.Time   // when each revision was written, from the first
+	lag         time.Duration // of cheap reads
+	inGap       bool
+	gapBegan    time.Time
+	gapEnded    time.Time
+	compactedTo uint64        // history up to this revision was dropped
+	changed     chan struct{} // closed and replaced at each change
+}
+
+// gapEndpoints is the number of endpoints in a compactingSource.
+const gapEndpoints = 200
+
+var errCut = errors.New("watch was cut")
+
+func newCompactingSource() *compactingSource {
+	return &compactingSource{written: []time.Time{time.Now()}, changed: make(chan struct{})}
+}
+
+// update changes the source and wakes all watches.
+func (s *compactingSource) update(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// leave lets the next endpoint leave and returns its ID.
+func (s *compactingSource) leave() (id string) {
+	s.update(func() {
+		s.written = append(s.written, time.Now())
+		id = endpointID(uint64(len(s.written)))
+	})
+	return id
+}
+
+func (s *compactingSource) setLag(lag time.Duration) { s.update(func() { s.lag = lag }) }
+
+func (s *compactingSource) beginGap() {
+	s.update(func() { s.inGap, s.gapBegan = true, time.Now() })
+}
+
+func (s *compactingSource) endGap() {
+	s.update(func() { s.inGap, s.gapEnded, s.compactedTo = false, time.Now(), uint64(len(s.written)) })
+}
+
+func endpointID(revision uint64) string { return fmt.Sprint("e", revision) }
+
+// revisionFor returns the revision that a read returns; s.mu must be held.
+func (s *compactingSource) revisionFor(exact bool) uint64 {
+	if exact || s.lag == 0 {
+		return uint64(len(s.written))
+	}
+	revision := uint64(1) // the first one is older than any lag
+	for revision < uint64(len(s.written)) && time.Since(s.written[revision]) >= s.lag {
+		revision++
+	}
+	return revision
+}
+
+func (s *compactingSource) ReadAll(_ context.Context, exact bool) (directory.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.revisionFor(exact)
+	changes := directory.Changes{Revision: at, Complete: true}
+	for revision := uint64(2); revision <= gapEndpoints; revision++ {
+		e := entry(endpointID(revision), 1)
+		if revision <= at {
+			e.Leaving, e.Revision = true, revision
+		}
+		changes.Entries = append(changes.Entries, e)
+	}
+	return changes, nil
+}
+
+func (s *compactingSource) ReadRegistrations(context.Context) (directory.Changes, error) {
+	return directory.Changes{}, nil
+}
+
+func (s *compactingSource) Revision(_ context.Context, exact bool) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revisionFor(exact), nil
+}
+
+func (s *compactingSource) Watch(ctx context.Context, after uint64, wait time.Duration) (directory.Changes, error) {
+	began := time.Now()
+	deadline := time.After(wait)
+	for {
+		changes, ended, changed, err := s.watchOnce(began, after)
+		if ended {
+			return changes, err
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return directory.Changes{Revision: after}, nil
+		case <-ctx.Done():
+			return directory.Changes{}, ctx.Err()
+		}
+	}
+}
+
+// watchOnce returns the result of a watch that began at a given time, if it has one by now.
+func (s *compactingSource) watchOnce(began time.Time, after uint64) (changes directory.Changes, ended bool, changed chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision := uint64(len(s.written))
+	beganInGap := !s.inGap && !began.Before(s.gapBegan) && began.Before(s.gapEnded)
+	switch {
+	case s.inGap:
+		return changes, false, s.changed, nil
+	case began.Before(s.gapBegan) && !s.gapEnded.IsZero():
+		return changes, true, nil, errCut
+	case after < s.compactedTo && (!beganInGap || revision > s.compactedTo):
+		return changes, true, nil, directory.ErrCompacted
+	case after < s.compactedTo, revision == after:
+		return changes, false, s.changed, nil
+	}
+	changes.Revision = revision
+	for r := after + 1; r <= revision; r++ {
+		e := entry(endpointID(r), r)
+		e.Leaving = true
+		changes.Entries = append(changes.Entries, e)
+	}
+	return changes, true, nil, nil
+}
+
+const (
+	// applyBound is the bound on the time until a change is applied.
+	applyBound = 2 * time.Second
+	// gapDuration is how long the store withholds changes before it drops its history.
+	gapDuration = 1200 * time.Millisecond
+	// readLag is how old cheap reads are after that.
+	readLag = 5500 * time.Millisecond
+)
+
+// followerCase is a follower on which other balancers rely or not, and the time from its first checks of
+// the store's revision to the begin of a test.
+type followerCase struct {
+	serving bool
+	phase   time.Duration
+}
+
+// followCompacting follows the source with the options for applyBound, until the test ends.
+func followCompacting(t *testing.T, s *compactingSource, c followerCase) *directory.Directory {
+	t.Helper()
+	d := directory.New()
+	f := directory.NewFollower(d, s, directory.OptionsWithin(applyBound))
+	f.SetServing(c.serving)
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	go f.Run(ctx)
+	time.Sleep(10*time.Second + c.phase)
+	return d
+}
+
+// isLeaving reports whether the directory knows that an endpoint is leaving.
+func isLeaving(d *directory.Directory, id string) bool {
+	e, _ := d.Endpoint(id)
+	return e.State == directory.Leaving
+}
+
+// leaveInGap lets one endpoint leave, and a second one in the pause after the first one's change, just
+// before a gap in which the next watch begins. It then checks that the second one is known to be
+// leaving within applyBound.
+func leaveInGap(t *testing.T, s *compactingSource, d *directory.Directory, c followerCase) {
+	t.Helper()
+	pause := directory.OptionsWithin(applyBound).BatchDelay
+	if c.serving {
+		pause /= 2
+	}
+	const beforeWatch = 100 * time.Millisecond
+	first := s.leave()
+	synctest.Wait()
+	assert.Assert(t, isLeaving(d, first), "the watch brings the first change")
+	time.Sleep(pause - beforeWatch)
+	second := s.leave()
+	s.beginGap()
+	time.Sleep(gapDuration)
+	s.endGap()
+	time.Sleep(applyBound - gapDuration)
+	assert.Assert(t, isLeaving(d, second), "not known %v after it began to leave", applyBound)
+}
+
+// forEachFollower runs a test in virtual time for many cases of followers.
+func forEachFollower(t *testing.T, test func(t *testing.T, c followerCase)) {
+	t.Helper()
+	const phases, step = 17, 50 * time.Millisecond
+	for _, serving := range []bool{false, true} {
+		for phase := range time.Duration(phases) {
+			c := followerCase{serving: serving, phase: phase * step}
+			t.Run(fmt.Sprintf("serving=%t/phase=%v", c.serving, c.phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { test(t, c) })
+			})
+		}
+	}
+}
+
+func TestSilentWatchIsNoticedWhileReadsLag(t *testing.T) {
+	forEachFollower(t, func(t *testing.T, c followerCase) {
+		s := newCompactingSource()
+		d := followCompacting(t, s, c)
+		s.setLag(readLag)
+		leaveInGap(t, s, d, c)
+	})
+}
