directory: check the revision exactly also after a compaction

Cause: once a watch had failed because the store had compacted its history, the watchdog made no exact check before cheap reads were current again, 12 s on the users' store: the new watch began after the compaction, so lagging reads said nothing against it. A second compaction in that time went unnoticed until the next write.

Change: reads that lag are followed by an exact check, at most one a second, whatever came before. TestNewWatchIsTrusted asserted the fault, and TestNewWatchIsKeptWhileReadsLag takes its place: the new watch is kept, no full read follows, and exact checks stay within one a second.

--- a/directory/compaction_test.go
+++ b/directory/compaction_test.go
@@ -29,6 +29,8 @@
 	gapEnded    time.Time
 	compactedTo uint64        // history up to this revision was dropped
 	changed     chan struct{} // closed and replaced at each change
+	fullReads   int
+	exactChecks int // reads of the revision that were exact
 }
 
 // gapEndpoints is the number of endpoints in a compactingSource.
@@ -85,6 +87,7 @@
 func (s *compactingSource) ReadAll(_ context.Context, exact bool) (directory.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.fullReads++
 	at := s.revisionFor(exact)
 	changes := directory.Changes{Revision: at, Complete: true}
 	for revision := uint64(2); revision <= gapEndpoints; revision++ {
@@ -104,6 +107,9 @@
 func (s *compactingSource) Revision(_ context.Context, exact bool) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if exact {
+		s.exactChecks++
+	}
 	return s.revisionFor(exact), nil
 }
 
@@ -229,3 +235,47 @@
 		leaveInGap(t, s, d, c)
 	})
 }
+
+// TestNewWatchIsKeptWhileReadsLag checks that after a compaction, lagging reads cause neither a full read
+// nor more than one exact check a second.
+func TestNewWatchIsKeptWhileReadsLag(t *testing.T) {
+	forEachFollower(t, func(t *testing.T, c followerCase) {
+		s := newCompactingSource()
+		d := followCompacting(t, s, c)
+		s.setLag(readLag)
+		s.beginGap()
+		time.Sleep(gapDuration / 2)
+		left := s.leave()
+		time.Sleep(gapDuration / 2)
+		s.endGap()
+		time.Sleep(applyBound)
+		assert.Assert(t, isLeaving(d, left))
+		synctest.Wait()
+		s.mu.Lock()
+		readsBefore, checksBefore := s.fullReads, s.exactChecks
+		s.mu.Unlock()
+		const watched = 3 * time.Second
+		time.Sleep(watched)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		assert.Equal(t, s.fullReads, readsBefore, "the new watch misses nothing")
+		checks := s.exactChecks - checksBefore
+		assert.Assert(t, checks > 0 && checks <= int(watched/time.Second), "%d exact checks in %v", checks, watched)
+	})
+}
+
+func TestSecondCompactionIsNoticedWhileReadsLag(t *testing.T) {
+	forEachFollower(t, func(t *testing.T, c followerCase) {
+		s := newCompactingSource()
+		d := followCompacting(t, s, c)
+		s.setLag(readLag)
+		s.beginGap()
+		time.Sleep(gapDuration / 2)
+		inFirstGap := s.leave()
+		time.Sleep(gapDuration / 2)
+		s.endGap()
+		time.Sleep(applyBound)
+		assert.Assert(t, isLeaving(d, inFirstGap))
+		leaveInGap(t, s, d, c)
+	})
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -53,7 +53,6 @@
 	watchAdvice   chan advice   // why to abandon the present watch
 	retry         chan struct{} // ends the pause after a failed call
 	watchingSince atomic.Int64  // start of the present watch, in ns since startedAt; 0 for none
-	compacted     atomic.Bool   // a watch failed with ErrCompacted since the monitor last checked
 }
 
 // NewFollower returns a follower of source that keeps d up to date once Run is called.
@@ -164,7 +163,6 @@
 		changes, err := f.watch(ctx)
 		switch {
 		case errors.Is(err, ErrCompacted):
-			f.compacted.Store(true)
 			f.opts.Log.Info("store has compacted its history; reading everything again", "revision", f.directory.Snapshot().Revision)
 			return
 		case errors.Is(err, errWatchMissesChanges):
--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -47,9 +47,6 @@
 	if err == nil {
 		f.recordCheckAnswer(time.Now())
 	}
-	if f.compacted.Swap(false) {
-		w.observeCompaction()
-	}
 	lagged := w.lagging
 	action := w.observe(time.Now(), revision, f.directory.Snapshot().Revision, f.watchingSince.Load() != 0, err)
 	if w.lagging != lagged {
--- a/directory/watchdog.go
+++ b/directory/watchdog.go
@@ -31,7 +31,6 @@
 	highest        uint64    // highest revision that a check returned or that the directory has reached
 	aheadSince     time.Time // when a check first saw a revision that the watch has not brought yet; zero for none
 	exactCheckedAt time.Time // time of the last exact check
-	compacted      bool      // the store compacted its history, so the watch began after that; reset once cheap reads no longer lag
 }
 
 // observeKnown records the revision up to which the directory knows all changes. It is called before
@@ -54,14 +53,11 @@
 	}
 	w.lagging = revision < w.highest
 	w.highest = max(w.highest, revision)
-	if !w.lagging {
-		w.compacted = false
-	}
 	if w.highest > at && watching {
 		return w.checkStuck(now)
 	}
 	w.aheadSince = time.Time{}
-	if w.lagging && !w.compacted && now.Sub(w.exactCheckedAt) >= w.exactEvery {
+	if w.lagging && now.Sub(w.exactCheckedAt) >= w.exactEvery {
 		w.exactCheckedAt = now
 		return checkExactly
 	}
@@ -98,6 +94,3 @@
 	}
 	return trustWatch
 }
-
-// observeCompaction records that the store has compacted its history.
-func (w *watchdog) observeCompaction() { w.compacted = true }
--- a/directory/watchdog_test.go
+++ b/directory/watchdog_test.go
@@ -51,18 +51,6 @@
 	}
 }
 
-// TestNewWatchIsTrusted checks that after a compaction, the new watch is trusted even though cheap
-// reads lag.
-func TestNewWatchIsTrusted(t *testing.T) {
-	w := watchdog{stuckAfter: time.Second, exactEvery: time.Second}
-	now := time.Unix(1000, 0)
-	w.observe(now, 9, 9, true, nil)
-	w.observeCompaction()
-	assert.Equal(t, w.observe(now.Add(2*time.Second), 4, 9, true, nil), trustWatch)
-	assert.Equal(t, w.observe(now.Add(4*time.Second), 9, 9, true, nil), trustWatch)
-	assert.Equal(t, w.observe(now.Add(6*time.Second), 4, 9, true, nil), checkExactly, "the next time they lag")
-}
-
 // TestHigherExactRevisionCausesFullRead checks that an exact revision above the one up to which
 // all changes are known leads to a full read.
 func TestHigherExactRevisionCausesFullRead(t *testing.T) {
