pipeline: connections end by themselves in a planned stop

Both times the request was sent 2.9 s after SIGTERM, a tenth of a second before the notice of 3 s ended, and the connection closed 0.13 and 0.17 s after that.

Cause: http.Server.Shutdown. It closes connections that it takes for idle, and net/http drops a request whose header it has read once the shutdown has begun.

Change: before net/http's shutdown begins, each connection ends by itself. Its reader is woken, and ends the connection if it has read no request; one that it has just read is served. The count of requests served ahead is not needed any more. An idle connection of which nothing was ever sent no longer holds the shutdown up for five seconds.

--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -16,7 +16,6 @@
 	aborted bool   // a read is to return, for net/http
 	done    bool   // it has its response
 	broken  bool   // it was closed without one
-	over    bool   // net/http has closed it
 }
 
 // Read reads the request. Behind its end it waits, as net/http does to notice that
@@ -54,10 +53,6 @@
 	c := a.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !a.over {
-		a.over = true
-		c.queue.over()
-	}
 	if !a.done {
 		a.broken = true
 		c.advance()
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -17,6 +17,7 @@
 type conn struct {
 	net.Conn
 	queue      *queue
+	conns      *connSet
 	writeLimit time.Duration
 	reader     reader // used by Read alone, of which net/http has one at a time
 
@@ -27,6 +28,8 @@
 	ending   bool     // no other one begins ahead
 	closing  bool     // it ends when the last one served ahead has its response
 	dead     bool     // it has ended
+	stopping bool     // it ends when all requests that were read have their responses
+	inHead   bool     // the request that net/http is reading has no whole header yet
 	deadline deadline
 
 	readEnded    bool // nothing more comes from the caller
@@ -48,9 +51,11 @@
 // state of the connection changed.
 var errAgain = errors.New("pipeline: connection changed during a read")
 
-func newConn(c net.Conn, q *queue, writeLimit time.Duration) *conn {
-	fc := &conn{Conn: c, queue: q, writeLimit: writeLimit}
+// newConn returns a caller's connection, and adds it to conns.
+func newConn(c net.Conn, q *queue, conns *connSet, writeLimit time.Duration) *conn {
+	fc := &conn{Conn: c, queue: q, conns: conns, writeLimit: writeLimit}
 	fc.changed.L = &fc.mu
+	conns.add(fc)
 	return fc
 }
 
@@ -63,6 +68,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.reader.read(c, p)
+		c.noteRead(c.reader.inHead)
 		if errors.Is(err, errAgain) {
 			continue
 		}
@@ -104,7 +110,7 @@
 	switch {
 	case c.dead:
 		return net.ErrClosed
-	case c.deadline.aborted:
+	case c.deadline.aborted, c.stopping && c.isIdle():
 		return os.ErrDeadlineExceeded
 	case len(c.served) > 0:
 		return c.arm(time.Time{})
@@ -142,6 +148,9 @@
 	defer c.mu.Unlock()
 	c.busy = true
 	c.ending = c.closing
+	if c.stopping {
+		_ = c.Conn.SetReadDeadline(c.deadline.at) // fails on a closed connection only
+	}
 	if c.writeLimited {
 		c.writeLimited = false
 		_ = c.Conn.SetWriteDeadline(time.Time{}) // fails on a closed connection only
@@ -194,6 +203,7 @@
 	defer c.mu.Unlock()
 	c.busy = false
 	c.advance()
+	c.wakeIfStopping()
 }
 
 // answered notes that a request served ahead has its response.
@@ -232,9 +242,44 @@
 	_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection, whose read returns anyway
 }
 
+// noteRead records how far the caller's requests have been read.
+func (c *conn) noteRead(inHead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopping && c.inHead && !inHead {
+		_ = c.Conn.SetReadDeadline(c.deadline.at) // fails on a closed connection only
+	}
+	c.inHead = inHead
+	c.wakeIfStopping()
+}
+
+// isIdle reports whether no request that has been read is without a response. A request whose header
+// is incomplete has not been read. c.mu must be held.
+func (c *conn) isIdle() bool {
+	return len(c.served) == 0 && (!c.busy || c.inHead)
+}
+
+// stop lets the connection end when all requests that were read have their responses. A read that
+// waits for the next request returns; if it has just read one, that one is served.
+func (c *conn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	c.wakeIfStopping()
+}
+
+// wakeIfStopping ends a read that waits for the next request of a connection that is stopping; c.mu
+// must be held.
+func (c *conn) wakeIfStopping() {
+	if c.stopping && c.isIdle() {
+		_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection only
+	}
+}
+
 // end ends the connection for all its requests; c.mu is held.
 func (c *conn) end() {
 	c.dead = true
+	c.conns.remove(c)
 	_ = c.Conn.Close() // whatever it says, nothing is read or written any more
 	c.changed.Broadcast()
 }
@@ -275,6 +320,7 @@
 		return nil
 	}
 	c.dead = true
+	c.conns.remove(c)
 	c.changed.Broadcast()
 	return c.Conn.Close()
 }
@@ -297,6 +343,9 @@
 	defer c.mu.Unlock()
 	c.deadline = deadline{at: t, span: t.Sub(now), aborted: isPast(t, now)}
 	c.changed.Broadcast()
+	if c.stopping && c.isIdle() {
+		t = longAgo
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -54,6 +54,7 @@
 type Server struct {
 	*http.Server
 	ahead *queue
+	conns *connSet
 
 	mu        sync.Mutex
 	listeners []*listener
@@ -69,7 +70,7 @@
 		}
 		return ctx
 	}
-	return &Server{Server: s, ahead: newQueue()}
+	return &Server{Server: s, ahead: newQueue(), conns: newConnSet()}
 }
 
 // Serve serves a listener until the server is shut down or closed.
@@ -87,24 +88,29 @@
 func (s *Server) StopAhead() { s.ahead.stop() }
 
 // Shutdown accepts no other connection and ends the server when all requests that were
-// read have their responses, or when ctx ends. net/http closes a connection with the
-// next response; so those served ahead are waited for before it begins.
+// read have their responses, or when ctx ends. The shutdown of net/http begins after that; it
+// ends the connections that package pipeline does not split into requests, such as those of HTTP/2.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.ahead.stop()
 	s.stopAccepting()
-	return errors.Join(s.ahead.drain(ctx), s.Server.Shutdown(ctx))
+	return errors.Join(s.conns.stop(ctx), s.Server.Shutdown(ctx))
 }
 
-// connState tells connections when net/http has ended a request.
+// connState tells connections when net/http has ended a request or has handed the connection to a
+// handler.
 func connState(c net.Conn, state http.ConnState) {
-	if state != http.StateIdle {
-		return
-	}
 	switch c := c.(type) {
 	case *conn:
-		c.idle()
+		switch state {
+		case http.StateIdle:
+			c.idle()
+		case http.StateHijacked:
+			c.conns.remove(c)
+		}
 	case *ahead:
-		c.conn.answered(c)
+		if state == http.StateIdle {
+			c.conn.answered(c)
+		}
 	}
 }
 
--- a/pipeline/queue.go
+++ b/pipeline/queue.go
@@ -1,82 +1,45 @@
 package pipeline
 
 import (
-	"context"
 	"net"
 	"sync"
 )
 
-// queue is the listener whose connections are requests served ahead. It counts those
-// that are not over.
+// queue is the listener whose connections are requests served ahead.
 type queue struct {
 	requests chan net.Conn
 	closed   chan struct{}
 	once     sync.Once
 
 	mu      sync.Mutex
-	count   int           // that were handed over and are not over
-	stopped bool          // no other one is taken
-	drained chan struct{} // closed when stopped and none is left
+	stopped bool // no other one is taken
 }
 
 func newQueue() *queue {
-	return &queue{requests: make(chan net.Conn), closed: make(chan struct{}), drained: make(chan struct{})}
+	return &queue{requests: make(chan net.Conn), closed: make(chan struct{})}
 }
 
 // push hands a request over. It returns false where none is taken any more.
 func (q *queue) push(a *ahead) bool {
 	q.mu.Lock()
-	if q.stopped {
-		q.mu.Unlock()
+	stopped := q.stopped
+	q.mu.Unlock()
+	if stopped {
 		return false
 	}
-	q.count++
-	q.mu.Unlock()
 	select {
 	case q.requests <- a:
 		return true
 	case <-q.closed:
-		q.over()
 		return false
 	}
 }
 
-// over notes that a request is over.
-func (q *queue) over() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.count--
-	q.signal()
-}
-
 // stop takes no other request.
 func (q *queue) stop() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.stopped = true
-	q.signal()
-}
-
-// signal lets drain return when nothing is left; q.mu is held.
-func (q *queue) signal() {
-	if !q.stopped || q.count > 0 {
-		return
-	}
-	select {
-	case <-q.drained:
-	default:
-		close(q.drained)
-	}
-}
-
-// drain waits until nothing is left, after stop.
-func (q *queue) drain(ctx context.Context) error {
-	select {
-	case <-q.drained:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
 }
 
 // Accept returns the next request.
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -79,6 +79,7 @@
 	switch {
 	case f.form == opaque:
 		r.inHead, r.head, r.rest = false, nil, forever
+		c.conns.remove(c)
 	case f.form == partial:
 		n := copy(p, r.unread)
 		r.head = append(r.head, r.unread[:n]...)
@@ -102,6 +103,7 @@
 	switch {
 	case f.form == opaque:
 		r.rest = forever
+		c.conns.remove(c)
 	case f.form == partial:
 		r.inHead, r.head = true, append([]byte(nil), p[:n]...)
 	case f.length < int64(n):
@@ -120,6 +122,7 @@
 	switch {
 	case f.form == opaque:
 		r.rest = forever
+		c.conns.remove(c)
 	case f.form == partial:
 		r.inHead = true
 	default:
