pipeline: a response keeps its connection for a request read behind it

In a planned stop a request that a caller had sent behind another one, and that the balancer had read, was never answered: the response before it closed the connection.

Cause: Place.Last looked at requests that are served ahead alone. In a planned stop none is served ahead any more, so that one which waits unread by net/http did not count, nor did one with a body at any time.

Change: what has been read behind a request counts. It is served next, and its response closes the connection.

Result: TestRequestReadBehindAnotherIsServedInStop failed before (unexpected EOF).

--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -80,7 +80,7 @@
 	c := a.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.served) > 0 && c.served[len(c.served)-1] != a {
+	if c.behind || len(c.served) > 0 && c.served[len(c.served)-1] != a {
 		return false
 	}
 	c.ending = true
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -30,6 +30,7 @@
 	dead     bool     // it has ended
 	stopping bool     // it ends when all requests that were read have their responses
 	inHead   bool     // the request that net/http is reading has no whole header yet
+	behind   bool     // a part of a request behind those that are served has been read
 	deadline deadline
 
 	readEnded    bool // nothing more comes from the caller
@@ -68,7 +69,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.reader.read(c, p)
-		c.noteRead(c.reader.inHead)
+		c.noteRead(c.reader.inHead, c.reader.hasBehind())
 		if errors.Is(err, errAgain) {
 			continue
 		}
@@ -243,13 +244,13 @@
 }
 
 // noteRead records how far the caller's requests have been read.
-func (c *conn) noteRead(inHead bool) {
+func (c *conn) noteRead(inHead, behind bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopping && c.inHead && !inHead {
 		_ = c.Conn.SetReadDeadline(c.deadline.at) // fails on a closed connection only
 	}
-	c.inHead = inHead
+	c.inHead, c.behind = inHead, behind
 	c.wakeIfStopping()
 }
 
@@ -357,7 +358,7 @@
 func (c *conn) last() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.served) > 0 {
+	if len(c.served) > 0 || c.behind {
 		return false
 	}
 	c.ending = true
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -45,6 +45,12 @@
 	return 0, r.readAhead(c)
 }
 
+// hasBehind reports whether something is unread that belongs to a request behind the one that net/http
+// is reading.
+func (r *reader) hasBehind() bool {
+	return !r.inHead && r.rest != forever && int64(len(r.unread)) > r.rest
+}
+
 // readRest reads bytes of a request whose end is known.
 func (r *reader) readRest(c *conn, p []byte) (int, error) {
 	if r.rest > 0 {
--- a/pipeline/shutdown_test.go
+++ b/pipeline/shutdown_test.go
@@ -129,6 +129,23 @@
 	}
 }
 
+func TestRequestReadBehindAnotherIsServedInStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := make(chan struct{})
+		runStopTest(t, gate, func(s *stopTest) {
+			s.get(t, "/first")
+			s.beginStop()
+			synctest.Wait()
+			s.get(t, "/behind")
+			synctest.Wait()
+			close(gate)
+			assert.Equal(t, s.answer(t), "/first")
+			assert.Equal(t, s.answer(t), "/behind")
+			assert.NilError(t, <-s.shutdown())
+		})
+	})
+}
+
 func TestBodyThatArrivesDuringShutdownIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		runStopTest(t, nil, func(s *stopTest) {
