--- a/directory/compaction_test.go
+++ b/directory/compaction_test.go
@@ -165,11 +165,11 @@
 	readLag = 5500 * time.Millisecond
 )
 
-// followerCase is a follower on which other balancers rely or not, and the time from its first checks of
-// the store's revision to the begin of a test.
+// followerCase is a case of a test with a follower.
 type followerCase struct {
-	serving bool
-	phase   time.Duration
+	serving bool          // other balancers rely on the follower
+	phase   time.Duration // shifts the begin of the test against the checks of the store's revision
+	lead    time.Duration // how long before the next watch begins an endpoint starts to leave
 }
 
 // followCompacting follows the source with the options for applyBound, until the test ends.
@@ -191,20 +191,24 @@
 	return e.State == directory.Leaving
 }
 
+// batchDelay returns the pause after a change before the next watch begins.
+func batchDelay(serving bool) time.Duration {
+	delay := directory.OptionsWithin(applyBound).BatchDelay
+	if serving {
+		return delay / 2
+	}
+	return delay
+}
+
 // leaveInGap lets one endpoint leave, and a second one in the pause after the first one's change, just
 // before a gap in which the next watch begins. It then checks that the second one is known to be
 // leaving within applyBound.
 func leaveInGap(t *testing.T, s *compactingSource, d *directory.Directory, c followerCase) {
 	t.Helper()
-	pause := directory.OptionsWithin(applyBound).BatchDelay
-	if c.serving {
-		pause /= 2
-	}
-	const beforeWatch = 100 * time.Millisecond
 	first := s.leave()
 	synctest.Wait()
 	assert.Assert(t, isLeaving(d, first), "the watch brings the first change")
-	time.Sleep(pause - beforeWatch)
+	time.Sleep(batchDelay(c.serving) - c.lead)
 	second := s.leave()
 	s.beginGap()
 	time.Sleep(gapDuration)
@@ -229,17 +233,26 @@
 // forEachFollower runs a test in virtual time for many cases of followers.
 func forEachFollower(t *testing.T, test func(t *testing.T, c followerCase)) {
 	t.Helper()
-	const phases, step = 17, 50 * time.Millisecond
+	const phases, leads, step = 17, 4, 50 * time.Millisecond
 	for _, serving := range []bool{false, true} {
-		for phase := range time.Duration(phases) {
-			c := followerCase{serving: serving, phase: phase * step}
-			t.Run(fmt.Sprintf("serving=%t/phase=%v", c.serving, c.phase), func(t *testing.T) {
+		longestLead := min(batchDelay(serving), gapDuration)
+		for i := range time.Duration(phases * leads) {
+			c := followerCase{serving: serving, phase: i / leads * step, lead: (i%leads + 1) * longestLead / (leads + 1)}
+			t.Run(fmt.Sprintf("serving=%t/phase=%v/lead=%v", c.serving, c.phase, c.lead), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) { test(t, c) })
 			})
 		}
 	}
 }
 
+func TestSilentWatchIsNoticedAfterPause(t *testing.T) {
+	forEachFollower(t, func(t *testing.T, c followerCase) {
+		s := newCompactingSource()
+		d := followCompacting(t, s, c)
+		leaveInGap(t, s, d, c)
+	})
+}
+
 func TestSilentWatchIsNoticedWhileReadsLag(t *testing.T) {
 	forEachFollower(t, func(t *testing.T, c followerCase) {
 		s := newCompactingSource()
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -53,6 +53,7 @@
 	watchAdvice   chan advice   // why to abandon the present watch
 	retry         chan struct{} // ends the pause after a failed call
 	watchingSince atomic.Int64  // start of the present watch, in ns since startedAt; 0 for none
+	highestSeen   atomic.Uint64 // highest revision that the monitor knows of
 }
 
 // NewFollower returns a follower of source that keeps d up to date once Run is called.
--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -49,6 +49,7 @@
 	}
 	lagged := w.lagging
 	action := w.observe(time.Now(), revision, f.directory.Snapshot().Revision, f.watchingSince.Load() != 0, err)
+	f.highestSeen.Store(w.highest)
 	if w.lagging != lagged {
 		f.opts.Log.Info("cheap reads of the store", "lagging", w.lagging, "revision", revision, "known", w.highest)
 	}
@@ -58,7 +59,9 @@
 	if revision, err = f.revision(ctx, true); err != nil {
 		return trustWatch // the next cheap check shows whether the store answers
 	}
-	return w.observeExact(revision, f.directory.Snapshot().Revision)
+	action = w.observeExact(revision, f.directory.Snapshot().Revision)
+	f.highestSeen.Store(w.highest)
+	return action
 }
 
 // revision reads the store's revision within CheckTimeout.
