platformtest: a compaction withholds changes from watches and makes reads lag

The stand-in of the store dropped its history in one moment, cut no watch and had no reads that lag, so that no test or soak could meet a watch that begins while changes are withheld. Its compaction does now what the platform's store does, and the soak's fault 'store forgets' uses it.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -117,12 +117,21 @@
 	}
 }
 
+// forget lets the store compact its history. Changes are withheld from watches before, and cheap reads
+// lag afterwards.
 func (w *world) forget() (string, func()) {
 	from := time.Now()
-	w.store.Compact()
-	return "", func() { w.calendar.disturb("", from, time.Now()) }
+	w.store.BeginCompaction()
+	lag := time.Duration(w.rng.IntN(int(maxReadLag)))
+	return fmt.Sprintf("reads lag by %v", lag), func() {
+		w.store.EndCompaction(lag)
+		w.calendar.disturb("", from, time.Now())
+	}
 }
 
+// maxReadLag bounds how long cheap reads of the store lag after it has compacted its history.
+const maxReadLag = 6 * time.Second
+
 // revoke ends the leases of all relays; nobody may notice.
 func (w *world) revoke() (string, func()) {
 	w.store.RevokeLeases()
