pipeline: wait until net/http has closed connections before its shutdown

Callers saw nothing.

Cause: a connection left the set that the shutdown waits for when net/http closed it, before net/http had dropped it from its own list. http.Server's Shutdown, which begins then, found it there and polled.

Change: the connection leaves the set when net/http reports StateClosed, after it has dropped it.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -280,7 +280,6 @@
 // end ends the connection for all its requests; c.mu is held.
 func (c *conn) end() {
 	c.dead = true
-	c.conns.remove(c)
 	_ = c.Conn.Close() // whatever it says, nothing is read or written any more
 	c.changed.Broadcast()
 }
@@ -321,7 +320,6 @@
 		return nil
 	}
 	c.dead = true
-	c.conns.remove(c)
 	c.changed.Broadcast()
 	return c.Conn.Close()
 }
--- a/pipeline/conns.go
+++ b/pipeline/conns.go
@@ -32,7 +32,8 @@
 	}
 }
 
-// remove removes a connection that has ended, or that net/http or a handler ends.
+// remove removes a connection that net/http no longer tracks, or that net/http or a handler ends. Those
+// that net/http still tracks its Shutdown waits for, by polling.
 func (s *connSet) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -96,15 +96,15 @@
 	return errors.Join(s.conns.stop(ctx), s.Server.Shutdown(ctx))
 }
 
-// connState tells connections when net/http has ended a request or has handed the connection to a
-// handler.
+// connState tells connections when net/http has ended a request, has closed the connection or has
+// handed it to a handler.
 func connState(c net.Conn, state http.ConnState) {
 	switch c := c.(type) {
 	case *conn:
 		switch state {
 		case http.StateIdle:
 			c.idle()
-		case http.StateHijacked:
+		case http.StateHijacked, http.StateClosed:
 			c.conns.remove(c)
 		}
 	case *ahead:
