pipeline: a request served ahead knows at once that nothing is behind it

Callers saw at most a connection that stayed open without need in a planned stop.

Cause: that a part of a further request has been read was recorded after the request before it had been handed on. A handler that asked for its place in between was told that another request was behind it.

Change: it is recorded with the hand-over, under the same lock.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -177,9 +177,9 @@
 	}
 }
 
-// serveAhead lets a request be served ahead. It returns false if there are too many
-// or no other one may begin.
-func (c *conn) serveAhead(request []byte) bool {
+// serveAhead lets a request be served ahead; behind says whether a part of a request behind it has been
+// read. It returns false if there are too many or no other one may begin.
+func (c *conn) serveAhead(request []byte, behind bool) bool {
 	a := &ahead{conn: c, request: slices.Clone(request)}
 	c.mu.Lock()
 	if c.ending || c.dead || len(c.served) >= maxAhead {
@@ -187,13 +187,14 @@
 		return false
 	}
 	c.served = append(c.served, a)
+	c.behind = behind // before the request can ask for its place
 	c.mu.Unlock()
 	if c.queue.push(a) {
 		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = true // the server stops
+	c.ending, c.behind = true, true // the server stops; the request stays unread
 	c.served = slices.DeleteFunc(c.served, func(o *ahead) bool { return o == a })
 	return false
 }
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -144,7 +144,7 @@
 	switch {
 	case f.form == partial && !r.ended:
 		return r.fill(c)
-	case f.form == simple && c.serveAhead(r.unread[:f.length]):
+	case f.form == simple && c.serveAhead(r.unread[:f.length], len(r.unread) > int(f.length)):
 		r.drop(int(f.length))
 		return errAgain
 	}
