telemetry: endpoints and probes without a response

Logs did not tell whether endpoints had reported that they were full or nobody heard from them: `full=21` of 21 in both cases. `no endpoint chosen` has `unanswered`, the endpoints that did not respond to the last probe of this balancer, and probes_unanswered counts such probes.

--- a/balancer/events.go
+++ b/balancer/events.go
@@ -46,7 +46,7 @@
 func (x *exchange) logNoEndpoint(number int, r *placement.Refusal, now time.Time) {
 	line := x.log.Line(telemetry.EventNoEndpoint).Int("attempt", int64(number)).Text("reason", string(r.Reason)).
 		Int("known", int64(r.Search.Known)).Int("ejected", int64(r.Search.Ejected)).Int("full", int64(r.Search.Full)).Int("limited", int64(r.Search.Limited)).
-		Int("backing_off", int64(r.Search.BackingOff)).
+		Int("backing_off", int64(r.Search.BackingOff)).Int("unanswered", int64(r.Search.Unanswered)).
 		Millis("best_ms", r.Search.Best).Int("probes", int64(r.Search.Probes)).Millis("waited_ms", now.Sub(x.searchStart))
 	if r.Search.Ordered {
 		line.Int("queued", int64(r.Search.Waiting)).Millis("forecast_ms", r.Search.Forecast).Millis("retry_after_ms", r.RetryAfter)
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -135,6 +135,7 @@
 	Known, Ejected, Full int           // numbers of endpoints
 	Limited              int           // number of the Known endpoints at their limit on requests per second
 	BackingOff           int           // number of the Known endpoints in a backoff, or in the slow start after it
+	Unanswered           int           // number of the Known endpoints that did not respond to the last probe
 	Best                 time.Duration // estimate at the best endpoint
 	Probes               int           // load reports requested
 
--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -88,6 +88,7 @@
 	Cold        bool          // it is warming up
 	ColdBlocked bool          // it is warming up and must not get the request now
 	Resetting   bool          // it is in the backoff after a reset, and is not probed
+	Unanswered  bool          // it did not respond to the last probe
 	Admission   admission.Decision
 
 	cost       time.Duration // the estimate and all penalties; the lowest cost ranks first
@@ -114,6 +115,7 @@
 		Slots:      e.load.Slots(l.Slots),
 		Ejected:    e.health.Ejected(now),
 		Cold:       isWarmingUp,
+		Unanswered: e.unansweredProbes > 0,
 		Admission:  l.Admission,
 		tieBreaker: tieBreaker,
 	}
--- a/coord/selection/decide.go
+++ b/coord/selection/decide.go
@@ -111,6 +111,9 @@
 		if r.list[i].Full {
 			s.Full++
 		}
+		if r.list[i].Unanswered {
+			s.Unanswered++
+		}
 		switch r.list[i].Admission.Cause {
 		case admission.Limited:
 			s.Limited++
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -116,6 +116,7 @@
 	sequence         atomic.Uint64 // number of the last request ID
 	startNanos       int64         // start of the process in Unix nanoseconds, part of request IDs
 	probes           metrics.Counter
+	unanswered       metrics.Counter // probes without a response
 	resets           metrics.Counter // probes and requests that endpoints reset at once
 	unwantedSends    unwantedSends
 	leavingEndpoints metrics.Counter // endpoints that announced that they are leaving
@@ -163,6 +164,7 @@
 		opts:             cfg.Options.WithDefaults(),
 		startNanos:       now,
 		probes:           metrics.GetOrRegisterCounter("probes", cfg.Metrics),
+		unanswered:       metrics.GetOrRegisterCounter("probes_unanswered", cfg.Metrics),
 		resets:           metrics.GetOrRegisterCounter("endpoint_resets", cfg.Metrics),
 		unwantedSends:    newUnwantedSends(cfg.Metrics),
 		leavingEndpoints: metrics.GetOrRegisterCounter("endpoints_said_leaving", cfg.Metrics),
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -103,6 +103,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
+		c.unanswered.Inc(1)
 		c.cfg.Log.Debug("probe failed", "id", id, "error", err)
 		e.observed = e.observed.WithUnansweredProbe()
 		c.recordFailedProbe(t, err, now)
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -63,6 +63,7 @@
 		{"full", "of these, thought to have no room"},
 		{"limited", "of these, at the limits that they name"},
 		{"backing_off", "of these, that want no requests for a while, or few after it"},
+		{"unanswered", "of these, that did not respond to the last probe of this balancer"},
 		{"best_ms", "lowest estimate among them"},
 		{"probes", "endpoints asked"},
 		{"waited_ms", "time spent looking"},
