--- a/balancer/clients.go
+++ b/balancer/clients.go
@@ -51,6 +51,7 @@
 			IdleTimeout:    c.policy.IdleTimeout,
 			NewConnections: key.fresh,
 			Dialect:        &c.policy.Dialect,
+			Dial:           c.policy.Dial,
 		})
 		c.byKey[key] = client
 	}
--- a/balancer/policy.go
+++ b/balancer/policy.go
@@ -33,6 +33,8 @@
 	// upstream.
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
+	// Dial opens connections to endpoints; nil for the default of package upstream.
+	Dial upstream.DialFunc
 
 	// How responses are evaluated.
 
@@ -55,3 +57,12 @@
 	}
 	return p
 }
+
+// WithDial returns the policy with another way to open connections to endpoints.
+func (p Policy) WithDial(dial upstream.DialFunc) Policy {
+	p.Dial = dial
+	if p.Client != nil {
+		p.Client = p.Client.WithDial(dial)
+	}
+	return p
+}
--- a/server/platform_test.go
+++ b/server/platform_test.go
@@ -20,6 +20,7 @@
 	"github.com/lotuswing/lotuswing/server"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/upstream"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -29,15 +30,20 @@
 
 // platformRig is a store and one endpoint of the platform.
 type platformRig struct {
-	store *platformtest.Store
-	url   string // of the store
+	store     *platformtest.Store
+	url       string // of the store
+	endpoints []*platformtest.Endpoint
 	// suspended tells balancers for how long their VM has been suspended; nil for the
 	// kernel's word.
 	suspended func() time.Duration
+	dial      upstream.DialFunc // opens the connections to endpoints of balancers started from now on; nil for the default
 }
 
 // platformBalancer is a balancer on the platform, by its addresses.
-type platformBalancer struct{ front, admin, link string }
+type platformBalancer struct {
+	front, admin, link string
+	kill               func() // ends the process
+}
 
 func newPlatformRig(t *testing.T) *platformRig {
 	t.Helper()
@@ -48,7 +54,9 @@
 		front.Close()
 	})
 	r.url = front.URL
-	endpoint := httptest.NewServer(platformtest.NewEndpoint("i-1", platformtest.Behavior{ServiceTime: time.Millisecond}))
+	first := platformtest.NewEndpoint("i-1", platformtest.Behavior{ServiceTime: time.Millisecond})
+	r.endpoints = append(r.endpoints, first)
+	endpoint := httptest.NewServer(first)
 	t.Cleanup(endpoint.Close)
 	r.store.PutServer("i-1", platformtest.Server{Address: endpoint.Listener.Addr().String(), Service: "s", Zone: "medina", Slots: 3})
 	r.store.Publish(1, []tenant.PrefixRoute{{
@@ -86,12 +94,17 @@
 		"discovery": {"kind": "platform", "url": %q}, "link_tls": {"insecure": true}, "link_mbps": 100}`, name, b.front, b.admin, b.link, list, r.url))
 	assert.NilError(t, err)
 	store := platform.NewStore(s.Discovery.URL)
+	policy := platform.Policy(s.Retries)
+	if r.dial != nil {
+		policy = policy.WithDial(r.dial)
+	}
 	srv, err := server.Start(server.Config{
-		Settings: s, Log: failureLog(t, name), Traces: io.Discard, Source: store, Relays: store, Policy: platform.Policy(s.Retries),
+		Settings: s, Log: failureLog(t, name), Traces: io.Discard, Source: store, Relays: store, Policy: policy,
 		Suspended: r.suspended,
 	})
 	assert.NilError(t, err)
-	t.Cleanup(srv.Kill)
+	b.kill = sync.OnceFunc(srv.Kill)
+	t.Cleanup(b.kill)
 	return b
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -45,10 +45,15 @@
 	IdleTimeout    time.Duration // after which an idle connection is closed; default 90 s
 	NewConnections bool          // open a new connection for each request
 	Dialect        *Dialect      // nil for Native
+	Dial           DialFunc      // opens connections; nil for package dial
 }
 
+// DialFunc opens a connection, within the deadline of ctx.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client sends requests to endpoints. It is safe for concurrent use.
 type Client struct {
+	opts      Options
 	transport *http.Transport
 	http2     bool
 	dialect   *Dialect
@@ -63,10 +68,15 @@
 		native := Native()
 		opts.Dialect = &native
 	}
-	dialer := dial.Dialer(opts.DialTimeout)
+	c := &Client{opts: opts, http2: opts.HTTP2, dialect: opts.Dialect, reader: NewReader(opts.Dialect)}
+	if opts.Dial == nil {
+		opts.Dial = dial.Dialer(opts.DialTimeout).DialContext
+	}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
+			ctx, cancel := context.WithTimeout(ctx, opts.DialTimeout)
+			defer cancel()
+			c, err := opts.Dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -82,7 +92,15 @@
 	}
 	t.Protocols.SetHTTP1(!opts.HTTP2)
 	t.Protocols.SetUnencryptedHTTP2(opts.HTTP2)
-	return &Client{transport: t, http2: opts.HTTP2, dialect: opts.Dialect, reader: NewReader(opts.Dialect)}
+	c.transport = t
+	return c
+}
+
+// WithDial returns a client with the same options that opens connections with dial.
+func (c *Client) WithDial(dial DialFunc) *Client {
+	opts := c.opts
+	opts.Dial = dial
+	return NewClient(opts)
 }
 
 // CloseIdle closes the idle connections, at the end of a client or when it is unknown how long they
