link: streams beside calls

A stream begins with a zero byte, which no call of net/rpc over gob begins with, so that earlier versions close it and serve calls as before. They carry connections to endpoints for balancers that have lost their own paths. SetUserTimeout bounds how long an accepted connection waits for acknowledgements, as Dialer does for those that are opened.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -33,6 +33,20 @@
 	return &net.Dialer{Timeout: timeout, Control: setUserTimeout}
 }
 
+// SetUserTimeout sets TCP_USER_TIMEOUT of a connection that this process accepted to UnackedTimeout.
+// It has no effect on a connection that is not a plain TCP connection.
+func SetUserTimeout(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("dial: %w", err)
+	}
+	return setUserTimeout("", "", raw)
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT of a socket to UnackedTimeout.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
--- a/link/client.go
+++ b/link/client.go
@@ -71,6 +71,20 @@
 	return err
 }
 
+// OpenStream opens a connection to the peer at addr that carries bytes instead of calls. A peer of an
+// earlier version closes it.
+func (c *Client) OpenStream(ctx context.Context, addr string) (net.Conn, error) {
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return nil, fmt.Errorf("link: dial %s: %w", addr, err)
+	}
+	if _, err := conn.Write([]byte{streamMark}); err != nil {
+		_ = conn.Close() // the connection is no longer used; a close error does not matter
+		return nil, fmt.Errorf("link: stream to %s: %w", addr, err)
+	}
+	return conn, nil
+}
+
 // Forget closes the connection to the peer at addr, if there is one, for example because
 // the peer is no longer a member of the fleet. Pending calls on it fail at once.
 func (c *Client) Forget(addr string) {
--- a/link/server.go
+++ b/link/server.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bufio"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 type Server struct {
 	rpc      *rpc.Server
 	listener net.Listener
+	streams  StreamHandler // nil to accept calls only
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{} // open connections
@@ -23,7 +25,19 @@
 // receiver, which must have the signatures that net/rpc requires. A nil config
 // means plain TCP.
 func Serve(l net.Listener, config *tls.Config, receiver any) (*Server, error) {
-	s := &Server{rpc: rpc.NewServer(), listener: l, conns: map[net.Conn]struct{}{}}
+	return ServeStreams(l, config, receiver, nil)
+}
+
+// StreamHandler serves a stream that a peer opened with Client.OpenStream, until it returns. r reads
+// from conn and may hold bytes already.
+type StreamHandler func(conn net.Conn, r *bufio.Reader)
+
+// streamMark is the first byte of a stream. No call begins with it: package gob sends no empty message.
+const streamMark = 0
+
+// ServeStreams is Serve for a server that also accepts streams.
+func ServeStreams(l net.Listener, config *tls.Config, receiver any, streams StreamHandler) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer(), listener: l, streams: streams, conns: map[net.Conn]struct{}{}}
 	if err := s.rpc.RegisterName(Service, receiver); err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
@@ -86,5 +100,27 @@
 		_ = c.Close() // the connection is no longer used; a close error does not matter
 		return
 	}
-	s.rpc.ServeConn(c)
+	if s.streams == nil {
+		s.rpc.ServeConn(c)
+		return
+	}
+	r := bufio.NewReader(c)
+	switch first, err := r.Peek(1); {
+	case err != nil:
+		_ = c.Close() // the connection is no longer used; a close error does not matter
+	case first[0] == streamMark:
+		_, _ = r.Discard(1) // buffered
+		s.streams(c, r)
+	default:
+		s.rpc.ServeConn(bufferedConn{Conn: c, reader: r})
+	}
 }
+
+// bufferedConn is a connection of which a part was read into a buffer already.
+type bufferedConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// Read reads from the buffer and then from the connection.
+func (c bufferedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
