relay: name balancers that have their paths as carriers

A balancer that has lost its paths to endpoints says so with its calls for changes (PathsLost, added last, so that earlier versions skip it).

--- a/compat/wire_test.go
+++ b/compat/wire_test.go
@@ -40,6 +40,8 @@
 	"TellReply":        relay.TellReply{},
 	"CountArgs":        relay.CountArgs{},
 	"CountReply":       relay.CountReply{},
+	"CarriersArgs":     relay.CarriersArgs{},
+	"CarriersReply":    relay.CarriersReply{},
 	"CopyArgs":         bootstrap.CopyArgs{},
 	"CopyReply":        bootstrap.CopyReply{},
 	"CopiedRecord":     directory.Record{},
@@ -49,7 +51,7 @@
 // version. A balancer of an earlier one does not send them: they are read as zero. The
 // stream NAME.2 is of the second version, and so on.
 var addedLater = map[string][][]string{
-	"ChangesArgs":  {{"From", "Patient", "InTouch"}, {"TakesNotes", "NotesLife", "NotesAfter"}},
+	"ChangesArgs":  {{"From", "Patient", "InTouch"}, {"TakesNotes", "NotesLife", "NotesAfter"}, {"PathsLost"}},
 	"ChangesReply": {{"StoreLost", "Askers", "Instead"}, {"Notes", "NotesLife", "NotesAt"}},
 	"CountArgs":    {{"From", "Asks"}, {"Report.Rests"}, {"Report.Joined", "Report.Fleet", "Report.Counts.Missing"}},
 	"CountReply":   {{"Limits", "Answer.Members"}},
--- a/relay/askers.go
+++ b/relay/askers.go
@@ -14,6 +14,7 @@
 // value is empty. It is not safe for concurrent use.
 type askers struct {
 	lastAsked map[string]time.Time // time of the last call, by address
+	pathsLost map[string]bool      // by address: its last call said that it has lost its paths to endpoints
 	prunedAt  time.Time            // when expired askers were last removed
 	inTouch   string               // address of the last asker that was in touch with the store
 	inTouchAt time.Time            // when that asker reported it
@@ -26,12 +27,18 @@
 		return false
 	}
 	if a.lastAsked == nil {
-		a.lastAsked = map[string]time.Time{}
+		a.lastAsked, a.pathsLost = map[string]time.Time{}, map[string]bool{}
 	}
 	a.lastAsked[args.From] = now
+	if args.PathsLost {
+		a.pathsLost[args.From] = true
+	} else {
+		delete(a.pathsLost, args.From)
+	}
 	if now.Sub(a.prunedAt) >= askerTTL {
 		a.prunedAt = now
 		maps.DeleteFunc(a.lastAsked, func(_ string, at time.Time) bool { return now.Sub(at) >= askerTTL })
+		maps.DeleteFunc(a.pathsLost, func(addr string, _ bool) bool { return a.lastAsked[addr].IsZero() })
 	}
 	switch {
 	case args.InTouch:
@@ -51,6 +58,17 @@
 	return a.inTouch
 }
 
+// withPaths returns the addresses of the askers that have not lost their paths to endpoints.
+func (a *askers) withPaths(now time.Time) []string {
+	list := make([]string, 0, len(a.lastAsked))
+	for addr, at := range a.lastAsked {
+		if now.Sub(at) < askerTTL && !a.pathsLost[addr] {
+			list = append(list, addr)
+		}
+	}
+	return list
+}
+
 // recordAsker records a request for changes. If its sender is in touch with the store, recordAsker
 // wakes the calls that wait for this balancer to become settled, so that they are referred to the
 // sender.
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -145,7 +145,7 @@
 	position := g.receivedPosition(r.Addr)
 	var reply ChangesReply
 	err := g.client.Call(ctx, r.Addr, methodChanges, ChangesArgs{
-		After: after, Wait: g.opts.Wait, From: g.cfg.Addr, Patient: patient, InTouch: g.follower.UpToDate(time.Now()),
+		After: after, Wait: g.opts.Wait, From: g.cfg.Addr, Patient: patient, InTouch: g.follower.UpToDate(time.Now()), PathsLost: g.pathsLost(),
 		TakesNotes: true, NotesLife: position.life, NotesAfter: position.index,
 	}, &reply)
 	if err == nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,7 +9,8 @@
 // changes, and registration.go elects and registers the zone's relay. Their rules are in rules.go,
 // and server.go serves other balancers, whose calls for changes wait until there is one. Balancers broadcast small messages beside the store's
 // records, called notes (notes.go, delivery.go), and exchange counts for the whole fleet
-// (counting.go). Package bootstrap obtains the first copy of the store's content (bootstrap.go). A
+// (counting.go). A relay also names balancers that may carry connections to endpoints for one that has
+// lost its paths (carriers.go). Package bootstrap obtains the first copy of the store's content (bootstrap.go). A
 // Group relies on a Follower, which watches the store and which it switches on and off, on a
 // Registry for the lease, and on a Decoder that interprets records.
 //
@@ -121,6 +122,10 @@
 	ByUrgency func() bool
 	// OnNote is called once for each note of another balancer; nil to ignore notes.
 	OnNote func(Note)
+	// PathsLost reports whether this balancer has lost its paths to all endpoints; nil for never.
+	PathsLost func() bool
+	// Streams serves the streams that other balancers open; nil for none.
+	Streams link.StreamHandler
 	// Suspensions detects suspensions of the VM; nil for none.
 	Suspensions *suspend.Detector
 }
@@ -195,7 +200,7 @@
 // registration, until Close is called. The follower must be the one that calls ApplyChanges.
 func (g *Group) Start(l net.Listener, follower Follower) error {
 	g.follower = follower
-	server, err := link.Serve(l, g.cfg.TLS, &rpcService{group: g})
+	server, err := link.ServeStreams(l, g.cfg.TLS, &rpcService{group: g}, g.cfg.Streams)
 	if err != nil {
 		return err
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -32,6 +32,7 @@
 	source    *platform.Store
 	addr      string
 	received  noteRecorder
+	pathsLost atomic.Bool // its paths to endpoints are lost
 	refused   atomic.Bool // the store rejects calls of this balancer with status 429
 	calls     atomic.Int64
 	fullReads atomic.Int64 // number of full reads that were begun
@@ -93,7 +94,7 @@
 	log := hclog.NewNullLogger()
 	m.group = relay.New(relay.Config{
 		ID: "vm " + m.addr, Zone: zone, Addr: m.addr, Cores: 1, Registry: m.source, Decoder: m.source, Log: log,
-		OnNote: m.received.record, ByUrgency: func() bool { return own.byUrgency },
+		OnNote: m.received.record, PathsLost: m.pathsLost.Load, ByUrgency: func() bool { return own.byUrgency },
 		Options: relay.Options{
 			TTL: own.ttl, Wait: 20 * time.Millisecond, Slack: 500 * time.Millisecond,
 			Penalty: 100 * time.Millisecond, BackoffBase: 10 * short, BackoffJitter: 40 * short,
--- a/relay/server.go
+++ b/relay/server.go
@@ -22,6 +22,8 @@
 	TakesNotes bool
 	NotesLife  uint64
 	NotesAfter uint64
+	// PathsLost says that the caller has lost its paths to all endpoints, and carries no connections.
+	PathsLost bool
 }
 
 // ChangesReply is the answer to ChangesArgs.
