detour: connections to endpoints that other balancers open

An endpoint that does not respond is asked through another balancer, the carrier. If it responds there, the path is lost and not the endpoint: connections to it are opened by carriers, which copy bytes, until a direct one opens again. A check that no carrier made shows nothing of the endpoint. Requests under way that may be repeated are given up on a lost path at once.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -24,6 +24,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/lotuswing/lotuswing/internal/dial"
@@ -46,6 +47,7 @@
 	NewConnections bool          // open a new connection for each request
 	Dialect        *Dialect      // nil for Native
 	Dial           DialFunc      // opens connections; nil for package dial
+	Paths          Paths         // how endpoints are reached; nil for always directly
 }
 
 // DialFunc opens a connection, within the deadline of ctx.
@@ -55,6 +57,7 @@
 type Client struct {
 	opts      Options
 	transport *http.Transport
+	detours   *http.Transport // sends over connections that other balancers open; nil without Options.Paths
 	http2     bool
 	dialect   *Dialect
 	reader    *Reader
@@ -72,11 +75,28 @@
 	if opts.Dial == nil {
 		opts.Dial = dial.Dialer(opts.DialTimeout).DialContext
 	}
+	c.transport = opts.newTransport(opts.Dial)
+	if opts.Paths != nil {
+		c.detours = opts.newTransport(opts.Paths.DialDetour)
+		opts.Paths.OnIdle(c.closeIdle)
+	}
+	return c
+}
+
+// dialBegunKey is the key under which the context of a request holds an *atomic.Bool that is set once
+// the transport dials for the request. A request that waits for one of MaxConnections has not dialed.
+type dialBegunKey struct{}
+
+// newTransport returns a transport that opens connections with open.
+func (opts Options) newTransport(open DialFunc) *http.Transport {
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if begun, ok := ctx.Value(dialBegunKey{}).(*atomic.Bool); ok {
+				begun.Store(true)
+			}
 			ctx, cancel := context.WithTimeout(ctx, opts.DialTimeout)
 			defer cancel()
-			c, err := opts.Dial(ctx, network, addr)
+			c, err := open(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -92,8 +112,14 @@
 	}
 	t.Protocols.SetHTTP1(!opts.HTTP2)
 	t.Protocols.SetUnencryptedHTTP2(opts.HTTP2)
-	c.transport = t
-	return c
+	return t
+}
+
+// WithPaths returns a client with the same options that reaches endpoints as paths says.
+func (c *Client) WithPaths(paths Paths) *Client {
+	opts := c.opts
+	opts.Paths = paths
+	return NewClient(opts)
 }
 
 // WithDial returns a client with the same options that opens connections with dial.
@@ -105,4 +131,17 @@
 
 // CloseIdle closes the idle connections, at the end of a client or when it is unknown how long they
 // have been idle, as after the machine was suspended. The client stays usable and opens new ones.
-func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
+func (c *Client) CloseIdle() {
+	c.closeIdle(false)
+	c.closeIdle(true)
+}
+
+// closeIdle closes the idle connections that are detoured, or those that are not.
+func (c *Client) closeIdle(detoured bool) {
+	switch {
+	case !detoured:
+		c.transport.CloseIdleConnections()
+	case c.detours != nil:
+		c.detours.CloseIdleConnections()
+	}
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -35,6 +35,9 @@
 	// no check. A full endpoint resets new connections at once. If it does so within this time, nothing
 	// is sent, see Result.Reset. It is not used for HTTP/2.
 	Settle time.Duration
+	// Repeatable says that the request may be given up and sent again once the path to its endpoint is
+	// known to be lost.
+	Repeatable bool
 	// OnInformational is called with each 1xx response; may be nil.
 	OnInformational func(code int, header http.Header)
 	// OnResponseBegun is called with the first byte of a response, also of a 1xx response; may be nil.
@@ -59,9 +62,15 @@
 	ConnectionBroken bool
 	// Reset says that the endpoint closed the connection instead of sending a response. The Verdict is
 	// NotRun if it did so before the request was written.
-	Reset  bool
-	Err    error // why there is no response
-	cancel func()
+	Reset bool
+	// Carrier is the address of the balancer that opened the connection, and Tunnel identifies the
+	// connection in its log; empty for a direct connection.
+	Carrier string
+	Tunnel  string
+	Err     error // why there is no response
+	// connected says that the transport picked a connection.
+	connected bool
+	cancel    func()
 }
 
 // Close closes the response body, if any, and releases the attempt's resources. It closes the
@@ -78,6 +87,18 @@
 // Send makes one attempt. ctx must end when the caller disconnects. The caller of Send must
 // close the result.
 func (c *Client) Send(ctx context.Context, r Request) Result {
+	switch paths := c.opts.Paths; {
+	case paths == nil:
+		return c.sendOver(ctx, c.transport, r)
+	case paths.Detoured(r.Addr):
+		return c.sendOver(ctx, c.detours, r)
+	default:
+		return c.sendChecked(ctx, r)
+	}
+}
+
+// sendOver makes one attempt over a transport.
+func (c *Client) sendOver(ctx context.Context, transport *http.Transport, r Request) Result {
 	sent := time.Now()
 	remaining := r.Deadline.Sub(sent)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -87,15 +108,23 @@
 	if !c.http2 {
 		tracker.admitted, tracker.settle = r.Admitted, r.Settle
 	}
-	response, err := c.transport.RoundTrip(c.outgoingRequest(httptrace.WithClientTrace(ctx, tracker.trace(r)), r, remaining))
+	if r.Repeatable && transport == c.transport && c.opts.Paths != nil {
+		defer c.opts.Paths.OnLost(r.Addr, func() { cancel(ErrPathLost) })()
+	}
+	response, err := transport.RoundTrip(c.outgoingRequest(httptrace.WithClientTrace(ctx, tracker.trace(r)), r, remaining))
 	release := func() { cancel(context.Canceled) }
 	if err != nil {
 		// The order matters: failureResult must seal the connection before the cancellation
 		// releases it, and needs the cause from before the cancellation.
 		res := tracker.failureResult(context.Cause(ctx), c.http2, err)
+		res.connected = tracker.connected()
+		res.Carrier, res.Tunnel = tracker.via()
 		release()
 		return res
 	}
+	if c.opts.Paths != nil {
+		c.opts.Paths.Responded(r.Addr, transport == c.detours)
+	}
 	res := c.responseResult(response, r.ID, release)
 	report := c.readReport(&res, response, sent, time.Now())
 	if res.Response != nil && r.BufferBytes > 0 {
@@ -106,7 +135,8 @@
 		release()
 		res = lateResult(res.Verdict)
 	}
-	res.Report = report
+	res.Report, res.connected = report, true
+	res.Carrier, res.Tunnel = tracker.via()
 	return res
 }
 
@@ -178,6 +208,27 @@
 	return t.conn
 }
 
+// connected reports whether the transport picked a connection.
+func (t *connTracker) connected() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.gotConnection
+}
+
+// via returns the carrier and the tunnel of the connection; empty for a direct one.
+func (t *connTracker) via() (carrier, tunnel string) {
+	c := t.connection()
+	if c == nil {
+		return "", ""
+	}
+	if detoured, ok := c.Conn.(interface {
+		Via() (carrier, tunnel string)
+	}); ok {
+		return detoured.Via()
+	}
+	return "", ""
+}
+
 // trace returns the hooks for net/http that call gotConn and the callbacks of r.
 func (t *connTracker) trace(r Request) *httptrace.ClientTrace {
 	hooks := &httptrace.ClientTrace{GotConn: t.gotConn, GotFirstResponseByte: r.OnResponseBegun}
--- a/upstream/verdict.go
+++ b/upstream/verdict.go
@@ -122,6 +122,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
+	case !t.gotConnection && errors.Is(cause, ErrPathLost):
+		return Result{Verdict: verdict.NotRun, Reason: reason.DialFailed, Err: ErrPathLost}
 	case !t.gotConnection:
 		return Result{Verdict: verdict.NotRun, Reason: noConnectionReason(cause), Err: err}
 	case t.broken: // sealed before anything could be written
@@ -139,6 +141,9 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return Result{Verdict: verdict.MayHaveRun, Reason: reason.ResponseTimeout, Err: err}
 	}
+	if errors.Is(cause, ErrPathLost) {
+		err = ErrPathLost
+	}
 	return Result{Verdict: verdict.MayHaveRun, Reason: reason.ResponseUnknown, ConnectionBroken: cause == nil, Reset: cause == nil && isReset(t.conn, err), Err: err}
 }
 
