server: reach endpoints through other balancers while paths are lost

Cause: each balancer judged endpoints by its own attempts alone. Unanswered probes of all endpoints put every estimate past its target, so that all requests were refused for lack of time (LW2002), after up to twelve probes. Class of fault: what one balancer sees is taken for the state of the endpoint or its service. The same cause elsewhere: a refused connection counted as a crash of the endpoint, a lost path as a failure that ejects it, in deployments with homes as well (docs/incidents).

Change: package detour is wired in, for deployments with relays and with homes. Where nothing is reached in any way, requests are refused at once (LW2017) and /readyz fails. Settings detours.*, lotusctl paths, metrics, log lines; lotusctl trace finds the balancer that carried a request.

Why it works: the carriers' paths are the ones that the callers of the other balancers use.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -134,6 +134,7 @@
 		BufferBytes:     b.cfg.Policy.BufferBytes,
 		Admitted:        func() bool { return b.cfg.Chooser.StillAccepts(grant, time.Now()) },
 		Settle:          settleTime(grant.Choice),
+		Repeatable:      x.route.Kind.Repeatable,
 		OnInformational: x.forwardInformational,
 	}
 }
--- a/balancer/clients.go
+++ b/balancer/clients.go
@@ -52,6 +52,7 @@
 			NewConnections: key.fresh,
 			Dialect:        &c.policy.Dialect,
 			Dial:           c.policy.Dial,
+			Paths:          c.policy.Paths,
 		})
 		c.byKey[key] = client
 	}
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -64,6 +64,9 @@
 		Text("verdict", a.result.Verdict.String()).Text("reason", string(a.result.Reason)).
 		Int("status", int64(status)).Millis("took_ms", a.took).
 		Bool("leaving", a.result.Report.Admission.Leaving).Millis("backoff_ms", a.result.Report.Admission.Backoff)
+	if a.result.Carrier != "" {
+		line.Text("carrier", a.result.Carrier).Text("tunnel", a.result.Tunnel)
+	}
 	if a.result.Err != nil {
 		line.Text("error", a.result.Err.Error())
 	}
--- a/balancer/policy.go
+++ b/balancer/policy.go
@@ -35,6 +35,8 @@
 	IdleTimeout time.Duration
 	// Dial opens connections to endpoints; nil for the default of package upstream.
 	Dial upstream.DialFunc
+	// Paths says how endpoints are reached; nil for always directly.
+	Paths upstream.Paths
 
 	// How responses are evaluated.
 
@@ -66,3 +68,12 @@
 	}
 	return p
 }
+
+// WithPaths returns the policy with another way to reach endpoints.
+func (p Policy) WithPaths(paths upstream.Paths) Policy {
+	p.Paths = paths
+	if p.Client != nil {
+		p.Client = p.Client.WithPaths(paths)
+	}
+	return p
+}
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -79,8 +79,8 @@
 }
 
 // failedAttemptResult returns what an attempt whose response is not forwarded shows about its
-// endpoint. It shows nothing if nothing was written, the caller disconnected, or the VM was
-// suspended during the attempt.
+// endpoint. It shows nothing if nothing was written, the caller disconnected, the VM was suspended
+// during the attempt, or the path to the endpoint was lost.
 func failedAttemptResult(a *attempt, callerLeft bool, took time.Duration) placement.Result {
 	result := placement.Result{Outcome: placement.Failed, Took: took, Backoff: a.report().Admission.Backoff}
 	res := &a.result
@@ -93,7 +93,7 @@
 	case res.Reason == reason.EndpointRefused:
 		result.Outcome = placement.Shed
 		result.Load = a.report().Load
-	case callerLeft, res.Reason == reason.NothingWritten, res.Reason == reason.Withdrawn:
+	case callerLeft, res.Reason == reason.NothingWritten, res.Reason == reason.Withdrawn, errors.Is(res.Err, upstream.ErrPathLost):
 		result.Outcome = placement.Unused
 	}
 	return result
--- a/compat/names_test.go
+++ b/compat/names_test.go
@@ -21,7 +21,7 @@
 
 // balancerPackages are the folders whose code runs in a balancer process.
 var balancerPackages = []string{
-	"access", "balancer", "bootstrap", "cli", "coord", "direct", "directory", "fleet", "limits", "link", "node", "platform", "quarantine", "relay", "rollout", "server", "storeclient", "telemetry", "upstream",
+	"access", "balancer", "bootstrap", "cli", "coord", "detour", "direct", "directory", "fleet", "limits", "link", "node", "platform", "quarantine", "relay", "rollout", "server", "storeclient", "telemetry", "upstream",
 }
 
 // sources parses the code of a balancer process, tests left out.
--- a/control/control.go
+++ b/control/control.go
@@ -55,6 +55,7 @@
 	addLimits(a)
 	addSaid(a)
 	addQueues(a)
+	addPaths(a)
 	addDemo(a)
 	addReplay(a)
 	addTrace(a)
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -9,6 +9,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/selection"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/tenant"
@@ -33,6 +34,11 @@
 // requests are ordered by urgency, they wait in a queue instead (queue.go). A hedge does not wait.
 func (c *Chooser) Acquire(ctx context.Context, r placement.Request) (placement.Grant, *placement.Refusal) {
 	s := search{request: r, service: tenant.ServiceName(r.Service), random: rand.Uint32()}
+	if c.cfg.Paths != nil {
+		if retryAfter, refuses := c.cfg.Paths.Refuses(s.service, time.Now()); refuses {
+			return placement.Grant{}, &placement.Refusal{Reason: reason.NoPath, RetryAfter: retryAfter}
+		}
+	}
 	switch {
 	case r.Hedge:
 		return c.acquireForHedge(ctx, &s)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -62,6 +62,8 @@
 	// MaxWaiting bounds the number of requests that wait in the queues of all services; default
 	// DefaultMaxWaiting.
 	MaxWaiting int
+	// Paths reports whether endpoints are reached; nil for always.
+	Paths Paths
 	// Publish sends data to all other balancers under a topic; nil if there are none.
 	Publish func(topic string, data []byte) error
 
@@ -97,6 +99,13 @@
 	TakePermit(e limits.Endpoint, now time.Time) bool
 }
 
+// Paths reports whether this process reaches endpoints.
+type Paths interface {
+	// Refuses reports whether a request for a service should be refused at once, because no endpoint of
+	// it is reached, and when its caller should come back.
+	Refuses(service string, now time.Time) (retryAfter time.Duration, refuses bool)
+}
+
 // RolloutOutcome is the outcome of one request during a rollout of its service.
 type RolloutOutcome struct {
 	Service, Kind string
--- a/logread/logread.go
+++ b/logread/logread.go
@@ -1,7 +1,7 @@
 // Package logread finds one request in the logs of balancers, and puts together what all
 // of them saw of each endpoint.
 //
-// Find returns every line that names the request, in the order in which its process
+// Find returns every line that names the request, or a connection that another balancer carried for it, in the order in which its process
 // wrote them, and the context lines of that process: what it knew of endpoints that
 // the request met, of the configuration and of the store, from a while before the
 // request until its end. The wall clocks of processes may differ, so lines
@@ -79,21 +79,49 @@
 	if opts.After == 0 {
 		opts.After = time.Second
 	}
-	var parts []Part
+	logs := make([]map[string][]Line, 0, len(sources))
+	tunnels := map[string]bool{}
 	for _, source := range sources {
 		processes, err := read(source.Log, request)
 		if err != nil {
 			return nil, fmt.Errorf("logread: %s: %w", source.Name, err)
 		}
+		logs = append(logs, processes)
+		collectTunnels(processes, tunnels)
+	}
+	var parts []Part
+	for i, processes := range logs {
 		for _, name := range slices.Sorted(maps.Keys(processes)) {
+			markCarried(processes[name], tunnels)
 			if chosen := choose(processes[name], opts); len(chosen) > 0 {
-				parts = append(parts, Part{Source: source.Name, Process: name, Lines: chosen})
+				parts = append(parts, Part{Source: sources[i].Name, Process: name, Lines: chosen})
 			}
 		}
 	}
 	return parts, nil
 }
 
+// tunnelField is the field that identifies a connection in the log of the balancer that carries it.
+const tunnelField = "tunnel"
+
+// collectTunnels adds the carried connections that the request's lines name.
+func collectTunnels(processes map[string][]Line, tunnels map[string]bool) {
+	for _, lines := range processes {
+		for _, l := range lines {
+			if id := Value(l.Text, tunnelField); l.Request && id != "" {
+				tunnels[id] = true
+			}
+		}
+	}
+}
+
+// markCarried marks the lines about the request's carried connections as the request's own.
+func markCarried(lines []Line, tunnels map[string]bool) {
+	for i := range lines {
+		lines[i].Request = lines[i].Request || tunnels[Value(lines[i].Text, tunnelField)]
+	}
+}
+
 // read returns the lines of a log by process.
 func read(log io.Reader, request string) (map[string][]Line, error) {
 	processes := map[string][]Line{}
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,8 @@
 	Log      hclog.Logger
 	Metrics  metrics.Registry
 	Listener net.Listener // for links; nil to listen on Settings.Link
+	// Streams serves the streams that other balancers open; nil for none.
+	Streams link.StreamHandler
 }
 
 // Node is a running part of the fleet.
@@ -100,7 +102,7 @@
 		cfg.Listener = l
 	}
 	n := build(cfg, tlsConfig)
-	server, err := link.Serve(cfg.Listener, tlsConfig, &receiver{n})
+	server, err := link.ServeStreams(cfg.Listener, tlsConfig, &receiver{n}, cfg.Streams)
 	if err != nil {
 		return nil, err
 	}
--- a/server/admin.go
+++ b/server/admin.go
@@ -36,6 +36,7 @@
 	s.addSaid(mux)
 	s.addQueues(mux)
 	s.addRollouts(mux)
+	s.addPaths(mux)
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -63,6 +64,9 @@
 	if s.isStopping() {
 		return health{Why: "planned stop"}, nil
 	}
+	if s.noneReached(time.Now()) {
+		return health{Why: "no endpoint is reached"}, nil
+	}
 	ok, why := s.chooser.Ready()
 	return health{OK: ok, Why: why}, nil
 }
@@ -119,6 +123,7 @@
 		metrics.GetOrRegisterGauge("endpoints_leaving", s.metrics).Update(int64(len(s.directory.Leaving())))
 	}
 	s.updateQueueMetrics(time.Now())
+	s.updatePathMetrics(time.Now())
 	if s.limits != nil {
 		metrics.GetOrRegisterGauge("limited_endpoints", s.metrics).Update(int64(s.limits.Limited(time.Now())))
 	}
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -34,6 +34,7 @@
 // startChooser starts what chooses endpoints: with a source on its own, else
 // together with peers.
 func (s *Server) startChooser() error {
+	s.addDetours()
 	cfg := s.cfg
 	if cfg.Source != nil {
 		if err := s.startDirect(); err != nil {
@@ -46,11 +47,13 @@
 		Settings: cfg.Settings,
 		Log:      cfg.Log.Named("node"),
 		Metrics:  s.metrics,
+		Streams:  s.streams(),
 	})
 	if err != nil {
 		return err
 	}
 	s.node, s.chooser = n, n
+	s.startDetours(n)
 	return nil
 }
 
@@ -83,6 +86,7 @@
 			return err
 		}
 		s.limits.SetTransport(s.relays)
+		s.startDetours(relayPeers{Group: s.relays, endpoints: &endpointIndex{directory: s.directory}})
 	}
 	if s.quarantine != nil {
 		go s.quarantine.Run(ctx)
@@ -103,6 +107,9 @@
 	if s.quarantine != nil {
 		cfg.RolloutRecorder = s.rollouts
 	}
+	if s.paths != nil {
+		cfg.Paths = s.paths
+	}
 	if s.relays != nil {
 		cfg.Handover = s.relays.Leave
 		cfg.Stop = func() {
@@ -160,7 +167,7 @@
 func (s *Server) newQuarantine() *quarantine.Tracker {
 	return quarantine.New(quarantine.Config{
 		ID: s.cfg.Settings.ID, Log: s.cfg.Log.Named("quarantine"), Metrics: s.metrics,
-		Endpoints: s.directory, Prober: s.cfg.Policy.Client, Registry: s.cfg.Relays, Publish: s.tell, Serving: s.serving,
+		Endpoints: s.directory, Prober: prober{s}, Registry: s.cfg.Relays, Publish: s.tell, Serving: s.serving,
 		MayProbe: func(endpoint string) bool { return s.direct.MayProbe(endpoint, time.Now()) },
 	})
 }
@@ -219,7 +226,8 @@
 		LinkRate: settings.LinkRate * bytesPerMegabit,
 		Registry: s.cfg.Relays, Decoder: s.cfg.Relays, Log: log, TLS: secured,
 		ByUrgency: func() bool { return s.direct.OrdersByUrgency() },
-		Options:   relay.OptionsWithin(settings.Discovery.Within()), OnNote: s.hearNote, OnReport: s.fleet.HandleReport, OnAsk: s.limits.HandleAsks, Suspensions: s.suspended,
+		PathsLost: s.pathsLost, Streams: s.streams(),
+		Options: relay.OptionsWithin(settings.Discovery.Within()), OnNote: s.hearNote, OnReport: s.fleet.HandleReport, OnAsk: s.limits.HandleAsks, Suspensions: s.suspended,
 	}), nil
 }
 
--- a/server/resume.go
+++ b/server/resume.go
@@ -22,6 +22,9 @@
 	if s.direct != nil {
 		s.direct.Resume(slept)
 	}
+	if s.paths != nil {
+		s.paths.Resume()
+	}
 	if s.limits != nil {
 		s.limits.Resume()
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/balancer"
 	"github.com/lotuswing/lotuswing/coord/retry"
+	"github.com/lotuswing/lotuswing/detour"
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/fleet"
@@ -78,6 +79,9 @@
 	fleet      *fleet.Keeper        // nil without a follower
 	limits     *limits.Keeper       // nil without a follower
 	rollouts   *rollout.Controller  // nil without relays
+	peers      *startingPeers       // nil where all connections to endpoints are direct
+	paths      *detour.Table        // nil where all connections to endpoints are direct
+	carrier    *detour.Server       // nil where no connections are carried
 	suspended  *suspend.Detector
 	balancer   *balancer.Balancer
 	tracing    *telemetry.Tracing
@@ -90,7 +94,10 @@
 	adminL     net.Listener
 	stopping   chan struct{}
 	startedAt  time.Time
-	routable   chan struct{} // closed once requests can be routed, if that is within orderedFirstWait
+
+	stopDetours func() // ends the checks of lost paths; nil where there are none
+
+	routable chan struct{} // closed once requests can be routed, if that is within orderedFirstWait
 }
 
 // Start binds all addresses and serves.
@@ -116,7 +123,7 @@
 	balancerConfig := balancer.Config{
 		Chooser: s.chooser,
 		Limits:  cfg.Settings.Limits,
-		Policy:  cfg.Policy,
+		Policy:  s.cfg.Policy,
 		Log:     cfg.Log.Named("request"),
 		Metrics: s.metrics,
 		Tracing: tracing,
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/balancer"
 	"github.com/lotuswing/lotuswing/coord/store"
 	"github.com/lotuswing/lotuswing/examples"
 	"github.com/lotuswing/lotuswing/server"
@@ -33,6 +34,12 @@
 }
 
 func newRig(t testing.TB, balancers, endpoints int) *rig {
+	t.Helper()
+	return newRigWith(t, balancers, endpoints, func(int) balancer.Policy { return balancer.Policy{} })
+}
+
+// newRigWith is newRig with a policy for each balancer.
+func newRigWith(t testing.TB, balancers, endpoints int, policy func(i int) balancer.Policy) *rig {
 	t.Helper()
 	r := &rig{store: standin.NewStore(standin.StoreOptions{})}
 	storeServer := httptest.NewServer(r.store)
@@ -52,7 +59,7 @@
 			i, storeServer.URL, storeServer.URL+"/v1/vms")
 		s, err := settings.Parse("rig", []byte(text))
 		assert.NilError(t, err)
-		srv, err := server.Start(server.Config{Settings: s, Log: hclog.NewNullLogger(), Traces: io.Discard})
+		srv, err := server.Start(server.Config{Settings: s, Log: hclog.NewNullLogger(), Traces: io.Discard, Policy: policy(i)})
 		assert.NilError(t, err)
 		t.Cleanup(srv.Kill)
 		r.servers = append(r.servers, srv)
--- a/server/stop.go
+++ b/server/stop.go
@@ -17,6 +17,9 @@
 	s.balancer.Stop()
 	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
 	stop := s.cfg.Settings.Stop.Within()
+	draining, endDrain := context.WithTimeout(ctx, stop.Notice+stop.Limit)
+	defer endDrain()
+	drained := s.drainCarried(draining)
 	s.announce(ctx, stop.Notice)
 	limited, cancel := context.WithTimeout(ctx, stop.Limit)
 	defer cancel()
@@ -29,6 +32,7 @@
 		s.cfg.Log.Error("stop cuts requests", "in_flight", cut, "error", err)
 		_ = s.front.Close() // what is still open is cut, whatever it says
 	}
+	<-drained
 	s.close()
 	return cut, err
 }
@@ -72,6 +76,9 @@
 
 // close ends what callers do not see. The listeners are closed whatever they say.
 func (s *Server) close() {
+	if s.stopDetours != nil {
+		s.stopDetours()
+	}
 	s.chooser.Close()
 	_ = s.admin.Close()
 	if s.scrapes != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,7 @@
 	Retries   Retries   `json:"retries"`
 	Quotas    Quotas    `json:"quotas"`
 	Overload  Overload  `json:"overload"`
+	Detours   Detours   `json:"detours"`
 	Cores     float64   `json:"cores"` // processor share of the VM; larger ones take duties first; default 1
 	// Regions says in which region each availability zone lies; empty where nothing is bound
 	// to regions.
@@ -104,6 +105,22 @@
 	Order urgency.Mode `json:"order"`
 }
 
+// Detours says what is done while a balancer has lost its paths to endpoints. It needs discovery
+// platform and links.
+type Detours struct {
+	// Mode is auto, with which balancers open connections to endpoints for others that have lost
+	// their paths, or off; default auto. A balancer that is off carries nothing either.
+	Mode string `json:"mode"`
+	// MaxCarried is how many connections a balancer carries for others at once; default 256.
+	MaxCarried int `json:"max_carried"`
+}
+
+// Modes of detours.
+const (
+	DetoursAuto = "auto"
+	DetoursOff  = "off"
+)
+
 // Store says where the platform's key-value service and list of VMs are.
 type Store struct {
 	URL     string        `json:"url"`
@@ -169,6 +186,7 @@
 		},
 		Discovery: Discovery{Kind: Peers, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second},
 		Overload:  Overload{Order: urgency.Auto},
+		Detours:   Detours{Mode: DetoursAuto, MaxCarried: 256},
 		Cores:     1,
 		Trace:     "none",
 		LogRate:   200,
@@ -195,6 +213,9 @@
 	return s, dec.Err()
 }
 
+// mostCarried bounds the connections that a balancer carries for others.
+const mostCarried = 65536
+
 // mostCores bounds the processor share of a VM.
 const mostCores = 4096
 
@@ -222,6 +243,8 @@
 	checkRetries(dec, s.Retries)
 	dec.Check(s.Quotas.Slack >= 0, "quotas.slack", "is %v; at least 0", s.Quotas.Slack)
 	dec.Check(s.Overload.Order.Valid(), "overload.order", "is %q; auto, on or off", s.Overload.Order)
+	dec.Check(s.Detours.Mode == DetoursAuto || s.Detours.Mode == DetoursOff, "detours.mode", "is %q; auto or off", s.Detours.Mode)
+	dec.Check(s.Detours.MaxCarried >= 0 && s.Detours.MaxCarried <= mostCarried, "detours.max_carried", "is %d; from 0 to %d", s.Detours.MaxCarried, mostCarried)
 	dec.Check(s.Cores > 0 && s.Cores <= mostCores, "cores", "is %v; above 0, at most %d", s.Cores, mostCores)
 	dec.Check(s.LinkRate >= 0, "link_mbps", "is %v; at least 0", s.LinkRate)
 	dec.Check(s.Memory >= 0, "memory_mb", "is %d; at least 0", s.Memory)
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -77,6 +77,8 @@
 		{"took_ms", "time from sending to the answer or its failure"},
 		{"leaving", "whether the answer says that the endpoint leaves"},
 		{"backoff_ms", "for how long the answer says that the endpoint wants no requests, 0 where it does not"},
+		{"carrier", "address of the balancer that opened the connection; only for a detoured one"},
+		{"tunnel", "identity of the connection in the log of that balancer"},
 		{"error", "what failed"},
 	}},
 	{EventHedgeStarted, "The response is late; a second attempt goes to another endpoint beside the first.", []Field{
