bootstrap: name the store as the source of a copy that it delivered

/status and the log line "first copy applied" had no source where the read of the store returned after its content was applied. A copy of a peer is applied by the goroutine that ends there, so that only the store is left.

--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -187,6 +187,9 @@
 		s.startDueCalls(ctx, time.Now())
 		s.awaitResult(ctx, time.Now())
 	}
+	if s.source == "" && ctx.Err() == nil {
+		s.source = FromStore // copies from peers are applied by this goroutine; the read of the store has yet to return
+	}
 	r := Result{Source: s.source, Duration: time.Since(began), Asked: s.asked}
 	if ctx.Err() == nil {
 		f.cfg.Log.Info("first copy applied", "from", r.Source, "after", r.Duration.Round(time.Millisecond), "asked", r.Asked)
--- a/bootstrap/bootstrap_test.go
+++ b/bootstrap/bootstrap_test.go
@@ -25,6 +25,7 @@
 	reads    int           // calls of Read
 	readTime time.Duration // duration of one Read
 	partTime time.Duration // time until Read has applied a part; 0 if the store is so small that there are no parts
+	lateBy   time.Duration // time from the end of a Read until it returns
 	copyTime time.Duration // additional transfer time of a complete copy over that of a part
 }
 
@@ -40,6 +41,7 @@
 	completeAfter time.Duration    // time from the start until a complete copy was applied
 	servableAfter time.Duration    // time from the start until a part or a complete copy was applied
 	startedAt     time.Time
+	result        chan bootstrap.Result // of its Fetcher
 }
 
 var (
@@ -53,13 +55,13 @@
 
 // start starts a balancer.
 func (f *fleet) start(ctx context.Context, self bootstrap.Peer, cores float64) *member {
-	m := &member{fleet: f, self: self, known: make(chan struct{}), partly: make(chan struct{}), startedAt: time.Now()}
+	m := &member{fleet: f, self: self, known: make(chan struct{}), partly: make(chan struct{}), result: make(chan bootstrap.Result, 1), startedAt: time.Now()}
 	m.server = bootstrap.NewServer(m, 0)
 	f.mu.Lock()
 	f.members[self.Addr] = m
 	f.mu.Unlock()
 	fetcher := bootstrap.New(bootstrap.Config{Self: self, Seeds: f.seeds, Cores: cores, State: m, Store: m, Peers: m, Server: m.server})
-	go fetcher.Run(ctx)
+	go func() { m.result <- fetcher.Run(ctx) }()
 	return m
 }
 
@@ -132,6 +134,7 @@
 		return errDown
 	}
 	m.Apply(nil, 7)
+	time.Sleep(m.fleet.lateBy)
 	return nil
 }
 
@@ -276,6 +279,21 @@
 	})
 }
 
+// TestSourceOfCopyIsNamed tests that the store is named as the source of a copy although the read of it
+// returns after the copy was applied.
+func TestSourceOfCopyIsNamed(t *testing.T) {
+	for _, lateBy := range []time.Duration{0, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := newTestContext(t)
+			defer stop()
+			f := newFleet()
+			f.lateBy = lateBy
+			m := f.start(ctx, zonePeers("a", 1)[0], 0.2)
+			assert.Equal(t, (<-m.result).Source, bootstrap.FromStore)
+		})
+	}
+}
+
 // TestStartWithSeedsOnly tests that with no relay registered most balancers get their copy from a seed,
 // so that few others read the store.
 func TestStartWithSeedsOnly(t *testing.T) {
