--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -173,15 +173,17 @@
 // TestRefusesIfNoEndpointIsInTime checks that a request that no endpoint can answer in time is
 // refused, with which reason and with which summary of the search.
 func TestRefusesIfNoEndpointIsInTime(t *testing.T) {
-	r := newFixture(2, selection.Options{})
-	r.prober.set("e0", 3, 1)
-	r.prober.set("e1", 0, 5)
-	_, refused := r.Acquire(context.Background(), overdueRequest())
-	assert.Assert(t, refused != nil)
-	assert.Equal(t, refused.Reason, reason.TooLate)
-	assert.Equal(t, refused.Search.Known, 2)
-	assert.Equal(t, refused.Search.Full, 1)
-	assert.Equal(t, refused.Search.Probes, 2)
+	synctest.Test(t, func(t *testing.T) {
+		r := newFixture(2, selection.Options{})
+		r.prober.set("e0", 3, 1)
+		r.prober.set("e1", 0, 5)
+		_, refused := r.Acquire(t.Context(), overdueRequest())
+		assert.Assert(t, refused != nil)
+		assert.Equal(t, refused.Reason, reason.TooLate)
+		assert.Equal(t, refused.Search.Known, 2)
+		assert.Equal(t, refused.Search.Full, 1)
+		assert.Equal(t, refused.Search.Probes, 2)
+	})
 }
 
 // TestWaitsForFreeSlot checks that a request waits until a slot becomes free.
