server: announce that an endpoint leaves in a response that is read

Nobody has read it, so nobody can know it. The case "said once" announces in a response to a request that must run once, which is always read; the other cases announce in every response, also of repeatable requests. TestBalancerThatStartsHearsWhoLeaves waits until the new balancer has heard instead of 200 ms.

--- a/server/words_test.go
+++ b/server/words_test.go
@@ -15,6 +15,7 @@
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 	"github.com/lotuswing/lotuswing/server"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // The story of the first failure. An endpoint that left went on to get requests for thirteen
@@ -38,6 +39,10 @@
 // refuse some of so many callers, too.
 const servedShare = 0.98
 
+// notRepeatable is the prefix of paths of requests that are never given up for the response of another
+// endpoint, so that their responses are read.
+const notRepeatable = "/once/"
+
 // callersOf has callers call each balancer without a pause until ctx ends. Requests are named
 // after the balancer that they are sent to.
 func callersOf(ctx context.Context, t *testing.T, all []platformBalancer, each int) *statuses {
@@ -79,7 +84,7 @@
 	}{
 		"while the store says ready": {say: func(b *platformtest.Behavior) { b.Leaving = true }},
 		"while the store is silent":  {say: func(b *platformtest.Behavior) { b.Leaving = true }, fault: platformtest.Faults{Silent: true}},
-		"said once":                  {say: func(b *platformtest.Behavior) { b.LeavingOnce = true }},
+		"said once":                  {say: func(b *platformtest.Behavior) { b.LeavingOnce = notRepeatable }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -138,38 +143,49 @@
 	r := newPlatformRig(t)
 	endpoints := r.limitedEndpoints(t, 2)
 	all := threeBalancers(t, r)
-	all[0].callFor(t, "/l/1")
+	all[0].callFor(t, notRepeatable+"1")
 	leaving := endpoints[0]
 	if len(leaving.Arrivals()) == 0 {
 		leaving = endpoints[1] // the one that the balancer prefers
 	}
-	leaving.Set(func(b *platformtest.Behavior) { b.LeavingOnce = true })
+	leaving.Set(func(b *platformtest.Behavior) { b.LeavingOnce = notRepeatable })
 	for range 20 {
-		all[0].callFor(t, "/l/1")
+		all[0].callFor(t, notRepeatable+"1")
 	}
 	before := len(leaving.Arrivals())
 	assert.Assert(t, before > 0 && leaving.Arrivals()[before-1].Leaving, "its word was its last answer")
 	late := r.start(t, "vm-4", all[0].link)
 	late.waitReady(t)
-	time.Sleep(200 * time.Millisecond) // its first question to a relay brings what it has not heard
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // its first question to a relay brings what it has not heard
+		if len(late.said(t)) == 0 {
+			return poll.Continue("nothing heard")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
 	for range 20 {
 		late.callFor(t, "/l/1")
 	}
 	assert.Equal(t, len(leaving.Arrivals()), before)
 }
 
+// said returns what a balancer knows that endpoints have announced.
+func (b platformBalancer) said(t *testing.T) (list []server.SaidStatus) {
+	t.Helper()
+	resp, err := http.Get("http://" + b.admin + "/said")
+	assert.NilError(t, err)
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&list))
+	assert.NilError(t, resp.Body.Close())
+	return list
+}
+
 // checkSaid checks what operators are told of the only endpoint that wants no requests: each balancer
 // knows it, by its own requests or from another one, and has sent it nothing in vain.
 func checkSaid(t *testing.T, all []platformBalancer) {
 	t.Helper()
 	for _, b := range all {
-		resp, err := http.Get("http://" + b.admin + "/said")
-		assert.NilError(t, err)
-		var list []server.SaidStatus
-		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&list))
-		assert.NilError(t, resp.Body.Close())
+		list := b.said(t)
 		assert.Assert(t, len(list) == 1 && list[0].Endpoint == "l-0" && max(list[0].Backoff, list[0].Hint) > 0, "%+v", list)
-		resp, err = http.Get("http://" + b.admin + "/metrics")
+		resp, err := http.Get("http://" + b.admin + "/metrics")
 		assert.NilError(t, err)
 		raw, err := io.ReadAll(resp.Body)
 		assert.NilError(t, err)
