demo: one balancer loses its paths to endpoints

The last balancer of the part on the platform loses its paths in each mode in turn. Broken if it refuses a request because nothing is reached (LW2017) while the others have their paths.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -34,6 +34,7 @@
 	NeverReverts  Rule = "a configuration never reverts"
 	InForce       Rule = "an accepted change is in force everywhere"
 	CrashesEnd    Rule = "a request that crashes endpoints is stopped, and no other one for it"
+	PathsLost     Rule = "a balancer without paths to endpoints serves while others have theirs"
 	LimitsHold    Rule = "an endpoint gets no more than the limit that it names allows, from all balancers together"
 	BackoffsHold  Rule = "an endpoint that asks for a time without requests gets none in it"
 )
--- a/demo/crash.go
+++ b/demo/crash.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/audit"
+	"github.com/lotuswing/lotuswing/internal/partition"
 	"github.com/lotuswing/lotuswing/load"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 	"github.com/lotuswing/lotuswing/relay"
@@ -44,6 +45,8 @@
 	crashKnown = 3500 * time.Millisecond
 	// quarantined is the reason code of a request that is refused for the ends under it.
 	quarantined = "LW2010"
+	// unreached is the reason code of a request that is refused because no endpoint is reached.
+	unreached = "LW2017"
 )
 
 // crashFleet is these balancers with their endpoints.
@@ -55,9 +58,12 @@
 	limited   *platformtest.Endpoint // names a limit
 	spoken    []*platformtest.Endpoint
 	pace      *pace
+	networks  []*partition.Network // paths of each balancer to endpoints
 
-	mu      sync.Mutex
-	refused int // sound requests
+	mu        sync.Mutex
+	refused   int  // sound requests
+	pathsLost bool // the last balancer has no paths
+	unreached int  // requests that it refused then because no endpoint was reached
 }
 
 // startCrashFleet starts endpoints and balancers and waits until these are ready.
@@ -149,6 +155,7 @@
 		limitedPlan(check(limitedKind)), spokenPlan(check(spokenKind)),
 	}
 	go f.speak(ctx)
+	go f.losePaths(ctx, span)
 	rows := make([]Row, len(plans))
 	var all sync.WaitGroup
 	for i, p := range plans {
@@ -165,14 +172,18 @@
 	return rows
 }
 
-// noteSound counts sound requests that were refused for what others did.
+// noteSound counts sound requests that were refused for what others did, or for lost paths.
 func (f *crashFleet) noteSound(_ string, a load.Answer) {
-	if a.Reason != quarantined {
-		return
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refused++
+	switch a.Reason {
+	case quarantined:
+		f.refused++
+	case unreached:
+		if f.pathsLost && a.Target == f.targets[len(f.targets)-1] {
+			f.unreached++
+		}
+	}
 }
 
 // lateEnds returns how many endpoints ended under copies of a request that reached them once the
@@ -205,5 +216,8 @@
 	if f.refused > 0 {
 		found = append(found, audit.Violation{Rule: audit.CrashesEnd, What: fmt.Sprintf("%d sound requests were refused for it", f.refused)})
 	}
+	if f.unreached > 0 {
+		found = append(found, audit.Violation{Rule: audit.PathsLost, What: fmt.Sprintf("%d requests were refused by a balancer without paths while others had theirs", f.unreached)})
+	}
 	return slices.Concat(found, f.limitViolations(), f.spokenViolations())
 }
--- a/demo/platform.go
+++ b/demo/platform.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"github.com/lotuswing/lotuswing/internal/dial"
+	"github.com/lotuswing/lotuswing/internal/partition"
 	"github.com/lotuswing/lotuswing/platform"
 	"github.com/lotuswing/lotuswing/server"
 	"github.com/lotuswing/lotuswing/settings"
@@ -23,6 +25,9 @@
 	}
 }
 
+// endpointDialTimeout limits the time to open a connection to an endpoint.
+const endpointDialTimeout = 300 * time.Millisecond
+
 // startPlatformBalancer starts a balancer that follows the platform's store and returns its
 // link address.
 func (r *run) startPlatformBalancer(f *crashFleet, id, store string, peers []string) (string, error) {
@@ -52,8 +57,11 @@
 		return "", err
 	}
 	source := platform.NewStore(s.Discovery.URL)
+	network := &partition.Network{}
+	f.networks = append(f.networks, network)
 	srv, err := server.Start(server.Config{
-		Settings: s, Log: r.opts.Log.Named(id), Source: source, Relays: source, Policy: platform.Policy(s.Retries),
+		Settings: s, Log: r.opts.Log.Named(id), Source: source, Relays: source,
+		Policy: platform.Policy(s.Retries).WithDial(network.Wrap(dial.Dialer(endpointDialTimeout).DialContext)),
 	})
 	if err != nil {
 		return "", err
--- a/load/load.go
+++ b/load/load.go
@@ -50,6 +50,7 @@
 
 // Answer is what a caller saw.
 type Answer struct {
+	Target  string // base URL that the request was sent to
 	Status  int
 	Verdict string
 	Reason  string
@@ -147,24 +148,23 @@
 func (p Plan) call(ctx context.Context, target, key string) Answer {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
+	a := Answer{Target: target}
 	req, err := http.NewRequestWithContext(ctx, p.Method, target+p.Path, strings.NewReader(p.Body))
 	if err != nil {
-		return Answer{Err: err}
+		a.Err = err
+		return a
 	}
 	req.Host = p.Host
 	req.GetBody = nil // a caller that does not repeat on its own
 	req.Header.Set(standin.KeyHeader, key)
 	resp, err := p.Client.Do(req)
 	if err != nil {
-		return Answer{Err: err}
+		a.Err = err
+		return a
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return Answer{
-		Status:  resp.StatusCode,
-		Verdict: resp.Header.Get(verdict.Header),
-		Reason:  resp.Header.Get(verdict.ReasonHeader),
-		Body:    string(body),
-		Whole:   err == nil,
-	}
+	a.Status, a.Body, a.Whole = resp.StatusCode, string(body), err == nil
+	a.Verdict, a.Reason = resp.Header.Get(verdict.Header), resp.Header.Get(verdict.ReasonHeader)
+	return a
 }
