soak: balancers lose their paths to all endpoints

--partition strikes some balancers, up to all but one, in the modes silent, reset, refused and new connections refused, beside all other faults. Promise: callers of a balancer without paths are served at least two thirds as often as those of balancers that have theirs.

--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -35,7 +35,8 @@
 	a.Add("run", "Run a balancer until SIGTERM, which is a planned stop.", func(c *kingpin.CmdClause) func() error {
 		file := c.Flag("settings", "the settings file").Envar(platform.SettingsVariable).Required().String()
 		clock := c.Flag("suspended-file", "for soaks: a file that tells for how long the VM was suspended, such as 3s, in place of the kernel").Hidden().String()
-		return func() error { return runBalancer(a.Env, *file, *clock) }
+		paths := c.Flag("partition-file", "for soaks: a file that names how the paths to endpoints are lost, such as silent").Hidden().String()
+		return func() error { return runBalancer(a.Env, *file, simulation{clock: *clock, paths: *paths}) }
 	})
 	a.Add("check", "Check a settings file.", func(c *kingpin.CmdClause) func() error {
 		file := c.Flag("settings", "the settings file").Required().String()
@@ -50,7 +51,13 @@
 	return a.Main(args)
 }
 
-func runBalancer(e *command.Env, file, clock string) error {
+// simulation names the files by which a soak simulates faults of the VM; empty for none.
+type simulation struct {
+	clock string // for how long the VM was suspended
+	paths string // how the paths to endpoints are lost
+}
+
+func runBalancer(e *command.Env, file string, simulated simulation) error {
 	s, err := settings.Load(file)
 	if err != nil {
 		return command.ExitError{Code: command.ExitUsage, Err: err}
@@ -70,8 +77,11 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	limitMemory(s.Memory)
 	cfg := serverConfig(s, log, e)
-	if clock != "" {
-		cfg.Suspended = suspendedBy(clock, log)
+	if simulated.clock != "" {
+		cfg.Suspended = suspendedBy(simulated.clock, log)
+	}
+	if simulated.paths != "" {
+		cfg.Policy = cfg.Policy.WithDial(dialPartitionedBy(simulated.paths, log))
 	}
 	cfg.Requests = telemetry.NewRequestLogger(queue, s.LogRate)
 	srv, err := server.Start(cfg)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/access"
+	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/platform"
 )
 
@@ -137,6 +138,7 @@
 		return 0
 	}
 	defer func() { _ = resp.Body.Close() }()
+	r.reason = reason.Code(resp.Header.Get("Lotuswing-Reason"))
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 )
 
@@ -30,6 +31,7 @@
 	InForce          Promise = "a configuration is in force after a while and never reverts"
 	CrashesEnd       Promise = "a request that crashes endpoints is sent a few times more at most once the fleet can know it"
 	NoSoundRefused   Promise = "no sound request is refused for what crashed endpoints"
+	ServedAround     Promise = "callers of a balancer without paths to endpoints are served while others have theirs"
 	FinalInTime      Promise = "the final answer comes by the route's timeout"
 )
 
@@ -53,8 +55,9 @@
 	team, key  string // of the caller; empty where callers have none
 	at         time.Time
 	ended      time.Time
-	status     int  // 0 where no whole answer came
-	unread     bool // it stood behind an answer that closed the connection
+	status     int         // 0 where no whole answer came
+	reason     reason.Code // of an answer that the balancer made itself
+	unread     bool        // it stood behind an answer that closed the connection
 }
 
 // ledger holds what callers sent and got, and what endpoints ran.
--- a/soak/process.go
+++ b/soak/process.go
@@ -28,6 +28,7 @@
 	peers  []string
 	file   string
 	clock  string // file that tells for how long the VM was suspended; empty for none
+	paths  string // file that names how the paths to endpoints are lost; empty for none
 	store  *Proxy
 	start  func(settings, log string) *exec.Cmd
 	log    string
@@ -119,6 +120,9 @@
 	if b.clock != "" {
 		cmd.Args = append(cmd.Args, "--suspended-file", b.clock)
 	}
+	if b.paths != "" {
+		cmd.Args = append(cmd.Args, "--partition-file", b.paths)
+	}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("soak: start %s: %w", b.id, err)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,7 @@
 // suspended is told to its process in a file.
 //
 // It owns the processes that it starts, and ends only these. The faults are in
-// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, those that leave or want no requests by their answers in words.go, teams with keys and quotas in teams.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
+// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, those that leave or want no requests by their answers in words.go, teams with keys and quotas in teams.go, lost paths to endpoints in partitions.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
 // endpoints saw in ledger.go, promises with a time limit in timed.go. It relies on
 // package platformtest for the platform.
 //
@@ -64,6 +64,9 @@
 	// Teams is the mean time between two teams that send many times their quotas, or lose a key; 0 for
 	// callers without keys.
 	Teams time.Duration
+	// Partition is the mean time between two losses of the paths of some balancers to all endpoints; 0
+	// for none.
+	Partition time.Duration
 	// Timed checks the promises that have a time limit, too. They depend on a
 	// machine that gives every process its turn.
 	Timed bool
@@ -173,6 +176,7 @@
 	}
 	if cfg.Timed {
 		sent.checkTimed(w.calendar, w.all)
+		sent.checkPartitions(w.calendar)
 	}
 	result.Requests, result.Statuses, result.Violations = len(sent.sent), sent.statuses, sent.violations
 	slices.SortFunc(result.Violations, func(a, b Violation) int {
@@ -226,6 +230,9 @@
 		if cfg.Crash > 0 {
 			b.clock = filepath.Join(dir, b.id+".suspended")
 		}
+		if cfg.Partition > 0 {
+			b.paths = filepath.Join(dir, b.id+".paths")
+		}
 		w.balancers = append(w.balancers, b)
 	}
 	for _, b := range w.balancers {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -139,3 +139,8 @@
 func TestSoakOfWords(t *testing.T) {
 	keepsPromises(t, "leaving said", soak.Config{Seed: 23, For: 14 * time.Second, Balancers: 4, Words: 700 * time.Millisecond, Gap: 3 * time.Second})
 }
+
+// TestSoakOfLostPaths plays a soak in which some balancers lose their paths to all endpoints.
+func TestSoakOfLostPaths(t *testing.T) {
+	keepsPromises(t, "paths lost", soak.Config{Seed: 31, For: 12 * time.Second, Balancers: 4, Partition: time.Second, Gap: 2 * time.Second})
+}
--- a/soak/timed.go
+++ b/soak/timed.go
@@ -32,6 +32,8 @@
 	emptyings    []emptying
 	coolings     []cooling
 	limitings    []limiting
+
+	partitionings []partitioning
 }
 
 // version is a configuration with the service that it sends "/move/" to.
