relay: ask a penalized relay for notes while no other one can be asked

Endpoints that had announced that they leave got requests for up to three seconds more from balancers whose relay had been late once, beside load.

Cause: a relay that fails is not asked for 3 s. The balancer watches the store meanwhile, which tells of changes, but notes come from relays only. With one relay in the deployment nobody else can be asked. Evidence: "relay request failed" 3.1 s before "endpoint announced that it is leaving" with from=note.

Change: while no relay may be asked for changes, the one that would be is asked for notes, one call at a time. The answer does not end the penalty.

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -96,7 +96,7 @@
 }
 
 // handleNoRelay handles the case that there is no relay to ask: it activates the follower, so that
-// this balancer watches the store. A balancer that has just started, or to which a settled relay
+// this balancer watches the store, and gets notes from a penalized relay, if there is one. A balancer that has just started, or to which a settled relay
 // answered within Wait and Slack, waits for a relay first. Otherwise every balancer of a fleet would
 // briefly watch the store whenever there is no relay.
 func (g *Group) handleNoRelay(ctx context.Context, s *subscription) {
@@ -104,6 +104,7 @@
 		if g.opts.mustWatchStore(s.lastSettledAnswer, time.Now()) {
 			g.follower.SetActive(true)
 		}
+		g.pollNotes(ctx, time.Now())
 		g.replica.waitChange(ctx, idlePause)
 		return
 	}
@@ -113,6 +114,23 @@
 	}
 }
 
+// pollNotes asks a relay whose penalty lasts for changes and notes, unless such a call is under way.
+// The store tells of changes meanwhile, but notes come from relays only. The answer does not end the
+// penalty: a relay that is late now and then would end and begin this balancer's watch of the store
+// each time.
+func (g *Group) pollNotes(ctx context.Context, now time.Time) {
+	r, ok := nextRelay(g.replica.allRelays(), Relay{Zone: g.cfg.Zone, Addr: g.cfg.Addr}, nil, g.relayOffset, now)
+	if !ok || !g.pollingNotes.CompareAndSwap(false, true) {
+		return
+	}
+	g.done.Go(func() {
+		defer g.pollingNotes.Store(false)
+		if err := g.fetchChanges(ctx, r, false); err != nil && ctx.Err() == nil {
+			g.cfg.Log.Debug("could not get notes from a penalized relay", "relay", r.ID, "zone", r.Zone, "error", err)
+		}
+	})
+}
+
 // findRelays looks for relays that registered after the first copy was packed. It asks the balancer
 // that provided the copy, which has had it for longer and may know a relay by now. It reads the
 // registrations from the store only if that fails, because otherwise each balancer of a fleet that
--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -140,6 +140,32 @@
 	assert.Assert(t, ok && got.Addr == relay.Addr)
 }
 
+// TestNotesArriveWhileOnlyRelayIsPenalized checks that a balancer gets notes from a relay that it does not
+// follow for being late, and goes on watching the store.
+func TestNotesArriveWhileOnlyRelayIsPenalized(t *testing.T) {
+	relay, relayAddr := startStaticGroup(t, false)
+	heard := make(chan Note, 1)
+	g := New(Config{Zone: "medina", Addr: "10.0.0.2:1", Log: hclog.NewNullLogger(), OnNote: func(n Note) { heard <- n }})
+	g.follower = staticFollower{retried: new(atomic.Int64)}
+	g.replica.apply(directory.Changes{Revision: 2, Complete: true, Registrations: []directory.Record{
+		{Key: "relays/medina", Value: []byte(`{"id":"vm","addr":"` + relayAddr + `"}`), Revision: 2},
+	}}, time.Now())
+	late := Relay{Addr: relayAddr}
+	g.penalize(late, time.Now().Add(time.Hour), time.Now())
+	assert.NilError(t, relay.Publish("topic", []byte("text")))
+	var s subscription
+	g.followOnce(t.Context(), &s)
+	select {
+	case n := <-heard:
+		assert.Equal(t, string(n.Data), "text")
+	case <-time.After(20 * time.Second):
+		t.Fatal("no note")
+	}
+	g.done.Wait()
+	_, ok := g.chooseTarget(&s, time.Now())
+	assert.Assert(t, !ok && s.relayAddr == "", "the relay is still penalized")
+}
+
 // TestBootstrapSourceIsAskedForRelays checks that a balancer which has just started and knows no
 // relay asks the balancer that provided its first copy, and reads the store only if that one knows
 // no relay either.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -151,6 +151,7 @@
 	relaySettled  atomic.Bool  // the relay that was asked last is settled
 	settleWaiters atomic.Int64 // calls that wait here for this balancer to become settled
 	wakeScheduled atomic.Bool  // waiting calls are about to be woken because of new notes
+	pollingNotes  atomic.Bool  // a penalized relay is being asked for notes
 	// notesPublished counts the notes published by this balancer.
 	notesPublished atomic.Uint64
 	// registeredAfter is when this balancer last registered, in ns since createdAt; 0 for never. It
