relay: a call for notes that ends does not cut a call for changes

Found in logs of the demo beside load: "relay request failed ... use of closed network connection" at the moment at which a call for notes to the same relay timed out. The call for notes is given up before a relay is asked for changes, and a call that is given up closes nothing.

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -20,6 +20,8 @@
 	outage            outage    // what relays report about the store
 	alternative       string    // address of a balancer that an unsettled peer named; empty for none
 	lastRelay         Relay     // the registered relay that was followed last
+
+	endNotesPoll context.CancelFunc // gives up the call of pollNotes that is under way; nil before the first one
 }
 
 // followRelays fetches changes from relays until ctx ends, and switches the follower to the store
@@ -58,6 +60,9 @@
 	target, ok := g.chooseTarget(s, now)
 	switch {
 	case ok:
+		if s.endNotesPoll != nil {
+			s.endNotesPoll()
+		}
 		g.fetchFrom(ctx, target, s)
 	case inOutage:
 		g.waitAtUnsettledRelay(ctx, s)
@@ -104,7 +109,7 @@
 		if g.opts.mustWatchStore(s.lastSettledAnswer, time.Now()) {
 			g.follower.SetActive(true)
 		}
-		g.pollNotes(ctx, time.Now())
+		g.pollNotes(ctx, s, time.Now())
 		g.replica.waitChange(ctx, idlePause)
 		return
 	}
@@ -118,13 +123,16 @@
 // The store tells of changes meanwhile, but notes come from relays only. The answer does not end the
 // penalty: a relay that is late now and then would end and begin this balancer's watch of the store
 // each time.
-func (g *Group) pollNotes(ctx context.Context, now time.Time) {
+func (g *Group) pollNotes(ctx context.Context, s *subscription, now time.Time) {
 	r, ok := nextRelay(g.replica.allRelays(), Relay{Zone: g.cfg.Zone, Addr: g.cfg.Addr}, nil, g.relayOffset, now)
 	if !ok || !g.pollingNotes.CompareAndSwap(false, true) {
 		return
 	}
+	ctx, end := context.WithCancel(ctx)
+	s.endNotesPoll = end
 	g.done.Go(func() {
 		defer g.pollingNotes.Store(false)
+		defer end()
 		if err := g.fetchChanges(ctx, r, false); err != nil && ctx.Err() == nil {
 			g.cfg.Log.Debug("could not get notes from a penalized relay", "relay", r.ID, "zone", r.Zone, "error", err)
 		}
@@ -170,7 +178,7 @@
 		g.receiveReplyNotes(r.Addr, reply)
 	}
 	switch {
-	case errors.Is(err, link.ErrSilent):
+	case errors.Is(err, link.ErrSilent) && !errors.Is(err, context.Canceled):
 		g.client.Forget(r.Addr) // an interrupted connection does not recover
 		return err
 	case err != nil:
--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/bootstrap"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/link"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -166,6 +169,30 @@
 	assert.Assert(t, !ok && s.relayAddr == "", "the relay is still penalized")
 }
 
+// TestCallForChangesOutlivesNotesPoll checks that the end of a call for notes does not close the
+// connection of a call for changes that began later.
+func TestCallForChangesOutlivesNotesPoll(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections and answers nothing
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, silent.Close()) }()
+	var log bytes.Buffer
+	g := New(Config{Zone: "medina", Addr: "10.0.0.2:1", Log: hclog.New(&hclog.LoggerOptions{Output: &log})})
+	g.follower = staticFollower{retried: new(atomic.Int64)}
+	g.replica.apply(directory.Changes{Revision: 2, Complete: true, Registrations: []directory.Record{
+		{Key: "relays/medina", Value: []byte(`{"id":"vm","addr":"` + silent.Addr().String() + `"}`), Revision: 2},
+	}}, time.Now())
+	relay, ok := g.replica.relay("medina")
+	assert.Assert(t, ok)
+	g.penalize(relay, time.Now().Add(time.Hour), time.Now())
+	s := subscription{relayAddr: relay.Addr}
+	g.followOnce(t.Context(), &s)
+	assert.Assert(t, s.endNotesPoll != nil)
+	g.clearPenalty(relay)
+	g.followOnce(t.Context(), &s)
+	g.done.Wait()
+	assert.Assert(t, strings.Contains(log.String(), link.ErrSilent.Error()), log.String())
+}
+
 // TestBootstrapSourceIsAskedForRelays checks that a balancer which has just started and knows no
 // relay asks the balancer that provided its first copy, and reads the store only if that one knows
 // no relay either.
