--- a/relay/follow.go
+++ b/relay/follow.go
@@ -21,7 +21,7 @@
 	alternative       string    // address of a balancer that an unsettled peer named; empty for none
 	lastRelay         Relay     // the registered relay that was followed last
 
-	endNotesPoll context.CancelFunc // gives up the call of pollNotes that is under way; nil before the first one
+	endNotesPoll context.CancelFunc // cancels the last call of pollNotes; nil before the first one
 }
 
 // followRelays fetches changes from relays until ctx ends, and switches the follower to the store
@@ -100,10 +100,11 @@
 	s.outage = s.outage.withoutReport(from.Addr)
 }
 
-// handleNoRelay handles the case that there is no relay to ask: it activates the follower, so that
-// this balancer watches the store, and gets notes from a penalized relay, if there is one. A balancer that has just started, or to which a settled relay
-// answered within Wait and Slack, waits for a relay first. Otherwise every balancer of a fleet would
-// briefly watch the store whenever there is no relay.
+// handleNoRelay handles the case that no relay may be asked for changes: it activates the follower, so
+// that this balancer watches the store, and calls a penalized relay, if there is one, for notes. A
+// balancer that has just started, or to which a settled relay answered within Wait and Slack, waits for
+// a relay first. Otherwise every balancer of a fleet would briefly watch the store whenever there is no
+// relay.
 func (g *Group) handleNoRelay(ctx context.Context, s *subscription) {
 	if !g.starting.Load() {
 		if g.opts.mustWatchStore(s.lastSettledAnswer, time.Now()) {
@@ -119,10 +120,10 @@
 	}
 }
 
-// pollNotes asks a relay whose penalty lasts for changes and notes, unless such a call is under way.
-// The store tells of changes meanwhile, but notes come from relays only. The answer does not end the
-// penalty: a relay that is late now and then would end and begin this balancer's watch of the store
-// each time.
+// pollNotes calls a penalized relay for changes and notes, unless such a call is under way. While all
+// relays are penalized, this balancer watches the store for changes, but only relays deliver notes. A
+// successful call does not end the penalty. Otherwise a relay that is sometimes late would make this
+// balancer stop and restart its watch of the store with each late answer.
 func (g *Group) pollNotes(ctx context.Context, s *subscription, now time.Time) {
 	r, ok := nextRelay(g.replica.allRelays(), Relay{Zone: g.cfg.Zone, Addr: g.cfg.Addr}, nil, g.relayOffset, now)
 	if !ok || !g.pollingNotes.CompareAndSwap(false, true) {
--- a/server/words_test.go
+++ b/server/words_test.go
@@ -156,7 +156,7 @@
 	assert.Assert(t, before > 0 && leaving.Arrivals()[before-1].Leaving, "its word was its last answer")
 	late := r.start(t, "vm-4", all[0].link)
 	late.waitReady(t)
-	poll.WaitOn(t, func(poll.LogT) poll.Result { // its first question to a relay brings what it has not heard
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // the first answer of a relay has all notes
 		if len(late.said(t)) == 0 {
 			return poll.Continue("nothing heard")
 		}
