balancer: an attempt's findings go with its own grant

Callers saw sound endpoints that were limited, asked to rest or emptied, for the whole fleet, because another endpoint had said so; the endpoint that had said it went on to get requests. TestLimitHoldsForTheFleet saw it as a second endpoint in /limits.

Cause: makeAttempt paired the grant that it had acquired with the attempt that sendOrHedge returned. If the hedge answered first, its report was recorded for the endpoint of the first attempt. If the hedge was withdrawn and the first attempt failed, the first grant was completed twice, that of the hedge never, and the wrong endpoint was avoided afterwards.

Change: attempt.observe and attempt.complete are the only calls that pass an attempt's findings to the Chooser, and makeAttempt no longer holds a grant beside an attempt, so none can be paired with another's.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -19,25 +19,34 @@
 // within the same attempt. At most retry.MaxAttemptsNotRun endpoints are chosen for one attempt.
 func (b *Balancer) makeAttempt(ctx context.Context, x *exchange, number int) (attempt, error) {
 	for choices := 1; ; choices++ {
-		grant, err := b.acquireEndpoint(ctx, x, number)
+		a, err := b.chooseAndSend(ctx, x, number, choices == 1)
 		if err != nil {
 			return attempt{}, err
 		}
-		if choices == 1 {
-			b.chargeRetry(x, time.Now())
-		}
-		a := b.sendOrHedge(ctx, x, number, grant)
 		if a.result.Withdrawn && x.body.Replayable() && choices < retry.MaxAttemptsNotRun {
-			b.cfg.Chooser.Complete(grant, placement.Result{Outcome: placement.Unused})
-			x.tried = append(x.tried, grant.Endpoint.VM)
+			a.complete(b.cfg.Chooser, placement.Result{Outcome: placement.Unused})
+			x.tried = append(x.tried, a.grant.Endpoint.VM)
 			b.endTrial(x)
 			continue
 		}
-		b.cfg.Chooser.ObserveResponse(grant, a.report())
+		a.observe(b.cfg.Chooser)
 		return a, nil
 	}
 }
 
+// chooseAndSend chooses an endpoint and sends the request there. The returned attempt may be a hedge
+// at another endpoint. charged says whether a retry is charged to the team's quota.
+func (b *Balancer) chooseAndSend(ctx context.Context, x *exchange, number int, charged bool) (attempt, error) {
+	grant, err := b.acquireEndpoint(ctx, x, number)
+	if err != nil {
+		return attempt{}, err
+	}
+	if charged {
+		b.chargeRetry(x, time.Now())
+	}
+	return b.sendOrHedge(ctx, x, number, grant), nil
+}
+
 // acquireEndpoint checks the quarantine, chooses an endpoint and checks the caller's key again. If
 // the VM was suspended meanwhile, these results are out of date: acquireEndpoint discards them and
 // starts over with the time that remains.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -54,6 +54,10 @@
 	reports []endpointReport
 	// withdrawn endpoints stop accepting requests after they were granted.
 	withdrawn []string
+	// beforeAccepts is called with a VM before StillAccepts decides; may be nil.
+	beforeAccepts func(vm string)
+	// completed holds the VMs of the completed grants.
+	completed []string
 }
 
 func (f *fakeChooser) NextID() string { return fmt.Sprintf("id-%d", f.sequence.Add(1)) }
@@ -108,6 +112,9 @@
 }
 
 func (f *fakeChooser) StillAccepts(g placement.Grant, _ time.Time) bool {
+	if f.beforeAccepts != nil {
+		f.beforeAccepts(g.Endpoint.VM)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return !slices.Contains(f.withdrawn, g.Endpoint.VM)
@@ -125,9 +132,10 @@
 	report upstream.Report
 }
 
-func (f *fakeChooser) Complete(_ placement.Grant, r placement.Result) {
+func (f *fakeChooser) Complete(g placement.Grant, r placement.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.completed = append(f.completed, g.Endpoint.VM)
 	f.results = append(f.results, r)
 }
 
--- a/balancer/exchange.go
+++ b/balancer/exchange.go
@@ -92,7 +92,9 @@
 // callerLeft reports whether the caller has disconnected.
 func (x *exchange) callerLeft() bool { return x.r.Context().Err() != nil }
 
-// attempt is one attempt to get a response from an endpoint.
+// attempt is one attempt to get a response from an endpoint. What it shows is passed to the Chooser by
+// its methods alone, which pair it with its own grant: of two attempts of a request, either may be the
+// one that is returned.
 type attempt struct {
 	number    int // 1 for the first
 	grant     placement.Grant
@@ -102,6 +104,12 @@
 	suspended bool // the VM was suspended during it, so its duration and the age of the response are unknown
 }
 
+// observe passes on what the response reports about the endpoint.
+func (a *attempt) observe(c Chooser) { c.ObserveResponse(a.grant, a.report()) }
+
+// complete passes on the result and ends the grant.
+func (a *attempt) complete(c Chooser, r placement.Result) { c.Complete(a.grant, r) }
+
 // recordFailure records whether a failed attempt may have run, and its VM, which later attempts
 // avoid.
 func (x *exchange) recordFailure(a *attempt) {
--- a/balancer/hedge_test.go
+++ b/balancer/hedge_test.go
@@ -41,7 +41,7 @@
 	server   *httptest.Server
 	arrived  chan struct{} // gets a value for each request
 	canceled chan struct{} // gets a value for each request that the balancer canceled
-	action   chan string   // for the next held request: answer, fail, refuse or begin
+	action   chan string   // for the next held request: answer, fail, refuse, begin, or a header as name=value
 }
 
 func newGatedEndpoint(t testing.TB) *gatedEndpoint {
@@ -66,6 +66,10 @@
 		case action := <-e.action:
 			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 			w.Header().Set("Response-Signature", "s")
+			if name, value, ok := strings.Cut(action, "="); ok {
+				w.Header().Set(name, value)
+				continue
+			}
 			switch action {
 			case "answer":
 				_, _ = io.WriteString(w, "whole")
--- a/balancer/race.go
+++ b/balancer/race.go
@@ -126,13 +126,13 @@
 // drop processes what an attempt showed that is not the one to return.
 func (r *race) drop(a *attempt, overtaken bool) {
 	chooser := r.b.cfg.Chooser
-	chooser.ObserveResponse(a.grant, a.report())
+	a.observe(chooser)
 	switch {
 	case overtaken:
 		r.x.recordFailure(a)
-		chooser.Complete(a.grant, overtakenResult(a))
+		a.complete(chooser, overtakenResult(a))
 	case r.b.isFinal(r.x, a):
-		chooser.Complete(a.grant, unneededResult(a, r.x.callerLeft()))
+		a.complete(chooser, unneededResult(a, r.x.callerLeft()))
 	default:
 		r.b.reportToQuarantine(r.firstContext, r.x, a)
 		r.b.completeFailed(r.x, a)
@@ -229,8 +229,8 @@
 // use the exchange. What the endpoint answered up to then still counts.
 func (r *race) dropAbandoned(a *attempt) {
 	a.suspended = r.b.cfg.Suspensions.Check() != r.suspendedFor
-	r.b.cfg.Chooser.ObserveResponse(a.grant, a.report())
-	r.b.cfg.Chooser.Complete(a.grant, placement.Result{Outcome: placement.Unused, Backoff: a.report().Admission.Backoff})
+	a.observe(r.b.cfg.Chooser)
+	a.complete(r.b.cfg.Chooser, placement.Result{Outcome: placement.Unused, Backoff: a.report().Admission.Backoff})
 	a.result.Close()
 }
 
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -48,7 +48,7 @@
 
 // completeFailed reports a failed attempt to the Chooser and records it in the exchange.
 func (b *Balancer) completeFailed(x *exchange, a *attempt) {
-	b.cfg.Chooser.Complete(a.grant, failedAttemptResult(a, x.callerLeft(), time.Since(a.sentAt)))
+	a.complete(b.cfg.Chooser, failedAttemptResult(a, x.callerLeft(), time.Since(a.sentAt)))
 	x.recordFailure(a)
 }
 
@@ -85,7 +85,7 @@
 	}
 	complete := func() {
 		result.Took = time.Since(a.sentAt)
-		go b.cfg.Chooser.Complete(a.grant, result) // must not delay the response to the caller
+		go a.complete(b.cfg.Chooser, result) // must not delay the response to the caller
 	}
 	if a.result.Buffered {
 		complete() // the endpoint is done, even if the response waits for its turn
