balancer: a withdrawn hedge does not add an attempt

An endpoint could get a request once more often than its route allows, and the retry was not charged to the retry budget: where the hedge's endpoint had stopped accepting requests and the first attempt failed, race.settle returned the withdrawn hedge, and makeAttempt chose again within the same attempt.

Change: the first attempt counts where the hedge was withdrawn.

--- a/balancer/hedgereport_test.go
+++ b/balancer/hedgereport_test.go
@@ -102,3 +102,19 @@
 		})
 	}
 }
+
+// TestWithdrawnHedgeAddsNoAttempt guards against a request that is sent more often than its route allows
+// because a hedge was withdrawn and the first attempt failed.
+func TestWithdrawnHedgeAddsNoAttempt(t *testing.T) {
+	h := newHedgeHarness(t, func(*balancer.Config) {})
+	h.chooser.withdrawn = []string{"e1"}
+	done := h.begin(t.Context(), t, "/safe/x", "body")
+	<-h.endpoints[0].arrived
+	h.awaitCount("hedges", 1)
+	h.endpoints[0].action <- "fail"
+	h.endpoints[2].action <- "fail"
+	h.endpoints[0].action <- "answer"
+	assert.Equal(t, (<-done).status, http.StatusBadGateway)
+	assert.Equal(t, len(h.endpoints[0].arrived), 0)
+	assert.Equal(t, len(h.endpoints[2].arrived), 1)
+}
--- a/balancer/race.go
+++ b/balancer/race.go
@@ -96,13 +96,14 @@
 	return r.settle(first, firstWon, overtaken)
 }
 
-// settle returns the attempt that answered, or the last failed one, when both have ended. It processes
-// what the other one showed. The line of the returned attempt is logged last.
+// settle returns the attempt that answered, or the last failed one, when both have ended; a withdrawn
+// hedge was never sent, so the first attempt counts. It processes what the other one showed. The line of
+// the returned attempt is logged last.
 func (r *race) settle(first attempt, firstWon, overtaken bool) attempt {
 	x, second := r.x, r.hedge
 	second.suspended = first.suspended
 	hedgeWon := !firstWon && r.b.isFinal(x, &second)
-	useFirst := firstWon || !hedgeWon && first.hasOwnResponse() && !second.hasOwnResponse()
+	useFirst := firstWon || !hedgeWon && (second.result.Withdrawn || first.hasOwnResponse() && !second.hasOwnResponse())
 	kept, dropped := &second, &first
 	if useFirst {
 		kept, dropped = dropped, kept
