quota: isolated balancers keep to what they hold

Causes, from simulated fleets with the levels of all relays printed: - An isolated balancer gave out one whole token whatever its share, three of a team that it had not seen, and one more before it noticed that its report was not answered. Balancers that count nothing report every two seconds, so that they hold spans before a cut. - Relays deducted the rate of silent balancers by estimates that did not add up to the quota. They now deduct what those hold, beyond what operators tolerate. - A relay without followers went on from the whole bucket, and its successor did not know of it.

Log lines and metrics of isolation; Held in /quota.

--- a/compat/fill_test.go
+++ b/compat/fill_test.go
@@ -18,7 +18,10 @@
 }
 
 // inserted are fields that stand before some that earlier versions send: these keep their numbers.
-var inserted = map[string]bool{"tally.Report.Rests": true, "tally.Report.Joined": true, "tally.Report.Fleet": true, "tally.Count.Missing": true}
+var inserted = map[string]bool{
+	"tally.Report.Rests": true, "tally.Report.Joined": true, "tally.Report.Fleet": true, "tally.Count.Missing": true,
+	"tally.Report.Span": true, "quota.Snapshot.Spent": true, "quota.Snapshot.ZoneTotal": true, "quota.ReportAnswer.From": true, "quota.ReportAnswer.Span": true,
+}
 
 func fill(v reflect.Value, n *int) {
 	*n++
--- a/coord/quota/limiter.go
+++ b/coord/quota/limiter.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/escrow"
 	"github.com/lotuswing/lotuswing/coord/tally"
 )
 
@@ -26,6 +27,9 @@
 	// Members is how many balancers in all zones the relay has heard from lately; 0 from earlier
 	// versions.
 	Members int
+	From    string // link address of the receiver; empty from earlier versions
+	// Span is what the sender holds of all quotas from now on for times without a relay.
+	Span escrow.Span
 }
 
 // Limiter holds one balancer's accounts of all teams, with its own counts and, on a relay, those of
@@ -44,8 +48,17 @@
 	minInterval  time.Duration        // between two reports, set by the relay
 	members      int                  // balancers in the fleet, as reported by the relay; 0 if unknown
 	failingSince time.Time            // when reports began to fail; zero if the last one was answered
-	relayLost    bool                 // reports have failed for relayLostAfter
-	rng          *rand.Rand
+	// awaitingSince is when the oldest unanswered report was made; zero for none.
+	awaitingSince time.Time
+	answeredAt    time.Time   // when a report was last answered
+	span          escrow.Span // what this balancer holds of all quotas
+	holdUntil     time.Time   // until then relays deduct what it holds; zero while it is idle
+
+	ledger        *escrow.Ledger // on a relay, what the balancers of its zone hold
+	dividedAt     time.Time      // when the zone's span was last divided
+	inheritsSpans bool           // balancers hold spans that an earlier relay has assigned
+
+	rng *rand.Rand
 }
 
 // NewLimiter returns a limiter without accounts. from is the link address of the balancer, and
@@ -53,7 +66,7 @@
 func NewLimiter(from, zone string, incarnation uint64) *Limiter {
 	return &Limiter{
 		from: from, zone: zone, incarnation: incarnation, counter: tally.NewCounter(from, zone, incarnation), aggregator: tally.NewAggregator(from, zone, incarnation),
-		accounts: map[string]Account{}, limits: map[string]Limit{}, promised: map[string]time.Time{}, rng: rand.New(rand.NewPCG(incarnation, 1)),
+		ledger: escrow.NewLedger(), accounts: map[string]Account{}, limits: map[string]Limit{}, promised: map[string]time.Time{}, rng: rand.New(rand.NewPCG(incarnation, 1)),
 	}
 }
 
@@ -64,11 +77,18 @@
 		return true, 0
 	}
 	a := q.account(team, l, now)
-	if q.relay {
-		a = q.withOwnShare(team, a, l, now)
+	switch {
+	case q.isolated(l, a, now):
+		a = a.WithHold(q.hold(team, l, a, now))
+	case q.relay:
+		a = q.withOwnShare(team, a.WithoutHold(), l, now)
 	}
 	a, ok = a.WithTakeBy(l, t, now)
 	q.accounts[team] = a
+	if !ok && a.onHold {
+		q.counter.Add(teamPrefix+team, 0, now)
+		q.counter.MarkUrgent() // a relay may answer again
+	}
 	if !ok {
 		retryAfter, q.promised[team] = a.RetryAfter(l, t, q.promised[team], q.rng.Float64(), now)
 		return false, retryAfter
@@ -119,10 +139,13 @@
 	q.limits[team] = l
 	a, ok := q.accounts[team]
 	if !ok {
-		a = q.newAccount(l, now)
+		a = NewAccount(l, now)
 	}
 	if q.relay && !a.synced {
 		a = a.AsRelay(l, 0, q.unusedSince(now), now)
+		if now.Sub(q.relaySince) < unconfirmedFor && q.aggregator.HasPredecessor() {
+			a = a.withUnconfirmedLevel()
+		}
 	}
 	return a
 }
@@ -164,10 +187,17 @@
 	return tally.Intervals{Normal: max(normalInterval, q.minInterval), Urgent: max(urgentInterval, q.minInterval), Immediate: max(immediateInterval, q.minInterval/2)}
 }
 
-// Due returns when the next report is due; ok is false while there is nothing to report.
+// spanRetryInterval is the longest interval between two reports of a balancer that holds no span.
+const spanRetryInterval = time.Second
+
+// Due returns when the next report is due.
 func (q *Limiter) Due(now time.Time) (at time.Time, ok bool) {
 	if !q.relay {
-		return q.counter.Due(q.intervals(), now)
+		at, ok = q.counter.Due(q.intervals(), now)
+		if retry := q.counter.Reported().Add(spanRetryInterval); q.span.IsEmpty() && retry.Before(at) {
+			at = retry
+		}
+		return at, ok
 	}
 	own, anyOwn := q.counter.Due(q.intervals(), now)
 	zone, anyZone := q.aggregator.ZoneDue(tally.Intervals{Normal: normalInterval, Urgent: urgentInterval}, now)
@@ -189,11 +219,15 @@
 	q.relay, q.relaySince = relay, now
 	q.incarnation++ // the zone's totals start at 0: its balancers reported to another relay meanwhile
 	q.aggregator = tally.NewAggregator(q.from, q.zone, q.incarnation)
+	q.ledger, q.dividedAt, q.inheritsSpans = escrow.NewLedger(), time.Time{}, false
 	for team, a := range q.accounts {
-		if relay {
-			q.accounts[team] = a.AsRelay(q.limits[team], 0, now, now)
-		} else {
+		switch {
+		case !relay:
 			q.accounts[team] = a.AsFollower()
+		case !a.synced && q.members > 0:
+			q.accounts[team] = a.AsRelay(q.limits[team], 0, now, now).withUnconfirmedLevel()
+		default:
+			q.accounts[team] = a.AsRelay(q.limits[team], 0, now, now)
 		}
 	}
 }
@@ -205,7 +239,10 @@
 // names then await a snapshot.
 func (q *Limiter) Report(now time.Time) tally.Report {
 	r := q.counter.Report(now)
-	r.Fleet = q.members
+	r.Fleet, r.Span = q.members, q.span
+	if q.awaitingSince.IsZero() {
+		q.awaitingSince = now
+	}
 	for i, c := range r.Counts {
 		if team, ok := strings.CutPrefix(c.Key, teamPrefix); ok {
 			l := q.limits[team]
@@ -214,9 +251,6 @@
 			r.Counts[i].Missing = a.missing(l, now)
 		}
 	}
-	if r.Rests {
-		q.shrinkShares()
-	}
 	return r
 }
 
@@ -228,7 +262,11 @@
 	}
 	q.counter.Acknowledge(r)
 	q.minInterval, q.members = answer.Pause, answer.Members
-	q.failingSince, q.relayLost = time.Time{}, false
+	q.failingSince, q.awaitingSince = time.Time{}, time.Time{}
+	q.span, q.answeredAt, q.holdUntil = answer.Span, now, now.Add(holdFor)
+	if r.Rests {
+		q.holdUntil = time.Time{}
+	}
 	for _, s := range answer.Words {
 		team := strings.TrimPrefix(s.Key, teamPrefix)
 		if l, ok := q.limits[team]; ok && !q.relay {
@@ -250,7 +288,8 @@
 	Tokens float64 // estimate of the tokens left
 	Others float64 // requests per second of all other balancers
 	Alone  bool    // the balancer is isolated and keeps to its own share
-	Part   float64 // this balancer's share of the quota while isolated
+	Part   float64 // this balancer's share of the quota
+	Held   int     // requests that this balancer may send in any escrow.Window while isolated
 	Total  int64   // requests sent by this balancer since its start
 }
 
@@ -261,7 +300,7 @@
 		l := q.limits[team]
 		a := q.accounts[team].advance(l, now)
 		all = append(all, Status{
-			Team: team, Limit: l, Tokens: a.tokens, Others: a.othersRate, Alone: a.isolated(now), Part: a.share,
+			Team: team, Limit: l, Tokens: a.tokens, Others: a.othersRate, Alone: a.isolated(now), Part: a.share, Held: q.held(team, l, now),
 			Total: q.counter.Total(teamPrefix+team) - q.counter.Total(returnedPrefix+team),
 		})
 	}
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -27,6 +27,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lotuswing/lotuswing/coord/escrow"
 )
 
 // Limit is the quota of a team.
@@ -74,6 +76,9 @@
 	// newRelayFor is how long a new relay asks its peers for snapshots of a bucket for which it never
 	// had one, and adopts lower levels from them.
 	newRelayFor = time.Second
+	// unconfirmedFor is how long a new relay without a snapshot gives out nothing of the earlier level:
+	// until balancers have reported that exceed a quota.
+	unconfirmedFor = urgentInterval
 	// nearFullAllowance is the least number of requests between two snapshots while the bucket is
 	// nearly full: the share of a balancer that a small team seldom uses is less than one request.
 	nearFullAllowance = 6
@@ -93,6 +98,10 @@
 	Tokens float64 // left in the bucket, with the answered report taken into account
 	Others float64 // tokens per second that all other balancers take
 	Part   float64 // share of the rate that the balancer may use while it is isolated
+	Spent  float64 // requests that all balancers have sent in the last escrow.Window
+	// ZoneTotal is how many requests the zone of the relay has sent since the relay began, as far as the relay knows. Set for relays
+	// of other zones only.
+	ZoneTotal int64
 }
 
 // Account is what one balancer knows of one team's bucket.
@@ -100,20 +109,25 @@
 	tokens          float64   // estimate of the tokens left
 	updatedAt       time.Time // time for which tokens holds
 	othersRate      float64   // tokens per second that other balancers take; on a relay, only the silent ones
-	othersPerReport float64   // requests that others are expected to send in one urgent report interval
+	othersPerReport float64   // requests that others may send in one urgent report interval, even if their rate is low because they were refused
 	share           float64   // fraction of the quota that is this balancer's own
 	snapshotTokens  float64   // tokens in the last snapshot
 	takenSince      float64   // requests taken since the last snapshot, or not reported when it was made
 	jitter          float64   // random number in [0, 1) drawn with each snapshot; rounds fractions of a token up or down
 	coverage        float64   // on a relay, fraction of the quota that silent balancers do not use; 1 elsewhere
+	unconfirmed     float64   // on a new relay, tokens that are left unless a report of another balancer says otherwise
+	takenAsNewRelay float64   // requests counted since the balancer became a relay, until newRelayUntil
 	newRelayUntil   time.Time // until then peers of this relay may know the bucket better
 	relay           bool      // this balancer is a relay, which receives the counts of others
 	synced          bool      // a snapshot was received, or this balancer is or was a relay
-	relayLost       bool      // there was never a snapshot, and the relay is lost
 	syncedAt        time.Time // when the last snapshot was received; on a relay, when it last updated the account
 	ownShare        float64   // on a relay, fraction of the tokens that its own requests may take; 0 for all
 	ownShareSince   time.Time // on a relay, since when its own requests may take only its share
 	awaitingSince   time.Time // when the oldest unanswered report was made; zero for none
+	onHold          bool      // the balancer is isolated and gives out what hold does
+	hold            escrow.Hold
+	recent          escrow.Recent // on a relay, requests of all balancers
+	spent           float64       // requests that all balancers have sent in the escrow.Window before the last snapshot
 }
 
 // NewAccount returns the account of a team for which there was no snapshot yet.
@@ -123,17 +137,21 @@
 
 // isolated reports whether the balancer has to decide without a relay: it had no snapshot yet, or
 // has waited for one for longer than isolatedAfter.
-func (a Account) isolated(now time.Time) bool {
+func (a Account) isolated(now time.Time) bool { return a.onHold || a.lacksSnapshot(now) }
+
+// lacksSnapshot reports whether there was no snapshot yet, or one has been awaited for longer than
+// isolatedAfter.
+func (a Account) lacksSnapshot(now time.Time) bool {
 	return !a.synced || !a.awaitingSince.IsZero() && now.Sub(a.awaitingSince) > isolatedAfter
 }
 
 // advance returns the account as of now.
 func (a Account) advance(l Limit, now time.Time) Account {
 	dt := max(0, now.Sub(a.updatedAt).Seconds())
-	if a.isolated(now) {
+	if a.lacksSnapshot(now) {
 		a.tokens += l.Rate * a.share * dt
 		capacity := l.capacity(a.share)
-		if !a.synced && !a.relayLost {
+		if !a.synced {
 			capacity = max(capacity, initialTokens)
 		}
 		a.tokens = min(a.tokens, capacity)
@@ -146,6 +164,9 @@
 			a.tokens = max(a.tokens, initialTokens)
 		}
 	}
+	if now.Sub(a.newRelayUntil) >= unconfirmedFor-newRelayFor {
+		a.tokens, a.unconfirmed = a.tokens+a.unconfirmed, 0
+	}
 	a.tokens = max(-maxDebtSeconds*l.Rate, min(a.tokens, l.capacity(a.coverage)))
 	a.updatedAt = now
 	return a
@@ -165,14 +186,30 @@
 // takes no token and returns false.
 func (a Account) WithTake(l Limit, now time.Time) (Account, bool) {
 	a = a.advance(l, now)
-	if a.tokens < 1 || !a.withinAllowance(l, now) {
+	if !a.admits(l, now) {
 		return a, false
 	}
+	if a.onHold {
+		a.hold = a.hold.WithSent(1, now)
+		return a, true
+	}
 	a.tokens--
 	a.takenSince++
+	if a.relay {
+		a.takenAsNewRelay++
+		a.recent = a.recent.With(1, now)
+	}
 	return a, true
 }
 
+// admits reports whether there is a token for one more request.
+func (a Account) admits(l Limit, now time.Time) bool {
+	if a.onHold {
+		return a.hold.Left(now) > 0
+	}
+	return a.tokens >= 1 && a.withinAllowance(l, now)
+}
+
 // withinAllowance reports whether one more request is within what a balancer may take before its
 // next snapshot: its share of the tokens in the last snapshot and of those added since. All
 // balancers see the same tokens; if each took all of them, many times the quota would be sent. For a
@@ -198,6 +235,7 @@
 // here, such as those of other balancers. A negative n gives tokens back.
 func (a Account) WithUncheckedTake(n float64) Account {
 	a.tokens -= n
+	a.takenAsNewRelay += n
 	return a
 }
 
@@ -217,7 +255,7 @@
 	if a.relay {
 		share, at = a.ownShare, a.ownShareSince
 	}
-	return share * (max(0, a.snapshotTokens) + l.Rate*now.Sub(at).Seconds())
+	return share * max(0, a.snapshotTokens+l.Rate*now.Sub(at).Seconds())
 }
 
 // rateLowerBound returns a rate reduced by two standard deviations of the number of requests in one
@@ -232,6 +270,6 @@
 	return Account{
 		tokens: s.Tokens - unacknowledged, updatedAt: now, othersRate: rateLowerBound(s.Others), share: s.Part, coverage: 1, synced: true, syncedAt: now,
 		othersPerReport: s.Others * urgentInterval.Seconds(),
-		snapshotTokens:  s.Tokens, takenSince: unacknowledged, jitter: jitter,
+		snapshotTokens:  s.Tokens, takenSince: unacknowledged, jitter: jitter, spent: s.Spent,
 	}.advance(l, now)
 }
--- a/coord/quota/refresh.go
+++ b/coord/quota/refresh.go
@@ -20,7 +20,7 @@
 // RefreshIfStale reports whether the next request of a team should wait for a fresh snapshot. If so,
 // it makes a report due that brings one.
 func (q *Limiter) RefreshIfStale(team string, l Limit, now time.Time) bool {
-	if q.relay || q.relayLost || !q.failingSince.IsZero() || l.Unlimited() || !q.hasSmallShare(l) {
+	if q.relay || !q.failingSince.IsZero() || l.Unlimited() || !q.hasSmallShare(l) {
 		return false
 	}
 	a := q.account(team, l, now)
--- a/coord/quota/relay.go
+++ b/coord/quota/relay.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/escrow"
 	"github.com/lotuswing/lotuswing/coord/tally"
 )
 
@@ -29,6 +30,9 @@
 	for _, s := range answer.Words {
 		team := strings.TrimPrefix(s.Key, teamPrefix)
 		if a, ok := q.accounts[team]; ok {
+			// The zone's next report brings what it has counted since its last one.
+			known := q.aggregator.Reported(answer.From, s.Key) - q.aggregator.Reported(answer.From, returnedPrefix+team)
+			s.Tokens += float64(max(0, s.ZoneTotal-known))
 			q.accounts[team] = a.WithPeerSnapshot(s, now)
 		}
 	}
@@ -38,18 +42,22 @@
 // taken their tokens.
 func (q *Limiter) recordOwnCounts(now time.Time) {
 	r := q.counter.Report(now)
+	r.Span = q.span
 	q.aggregator.Apply(r, now)
 	q.counter.Acknowledge(r)
+	q.reportOwnSpan(r, now)
 }
 
 // applySilentRates deducts from all buckets the tokens that silent balancers may be taking.
 func (q *Limiter) applySilentRates(isRelay tally.IsRelay, now time.Time) {
+	unheard := q.unheardSpan(now)
 	for team, a := range q.accounts {
 		l := q.limits[team]
-		q.aggregator.SetRelayFallbackRates(teamPrefix+team, l.Rate, now)
+		q.aggregator.SetUnheardRate(teamPrefix+team, unheard*float64(l.escrowed())/escrow.Window.Seconds())
+		q.aggregator.SetRelayFallbackRates(teamPrefix+team, float64(l.escrowed())/escrow.Window.Seconds(), now)
 		_, silentRate := q.aggregator.SilentRates(teamPrefix+team, isRelay, now)
-		silentRate += l.Rate * q.aggregator.UnreportedShare(teamPrefix+team, isRelay, now)
-		q.accounts[team] = a.AsRelay(l, max(0, min(silentRate, l.Rate)-toleratedShare(l)*l.Rate), now, now)
+		held := silentRate*escrow.Window.Seconds() + float64(l.escrowed())*q.aggregator.UnreportedShare(teamPrefix+team, isRelay, now)
+		q.accounts[team] = a.AsRelay(l, l.Rate*l.deduction(held), now, now)
 	}
 }
 
@@ -59,11 +67,18 @@
 	if !q.relay {
 		return ReportAnswer{}
 	}
+	q.aggregator.LearnFleet(r, now)
+	if !r.Relay && q.cutOff(now) {
+		q.markOutdated(now)
+	}
 	q.adoptLevels(r, limitOf, now)
 	for _, change := range q.aggregator.Apply(r, now) {
 		q.applyChange(change, limitOf, now)
 	}
-	answer := ReportAnswer{Taken: true}
+	answer := ReportAnswer{Taken: true, From: q.from}
+	if !r.Relay {
+		answer.Span = q.assignSpan(r, now)
+	}
 	if r.Relay && !r.Wants {
 		return answer
 	}
@@ -72,8 +87,8 @@
 	for _, c := range r.Counts {
 		if team, ok := strings.CutPrefix(c.Key, teamPrefix); ok {
 			if s, ok := q.snapshot(team, c.Key, r.From, all, limitOf, now); ok {
-				if r.Relay { // the zone's next report brings it these counts
-					s.Tokens += float64(q.aggregator.Unacknowledged(c.Key) - q.aggregator.Unacknowledged(returnedPrefix+team))
+				if r.Relay {
+					s.ZoneTotal = q.aggregator.ZoneTotal(c.Key) - q.aggregator.ZoneTotal(returnedPrefix+team) + q.unacknowledged(team)
 				}
 				answer.Words = append(answer.Words, s)
 			}
@@ -82,10 +97,20 @@
 	return answer
 }
 
-// adoptLevels adopts the levels of buckets that a follower was told by an earlier relay, if this relay
-// is new.
+// markOutdated has this relay adopt levels as a new one does: while it heard from nobody, another relay may
+// have counted what balancers of its zone sent.
+func (q *Limiter) markOutdated(now time.Time) {
+	for team, a := range q.accounts {
+		q.accounts[team] = a.asOutdated(now)
+	}
+}
+
+// adoptLevels adopts the levels of buckets that a follower was told by another relay, if this relay is new
+// or does not know what that one has counted. Only the first report of a follower has them: later ones
+// have what this relay has told.
 func (q *Limiter) adoptLevels(r tally.Report, limitOf func(string) (Limit, bool), now time.Time) {
-	if r.Relay {
+	first, returned := q.aggregator.Arrival(r, now)
+	if r.Relay || !first && !returned {
 		return
 	}
 	for _, c := range r.Counts {
@@ -135,7 +160,7 @@
 	if !ok || l.Unlimited() {
 		return
 	}
-	a := q.account(team, l, now).WithUncheckedTake(float64(by))
+	a := q.account(team, l, now).WithUncheckedTake(float64(by)).withRecent(int(by), now)
 	q.accounts[team] = a
 	if q.isUrgent(a, l, now) {
 		q.aggregator.MarkUrgent()
@@ -153,7 +178,7 @@
 }
 
 // snapshot returns the state of a team's bucket for the balancer at the address from. It returns
-// false if the team has no quota.
+// false if the team has no quota, or this relay does not know the level yet.
 func (q *Limiter) snapshot(team, key, from string, members int, limitOf func(string) (Limit, bool), now time.Time) (Snapshot, bool) {
 	l, ok := limitOf(team)
 	if !ok || l.Unlimited() {
@@ -161,20 +186,12 @@
 	}
 	a := q.account(team, l, now).advance(l, now)
 	q.accounts[team] = a
+	if a.unconfirmed > 0 {
+		return Snapshot{}, false // the sender knows more
+	}
 	own, others := q.aggregator.Rates(key, from, now)
 	_, returned := q.aggregator.Rates(returnedPrefix+team, from, now)
 	share := tally.Share(own, own+others, 1, members)
-	q.aggregator.SetFallbackRate(key, from, share*l.Rate) // for a relay, SetRelayFallbackRates overwrites it
-	return Snapshot{Key: key, Tokens: a.tokens, Others: max(0, others-returned), Part: share}, true
+	q.aggregator.SetFallbackRate(key, from, q.fallbackRate(team, from, l)) // for a relay, SetRelayFallbackRates overwrites it
+	return Snapshot{Key: key, Tokens: a.tokens, Others: max(0, others-returned), Part: share, Spent: float64(a.recent.Count(now))}, true
 }
-
-// toleratedShare returns the share of a quota that silent balancers may take without a deduction from the
-// bucket. What operators tolerate above a quota is little of a large quota, which needs it for requests that
-// balancers do not know of, and much of a small one, where a deduction would refuse requests of a team that
-// keeps to its quota. Spare is a quarter of it.
-func toleratedShare(l Limit) float64 {
-	return max(0, min(maxToleratedShare, 2*l.Spare/l.Rate-0.5))
-}
-
-// maxToleratedShare limits toleratedShare.
-const maxToleratedShare = 0.15
--- a/coord/quota/relayaccount.go
+++ b/coord/quota/relayaccount.go
@@ -12,7 +12,7 @@
 	switch {
 	case a.synced && !a.relay:
 		a.tokens = max(-maxDebtSeconds*l.Rate, a.levelOfSnapshot(l, now)-a.takenSince)
-		a.updatedAt, a.newRelayUntil = now, now.Add(newRelayFor)
+		a.updatedAt, a.newRelayUntil, a.takenAsNewRelay = now, now.Add(newRelayFor), 0
 	case !a.synced:
 		a = Account{tokens: initialFill * l.Burst, updatedAt: since, coverage: 1, synced: true, syncedAt: now, newRelayUntil: now.Add(newRelayFor)}
 	}
@@ -24,6 +24,21 @@
 	return a.advance(l, now)
 }
 
+// withUnconfirmedLevel returns the account of a new relay that never had a snapshot. It gives out little
+// of its level until balancers have reported that may have heard of the bucket from an earlier relay.
+func (a Account) withUnconfirmedLevel() Account {
+	sure := min(a.tokens, initialTokens)
+	a.tokens, a.unconfirmed = sure, a.tokens-sure
+	return a
+}
+
+// asOutdated returns the account of a relay after a time in which other relays may have known the bucket
+// better.
+func (a Account) asOutdated(now time.Time) Account {
+	a.newRelayUntil, a.takenAsNewRelay = now.Add(newRelayFor), 0
+	return a
+}
+
 // missing returns how many tokens are missing from the full bucket, as of the last snapshot and the
 // tokens added since; 0 without a snapshot.
 func (a Account) missing(l Limit, now time.Time) float64 {
@@ -40,13 +55,15 @@
 }
 
 // WithMissing returns a relay's account after the report of a balancer that was told by an earlier
-// relay how many tokens are missing. A new relay adopts that level if it is lower than its own.
+// relay how many tokens are missing. A new relay adopts that level if it is lower than the one that it
+// began with. What it has counted since was not known to the earlier relay, and is deducted from either.
 func (a Account) WithMissing(l Limit, missing float64, now time.Time) Account {
 	if missing == 0 || !now.Before(a.newRelayUntil) {
 		return a
 	}
 	a = a.advance(l, now)
-	a.tokens = min(a.tokens, l.capacity(1)-missing)
+	level := a.tokens + a.unconfirmed
+	a.tokens, a.unconfirmed = min(level, l.capacity(1)-missing-a.takenAsNewRelay), 0
 	return a
 }
 
@@ -79,3 +96,9 @@
 	}
 	return a
 }
+
+// withRecent returns a relay's account after other balancers have sent n requests.
+func (a Account) withRecent(n int, now time.Time) Account {
+	a.recent = a.recent.With(n, now)
+	return a
+}
--- a/coord/tally/aggregator.go
+++ b/coord/tally/aggregator.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -21,6 +22,8 @@
 	// announceFor is how long a relay names a balancer that has begun to report to it: two normal
 	// report intervals, so that one lost message does not matter.
 	announceFor = 500 * time.Millisecond
+	// trafficSmoothing is the time constant of a balancer's traffic: longer than a burst of one team.
+	trafficSmoothing = 5 * time.Second
 	// fleetKnownFor is how long a new aggregator relies on the fleet size that balancers were told by
 	// earlier relays. Within this time all active balancers have reported to it.
 	fleetKnownFor = 2 * time.Second
@@ -34,8 +37,14 @@
 	rates       map[string]rate      // cached rates of the fleet, by key
 	prunedAt    time.Time            // when old reporters were last dropped
 	heardAt     time.Time            // when the last report of another balancer came
+	followerAt  time.Time            // when the last report of another balancer of the own zone came
+	followed    bool                 // some of those have not said since that they are idle
 	begunAt     time.Time            // when the first report came
 	fleet       int                  // highest fleet size in the reports until fleetKnownFor
+	unheard     int                  // result of the last call of Unheard
+	unheardAt   time.Time            // when that was; zero for never
+	// unheardRates are the rates per second of balancers that were never heard from, by key.
+	unheardRates map[string]float64
 }
 
 // reporter is the state of one sender of reports: one incarnation of a balancer of the own zone, or
@@ -50,6 +59,7 @@
 	idle                bool      // its last report said that it sends no further one until it counts again
 	moved               bool      // since its last report, another relay has taken over its counts
 	counts              map[string]*keyState
+	traffic             rate // of all keys together, smoothed over trafficSmoothing
 }
 
 // keyState is what a reporter has reported of one key.
@@ -64,21 +74,19 @@
 // NewAggregator returns the empty aggregator of a relay. from is its link address, and incarnation a
 // random number that distinguishes this run of the relay from others.
 func NewAggregator(from, zone string, incarnation uint64) *Aggregator {
-	return &Aggregator{reporters: map[string]*reporter{}, sums: map[string]int64{}, rates: map[string]rate{}, zoneCounter: NewCounter(from, zone, incarnation)}
+	return &Aggregator{reporters: map[string]*reporter{}, sums: map[string]int64{}, rates: map[string]rate{}, unheardRates: map[string]float64{}, zoneCounter: NewCounter(from, zone, incarnation)}
 }
 
 // Apply applies a report and returns the increases that it adds to the sums. A report that is no
 // newer than the last one of its incarnation changes nothing.
 func (a *Aggregator) Apply(r Report, now time.Time) []Change {
 	a.prune(now)
-	rep := a.reporterOf(r)
+	rep := a.reporterOf(r, now)
 	if r.Number <= rep.number {
 		return nil
 	}
-	if r.From != a.zoneCounter.from {
-		a.heardAt = now
-	}
-	a.learnFleet(r, now)
+	a.noteHeard(r, now)
+	a.LearnFleet(r, now)
 	a.markMoved(r)
 	if rep.moved || now.Sub(rep.lastReport) > silentAfter {
 		rep.joinedAt = now
@@ -89,7 +97,9 @@
 	}
 	rep.number, rep.lastReport, rep.idle, rep.moved, rep.zone, rep.members = r.Number, now, r.Rests, false, r.Zone, r.Members
 	var changes []Change
+	counted := int64(0)
 	for _, c := range r.Counts {
+		counted += rep.increase(c)
 		by := rep.add(c, extrapolatedFor, now)
 		if by == 0 {
 			continue
@@ -100,11 +110,24 @@
 			a.zoneCounter.Add(c.Key, by, now)
 		}
 	}
+	rep.traffic = rep.traffic.updatedOver(counted, trafficSmoothing, now)
 	return changes
 }
 
-// learnFleet records the fleet size that a balancer was told by an earlier relay.
-func (a *Aggregator) learnFleet(r Report, now time.Time) {
+// noteHeard records that another balancer has reported.
+func (a *Aggregator) noteHeard(r Report, now time.Time) {
+	if r.From == a.zoneCounter.from {
+		return
+	}
+	a.heardAt = now
+	if !r.Relay {
+		a.followerAt = now
+		a.followed = a.followed || !r.Rests
+	}
+}
+
+// LearnFleet records the fleet size that a balancer was told by an earlier relay.
+func (a *Aggregator) LearnFleet(r Report, now time.Time) {
 	if a.begunAt.IsZero() {
 		a.begunAt = now
 	}
@@ -138,7 +161,7 @@
 // incarnation at the same address. A new relay takes over the balancers of an earlier relay of its
 // zone, until that one reports again: a relay without connection to the store goes on reporting
 // after another one was registered in its place, and its totals must not count twice.
-func (a *Aggregator) reporterOf(r Report) *reporter {
+func (a *Aggregator) reporterOf(r Report, now time.Time) *reporter {
 	if rep, ok := a.reporters[r.From]; ok && rep.incarnation == r.Life && rep.relay == r.Relay {
 		return rep
 	}
@@ -149,11 +172,20 @@
 			}
 		}
 	}
-	rep := &reporter{incarnation: r.Life, relay: r.Relay, counts: map[string]*keyState{}}
+	rep := &reporter{incarnation: r.Life, relay: r.Relay, counts: map[string]*keyState{}, traffic: rate{at: now}}
 	a.reporters[r.From] = rep
 	return rep
 }
 
+// increase returns by how much the total of one key exceeds the last known one.
+func (rep *reporter) increase(c Count) int64 {
+	known := c.Told
+	if k, ok := rep.counts[c.Key]; ok {
+		known = max(known, k.total)
+	}
+	return max(0, c.Total-known)
+}
+
 // add records the total of one key and returns its increase, without the part that another relay has
 // already taken into account (Count.Told: a balancer may have followed another relay meanwhile), and
 // without the part that was extrapolated. extrapolatedFor is for how long the silent reporter was
@@ -170,14 +202,63 @@
 	by := c.Total - k.total
 	k.total, k.silentRate, k.reportedAt = c.Total, c.Unheard, now
 	k.rate = k.rate.updated(by, now)
-	if extrapolated := int64(k.fallbackRate * extrapolatedFor.Seconds()); extrapolated > 0 && by > 0 {
+	if extrapolated := int64(math.Round(k.fallbackRate * extrapolatedFor.Seconds())); extrapolated > 0 && by > 0 {
 		by = max(0, by-extrapolated)
 	}
 	return by
 }
 
-// LastHeard returns when the last report of another balancer came; zero if there was none.
-func (a *Aggregator) LastHeard() time.Time { return a.heardAt }
+// HasPredecessor reports whether balancers were told of the fleet by an earlier relay, as far as they have
+// reported.
+func (a *Aggregator) HasPredecessor() bool { return a.fleet > 0 }
+
+// Arrival reports whether a report, which is not applied yet, is the first one of its sender here, or the
+// first one after it was silent here and reported to another relay.
+func (a *Aggregator) Arrival(r Report, now time.Time) (first, returned bool) {
+	rep, ok := a.reporters[r.From]
+	if !ok || rep.incarnation != r.Life {
+		return true, false
+	}
+	if now.Sub(rep.lastReport) <= silentAfter {
+		return false, false
+	}
+	return false, slices.ContainsFunc(r.Counts, func(c Count) bool {
+		k, known := rep.counts[c.Key]
+		return known && c.Told > k.total
+	})
+}
+
+// Traffic returns the rates per second at which the balancers of the own zone count under all keys
+// together, by link address. Balancers that have reported to another relay since are left out.
+func (a *Aggregator) Traffic() map[string]float64 {
+	rates := map[string]float64{}
+	for from, rep := range a.reporters {
+		if !rep.relay && !rep.moved {
+			rates[from] = rep.traffic.perSecond
+		}
+	}
+	return rates
+}
+
+// ZoneMembers returns how many balancers the other zones have, by zone.
+func (a *Aggregator) ZoneMembers() map[string]int {
+	members := map[string]int{}
+	for _, rep := range a.reporters {
+		if rep.relay && !rep.moved {
+			members[rep.zone] = rep.members
+		}
+	}
+	return members
+}
+
+// LastHeard returns when the last report came from another balancer of the own zone; where those are idle
+// or there are none, from any other balancer. It is zero if there was none.
+func (a *Aggregator) LastHeard() time.Time {
+	if a.followed {
+		return a.followerAt
+	}
+	return a.heardAt
+}
 
 // Sum returns the sum of the known counts of the fleet under a key, since this aggregator was
 // created.
@@ -248,9 +329,18 @@
 	return r
 }
 
-// Unacknowledged returns how much of the own zone's sum under a key no relay of another zone has
-// acknowledged.
-func (a *Aggregator) Unacknowledged(key string) int64 { return a.zoneCounter.Unacknowledged(key) }
+// ZoneTotal returns the own zone's sum under a key.
+func (a *Aggregator) ZoneTotal(key string) int64 { return a.zoneCounter.Total(key) }
+
+// Reported returns the total under a key in the last report of a relay or balancer.
+func (a *Aggregator) Reported(from, key string) int64 {
+	if rep, ok := a.reporters[from]; ok {
+		if k, ok := rep.counts[key]; ok {
+			return k.total
+		}
+	}
+	return 0
+}
 
 // AcknowledgeZone records that the relay of another zone has accepted a report.
 func (a *Aggregator) AcknowledgeZone(r Report) { a.zoneCounter.Acknowledge(r) }
@@ -261,10 +351,11 @@
 	if now.Sub(a.prunedAt) < silentAfter {
 		return
 	}
-	a.prunedAt = now
+	a.prunedAt, a.followed = now, false
 	for from, rep := range a.reporters {
 		if now.Sub(rep.lastReport) > forgetAfter {
 			delete(a.reporters, from)
 		}
+		a.followed = a.followed || !rep.relay && !rep.idle && !rep.moved && from != a.zoneCounter.from && now.Sub(rep.lastReport) <= forgetAfter
 	}
 }
--- a/coord/tally/counter.go
+++ b/coord/tally/counter.go
@@ -13,6 +13,9 @@
 	// heartbeatInterval is the longest interval between two reports while any key is active: half of
 	// the time after which a balancer counts as silent.
 	heartbeatInterval = silentAfter / 2
+	// idleInterval is the interval between two reports while no key is active. Relays know from them
+	// which balancers there are, and a balancer is told its part of the fleet before it counts anything.
+	idleInterval = 2 * time.Second
 )
 
 // Counter holds the totals of one incarnation of a balancer, or of a relay for its zone, and decides
@@ -93,9 +96,11 @@
 	Immediate time.Duration // after MarkImmediate
 }
 
-// Due returns when the next report is due; ok is false while there is nothing to report.
+// Due returns when the next report is due. The first one is due at once.
 func (c *Counter) Due(intervals Intervals, now time.Time) (at time.Time, ok bool) {
 	switch {
+	case c.immediate && c.dirty && c.idle:
+		return c.reported, true // reports of idle balancers are rare
 	case c.immediate && c.dirty:
 		return c.reported.Add(intervals.Immediate), true
 	case c.urgent && c.dirty:
@@ -105,9 +110,12 @@
 	case c.active(now), !c.idle && !c.reported.IsZero():
 		return c.reported.Add(heartbeatInterval), true
 	}
-	return time.Time{}, false
+	return c.reported.Add(idleInterval), true
 }
 
+// Reported returns when the last report was made; zero for none.
+func (c *Counter) Reported() time.Time { return c.reported }
+
 // active reports whether any key was counted within activeFor.
 func (c *Counter) active(now time.Time) bool {
 	for _, k := range c.counts {
--- a/coord/tally/silent.go
+++ b/coord/tally/silent.go
@@ -33,13 +33,12 @@
 
 // SetRelayFallbackRates sets the fallback rates of the relays of other zones that have reported
 // within fallbackFrozenAfter. perSecond is a rate of the whole fleet; each relay gets its zone's
-// share of it.
+// share of it, by the number of balancers.
 func (a *Aggregator) SetRelayFallbackRates(key string, perSecond float64, now time.Time) {
-	total := a.totalRate(key, now)
 	_, members := a.Members(now)
 	for _, rep := range a.reporters {
 		if k, ok := rep.counts[key]; ok && rep.relay && now.Sub(rep.lastReport) <= fallbackFrozenAfter {
-			k.fallbackRate = perSecond * Share(k.rate.perSecond+k.currentSilentRate(now), total, rep.members, members)
+			k.fallbackRate = perSecond * float64(rep.members) / float64(max(1, members))
 		}
 	}
 }
@@ -57,9 +56,43 @@
 	return share
 }
 
+// unheardAfter is how long a new aggregator waits for the reports of all balancers: longer than the
+// longest interval between two reports of one.
+const unheardAfter = 2500 * time.Millisecond
+
+// Unheard returns how many balancers of the fleet a new aggregator has not heard from, of those that
+// earlier relays knew. The number never rises: a balancer that changes its relay may be counted by two
+// relays or by none for a moment. It is 0 while their reports may still be due, and after extrapolateFor.
+func (a *Aggregator) Unheard(now time.Time) int {
+	if age := now.Sub(a.begunAt); a.begunAt.IsZero() || age < unheardAfter || age > extrapolateFor {
+		return 0
+	}
+	heard, before := 0, a.unheard
+	for _, rep := range a.reporters {
+		switch {
+		case now.Sub(rep.lastReport) > extrapolateFor:
+		case !rep.relay:
+			heard++
+		case !rep.moved:
+			heard += rep.members
+		}
+	}
+	a.unheard = max(0, a.fleet-heard)
+	if !a.unheardAt.IsZero() {
+		a.unheard = min(a.unheard, before)
+	}
+	a.unheardAt = now
+	return a.unheard
+}
+
+// SetUnheardRate sets the rate per second at which balancers of the own zone may be counting under a key
+// that the aggregator has not heard from. SilentRates includes it.
+func (a *Aggregator) SetUnheardRate(key string, perSecond float64) { a.unheardRates[key] = perSecond }
+
 // SilentRates returns the rates per second at which silent balancers may be counting under a key: in
 // the own zone, and in all zones.
 func (a *Aggregator) SilentRates(key string, isRelay IsRelay, now time.Time) (own, all float64) {
+	own = a.unheardRates[key]
 	for addr, rep := range a.reporters {
 		k, ok := rep.counts[key]
 		if !ok || rep.idle || rep.moved {
@@ -78,8 +111,8 @@
 	return own, own + all
 }
 
-// UnreportedShare returns the share (see Share) of those silent balancers that have never reported a
-// key, but may be counting under it.
+// UnreportedShare returns which part of all balancers is silent and has never reported a key, but may be
+// counting under it.
 func (a *Aggregator) UnreportedShare(key string, isRelay IsRelay, now time.Time) (share float64) {
 	members := 0
 	for addr, rep := range a.reporters {
@@ -94,11 +127,8 @@
 			members += rep.members
 		}
 	}
-	if members == 0 {
-		return 0
-	}
 	_, all := a.Members(now)
-	return Share(0, a.totalRate(key, now), members, all)
+	return float64(members) / float64(max(1, all))
 }
 
 // NoneSilent reports whether no known balancer or relay is silent. Idle ones do not count as silent.
--- a/coord/tally/tally.go
+++ b/coord/tally/tally.go
@@ -25,6 +25,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lotuswing/lotuswing/coord/escrow"
 )
 
 // Count is the total counted under one key in one incarnation of a balancer, or of a relay for its
@@ -61,7 +63,9 @@
 	Joined []string
 	// Fleet is how many balancers the fleet has, as the sender was last told by a relay; 0 if it does
 	// not know. A relay that has just begun has not heard from most of them.
-	Fleet  int
+	Fleet int
+	// Span is what the sender holds of all limits for times without a relay. Relays leave it empty.
+	Span   escrow.Span
 	Counts []Count
 }
 
@@ -83,11 +87,14 @@
 }
 
 // updated returns the rate after n more events since the last update.
-func (r rate) updated(n int64, now time.Time) rate {
+func (r rate) updated(n int64, now time.Time) rate { return r.updatedOver(n, smoothingTime, now) }
+
+// updatedOver is like updated with another time constant.
+func (r rate) updatedOver(n int64, timeConstant time.Duration, now time.Time) rate {
 	dt := now.Sub(r.at).Seconds()
 	if dt <= 0 {
 		return r // two reports are needed for a rate
 	}
-	weight := 1 - math.Exp(-dt/smoothingTime.Seconds())
+	weight := 1 - math.Exp(-dt/timeConstant.Seconds())
 	return rate{perSecond: r.perSecond + weight*(float64(n)/dt-r.perSecond), at: now}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -59,8 +59,10 @@
 type Keeper struct {
 	cfg     Config
 	refused metrics.Counter // requests refused by a quota
-	awaited metrics.Counter // requests that needed a fresh snapshot
-	wake    chan struct{}   // capacity 1; ends the wait of the loop in Run
+	// isolations counts how often no relay answered, and refusedIsolated the requests refused meanwhile.
+	isolations, refusedIsolated metrics.Counter
+	awaited                     metrics.Counter // requests that needed a fresh snapshot
+	wake                        chan struct{}   // capacity 1; ends the wait of the loop in Run
 
 	mu         sync.Mutex
 	transport  Transport // nil before Run, and without other balancers
@@ -75,7 +77,9 @@
 func New(cfg Config) *Keeper {
 	return &Keeper{
 		cfg: cfg, refused: metrics.GetOrRegisterCounter("quota_refusals", cfg.Metrics),
-		awaited: metrics.GetOrRegisterCounter("quota_words_awaited", cfg.Metrics), wake: make(chan struct{}, 1),
+		isolations:      metrics.GetOrRegisterCounter("quota_isolations", cfg.Metrics),
+		refusedIsolated: metrics.GetOrRegisterCounter("quota_refusals_isolated", cfg.Metrics),
+		awaited:         metrics.GetOrRegisterCounter("quota_words_awaited", cfg.Metrics), wake: make(chan struct{}, 1),
 		limiter: quota.NewLimiter(cfg.Addr, cfg.Zone, cmp.Or(rand.Uint64(), 1)), reporting: map[string]bool{}, answered: make(chan struct{}),
 	}
 }
@@ -119,6 +123,9 @@
 	ok, after := k.limiter.Take(team, k.withSpare(l), t, now)
 	if !ok {
 		k.refused.Inc(1)
+		if k.limiter.Isolated() {
+			k.refusedIsolated.Inc(1)
+		}
 	}
 	k.wakeIfDueSooner(now)
 	return ok, after
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -87,6 +87,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	defer k.notifyWaiters()
+	defer k.logIsolation(k.limiter.Isolated(), addr)
 	if err != nil {
 		k.cfg.Log.Debug("report to relay failed", "relay", addr, "error", err)
 		k.limiter.ReportFailed(time.Now())
@@ -95,6 +96,17 @@
 	k.limiter.ReportAnswered(r, answer, time.Now())
 }
 
+// logIsolation logs that this balancer has become isolated, or is no longer. The caller holds k.mu.
+func (k *Keeper) logIsolation(before bool, relay string) {
+	switch now := k.limiter.Isolated(); {
+	case now && !before:
+		k.isolations.Inc(1)
+		k.cfg.Log.Info("no relay answers: quotas are kept by what this balancer holds", "relay", relay)
+	case before && !now:
+		k.cfg.Log.Info("a relay answers again: quotas are kept by its snapshots", "relay", relay)
+	}
+}
+
 // notifyWaiters wakes the requests that wait for a snapshot. The caller holds k.mu.
 func (k *Keeper) notifyWaiters() {
 	close(k.answered)
