--- a/coord/quota/limiter.go
+++ b/coord/quota/limiter.go
@@ -144,7 +144,7 @@
 	if q.relay && !a.synced {
 		a = a.AsRelay(l, 0, q.unusedSince(now), now)
 		if now.Sub(q.relaySince) < unconfirmedFor && q.aggregator.HasPredecessor() {
-			a = a.withUnconfirmedLevel()
+			a = a.withUnconfirmedLevel(l)
 		}
 	}
 	return a
@@ -225,7 +225,7 @@
 		case !relay:
 			q.accounts[team] = a.AsFollower()
 		case !a.synced && q.members > 0:
-			q.accounts[team] = a.AsRelay(q.limits[team], 0, now, now).withUnconfirmedLevel()
+			q.accounts[team] = a.AsRelay(q.limits[team], 0, now, now).withUnconfirmedLevel(q.limits[team])
 		default:
 			q.accounts[team] = a.AsRelay(q.limits[team], 0, now, now)
 		}
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -49,6 +49,12 @@
 // that wait in queues, where no bucket sees them, and are then sent together.
 const usableBurst = 0.9
 
+// initialTokens returns how many requests a balancer may send that has had no snapshot yet. Each one that
+// starts may, so they are few where the burst is small; one asks for the snapshot.
+func (l Limit) initialTokens() float64 {
+	return max(1, min(maxInitialTokens, initialBurstShare*l.Burst))
+}
+
 // Unlimited reports whether the team has no quota.
 func (l Limit) Unlimited() bool { return l.Rate <= 0 }
 
@@ -60,16 +66,17 @@
 	// normal report interval. A balancer that the team does not use gets no more snapshots, and a
 	// high rate in its last one, from a busy moment, would make it refuse the next request.
 	othersRateValidFor = 500 * time.Millisecond
-	// staleAfter is the age of a snapshot from which on the bucket is assumed to hold at least
-	// initialTokens, so that the next request is sent and its report brings another snapshot.
+	// staleAfter is the age of a snapshot from which on the bucket is assumed to hold at least the
+	// initial tokens, so that the next request is sent and its report brings another snapshot.
 	staleAfter = 2 * time.Second
 	// initialShare is the share of a quota that a balancer gives out before its first snapshot. The
 	// first snapshot takes a round trip after a start, and while no relay exists yet, all balancers
 	// that were killed together may be in this state at once.
 	initialShare = 0.02
-	// initialTokens is the least number of tokens given out before the first snapshot, so that the
-	// first requests of a small team need not wait for one.
-	initialTokens = 3
+	// maxInitialTokens and initialBurstShare give the least number of tokens given out before the first
+	// snapshot, so that the first requests of a team need not wait for one (Limit.initialTokens).
+	maxInitialTokens  = 3
+	initialBurstShare = 0.2
 	// initialFill is the fraction of the burst in a bucket whose earlier level is unknown: before a
 	// restart of the whole fleet it may have been empty or full.
 	initialFill = 0.8
@@ -132,7 +139,7 @@
 
 // NewAccount returns the account of a team for which there was no snapshot yet.
 func NewAccount(l Limit, now time.Time) Account {
-	return Account{tokens: max(initialTokens, initialShare*(l.Rate+l.Burst)), updatedAt: now, share: initialShare, coverage: 1}
+	return Account{tokens: max(l.initialTokens(), initialShare*(l.Rate+l.Burst)), updatedAt: now, share: initialShare, coverage: 1}
 }
 
 // isolated reports whether the balancer has to decide without a relay: it had no snapshot yet, or
@@ -152,7 +159,7 @@
 		a.tokens += l.Rate * a.share * dt
 		capacity := l.capacity(a.share)
 		if !a.synced {
-			capacity = max(capacity, initialTokens)
+			capacity = max(capacity, l.initialTokens())
 		}
 		a.tokens = min(a.tokens, capacity)
 		if a.synced && !a.relay {
@@ -161,7 +168,7 @@
 	} else {
 		a.tokens += l.Rate*dt - a.othersRate*a.extrapolationTime(now).Seconds()
 		if now.Sub(a.syncedAt) > staleAfter {
-			a.tokens = max(a.tokens, initialTokens)
+			a.tokens = max(a.tokens, l.initialTokens())
 		}
 	}
 	if now.Sub(a.newRelayUntil) >= unconfirmedFor-newRelayFor {
--- a/coord/quota/relayaccount.go
+++ b/coord/quota/relayaccount.go
@@ -26,8 +26,8 @@
 
 // withUnconfirmedLevel returns the account of a new relay that never had a snapshot. It gives out little
 // of its level until balancers have reported that may have heard of the bucket from an earlier relay.
-func (a Account) withUnconfirmedLevel() Account {
-	sure := min(a.tokens, initialTokens)
+func (a Account) withUnconfirmedLevel(l Limit) Account {
+	sure := min(a.tokens, l.initialTokens())
 	a.tokens, a.unconfirmed = sure, a.tokens-sure
 	return a
 }
