escrow: holds do not exceed the bucket while nobody has noticed the isolation

Cause: a hold lets all its tokens go at once. Until relays deduct them, a good second after the last answer, the others give out the same tokens of the bucket; beside load, balancers are isolated for half a second again and again.

Change: until 1.5 s after its last answer a balancer sends at most its tokens of the bucket as it last was. TestUndeductedHoldFollowsBucket.

--- a/coord/escrow/escrow_test.go
+++ b/coord/escrow/escrow_test.go
@@ -69,7 +69,7 @@
 		rng := rand.New(rand.NewPCG(seed, 1))
 		span := escrow.Span{Start: 0.2, End: 0.2 + 0.3*rng.Float64()}
 		const total = 60
-		h, now := escrow.NewHold(span, "team", total, float64(rng.IntN(total)), start), start
+		h, now := escrow.NewHold(span, "team", total, escrow.Bucket{Level: 10, Rate: 10}, float64(rng.IntN(total)), start), start
 		var sent []time.Time
 		for now.Sub(start) < 20*time.Second {
 			now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)
@@ -83,3 +83,14 @@
 		assert.Assert(t, len(sent) >= min(2*n, 100), "seed %d: %d sent of %d in each window", seed, len(sent), n)
 	}
 }
+
+// TestUndeductedHoldFollowsBucket guards against balancers that each give out all their tokens at once while
+// the others have not noticed yet that they are isolated, and give out the same ones.
+func TestUndeductedHoldFollowsBucket(t *testing.T) {
+	const total = 100
+	for after, want := range map[time.Duration]int{0: 5, time.Second: 10, 2 * time.Second: total / 2} {
+		h := escrow.NewHold(escrow.Span{Start: 0, End: 0.5}, "team", total, escrow.Bucket{Level: 10, Rate: 10}, 0, start)
+		left := h.Left(start.Add(after))
+		assert.Assert(t, left >= want-1 && left <= want+1, "%v: %d, want %d", after, left, want)
+	}
+}
--- a/coord/escrow/hold.go
+++ b/coord/escrow/hold.go
@@ -13,18 +13,25 @@
 // Hold is what an isolated balancer may send of one limit: in any window, as many requests as tokens lie
 // within its span. It is an immutable value.
 type Hold struct {
-	span  Span
-	key   string
-	total int     // tokens of the limit in each window
-	spent float64 // requests that all balancers sent in the window before since
-	since time.Time
-	sent  Recent
+	span   Span
+	key    string
+	total  int     // tokens of the limit in each window
+	before Bucket  // of all balancers, when this one was last in touch with a relay
+	spent  float64 // requests that all balancers sent in the window before since
+	since  time.Time
+	sent   Recent
 }
 
-// NewHold returns the hold of a balancer that is isolated since a time. spent is how many requests all
-// balancers have sent in the window before.
-func NewHold(s Span, key string, total int, spent float64, since time.Time) Hold {
-	return Hold{span: s, key: key, total: total, spent: spent, since: since}
+// Bucket is the token bucket of a limit.
+type Bucket struct {
+	Level float64 // tokens left
+	Rate  float64 // tokens added per second
+}
+
+// NewHold returns the hold of a balancer that was last in touch with a relay at since. The bucket is that of
+// all balancers at that time, and spent how many requests they had sent in the window before.
+func NewHold(s Span, key string, total int, b Bucket, spent float64, since time.Time) Hold {
+	return Hold{span: s, key: key, total: total, before: b, spent: spent, since: since}
 }
 
 // WithTotal returns the hold after the limit has changed to another number of tokens.
@@ -48,7 +55,20 @@
 	}
 	rounding := fraction(h.key + strconv.FormatFloat(h.span.Start, 'g', -1, 64))
 	unspent := 1 - float64(h.spentWithinWindow(now))/float64(h.total)
-	return int(held*max(0, unspent)+rounding) - h.sent.Count(now)
+	return min(int(held*max(0, unspent)+rounding), h.undeducted(now)) - h.sent.Count(now)
+}
+
+// deductedAfter is how long after its last answer a balancer's tokens are deducted elsewhere, at the latest.
+const deductedAfter = 1500 * time.Millisecond
+
+// undeducted returns how many requests may have been sent by now, as far as the others may not have noticed
+// yet that this balancer is isolated and give out what is in the bucket: its tokens of that bucket.
+func (h Hold) undeducted(now time.Time) int {
+	isolatedFor := now.Sub(h.since)
+	if isolatedFor >= deductedAfter {
+		return h.total
+	}
+	return h.span.Tokens(h.key, min(h.total, int(h.before.Level+h.before.Rate*isolatedFor.Seconds())))
 }
 
 // spentWithinWindow returns how many of the requests that were sent before the balancer was isolated are
--- a/coord/quota/hold.go
+++ b/coord/quota/hold.go
@@ -63,14 +63,14 @@
 	if a.onHold {
 		return a.hold.WithTotal(total)
 	}
-	spent, since := l.Rate*escrow.Window.Seconds(), q.answeredAt
+	level, spent, since := 0.0, l.Rate*escrow.Window.Seconds(), q.answeredAt
 	switch {
 	case q.relay:
-		spent, since = float64(a.recent.Count(now)), q.aggregator.LastHeard()
+		level, spent, since = a.tokens, float64(a.recent.Count(now)), q.aggregator.LastHeard()
 	case a.synced:
-		spent, since = a.spent, a.syncedAt
+		level, spent, since = a.snapshotTokens, a.spent, a.syncedAt
 	}
-	h := escrow.NewHold(q.span, teamPrefix+team, total, spent, since)
+	h := escrow.NewHold(q.span, teamPrefix+team, total, escrow.Bucket{Level: max(0, level), Rate: l.Rate}, spent, since)
 	return h.WithSent(int(a.takenSince), now)
 }
 
