--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -6,10 +6,11 @@
 // snapshot of the bucket (Snapshot): how many tokens are left, and how fast the other balancers take
 // them. Between two snapshots a balancer extrapolates: its own requests take tokens, and the other
 // balancers are assumed to take tokens at the same rate as before. An isolated balancer, which gets
-// no snapshots, keeps to the share of the rate that its last snapshot gave it, and the relays deduct
-// the shares of silent balancers from their buckets. So both sides of a partition together stay
+// no snapshots, sends the requests whose tokens were set aside for it (package escrow), and the relays
+// deduct the tokens of silent balancers from their buckets. So both sides of a partition together stay
 // within the quota. Where a balancer's share is only a request or two, its next request waits for a
-// fresh snapshot (Limiter.RefreshIfStale).
+// fresh snapshot (Limiter.RefreshIfStale). From a relay of an earlier version it gets no tokens of its
+// own, and keeps to the share of the rate in its last snapshot.
 //
 // An Account is what one balancer, relay or not, knows of one team's bucket. It is an immutable
 // value; the Limiter holds those of all teams. Neither is safe for concurrent use.
--- a/coord/tally/counter.go
+++ b/coord/tally/counter.go
@@ -96,7 +96,7 @@
 	Immediate time.Duration // after MarkImmediate
 }
 
-// Due returns when the next report is due. The first one is due at once.
+// Due returns when the next report is due; the first one is due at once. ok is always true.
 func (c *Counter) Due(intervals Intervals, now time.Time) (at time.Time, ok bool) {
 	switch {
 	case c.immediate && c.dirty && c.idle:
