--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -9,8 +9,8 @@
 // no snapshots, sends the requests whose tokens were set aside for it (package escrow), and the relays
 // deduct the tokens of silent balancers from their buckets. So both sides of a partition together stay
 // within the quota. Where a balancer's share is only a request or two, its next request waits for a
-// fresh snapshot (Limiter.RefreshIfStale). From a relay of an earlier version it gets no tokens of its
-// own, and keeps to the share of the rate in its last snapshot.
+// fresh snapshot (Limiter.RefreshIfStale). Relays of earlier versions set nothing aside: a balancer that
+// was last in touch with one sends nothing while it is isolated.
 //
 // An Account is what one balancer, relay or not, knows of one team's bucket. It is an immutable
 // value; the Limiter holds those of all teams. Neither is safe for concurrent use.
