balancer, server: log what a planned stop still accepts, and how it came

The lines of a stop were its beginning and the number of requests cut. They could not tell whether a request that was accepted late came on a pipelined connection, on one that is not split into requests, or on a listener that closed late.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -138,7 +138,7 @@
 type Balancer struct {
 	cfg         Config
 	chain       endpoint.Endpoint
-	stopping    atomic.Bool
+	stoppedAt   atomic.Pointer[time.Time] // when the planned stop began; nil before
 	sessions    sync.WaitGroup // upgraded connections, which net/http no longer tracks
 	inFlight    atomic.Int64
 	clients     clients
@@ -171,6 +171,9 @@
 	x.suspendedFor = suspendedFor
 	x.place = pipeline.PlaceOf(r.Context())
 	x.log = b.cfg.RequestLog.Begin(x.id)
+	if stopped := b.stoppedAt.Load(); stopped != nil {
+		b.logDuringStop(x, x.accepted.Sub(*stopped))
+	}
 	ctx := b.cfg.Tracing.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	defer b.finish(x) // also runs when a panic aborts the response
 	if _, err := b.chain(ctx, x); err != nil {
@@ -215,7 +218,7 @@
 
 // Stop begins a planned stop: HTTP/1.1 connections are closed after their last response, so that
 // callers reconnect to another balancer.
-func (b *Balancer) Stop() { b.stopping.Store(true) }
+func (b *Balancer) Stop(now time.Time) { b.stoppedAt.Store(&now) }
 
 // WaitUpgraded waits until all upgraded connections have ended.
 func (b *Balancer) WaitUpgraded() { b.sessions.Wait() }
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -23,6 +23,15 @@
 		Text("team", x.team).Int("version", int64(x.route.Version)).Millis("deadline_ms", timeout).Bool("repeatable", kind.Repeatable).Done()
 }
 
+// logDuringStop logs a request that came after the planned stop began, and counts it.
+func (b *Balancer) logDuringStop(x *exchange, since time.Duration) {
+	arrival := x.place.Arrival()
+	x.log.Line(telemetry.EventDuringStop).Millis("since_ms", since).Int("number", int64(arrival.Number)).
+		Bool("behind", arrival.Behind).Text("protocol", x.r.Proto).Done()
+	x.log.Flush()
+	metrics.GetOrRegisterCounter("stop_requests", b.cfg.Metrics).Inc(1)
+}
+
 // logChosen logs the choice of an endpoint before the request is sent, so that the log shows where
 // the request went even if this process dies. For a non-repeatable request the line is written even
 // above the rate limit of the log.
--- a/balancer/forward.go
+++ b/balancer/forward.go
@@ -42,7 +42,7 @@
 	if err := x.awaitTurn(); err != nil {
 		return err
 	}
-	if b.stopping.Load() && x.r.ProtoMajor == 1 && x.place.Last() {
+	if b.stoppedAt.Load() != nil && x.r.ProtoMajor == 1 && x.place.Last() {
 		x.w.Header().Set("Connection", "close")
 	}
 	return nil
--- a/balancer/pipelined_test.go
+++ b/balancer/pipelined_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/balancer"
@@ -167,7 +168,7 @@
 	<-b.reached
 	<-b.reached
 	b.server.StopAhead()
-	b.balancer.Stop()
+	b.balancer.Stop(time.Now())
 	close(b.release["/safe/1"])
 	body, closes := b.readResponse(t)
 	assert.Equal(t, body, "/safe/1")
@@ -177,3 +178,20 @@
 	assert.Equal(t, body, "/safe/2")
 	assert.Assert(t, closes)
 }
+
+// TestRequestsDuringStopAreLogged: the log shows how each request came that a stopping balancer accepts.
+func TestRequestsDuringStopAreLogged(t *testing.T) {
+	b := newPipelinedHarness(t, "/safe/1")
+	b.sendGets(t, "/safe/1")
+	<-b.reached
+	b.balancer.Stop(time.Now())
+	b.sendGets(t, "/safe/2")
+	<-b.reached
+	close(b.release["/safe/1"])
+	for range 2 {
+		b.readResponse(t)
+	}
+	assert.Assert(t, !strings.Contains(b.log.String(), "accepted during a planned stop: request=/safe/1"))
+	assert.Assert(t, strings.Contains(b.log.String(), "accepted during a planned stop: request=/safe/2"))
+	assert.Assert(t, strings.Contains(b.log.String(), "number=2 behind=true protocol=HTTP/1.1"))
+}
--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -13,6 +13,7 @@
 type ahead struct {
 	conn    *conn
 	request []byte // what is not read of it yet
+	came    Arrival
 	aborted bool   // a read is to return, for net/http
 	done    bool   // it has its response
 	broken  bool   // it was closed without one
@@ -74,6 +75,9 @@
 	return nil
 }
 
+// arrival returns how the request came.
+func (a *ahead) arrival() Arrival { return a.came }
+
 // last reports whether the request is the last one that is served, and sees to it
 // that it stays so.
 func (a *ahead) last() bool {
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -32,6 +32,8 @@
 	inHead   bool     // the request that net/http is reading has no whole header yet
 	behind   bool     // a part of a request behind those that are served has been read
 	deadline deadline
+	requests int     // that were read
+	current  Arrival // of the request that net/http has
 
 	readEnded    bool // nothing more comes from the caller
 	writeLimited bool // a response written ahead has set a deadline for writing
@@ -143,11 +145,14 @@
 	return c.busy
 }
 
-// begin notes that net/http is given a request.
-func (c *conn) begin() {
+// begin notes that net/http is given a request; behind says whether it was read while another one was
+// served.
+func (c *conn) begin(behind bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
+	c.requests++
+	c.current = Arrival{Number: c.requests, Behind: behind}
 	c.ending = c.closing
 	if c.stopping {
 		_ = c.Conn.SetReadDeadline(c.deadline.at) // fails on a closed connection only
@@ -187,6 +192,8 @@
 		return false
 	}
 	c.served = append(c.served, a)
+	c.requests++
+	a.came = Arrival{Number: c.requests, Behind: true}
 	c.behind = behind // before the request can ask for its place
 	c.mu.Unlock()
 	if c.queue.push(a) {
@@ -196,9 +203,18 @@
 	defer c.mu.Unlock()
 	c.ending, c.behind = true, true // the server stops; the request stays unread
 	c.served = slices.DeleteFunc(c.served, func(o *ahead) bool { return o == a })
+	c.requests--
 	return false
 }
 
+// unsplit notes that net/http reads the rest of the connection alone.
+func (c *conn) unsplit() {
+	c.conns.remove(c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = Arrival{}
+}
+
 // idle notes that net/http has served its request.
 func (c *conn) idle() {
 	c.mu.Lock()
@@ -352,6 +368,13 @@
 // wait returns at once: nothing stands before net/http's request.
 func (c *conn) wait() error { return nil }
 
+// arrival returns how net/http's request came.
+func (c *conn) arrival() Arrival {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
 // last reports whether nothing is served behind net/http's request, and sees to it
 // that it stays so.
 func (c *conn) last() bool {
--- a/pipeline/conns.go
+++ b/pipeline/conns.go
@@ -41,6 +41,13 @@
 	s.signal()
 }
 
+// len returns the number of connections.
+func (s *connSet) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // signal closes ended when stopped and no connection is left; s.mu must be held.
 func (s *connSet) signal() {
 	if !s.stopped || len(s.conns) > 0 {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -96,6 +96,9 @@
 	return errors.Join(s.conns.stop(ctx), s.Server.Shutdown(ctx))
 }
 
+// Connections returns the number of open connections that are split into requests.
+func (s *Server) Connections() int { return s.conns.len() }
+
 // connState tells connections when net/http has ended a request, has closed the connection or has
 // handed it to a handler.
 func connState(c net.Conn, state http.ConnState) {
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -14,10 +14,20 @@
 // connection for itself.
 type Place struct{ place place }
 
+// Arrival says how a request came.
+type Arrival struct {
+	// Number is that of the request on its connection, from 1; 0 where this package does not split the
+	// connection into requests.
+	Number int
+	// Behind says that another request of the connection was being served when this one was read.
+	Behind bool
+}
+
 // place is a connection as net/http sees it.
 type place interface {
 	wait() error
 	last() bool
+	arrival() Arrival
 }
 
 type placeKey struct{}
@@ -37,6 +47,14 @@
 	return p.place.wait()
 }
 
+// Arrival returns how the request came.
+func (p Place) Arrival() Arrival {
+	if p.place == nil {
+		return Arrival{}
+	}
+	return p.place.arrival()
+}
+
 // Last reports whether nothing behind this request is being served. If so, nothing
 // will be: the response may close the connection, and what comes behind it is not
 // read.
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -85,7 +85,7 @@
 	switch {
 	case f.form == opaque:
 		r.inHead, r.head, r.rest = false, nil, forever
-		c.conns.remove(c)
+		c.unsplit()
 	case f.form == partial:
 		n := copy(p, r.unread)
 		r.head = append(r.head, r.unread[:n]...)
@@ -104,12 +104,12 @@
 	if n == 0 {
 		return 0, err
 	}
-	c.begin()
+	c.begin(false)
 	f := frameOf(p[:n])
 	switch {
 	case f.form == opaque:
 		r.rest = forever
-		c.conns.remove(c)
+		c.unsplit()
 	case f.form == partial:
 		r.inHead, r.head = true, append([]byte(nil), p[:n]...)
 	case f.length < int64(n):
@@ -123,12 +123,12 @@
 
 // begin gives net/http the request that is unread.
 func (r *reader) begin(c *conn) error {
-	c.begin()
+	c.begin(true)
 	f := frameOf(r.unread)
 	switch {
 	case f.form == opaque:
 		r.rest = forever
-		c.conns.remove(c)
+		c.unsplit()
 	case f.form == partial:
 		r.inHead = true
 	default:
--- a/server/admin.go
+++ b/server/admin.go
@@ -109,6 +109,8 @@
 
 func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.GetOrRegisterGauge("requests_in_flight", s.metrics).Update(s.balancer.InFlight())
+	metrics.GetOrRegisterGauge("caller_connections", s.metrics).Update(int64(s.front.Connections()))
+	metrics.GetOrRegisterGauge("stopping", s.metrics).Update(gaugeOf(s.isStopping()))
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if s.follower != nil {
 		metrics.GetOrRegisterGauge("store_calls", s.metrics).Update(s.follower.Calls())
--- a/server/stop.go
+++ b/server/stop.go
@@ -14,13 +14,15 @@
 func (s *Server) Stop(ctx context.Context) (cut int64, err error) {
 	close(s.stopping)
 	s.front.StopAhead()
-	s.balancer.Stop()
+	began := time.Now()
+	s.balancer.Stop(began)
 	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
 	stop := s.cfg.Settings.Stop.Within()
 	draining, endDrain := context.WithTimeout(ctx, stop.Notice+stop.Limit)
 	defer endDrain()
 	drained := s.drainCarried(draining)
 	s.announce(ctx, stop.Notice)
+	s.cfg.Log.Info("stop closes the listener", "in_flight", s.balancer.InFlight(), "connections", s.front.Connections(), "after", time.Since(began))
 	limited, cancel := context.WithTimeout(ctx, stop.Limit)
 	defer cancel()
 	err = s.front.Shutdown(limited)
@@ -29,7 +31,7 @@
 	}
 	if err != nil {
 		cut = s.balancer.InFlight()
-		s.cfg.Log.Error("stop cuts requests", "in_flight", cut, "error", err)
+		s.cfg.Log.Error("stop cuts requests", "in_flight", cut, "connections", s.front.Connections(), "after", time.Since(began), "error", err)
 		_ = s.front.Close() // what is still open is cut, whatever it says
 	}
 	<-drained
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -29,6 +29,7 @@
 	EventHedgeEnded   = "hedge ended"
 	EventRetry        = "repeat decided"
 	EventEnded        = "ended"
+	EventDuringStop   = "accepted during a planned stop"
 )
 
 // Events lists the lines about requests, in the order of a request's way. Each
@@ -42,6 +43,12 @@
 		{"deadline_ms", "time until the final answer is due"},
 		{"repeatable", "whether the request may run more than once"},
 	}},
+	{EventDuringStop, "The request came after the planned stop of its balancer had begun.", []Field{
+		{"since_ms", "time since the stop began"},
+		{"number", "number of the request on its connection, from 1; 0 where the connection is not split into requests, as with HTTP/2"},
+		{"behind", "whether another request of the connection was being served when this one was read"},
+		{"protocol", "version of HTTP"},
+	}},
 	{EventChosen, "An endpoint was chosen for an attempt.", []Field{
 		{"attempt", "number of the attempt, from 1"},
 		{"endpoint", "identity of the endpoint"},
