--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -31,3 +31,13 @@
 		})
 	}
 }
+
+func TestSlowHandOverDoesNotKeepListenerOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{chooser: slowChooser{takes: 4 * time.Second}}
+		began := time.Now()
+		s.announce(context.Background(), 3*time.Second)
+		assert.Equal(t, time.Since(began), 3*time.Second)
+		time.Sleep(time.Second) // the duties are handed over
+	})
+}
