--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -139,7 +139,7 @@
 	cfg         Config
 	chain       endpoint.Endpoint
 	stoppedAt   atomic.Pointer[time.Time] // when the planned stop began; nil before
-	sessions    sync.WaitGroup // upgraded connections, which net/http no longer tracks
+	sessions    sync.WaitGroup            // upgraded connections, which net/http no longer tracks
 	inFlight    atomic.Int64
 	clients     clients
 	retries     retryBudgets
--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -14,9 +14,9 @@
 	conn    *conn
 	request []byte // what is not read of it yet
 	came    Arrival
-	aborted bool   // a read is to return, for net/http
-	done    bool   // it has its response
-	broken  bool   // it was closed without one
+	aborted bool // a read is to return, for net/http
+	done    bool // it has its response
+	broken  bool // it was closed without one
 }
 
 // Read reads the request. Behind its end it waits, as net/http does to notice that
