balancer: requests, retries, hedges and searches in a stop follow one plan

Callers saw requests that a stopping balancer accepted late and cut at the end of its stop.

All ask drain.Plan now. After the notice a request begins only if its deadline comes before attempts are given up; otherwise it is refused at once with LW2006, and its caller reaches another balancer. An attempt begins only if its latency target fits. When the time is over, attempts are given up with LW3012 (may have run) or LW2006 (not run) rather than by closing the connection, so that responses which are ready behind them are delivered. Over HTTP/2 the first response of a stop tells the caller to go.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/retry"
+	"github.com/lotuswing/lotuswing/coord/verdict"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
 	"go.opentelemetry.io/otel/attribute"
@@ -53,6 +56,9 @@
 func (b *Balancer) acquireEndpoint(ctx context.Context, x *exchange, number int) (placement.Grant, error) {
 	for {
 		x.applySuspension(b.cfg.Suspensions.Check())
+		if err := b.checkAttempt(x, time.Now()); err != nil {
+			return placement.Grant{}, err
+		}
 		if err := b.checkQuarantine(ctx, x); err != nil {
 			return placement.Grant{}, err
 		}
@@ -60,7 +66,7 @@
 		if err != nil {
 			return grant, err
 		}
-		if err := b.recheckKey(x, time.Now()); err != nil {
+		if err := errors.Join(b.recheckKey(x, time.Now()), b.checkAttempt(x, time.Now())); err != nil {
 			b.cfg.Chooser.Complete(grant, placement.Result{Outcome: placement.Unused})
 			return placement.Grant{}, err
 		}
@@ -81,6 +87,10 @@
 	now := time.Now()
 	if refused != nil {
 		refused.Reason = expiryReason(refused.Reason, x.deadline, now)
+		if isStopCut(ctx) {
+			refused.Reason = reason.Stopping
+			b.noteCut(x, "", verdict.NotRun, now)
+		}
 		x.logNoEndpoint(number, refused, now)
 		return placement.Grant{}, refusal{reason: refused.Reason, message: "service " + x.route.ServiceKey(), retryAfter: refused.RetryAfter}
 	}
@@ -97,7 +107,7 @@
 		Service:      x.route.ServiceKey(),
 		Class:        kind.Class,
 		Patience:     remainingPatience(x, time.Now()),
-		Deadline:     x.deadline,
+		Deadline:     b.stopDeadline(x),
 		Avoid:        x.tried,
 		Kind:         x.kindKey(),
 		Accepted:     x.accepted,
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -138,8 +138,8 @@
 type Balancer struct {
 	cfg         Config
 	chain       endpoint.Endpoint
-	stoppedAt   atomic.Pointer[time.Time] // when the planned stop began; nil before
-	sessions    sync.WaitGroup            // upgraded connections, which net/http no longer tracks
+	stop        stopState
+	sessions    sync.WaitGroup // upgraded connections, which net/http no longer tracks
 	inFlight    atomic.Int64
 	clients     clients
 	retries     retryBudgets
@@ -157,8 +157,9 @@
 		retries: retryBudgets{window: cfg.Policy.Retries, byService: map[string]retryBudget{}, hedges: map[string]retry.Window{}},
 		hedges:  newHedges(cfg.Chooser, cfg.Metrics),
 		timers:  timers{registry: cfg.Metrics, byName: map[string]metrics.Timer{}},
+		stop:    newStopState(),
 	}
-	b.chain = endpoint.Chain(b.withSpan("accept"), b.findRoute, b.withSpan("route"), b.authenticate, b.setDeadline, b.enforceQuota, b.withSpan("serve"))(b.serve)
+	b.chain = endpoint.Chain(b.withSpan("accept"), b.findRoute, b.withSpan("route"), b.authenticate, b.setDeadline, b.admitDuringStop, b.enforceQuota, b.withSpan("serve"))(b.serve)
 	return b
 }
 
@@ -171,10 +172,12 @@
 	x.suspendedFor = suspendedFor
 	x.place = pipeline.PlaceOf(r.Context())
 	x.log = b.cfg.RequestLog.Begin(x.id)
-	if stopped := b.stoppedAt.Load(); stopped != nil {
-		b.logDuringStop(x, x.accepted.Sub(*stopped))
+	if plan := b.stop.plan(); plan.Stopping() {
+		b.logDuringStop(x, plan, x.accepted)
 	}
 	ctx := b.cfg.Tracing.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, release := b.stop.bind(ctx)
+	defer release()
 	defer b.finish(x) // also runs when a panic aborts the response
 	if _, err := b.chain(ctx, x); err != nil {
 		b.refuse(x, err)
@@ -216,9 +219,5 @@
 // InFlight returns the number of requests being served.
 func (b *Balancer) InFlight() int64 { return b.inFlight.Load() }
 
-// Stop begins a planned stop: HTTP/1.1 connections are closed after their last response, so that
-// callers reconnect to another balancer.
-func (b *Balancer) Stop(now time.Time) { b.stoppedAt.Store(&now) }
-
 // WaitUpgraded waits until all upgraded connections have ended.
 func (b *Balancer) WaitUpgraded() { b.sessions.Wait() }
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/drain"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/coord/verdict"
@@ -24,14 +25,23 @@
 }
 
 // logDuringStop logs a request that came after the planned stop began, and counts it.
-func (b *Balancer) logDuringStop(x *exchange, since time.Duration) {
+func (b *Balancer) logDuringStop(x *exchange, plan drain.Plan, now time.Time) {
 	arrival := x.place.Arrival()
-	x.log.Line(telemetry.EventDuringStop).Millis("since_ms", since).Int("number", int64(arrival.Number)).
+	x.log.Line(telemetry.EventDuringStop).Millis("since_ms", now.Sub(plan.Began())).Text("phase", plan.Phase(now).String()).Int("number", int64(arrival.Number)).
 		Bool("behind", arrival.Behind).Text("protocol", x.r.Proto).Done()
 	x.log.Flush()
 	metrics.GetOrRegisterCounter("stop_requests", b.cfg.Metrics).Inc(1)
 }
 
+// logCut logs a request that a planned stop gave up. since is when it was accepted, counted from when
+// the stop began, and after how long it was given up. endpointID is empty if it was not sent.
+func (x *exchange) logCut(endpointID string, v verdict.Verdict, since, after time.Duration) {
+	arrival := x.place.Arrival()
+	x.log.Line(telemetry.EventStopCut).Millis("since_ms", since).Millis("after_ms", after).Text("endpoint", endpointID).
+		Text("verdict", v.String()).Int("number", int64(arrival.Number)).Bool("behind", arrival.Behind).Done()
+	x.log.Flush()
+}
+
 // logChosen logs the choice of an endpoint before the request is sent, so that the log shows where
 // the request went even if this process dies. For a non-repeatable request the line is written even
 // above the rate limit of the log.
--- a/balancer/forward.go
+++ b/balancer/forward.go
@@ -36,13 +36,14 @@
 }
 
 // beginResponse waits until all earlier requests on the connection have their responses. In a
-// planned stop, the last response on an HTTP/1.1 connection closes it, so that the caller
-// reconnects to another balancer.
+// planned stop, the last response on a connection closes it, so that the caller reconnects to another
+// balancer; over HTTP/2, net/http tells the caller with the first response and serves the streams that
+// have begun.
 func (b *Balancer) beginResponse(x *exchange) error {
 	if err := x.awaitTurn(); err != nil {
 		return err
 	}
-	if b.stoppedAt.Load() != nil && x.r.ProtoMajor == 1 && x.place.Last() {
+	if b.stop.plan().Stopping() && x.place.Last() {
 		x.w.Header().Set("Connection", "close")
 	}
 	return nil
--- a/balancer/hedge.go
+++ b/balancer/hedge.go
@@ -34,6 +34,7 @@
 	deniedSuspected  hedgeDenial = "suspected"
 	deniedKey        hedgeDenial = "key"
 	deniedSuspended  hedgeDenial = "suspended"
+	deniedStopping   hedgeDenial = "stopping"
 )
 
 // hedges holds what is learned of each request kind, and the metrics.
@@ -116,6 +117,8 @@
 	switch {
 	case b.cfg.Suspensions.Check() != x.suspendedFor:
 		return deniedSuspended // it is unknown how late the response is
+	case !b.stop.plan().BeginsHedge(x.expectedTime(now), now):
+		return deniedStopping
 	case !b.hedges.order.HasRoom(x.route.ServiceKey()):
 		return deniedNoRoom
 	case !b.hedges.allows(x.kindKey(), now):
--- a/balancer/hedge_test.go
+++ b/balancer/hedge_test.go
@@ -293,6 +293,7 @@
 			c.Policy.Retries = &retry.WindowLimit{Span: 10 * time.Second}
 		},
 		"no-room":     func(u *urgencyChooser, _ *balancer.Config) { u.full.Store(true) },
+		"stopping":    func(*urgencyChooser, *balancer.Config) {},
 		"no-endpoint": func(u *urgencyChooser, _ *balancer.Config) { u.endpoints = u.endpoints[:1] },
 		"suspected": func(_ *urgencyChooser, c *balancer.Config) {
 			c.Quarantine = &fakeQuarantine{suspects: true, admissions: []quarantine.Admission{{}}}
@@ -300,6 +301,9 @@
 	} {
 		t.Run(why, func(t *testing.T) {
 			h := newHedgeHarness(t, func(c *balancer.Config) { change(c.Chooser.(*urgencyChooser), c) })
+			if why == "stopping" {
+				h.balancer.Stop(drainingPlan(time.Hour + time.Minute)) // longer than the request may take
+			}
 			done := h.begin(t.Context(), t, "/safe/x", "body")
 			<-h.endpoints[0].arrived
 			h.awaitCount("hedges_denied", 1)
--- a/balancer/pipelined_test.go
+++ b/balancer/pipelined_test.go
@@ -50,6 +50,7 @@
 // endpoint that blocks on some paths until the test releases them.
 type pipelinedHarness struct {
 	balancer  *balancer.Balancer
+	chooser   *prefixChooser
 	server    *pipeline.Server
 	log       lockedBuffer
 	reached   chan string
@@ -68,6 +69,7 @@
 	endpoint := httptest.NewServer(http.HandlerFunc(b.serveEndpoint))
 	t.Cleanup(endpoint.Close)
 	chooser := newPrefixChooser()
+	b.chooser = chooser
 	chooser.endpoints = []placement.Endpoint{{VM: "e0", Addr: endpoint.Listener.Addr().String()}}
 	tracing, err := telemetry.NewTracing("none", io.Discard)
 	assert.NilError(t, err)
@@ -168,7 +170,7 @@
 	<-b.reached
 	<-b.reached
 	b.server.StopAhead()
-	b.balancer.Stop(time.Now())
+	b.balancer.Stop(stopPlan(time.Now()))
 	close(b.release["/safe/1"])
 	body, closes := b.readResponse(t)
 	assert.Equal(t, body, "/safe/1")
@@ -184,7 +186,7 @@
 	b := newPipelinedHarness(t, "/safe/1")
 	b.sendGets(t, "/safe/1")
 	<-b.reached
-	b.balancer.Stop(time.Now())
+	b.balancer.Stop(stopPlan(time.Now()))
 	b.sendGets(t, "/safe/2")
 	<-b.reached
 	close(b.release["/safe/1"])
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -21,6 +21,9 @@
 		if err := x.awaitTurn(); err != nil {
 			return nil, refusal{reason: reason.CallerLeft, message: err.Error()}
 		}
+		if err := b.checkStop(x, time.Now()); err != nil {
+			return nil, err
+		}
 	}
 	if err := b.prepareRequest(ctx, x); err != nil {
 		return nil, err
@@ -38,7 +41,7 @@
 			return nil, b.deliver(x, &a)
 		}
 		b.completeFailed(x, &a)
-		if !b.claimRetry(x, &a, time.Now()) {
+		if isStopCut(ctx) || !b.claimRetry(x, &a, time.Now()) {
 			return nil, b.giveUp(ctx, x, &a)
 		}
 		a.result.Close()
@@ -70,7 +73,9 @@
 	if x.callerLeft() {
 		return false
 	}
-	d := b.retries.claim(x.route.ServiceKey(), x.retryRequest(), a.retryAttempt(x.body), now)
+	request := x.retryRequest()
+	request.Stopping = b.checkAttempt(x, now) != nil
+	d := b.retries.claim(x.route.ServiceKey(), request, a.retryAttempt(x.body), now)
 	x.logRetry(d, a.number)
 	return d.Again
 }
@@ -126,11 +131,15 @@
 		return nil
 	}
 	res.Close()
+	if isStopCut(ctx) {
+		res.Reason = stopReason(res.Verdict)
+		b.noteCut(x, a.grant.Endpoint.VM, res.Verdict, time.Now())
+	}
 	message := "service " + x.route.ServiceKey()
 	if res.Err != nil {
 		message += ": " + res.Err.Error()
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !isStopCut(ctx) {
 		message += " (caller left)"
 	}
 	return refusal{verdict: res.Verdict, reason: res.Reason, message: message, retryAfter: retryAfter}
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -41,6 +41,7 @@
 	ResponseInvalid     Code = "LW3009"
 	ResponseTruncated   Code = "LW3010"
 	Withdrawn           Code = "LW3011"
+	StopEnded           Code = "LW3012"
 )
 
 // firstRelease is the version of the first release.
@@ -61,7 +62,7 @@
 	{Expired, "patience ended while waiting", "The request waited as long as its patience allowed and no slot became free.", "Look at 'lotusctl status' for endpoints that are slow or ejected.", 503, firstRelease, Warning},
 	{NoEndpoint, "no usable endpoint", "Every endpoint of the service is leaving, ejected or unknown.", "Check the list of VMs and the service's endpoints.", 503, firstRelease, Urgent},
 	{CallerLeft, "caller left while waiting", "The caller closed its connection or cancelled before the request was sent.", "Nothing; callers that often leave need a shorter patience.", 499, firstRelease, Info},
-	{Stopping, "balancer is stopping", "The balancer is in a planned stop and takes no new requests.", "Nothing: the caller retries and reaches another balancer.", 503, firstRelease, Info},
+	{Stopping, "balancer is stopping", "The balancer is in a planned stop, and the time that is left of it is less than the request may take. It was refused at once and not sent.", "Nothing: the caller comes back at once and reaches another balancer. 'lotusctl stops' shows the stop; if its balancers are killed early, raise 'stop.grace' to the time after which that happens.", 503, firstRelease, Info},
 	{RetryExhausted, "retries used up", "Endpoints refused the request and the retry budget or the attempt limit is spent.", "Look for endpoints that reject everything; they are ejected on their own.", 503, firstRelease, Warning},
 	{DeadlineWaiting, "deadline passed before sending", "The request's whole time ran out while it waited for a slot or a connection. Nothing was sent.", "Give the request more time or the service more endpoints.", 504, firstRelease, Warning},
 	{Evacuated, "all endpoints are in zones that are being emptied", "An operator empties each availability zone in which the service has endpoints. The request was not sent.", "Take one of the zones back, or add endpoints in another; 'lotusctl status' names the zones.", 503, "0.2.0", Urgent},
@@ -84,4 +85,5 @@
 	{ResponseInvalid, "the answer is not the endpoint's own", "The answer lacks the signature of an endpoint, or its body is encoded though nobody asked for that. It was discarded with its connection.", "As for LW3004; if it lasts, take the endpoint out and report the fault.", 502, "0.2.0", Warning},
 	{ResponseTruncated, "the answer was cut short", "The endpoint began an answer and the connection failed before its end. Nothing of it was passed on.", "As for LW3004; look for endpoints that crash.", 502, "0.2.0", Warning},
 	{Withdrawn, "the endpoint wants no more requests", "The endpoint said that it leaves, or wants no requests for a while, after it was chosen and before the request was written. Nothing was sent.", "Nothing: another endpoint is chosen. 'lotusctl said' shows what endpoints say of themselves.", 503, "0.3.0", Info},
+	{StopEnded, "the balancer's stop ended before the response", "The balancer is in a planned stop whose time is over, and the endpoint was still working on the request. It may have run.", "As for LW3004. If it happens often, give 'stop.limit' and 'stop.grace' the time that requests take; the log line 'given up by a planned stop' names the endpoint.", 502, "0.4.0", Warning},
 }
--- a/coord/retry/retry.go
+++ b/coord/retry/retry.go
@@ -39,6 +39,7 @@
 	Repeatable  bool
 	MaxAttempts int  // limit of the route; 0 for the default, which depends on MayHaveRun
 	MayHaveRun  bool // one of the attempts may have run, including the last
+	Stopping    bool // a planned stop leaves no time for another attempt
 	OnTrial     bool // suspected of crashing endpoints; not retried after a broken connection
 	Deadline    time.Time
 }
@@ -86,6 +87,8 @@
 		return Decision{Reason: reason.RetryExhausted}
 	case now.After(r.Deadline):
 		return Decision{Reason: reason.TooLate}
+	case r.Stopping:
+		return Decision{Reason: reason.Stopping}
 	}
 	return Decision{Again: true}
 }
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -43,6 +43,7 @@
 		{"connection broke", retry.Request{Repeatable: true, Deadline: soon}, retry.Attempt{Number: 1, Verdict: verdict.MayHaveRun, Replayable: true, Broken: true}, true, ""},
 		{"body not replayable", retry.Request{Deadline: soon}, retry.Attempt{Number: 1, Verdict: verdict.NotRun}, true, reason.RetryExhausted},
 		{"budget used up", retry.Request{Deadline: soon}, notRun, false, reason.RetryExhausted},
+		{"planned stop leaves no time", retry.Request{Repeatable: true, Stopping: true, Deadline: soon}, notRun, true, reason.Stopping},
 		{"deadline passed", retry.Request{Deadline: past}, notRun, true, reason.TooLate},
 	} {
 		got := retry.Decide(c.request, c.attempt, c.allowed, now)
--- a/server/stop.go
+++ b/server/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/drain"
 	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
@@ -15,7 +16,10 @@
 	close(s.stopping)
 	s.front.StopAhead()
 	began := time.Now()
-	s.balancer.Stop(began)
+	times := s.cfg.Settings.Stop
+	plan := drain.NewPlan(began, drain.Times{Notice: times.Notice, Limit: times.Limit, Grace: times.Grace})
+	s.balancer.Stop(plan)
+	defer time.AfterFunc(time.Until(plan.CutAt()), func() { s.balancer.CutAttempts() }).Stop()
 	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
 	stop := s.cfg.Settings.Stop.Within()
 	draining, endDrain := context.WithTimeout(ctx, stop.Notice+stop.Limit)
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -30,6 +30,7 @@
 	EventRetry        = "repeat decided"
 	EventEnded        = "ended"
 	EventDuringStop   = "accepted during a planned stop"
+	EventStopCut      = "given up by a planned stop"
 )
 
 // Events lists the lines about requests, in the order of a request's way. Each
@@ -45,6 +46,7 @@
 	}},
 	{EventDuringStop, "The request came after the planned stop of its balancer had begun.", []Field{
 		{"since_ms", "time since the stop began"},
+		{"phase", "notice: callers are still sent here; draining: not any more; ending: attempts are given up"},
 		{"number", "number of the request on its connection, from 1; 0 where the connection is not split into requests, as with HTTP/2"},
 		{"behind", "whether another request of the connection was being served when this one was read"},
 		{"protocol", "version of HTTP"},
@@ -99,7 +101,7 @@
 		{"probes", "endpoints asked for this choice"},
 	}},
 	{EventHedgeDenied, "The response is late, but there is no second attempt beside the first.", []Field{
-		{"why", "no-room: capacity is short; no-budget: retry budget; share: too many of its kind; no-endpoint: no other one in time; suspected: of crashing endpoints; key: no longer valid; suspended: the VM was"},
+		{"why", "no-room: capacity is short; no-budget: retry budget; share: too many of its kind; no-endpoint: no other one in time; suspected: of crashing endpoints; key: no longer valid; suspended: the VM was; stopping: the balancer is"},
 		{"after_ms", "time since the first attempt was sent"},
 	}},
 	{EventHedgeEnded, "What became of the second attempt beside the first.", []Field{
@@ -114,6 +116,14 @@
 		{"attempts", "attempts made"},
 		{"most", "attempts allowed by the route"},
 	}},
+	{EventStopCut, "A planned stop ended before the request; its caller gets a response that says so.", []Field{
+		{"since_ms", "when the request was accepted, counted from when the stop began; negative before"},
+		{"after_ms", "time since then"},
+		{"endpoint", "identity of the endpoint that had it; empty where it was not sent"},
+		{"verdict", "not-run or may-have-run"},
+		{"number", "number of the request on its connection, as above"},
+		{"behind", "whether another request of the connection was being served when this one was read"},
+	}},
 	{EventEnded, "The final answer.", []Field{
 		{"verdict", "ran, not-run or may-have-run"},
 		{"reason", "reason code; empty for an endpoint's own answer"},
