--- a/balancer/stop.go
+++ b/balancer/stop.go
@@ -58,8 +58,8 @@
 
 // CutAttempts gives up all attempts of a planned stop. Their callers get a response that says whether
 // the request may have run. It returns the number of requests in flight.
-func (b *Balancer) CutAttempts() int64 {
-	cut := b.InFlight()
+func (b *Balancer) CutAttempts() int {
+	cut := int(b.InFlight())
 	b.stop.cutAll(errStopCut)
 	return cut
 }
