pipeline: seal a connection when a response begins in a planned stop

Callers saw requests accepted seconds after the notice and cut at the limit. A caller with two or more requests outstanding always had a part of one behind, so that Place.Last was never true and no response closed the connection.

BeginStop replaces StopAhead. Place.Last now seals the connection: nothing more is read of requests that have not begun, a read that is under way for one is woken and waited for, and what was read of a request in part is dropped. Last is true exactly when no request behind has been read whole. The reads of a body of a request that has begun are left alone. Server.Shutdown seals all connections. Requests are still served ahead during the notice.

--- a/balancer/pipelined_test.go
+++ b/balancer/pipelined_test.go
@@ -167,7 +167,7 @@
 	b.sendGets(t, "/safe/1", "/safe/2")
 	<-b.reached
 	<-b.reached
-	b.server.StopAhead()
+	b.server.BeginStop()
 	b.balancer.Stop(time.Now())
 	close(b.release["/safe/1"])
 	body, closes := b.readResponse(t)
--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -78,19 +78,6 @@
 // arrival returns how the request came.
 func (a *ahead) arrival() Arrival { return a.came }
 
-// last reports whether the request is the last one that is served, and sees to it
-// that it stays so.
-func (a *ahead) last() bool {
-	c := a.conn
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.behind || len(c.served) > 0 && c.served[len(c.served)-1] != a {
-		return false
-	}
-	c.ending = true
-	return true
-}
-
 // SetReadDeadline lets a waiting read return if the time has passed. A later one is
 // left out: the request is there whole, so that nothing else is waited for.
 func (a *ahead) SetReadDeadline(t time.Time) error {
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -30,7 +30,8 @@
 	dead     bool     // it has ended
 	stopping bool     // it ends when all requests that were read have their responses
 	inHead   bool     // the request that net/http is reading has no whole header yet
-	behind   bool     // a part of a request behind those that are served has been read
+	sealed   bool     // nothing more is read of requests that have not begun
+	reading  reading
 	deadline deadline
 	requests int     // that were read
 	current  Arrival // of the request that net/http has
@@ -69,9 +70,11 @@
 // Read reads what net/http is to read of the connection: requests, when all before
 // them are answered. Those that can be served ahead are handed to the queue instead.
 func (c *conn) Read(p []byte) (int, error) {
+	c.setReading(working)
+	defer c.setReading(resting)
 	for {
 		n, err := c.reader.read(c, p)
-		c.noteRead(c.reader.inHead, c.reader.hasBehind())
+		c.noteRead(c.reader.inHead)
 		if errors.Is(err, errAgain) {
 			continue
 		}
@@ -79,9 +82,14 @@
 	}
 }
 
-// receive reads from the caller.
-func (c *conn) receive(p []byte) (int, error) {
+// receive reads from the caller. Of a request that has not begun, it reads nothing once the connection
+// is sealed, and returns errAgain.
+func (c *conn) receive(p []byte, from reading) (int, error) {
+	if !c.mayReceive(from) {
+		return 0, errAgain
+	}
 	n, err := c.Conn.Read(p)
+	c.setReading(working)
 	switch {
 	case n > 0:
 		return n, nil // an error comes again with the next read
@@ -154,7 +162,7 @@
 	c.requests++
 	c.current = Arrival{Number: c.requests, Behind: behind}
 	c.ending = c.closing
-	if c.stopping {
+	if c.stopping || c.sealed {
 		_ = c.Conn.SetReadDeadline(c.deadline.at) // fails on a closed connection only
 	}
 	if c.writeLimited {
@@ -168,6 +176,9 @@
 func (c *conn) hold() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = resting // the reader stays as it is
+	defer func() { c.reading = working }()
+	c.changed.Broadcast()
 	before := len(c.served)
 	for {
 		switch {
@@ -182,9 +193,9 @@
 	}
 }
 
-// serveAhead lets a request be served ahead; behind says whether a part of a request behind it has been
-// read. It returns false if there are too many or no other one may begin.
-func (c *conn) serveAhead(request []byte, behind bool) bool {
+// serveAhead lets a request be served ahead. It returns false if there are too many or no other one may
+// begin.
+func (c *conn) serveAhead(request []byte) bool {
 	a := &ahead{conn: c, request: slices.Clone(request)}
 	c.mu.Lock()
 	if c.ending || c.dead || len(c.served) >= maxAhead {
@@ -194,14 +205,13 @@
 	c.served = append(c.served, a)
 	c.requests++
 	a.came = Arrival{Number: c.requests, Behind: true}
-	c.behind = behind // before the request can ask for its place
 	c.mu.Unlock()
 	if c.queue.push(a) {
 		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending, c.behind = true, true // the server stops; the request stays unread
+	c.ending = true // the server stops; the request stays unread
 	c.served = slices.DeleteFunc(c.served, func(o *ahead) bool { return o == a })
 	c.requests--
 	return false
@@ -261,13 +271,13 @@
 }
 
 // noteRead records how far the caller's requests have been read.
-func (c *conn) noteRead(inHead, behind bool) {
+func (c *conn) noteRead(inHead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopping && c.inHead && !inHead {
 		_ = c.Conn.SetReadDeadline(c.deadline.at) // fails on a closed connection only
 	}
-	c.inHead, c.behind = inHead, behind
+	c.inHead = inHead
 	c.wakeIfStopping()
 }
 
@@ -282,7 +292,10 @@
 func (c *conn) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopping = true
+	c.stopping, c.sealed = true, true
+	if c.reading == readingNext {
+		_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection only
+	}
 	c.wakeIfStopping()
 }
 
@@ -374,15 +387,3 @@
 	defer c.mu.Unlock()
 	return c.current
 }
-
-// last reports whether nothing is served behind net/http's request, and sees to it
-// that it stays so.
-func (c *conn) last() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.served) > 0 || c.behind {
-		return false
-	}
-	c.ending = true
-	return true
-}
--- a/pipeline/conns.go
+++ b/pipeline/conns.go
@@ -11,10 +11,11 @@
 // http.Server.Shutdown cannot end them. It closes a connection whose request has been read but has not
 // reached net/http yet, and drops a request that net/http reads after Shutdown has begun.
 type connSet struct {
-	mu      sync.Mutex
-	conns   map[*conn]bool
-	stopped bool
-	ended   chan struct{} // closed when stopped and no connection is left
+	mu       sync.Mutex
+	conns    map[*conn]bool
+	stopping bool // a planned stop has begun
+	stopped  bool
+	ended    chan struct{} // closed when stopped and no connection is left
 }
 
 func newConnSet() *connSet {
@@ -60,6 +61,13 @@
 	}
 }
 
+// beginStop notes that a planned stop has begun.
+func (s *connSet) beginStop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
 // stop stops all connections and waits until they have ended, or ctx ends.
 func (s *connSet) stop(ctx context.Context) error {
 	s.mu.Lock()
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -83,9 +83,10 @@
 	return err
 }
 
-// StopAhead lets no other request be served ahead; those that are have their
-// responses first. It is the first step of a planned stop.
-func (s *Server) StopAhead() { s.ahead.stop() }
+// BeginStop is the first step of a planned stop. Connections are still accepted, and requests are still
+// served ahead. A connection on which a response begins is sealed (Place.Last): nothing more is read of
+// requests that have not begun, and the last one that was read whole closes it.
+func (s *Server) BeginStop() { s.conns.beginStop() }
 
 // Shutdown accepts no other connection and ends the server when all requests that were
 // read have their responses, or when ctx ends. The shutdown of net/http begins after that; it
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -55,7 +55,7 @@
 	return p.place.arrival()
 }
 
-// Last reports whether nothing behind this request is being served. If so, nothing
-// will be: the response may close the connection, and what comes behind it is not
-// read.
+// Last seals the request's connection, and reports whether no request behind this one has been read
+// whole. If so, none will be, and the response is to close the connection. It is to be asked in a planned
+// stop (Server.BeginStop), at the request's turn and before the header of its response is written.
 func (p Place) Last() bool { return p.place == nil || p.place.last() }
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -35,22 +35,18 @@
 		return r.readRest(c, p)
 	case r.inHead:
 		return r.readHead(c, p)
+	case len(r.unread) == 0 && c.isFree() && c.isSealed():
+		return 0, io.EOF // all that was read is answered
 	case len(r.unread) == 0 && c.isFree() && len(p) >= directBytes:
 		return r.readDirect(c, p[:min(len(p), maxHead)])
 	case len(r.unread) == 0:
-		return 0, r.fill(c)
+		return 0, r.fill(c, readingNext)
 	case c.isFree():
 		return 0, r.begin(c)
 	}
 	return 0, r.readAhead(c)
 }
 
-// hasBehind reports whether something is unread that belongs to a request behind the one that net/http
-// is reading.
-func (r *reader) hasBehind() bool {
-	return !r.inHead && r.rest != forever && int64(len(r.unread)) > r.rest
-}
-
 // readRest reads bytes of a request whose end is known.
 func (r *reader) readRest(c *conn, p []byte) (int, error) {
 	if r.rest > 0 {
@@ -66,7 +62,7 @@
 // take reads what is unread, else from the caller.
 func (r *reader) take(c *conn, p []byte) (int, error) {
 	if len(r.unread) == 0 {
-		return c.receive(p)
+		return c.receive(p, readingBody)
 	}
 	n := copy(p, r.unread)
 	r.drop(n)
@@ -76,7 +72,7 @@
 // readHead reads bytes of a request until its header is whole.
 func (r *reader) readHead(c *conn, p []byte) (int, error) {
 	if len(r.unread) == 0 {
-		if err := r.fill(c); len(r.unread) == 0 {
+		if err := r.fill(c, readingBody); len(r.unread) == 0 {
 			return 0, err
 		}
 	}
@@ -100,7 +96,7 @@
 
 // readDirect reads the start of a request from the caller into net/http's buffer.
 func (r *reader) readDirect(c *conn, p []byte) (int, error) {
-	n, err := c.receive(p)
+	n, err := c.receive(p, readingNext)
 	if n == 0 {
 		return 0, err
 	}
@@ -143,25 +139,34 @@
 	f := frameOf(r.unread)
 	switch {
 	case f.form == partial && !r.ended:
-		return r.fill(c)
-	case f.form == simple && c.serveAhead(r.unread[:f.length], len(r.unread) > int(f.length)):
+		return r.fill(c, readingNext)
+	case f.form == simple && c.serveAhead(r.unread[:f.length]):
 		r.drop(int(f.length))
 		return errAgain
 	}
+	return r.await(c)
+}
+
+// await waits until the connection changes: it returns errAgain.
+func (r *reader) await(c *conn) error {
 	if err := c.hold(); err != nil {
 		return err
 	}
 	return errAgain
 }
 
-// fill reads more from the caller, to be looked at: it returns errAgain.
-func (r *reader) fill(c *conn) error {
+// fill reads more from the caller, to be looked at: it returns errAgain. On a sealed connection it waits
+// until something changes instead.
+func (r *reader) fill(c *conn, from reading) error {
+	if from == readingNext && c.isSealed() {
+		return r.await(c)
+	}
 	if r.buffer == nil {
 		r.buffer = buffers.Get().(*[]byte)
 	}
 	kept := copy(*r.buffer, r.unread)
 	r.unread = (*r.buffer)[:kept]
-	n, err := c.receive((*r.buffer)[kept:])
+	n, err := c.receive((*r.buffer)[kept:], from)
 	r.unread = (*r.buffer)[:kept+n]
 	if errors.Is(err, io.EOF) && kept > 0 {
 		r.ended = true // net/http is to see what is unread, when it is its turn
--- /dev/null
+++ b/pipeline/seal.go
@@ -0,0 +1,104 @@
+package pipeline
+
+// reading says what a connection's reader does. What it has read may be looked at while it rests.
+type reading uint8
+
+const (
+	resting     reading = iota // no read is under way, or it waits for its turn
+	working                    // it hands on what has been read
+	readingBody                // it waits for more of the request that net/http has; nothing is unread
+	readingNext                // it waits for a request that has not begun
+)
+
+// setReading notes what the reader does.
+func (c *conn) setReading(r reading) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = r
+	c.changed.Broadcast()
+}
+
+// mayReceive notes that the reader waits for the caller, and reports whether it may.
+func (c *conn) mayReceive(from reading) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed && from == readingNext {
+		return false
+	}
+	c.reading = from
+	c.changed.Broadcast()
+	return true
+}
+
+// isSealed reports whether nothing more is read of requests that have not begun.
+func (c *conn) isSealed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sealed
+}
+
+// seal ends the reading of requests that have not begun, and reports whether one that has not begun was
+// read whole; c.mu must be held. What was read of a request in part is dropped.
+func (c *conn) seal() (behind bool) {
+	c.sealed = true
+	for !c.dead && c.reading != resting && c.reading != readingBody {
+		if c.reading == readingNext {
+			_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection, whose read returns anyway
+		}
+		c.changed.Wait()
+	}
+	return c.reading == resting && !c.dead && c.reader.seal()
+}
+
+// last reports whether no request behind net/http's has been read, and sees to it that it stays so.
+func (c *conn) last() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seal() || len(c.served) > 0 {
+		return false
+	}
+	c.ending = true
+	return true
+}
+
+// last reports whether no request behind this one has been read, and sees to it that it stays so.
+func (a *ahead) last() bool {
+	c := a.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seal() || len(c.served) > 0 && c.served[len(c.served)-1] != a {
+		return false
+	}
+	c.ending = true
+	return true
+}
+
+// seal keeps of what is unread the request that net/http has and those behind it that are there whole,
+// and reports whether there are any of the latter.
+func (r *reader) seal() (behind bool) {
+	if r.inHead || r.rest == forever || r.rest > int64(len(r.unread)) {
+		return false
+	}
+	own := int(r.rest)
+	end := own + wholeRequests(r.unread[own:])
+	if r.unread = r.unread[:end]; end == 0 {
+		r.drop(0)
+	}
+	return end > own
+}
+
+// wholeRequests returns the length of the requests that are whole at the start of p. One whose end is
+// not known ends with p.
+func wholeRequests(p []byte) (n int) {
+	for n < len(p) {
+		f := frameOf(p[n:])
+		switch {
+		case f.form == opaque:
+			return len(p)
+		case f.form == partial, f.length > int64(len(p)-n):
+			return n
+		}
+		n += int(f.length)
+	}
+	return n
+}
--- a/pipeline/shutdown_test.go
+++ b/pipeline/shutdown_test.go
@@ -96,7 +96,7 @@
 // beginStop begins a planned stop, as before the server's shutdown.
 func (s *stopTest) beginStop() {
 	s.stopping.Store(true)
-	s.server.StopAhead()
+	s.server.BeginStop()
 }
 
 // shutdown begins the server's shutdown and returns its result later.
--- a/pipeline/stop_test.go
+++ b/pipeline/stop_test.go
@@ -114,7 +114,7 @@
 
 // beginStop begins a planned stop.
 func (s *stoppable) beginStop() {
-	s.StopAhead()
+	s.BeginStop()
 	s.stopping.Store(true)
 }
 
--- a/server/stop.go
+++ b/server/stop.go
@@ -13,7 +13,7 @@
 // the limit ended first.
 func (s *Server) Stop(ctx context.Context) (cut int64, err error) {
 	close(s.stopping)
-	s.front.StopAhead()
+	s.front.BeginStop()
 	began := time.Now()
 	s.balancer.Stop(began)
 	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
