pipeline: split connections that carry chunked bodies and Expect

A connection that had once carried a chunked body or Expect: 100-continue was read by net/http alone from then on. A planned stop ended it only when all other connections had ended, and took requests on it until its limit.

A strict scanner (chunks.go) follows chunked bodies to their end, and Expect: 100-continue changes nothing in where a request ends. The reader never asks for more bytes than the body is sure to have, so that nothing behind it is read by accident. What the scanner does not know exactly leaves the rest of the connection to net/http, as before. Such a connection now stays among those that a stop ends: net/http reads on while it has no whole header only if it holds no whole request, so that a read ends it then. A part of a request is no longer answered with 400 by net/http when a stop ends the connection.

TestPipeliningCallerDoesNotHoldStopOpen also has chunked bodies and Expect.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -32,6 +32,8 @@
 	inHead   bool     // the request that net/http is reading has no whole header yet
 	sealed   bool     // nothing more is read of requests that have not begun
 	reading  reading
+	opaque   bool // net/http reads the rest of the connection alone
+	active   bool // net/http has read a header, and has not ended that request
 	deadline deadline
 	requests int     // that were read
 	current  Arrival // of the request that net/http has
@@ -121,8 +123,11 @@
 	switch {
 	case c.dead:
 		return net.ErrClosed
-	case c.deadline.aborted, c.stopping && c.isIdle():
+	case c.deadline.aborted:
 		return os.ErrDeadlineExceeded
+	case c.stopping && c.isIdle():
+		c.end() // before net/http answers the part of a request that it has
+		return net.ErrClosed
 	case len(c.served) > 0:
 		return c.arm(time.Time{})
 	case isPast(c.deadline.at, now):
@@ -219,17 +224,26 @@
 
 // unsplit notes that net/http reads the rest of the connection alone.
 func (c *conn) unsplit() {
-	c.conns.remove(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.current = Arrival{}
+	c.opaque, c.current = true, Arrival{}
+}
+
+// activate notes that net/http has read the header of a request.
+func (c *conn) activate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active = true
+	if c.stopping && c.opaque {
+		_ = c.Conn.SetReadDeadline(c.deadline.at) // fails on a closed connection only
+	}
 }
 
 // idle notes that net/http has served its request.
 func (c *conn) idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy, c.active = false, false
 	c.advance()
 	c.wakeIfStopping()
 }
@@ -282,8 +296,12 @@
 }
 
 // isIdle reports whether no request that has been read is without a response. A request whose header
-// is incomplete has not been read. c.mu must be held.
+// is incomplete has not been read. Of an opaque connection, net/http may hold a request that is whole; it
+// reads no more of the connection before it has begun that one. c.mu must be held.
 func (c *conn) isIdle() bool {
+	if c.opaque {
+		return !c.active
+	}
 	return len(c.served) == 0 && (!c.busy || c.inHead)
 }
 
--- a/pipeline/frame.go
+++ b/pipeline/frame.go
@@ -11,14 +11,24 @@
 const (
 	partial form = iota // the header has not come whole yet
 	simple              // it ends with its header and may be served ahead
-	plain               // it ends at a known length, and is left to its turn
+	plain               // it ends at a known length or with its last chunk, and is left to its turn
 	opaque              // not known here: net/http reads the rest of the connection
 )
 
-// frame is a request's form and, where that is simple or plain, its length in bytes.
+// frame is a request's form and, where that is simple or plain, its length in bytes, without a body that is
+// chunked.
 type frame struct {
-	form   form
-	length int64
+	form    form
+	length  int64
+	chunked bool
+}
+
+// body returns the chunked body behind length.
+func (f frame) body() chunks {
+	if f.chunked {
+		return newChunks()
+	}
+	return chunks{}
 }
 
 var (
@@ -34,8 +44,8 @@
 // frameOf is the rule for where the request ends that begins at the start of p. It
 // knows an ending only where no reader can see another one: each line ends with
 // "\r\n", header fields are names of token characters with values, the length stands
-// at most once, and no field changes how the connection is read. Everything else is
-// opaque, as is a header that is longer than what is read ahead.
+// or the chunked encoding stands at most once, and no other field changes how the connection is read.
+// Everything else is opaque, as is a header that is longer than what is read ahead.
 func frameOf(p []byte) frame {
 	end := bytes.Index(p, headerEnd)
 	switch {
@@ -49,8 +59,12 @@
 	if !requestLine(line) {
 		return frame{form: opaque}
 	}
-	f := frame{form: plain, length: int64(end + len(headerEnd))}
-	body := int64(-1)
+	return frameOfFields(line, fields, frame{form: plain, length: int64(end + len(headerEnd))})
+}
+
+// frameOfFields returns the frame of a request with a header, of which f knows the length.
+func frameOfFields(line, fields []byte, f frame) frame {
+	body, expects := int64(-1), false
 	for len(fields) > 0 {
 		var field []byte
 		field, fields, _ = bytes.Cut(fields, lineEnd)
@@ -64,13 +78,24 @@
 				return frame{form: opaque}
 			}
 			body = n
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			if f.chunked || !isWord(value, "chunked") {
+				return frame{form: opaque}
+			}
+			f.chunked = true
+		case bytes.EqualFold(name, []byte("Expect")):
+			if expects || !isWord(value, "100-continue") {
+				return frame{form: opaque}
+			}
+			expects = true
 		}
 	}
-	if body >= 0 {
+	switch {
+	case f.chunked && body >= 0:
+		return frame{form: opaque}
+	case body >= 0:
 		f.length += body
-		return f
-	}
-	if isSafeMethod(line) {
+	case !f.chunked && !expects && isSafeMethod(line):
 		f.form = simple
 	}
 	return f
@@ -110,7 +135,7 @@
 
 // changesReading reports whether a field may change how the connection is read on.
 func changesReading(name, value []byte) bool {
-	for _, field := range []string{"Transfer-Encoding", "Upgrade", "Expect", "Trailer", "HTTP2-Settings"} {
+	for _, field := range []string{"Upgrade", "Trailer", "HTTP2-Settings"} {
 		if bytes.EqualFold(name, []byte(field)) {
 			return true
 		}
@@ -119,6 +144,11 @@
 		bytes.EqualFold(name, []byte("Content-Length")) && len(value) == 0
 }
 
+// isWord reports whether a value is a word of ASCII letters, in whatever case.
+func isWord(value []byte, word string) bool {
+	return isToken(value) && bytes.EqualFold(value, []byte(word))
+}
+
 // isToken reports whether p is a token of RFC 9110.
 func isToken(p []byte) bool {
 	for _, c := range p {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -106,6 +106,8 @@
 	switch c := c.(type) {
 	case *conn:
 		switch state {
+		case http.StateActive:
+			c.activate()
 		case http.StateIdle:
 			c.idle()
 		case http.StateHijacked, http.StateClosed:
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -315,6 +315,12 @@
 	f.Add([]byte(get+"POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello"+get), 70)
 	f.Add([]byte(get+"POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!"+get), 70)
 	f.Add([]byte(get+"POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"+get), 70)
+	chunked := "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	f.Add([]byte(get+chunked+"5;e=f\r\nhello\r\n00A\r\n0123456789\r\n0\r\nT: u\r\n\r\n"+get+get), 110)
+	f.Add([]byte(chunked+"5\r\nhello\r\n0\r\n\r\n"+chunked+"5\nhello\r\n0\r\n\r\n"+get), 66)
+	f.Add([]byte(chunked+"5\r\nhello!\r\n0\r\n\r\n"+get), 70)
+	f.Add([]byte(chunked+"0\r\n folded\r\n\r\n"+get), 59)
+	f.Add([]byte("POST /b HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"+get), 90)
 	f.Add([]byte(get+"GET /b HTTP/1.0\r\nHost: a\r\n\r\n"+get), 70)
 	f.Add([]byte(get+"GET /b HTTP/1.1\r\n\r\n"+get), 70)
 	f.Add([]byte(get+"GET /b HTTP/1.1\nHost: a\n\n"+get), 70)
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -12,6 +12,7 @@
 	unread []byte  // read from the caller and not handed on; a part of *buffer
 	buffer *[]byte // of the pool; nil while nothing is unread
 	rest   int64   // of the request that net/http is reading, in bytes, or forever
+	chunks chunks  // of that request, behind rest
 	inHead bool    // net/http is reading a request whose header has not come whole
 	head   []byte  // of it, as far as it was handed on
 	ended  bool    // nothing more comes behind what is unread
@@ -31,7 +32,7 @@
 // read reads for net/http, or returns errAgain after something has changed.
 func (r *reader) read(c *conn, p []byte) (int, error) {
 	switch {
-	case r.rest != 0:
+	case r.inBody():
 		return r.readRest(c, p)
 	case r.inHead:
 		return r.readHead(c, p)
@@ -49,16 +50,36 @@
 
 // readRest reads bytes of a request whose end is known.
 func (r *reader) readRest(c *conn, p []byte) (int, error) {
-	if r.rest > 0 {
-		p = p[:min(int64(len(p)), r.rest)]
+	if r.rest == forever {
+		return r.take(c, p)
 	}
-	n, err := r.take(c, p)
-	if r.rest > 0 {
-		r.rest -= int64(n)
+	n, err := r.take(c, p[:min(int64(len(p)), r.rest+r.chunks.need())])
+	if _, ok := r.own(p[:n]); !ok {
+		r.unsplit(c)
 	}
 	return n, err
 }
 
+// inBody reports whether more is to come of the request that net/http is reading, whose header is whole.
+func (r *reader) inBody() bool { return r.rest != 0 || r.chunks.state != chunksEnd }
+
+// own returns how many bytes at the start of p belong to the request that net/http is reading, and takes
+// them as read. It returns false where that is not known.
+func (r *reader) own(p []byte) (n int, ok bool) {
+	n = int(min(r.rest, int64(len(p))))
+	if r.rest -= int64(n); r.rest > 0 {
+		return n, true
+	}
+	more, ok := r.chunks.scan(p[n:])
+	return n + more, ok
+}
+
+// unsplit leaves the rest of the connection to net/http.
+func (r *reader) unsplit(c *conn) {
+	r.rest, r.chunks = forever, chunks{}
+	c.unsplit()
+}
+
 // take reads what is unread, else from the caller.
 func (r *reader) take(c *conn, p []byte) (int, error) {
 	if len(r.unread) == 0 {
@@ -80,15 +101,15 @@
 	f := frameOf(whole)
 	switch {
 	case f.form == opaque:
-		r.inHead, r.head, r.rest = false, nil, forever
-		c.unsplit()
+		r.inHead, r.head = false, nil
+		r.unsplit(c)
 	case f.form == partial:
 		n := copy(p, r.unread)
 		r.head = append(r.head, r.unread[:n]...)
 		r.drop(n)
 		return n, nil
 	default:
-		r.rest = f.length - int64(len(r.head))
+		r.rest, r.chunks = f.length-int64(len(r.head)), f.body()
 		r.inHead, r.head = false, nil
 	}
 	return 0, errAgain
@@ -102,19 +123,24 @@
 	}
 	c.begin(false)
 	f := frameOf(p[:n])
-	switch {
-	case f.form == opaque:
-		r.rest = forever
-		c.unsplit()
-	case f.form == partial:
+	switch f.form {
+	case opaque:
+		r.unsplit(c)
+		return n, nil
+	case partial:
 		r.inHead, r.head = true, append([]byte(nil), p[:n]...)
-	case f.length < int64(n):
-		r.keep(p[f.length:n])
-		n = int(f.length)
-	default:
-		r.rest = f.length - int64(n)
+		return n, nil
 	}
-	return n, nil
+	r.rest, r.chunks = f.length, f.body()
+	own, ok := r.own(p[:n])
+	if !ok {
+		r.unsplit(c)
+		return n, nil
+	}
+	if own < n {
+		r.keep(p[own:n])
+	}
+	return own, nil
 }
 
 // begin gives net/http the request that is unread.
@@ -123,12 +149,11 @@
 	f := frameOf(r.unread)
 	switch {
 	case f.form == opaque:
-		r.rest = forever
-		c.unsplit()
+		r.unsplit(c)
 	case f.form == partial:
 		r.inHead = true
 	default:
-		r.rest = f.length
+		r.rest, r.chunks = f.length, f.body()
 	}
 	return errAgain
 }
--- a/pipeline/seal.go
+++ b/pipeline/seal.go
@@ -76,10 +76,14 @@
 // seal keeps of what is unread the request that net/http has and those behind it that are there whole,
 // and reports whether there are any of the latter.
 func (r *reader) seal() (behind bool) {
-	if r.inHead || r.rest == forever || r.rest > int64(len(r.unread)) {
+	if r.inHead || r.rest == forever {
+		return false
+	}
+	now := *r
+	own, ok := now.own(r.unread)
+	if !ok || now.inBody() {
 		return false
 	}
-	own := int(r.rest)
 	end := own + wholeRequests(r.unread[own:])
 	if r.unread = r.unread[:end]; end == 0 {
 		r.drop(0)
@@ -92,13 +96,18 @@
 func wholeRequests(p []byte) (n int) {
 	for n < len(p) {
 		f := frameOf(p[n:])
+		if f.form == opaque {
+			return len(p)
+		}
+		next := reader{rest: f.length, chunks: f.body()}
+		own, ok := next.own(p[n:])
 		switch {
-		case f.form == opaque:
+		case !ok:
 			return len(p)
-		case f.form == partial, f.length > int64(len(p)-n):
+		case f.form == partial, next.inBody():
 			return n
 		}
-		n += int(f.length)
+		n += own
 	}
 	return n
 }
--- a/pipeline/seal_test.go
+++ b/pipeline/seal_test.go
@@ -1,6 +1,7 @@
 package pipeline_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -85,3 +86,105 @@
 		})
 	}
 }
+
+// TestConnectionEndsWithStopWhateverItCarried: one that is idle ends at once and takes no other request, and
+// one with a request in service as soon as that is answered.
+func TestConnectionEndsWithStopWhateverItCarried(t *testing.T) {
+	const body = "4\r\nbody\r\n0\r\n\r\n"
+	for name, request := range map[string]string{
+		"GET":                  behindGET,
+		"POST":                 behindPOST + "body",
+		"chunked":              "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + body,
+		"Expect":               "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbody",
+		"Expect, chunked":      "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n" + body,
+		"announced trailer":    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n" + body,
+		"odd chunk":            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4 \r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.0, keep-alive": "GET / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n",
+	} {
+		for _, busy := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, in service: %t", name, busy), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newStoppable()
+					conn := s.dial()
+					p := &pipeliner{conn: conn, in: bufio.NewReader(conn)}
+					answered := make(chan bool, 2)
+					go func() {
+						for {
+							response, err := http.ReadResponse(p.in, nil)
+							if err != nil {
+								close(answered)
+								return
+							}
+							if response.StatusCode != http.StatusContinue {
+								answered <- response.Close
+							}
+						}
+					}()
+					_, err := io.WriteString(conn, request)
+					assert.NilError(t, err)
+					if !busy {
+						assert.Equal(t, <-answered, false)
+						_, err = io.WriteString(conn, request)
+						assert.NilError(t, err)
+						<-answered
+					}
+					synctest.Wait()
+					s.beginStop()
+					began := time.Now()
+					assert.NilError(t, s.endNotice())
+					if busy {
+						assert.Equal(t, time.Since(began), serveTime)
+						assert.Equal(t, <-answered, true)
+					} else {
+						assert.Equal(t, time.Since(began), time.Duration(0))
+					}
+					_, open := <-answered
+					assert.Assert(t, !open, "the connection is open")
+					s.close(t)
+				})
+			})
+		}
+	}
+}
+
+// TestOpaqueConnectionServesWhatWasReadInStop: a response that does not close an opaque connection is
+// followed by those of requests that net/http has read already.
+func TestOpaqueConnectionServesWhatWasReadInStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := make(chan struct{})
+		runStopTest(t, gate, func(s *stopTest) {
+			old := "GET /%s HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+			_, err := fmt.Fprintf(s, old+old+"GET /part", "first", "behind")
+			assert.NilError(t, err)
+			synctest.Wait()
+			s.server.BeginStop()
+			stopped := s.shutdown()
+			synctest.Wait()
+			close(gate)
+			assert.Equal(t, s.answer(t), "/first")
+			assert.Equal(t, s.answer(t), "/behind")
+			assert.NilError(t, <-stopped)
+		})
+	})
+}
+
+// TestPartOfRequestIsNotAnsweredInStop: its caller is free to send it elsewhere.
+func TestPartOfRequestIsNotAnsweredInStop(t *testing.T) {
+	for _, part := range []string{"G", "GET / HT", "GET / HTTP/1.1\r\nHost:", "GET / HTTP/1.0\r\nHo"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStoppable()
+			conn := s.dial()
+			_, err := io.WriteString(conn, part)
+			assert.NilError(t, err)
+			synctest.Wait()
+			s.beginStop()
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.endNotice() }()
+			answer, err := io.ReadAll(conn)
+			assert.NilError(t, err)
+			assert.Equal(t, string(answer), "")
+			assert.NilError(t, <-stopped)
+			s.close(t)
+		})
+	}
+}
--- a/pipeline/stop_test.go
+++ b/pipeline/stop_test.go
@@ -60,6 +60,9 @@
 		if err != nil {
 			break
 		}
+		if response.StatusCode == http.StatusContinue {
+			continue
+		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			break
 		}
@@ -135,8 +138,10 @@
 
 func TestPipeliningCallerDoesNotHoldStopOpen(t *testing.T) {
 	for name, request := range map[string]string{
-		"GET":  "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n",
-		"POST": "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody",
+		"GET":     "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST":    "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody",
+		"chunked": "POST /%d HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4;e\r\nbody\r\n0\r\nA: b\r\n\r\n",
+		"Expect":  "POST /%d HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbody",
 	} {
 		for _, outstanding := range []int{1, 2, 16, 100} {
 			t.Run(fmt.Sprintf("%s, %d outstanding", name, outstanding), func(t *testing.T) {
@@ -149,9 +154,12 @@
 					time.Sleep(time.Second)
 					s.beginStop()
 					time.Sleep(stopNotice)
+					began := time.Now()
 					err := s.endNotice()
+					took := time.Since(began)
 					s.close(t)
 					<-ended
+					assert.Equal(t, took, time.Duration(0), "all had been answered")
 					assert.NilError(t, err)
 					assert.Assert(t, p.closed, "no response closed the connection")
 					assert.Equal(t, p.answered, p.read)
