pipeline: end HTTP/2 beside HTTP/1.1 in a planned stop, and close without resets

HTTP/2: callers were told to begin no other stream only when all connections of HTTP/1.1 had ended, so that a stop accepted streams until its limit. The preface is now recognized on a connection's first reads, and such a connection goes to a second http.Server with the same handler and limits, whose shutdown runs at the same time. Its end is seen by the closing of connections, not by polling.

Resets: a connection that was closed with bytes of its caller unread was reset, and the caller could lose a response. In a planned stop, the sending direction is closed first and the whole connection 100 ms later, at the latest when the shutdown's context ends; nothing is read in between.

--- /dev/null
+++ b/pipeline/close.go
@@ -0,0 +1,63 @@
+package pipeline
+
+import (
+	"errors"
+)
+
+// end ends the connection for all its requests; c.mu is held.
+func (c *conn) end() {
+	c.dead = true
+	_ = c.closeConn() // whatever it says, nothing is read or written any more
+	c.changed.Broadcast()
+}
+
+// Close closes the connection. While it is idle towards net/http and requests are
+// served ahead, which is when the caller has ended its own direction, it ends after
+// them.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy && len(c.served) > 0 && !c.dead {
+		c.ending, c.closing = true, true
+		return nil
+	}
+	if c.moved {
+		return nil
+	}
+	c.dead = true
+	c.changed.Broadcast()
+	return c.closeConn()
+}
+
+// errNoHalfClose: the connection cannot end one direction only.
+var errNoHalfClose = errors.New("pipeline: connection has no half close")
+
+// CloseWrite ends the sending direction, as upgraded sessions need.
+func (c *conn) CloseWrite() error {
+	if h, ok := c.Conn.(halfCloser); ok {
+		return h.CloseWrite()
+	}
+	return errNoHalfClose
+}
+
+// closeConn closes the connection; c.mu is held. In a planned stop it ends the sending direction first, and
+// the whole connection a while later: with bytes of the caller unread, that resets the connection, and
+// the caller loses what it has not read of a response.
+func (c *conn) closeConn() error {
+	if c.lingers {
+		return nil
+	}
+	h, ok := c.Conn.(halfCloser)
+	if !ok || c.hijacked || c.requests == 0 || !c.conns.linger(c.Conn) {
+		return c.Conn.Close()
+	}
+	c.lingers = true
+	_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection only
+	if h.CloseWrite() != nil {
+		c.conns.endLinger(c.Conn)
+	}
+	return nil
+}
+
+// halfCloser is a connection that can end its sending direction.
+type halfCloser interface{ CloseWrite() error }
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -17,7 +17,8 @@
 type conn struct {
 	net.Conn
 	queue      *queue
-	conns      *connSet
+	http2      *http2Server // nil for none
+	conns      *connSet[*conn]
 	writeLimit time.Duration
 	reader     reader // used by Read alone, of which net/http has one at a time
 
@@ -38,36 +39,32 @@
 	requests int     // that were read
 	current  Arrival // of the request that net/http has
 
+	moved    bool // another server has it
+	hijacked bool // a handler has it
+	lingers  bool // its sending direction is closed, and the whole of it will be
+
 	readEnded    bool // nothing more comes from the caller
 	writeLimited bool // a response written ahead has set a deadline for writing
 }
 
-// deadline is what net/http has set for reading. While requests are served ahead, the
-// connection is not idle and its deadline is not in force.
-type deadline struct {
-	at      time.Time
-	span    time.Duration // from when it was set
-	aborted bool          // it was past when it was set: a read is to return
-}
-
-// longAgo is a deadline that ends a read at once.
-var longAgo = time.Unix(1, 0)
-
 // errAgain is returned by a read of the caller's connection that ended because the
 // state of the connection changed.
 var errAgain = errors.New("pipeline: connection changed during a read")
 
-// newConn returns a caller's connection, and adds it to conns.
-func newConn(c net.Conn, q *queue, conns *connSet, writeLimit time.Duration) *conn {
-	fc := &conn{Conn: c, queue: q, conns: conns, writeLimit: writeLimit}
-	fc.changed.L = &fc.mu
-	conns.add(fc)
-	return fc
+// newConn returns a caller's connection of a server.
+func newConn(c net.Conn, s *Server) *conn {
+	own := &conn{Conn: c, queue: s.ahead, http2: s.http2, conns: s.conns, writeLimit: s.writeLimit()}
+	own.changed.L = &own.mu
+	s.conns.add(own)
+	return own
 }
 
-// isPast reports whether a deadline has passed. net/http sets one far in the past to
-// end a read.
-func isPast(t, now time.Time) bool { return !t.IsZero() && !t.After(now) }
+// hijack notes that a handler has the connection.
+func (c *conn) hijack() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hijacked = true
+}
 
 // Read reads what net/http is to read of the connection: requests, when all before
 // them are answered. Those that can be served ahead are handed to the queue instead.
@@ -88,7 +85,7 @@
 // is sealed, and returns errAgain.
 func (c *conn) receive(p []byte, from reading) (int, error) {
 	if !c.mayReceive(from) {
-		return 0, errAgain
+		return 0, c.refused()
 	}
 	n, err := c.Conn.Read(p)
 	c.setReading(working)
@@ -115,35 +112,6 @@
 	}
 }
 
-// timedOut returns the error for a read whose deadline passed: errAgain where that was
-// not the deadline that net/http has set, or does not hold now.
-func (c *conn) timedOut(now time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.dead:
-		return net.ErrClosed
-	case c.deadline.aborted:
-		return os.ErrDeadlineExceeded
-	case c.stopping && c.isIdle():
-		c.end() // before net/http answers the part of a request that it has
-		return net.ErrClosed
-	case len(c.served) > 0:
-		return c.arm(time.Time{})
-	case isPast(c.deadline.at, now):
-		return os.ErrDeadlineExceeded
-	}
-	return c.arm(c.deadline.at)
-}
-
-// arm sets the connection's own deadline, for another read; c.mu is held.
-func (c *conn) arm(t time.Time) error {
-	if err := c.Conn.SetReadDeadline(t); err != nil {
-		return err
-	}
-	return errAgain
-}
-
 // isFree reports whether net/http can be given a request.
 func (c *conn) isFree() bool {
 	c.mu.Lock()
@@ -317,85 +285,6 @@
 	c.wakeIfStopping()
 }
 
-// wakeIfStopping ends a read that waits for the next request of a connection that is stopping; c.mu
-// must be held.
-func (c *conn) wakeIfStopping() {
-	if c.stopping && c.isIdle() {
-		_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection only
-	}
-}
-
-// end ends the connection for all its requests; c.mu is held.
-func (c *conn) end() {
-	c.dead = true
-	_ = c.Conn.Close() // whatever it says, nothing is read or written any more
-	c.changed.Broadcast()
-}
-
-// writeAhead writes a part of the response of a request served ahead.
-func (c *conn) writeAhead(p []byte) (int, error) {
-	if err := c.limitWrite(time.Now()); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.end()
-	}
-	return n, err
-}
-
-// limitWrite bounds the next write.
-func (c *conn) limitWrite(now time.Time) error {
-	if c.writeLimit <= 0 {
-		return nil
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writeLimited = true
-	return c.Conn.SetWriteDeadline(now.Add(c.writeLimit))
-}
-
-// Close closes the connection. While it is idle towards net/http and requests are
-// served ahead, which is when the caller has ended its own direction, it ends after
-// them.
-func (c *conn) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.busy && len(c.served) > 0 && !c.dead {
-		c.ending, c.closing = true, true
-		return nil
-	}
-	c.dead = true
-	c.changed.Broadcast()
-	return c.Conn.Close()
-}
-
-// errNoHalfClose: the connection cannot end one direction only.
-var errNoHalfClose = errors.New("pipeline: connection has no half close")
-
-// CloseWrite ends the sending direction, as upgraded sessions need.
-func (c *conn) CloseWrite() error {
-	if h, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return h.CloseWrite()
-	}
-	return errNoHalfClose
-}
-
-// SetReadDeadline sets the deadline of reads.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.deadline = deadline{at: t, span: t.Sub(now), aborted: isPast(t, now)}
-	c.changed.Broadcast()
-	if c.stopping && c.isIdle() {
-		t = longAgo
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
 // wait returns at once: nothing stands before net/http's request.
 func (c *conn) wait() error { return nil }
 
--- a/pipeline/conns.go
+++ b/pipeline/conns.go
@@ -2,28 +2,42 @@
 
 import (
 	"context"
+	"net"
 	"sync"
+	"time"
 )
 
-// connSet holds the callers' connections that end by themselves once it is stopped: each as soon as
-// every request that was read from it has its response.
+// lingerTime is how long a connection that has ended in a planned stop is left open for its caller, who
+// has not read the last response yet.
+const lingerTime = 100 * time.Millisecond
+
+// connSet holds callers' connections that end by themselves once it is stopped: each as soon as every
+// request that was read from it has its response.
 //
-// http.Server.Shutdown cannot end them. It closes a connection whose request has been read but has not
-// reached net/http yet, and drops a request that net/http reads after Shutdown has begun.
-type connSet struct {
-	mu       sync.Mutex
-	conns    map[*conn]bool
-	stopping bool // a planned stop has begun
-	stopped  bool
-	ended    chan struct{} // closed when stopped and no connection is left
+// http.Server.Shutdown cannot end those of HTTP/1. It closes a connection whose request has been read but
+// has not reached net/http yet, and drops a request that net/http reads after Shutdown has begun.
+type connSet[C interface {
+	comparable
+	stop()
+}] struct {
+	mu        sync.Mutex
+	conns     map[C]bool
+	lingering map[net.Conn]bool
+	stopping  bool // a planned stop has begun
+	stopped   bool
+	closed    bool          // connections are cut
+	ended     chan struct{} // closed when stopped and no connection is left
 }
 
-func newConnSet() *connSet {
-	return &connSet{conns: map[*conn]bool{}, ended: make(chan struct{})}
+func newConnSet[C interface {
+	comparable
+	stop()
+}]() *connSet[C] {
+	return &connSet[C]{conns: map[C]bool{}, lingering: map[net.Conn]bool{}, ended: make(chan struct{})}
 }
 
 // add adds a connection that was accepted. If the set is stopped, it stops the connection.
-func (s *connSet) add(c *conn) {
+func (s *connSet[C]) add(c C) {
 	s.mu.Lock()
 	s.conns[c] = true
 	stopped := s.stopped
@@ -33,25 +47,28 @@
 	}
 }
 
-// remove removes a connection that net/http no longer tracks, or that net/http or a handler ends. Those
-// that net/http still tracks its Shutdown waits for, by polling.
-func (s *connSet) remove(c *conn) {
+// remove removes a connection that has ended, or that a handler ends.
+func (s *connSet[C]) remove(c C) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
 	s.signal()
 }
 
-// len returns the number of connections.
-func (s *connSet) len() int {
+// list returns the connections.
+func (s *connSet[C]) list() []C {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	conns := make([]C, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	return conns
 }
 
 // signal closes ended when stopped and no connection is left; s.mu must be held.
-func (s *connSet) signal() {
-	if !s.stopped || len(s.conns) > 0 {
+func (s *connSet[C]) signal() {
+	if !s.stopped || len(s.conns)+len(s.lingering) > 0 {
 		return
 	}
 	select {
@@ -62,29 +79,59 @@
 }
 
 // beginStop notes that a planned stop has begun.
-func (s *connSet) beginStop() {
+func (s *connSet[C]) beginStop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopping = true
 }
 
 // stop stops all connections and waits until they have ended, or ctx ends.
-func (s *connSet) stop(ctx context.Context) error {
+func (s *connSet[C]) stop(ctx context.Context) error {
 	s.mu.Lock()
-	s.stopped = true
+	s.stopping, s.stopped = true, true
 	s.signal()
-	conns := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
 	s.mu.Unlock()
-	for _, c := range conns {
+	for _, c := range s.list() {
 		c.stop()
 	}
 	select {
 	case <-s.ended:
 		return nil
 	case <-ctx.Done():
+		s.cut()
 		return ctx.Err()
 	}
 }
+
+// linger closes a connection in a while, in a planned stop. It returns false if it is to be closed at once.
+func (s *connSet[C]) linger(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopping || s.closed {
+		return false
+	}
+	s.lingering[c] = true
+	time.AfterFunc(lingerTime, func() { s.endLinger(c) })
+	return true
+}
+
+// endLinger closes a connection that lingers.
+func (s *connSet[C]) endLinger(c net.Conn) {
+	_ = c.Close() // whatever it says, it is not used any more
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.lingering, c)
+	s.signal()
+}
+
+// cut closes all connections that linger, and lets no other one do so.
+func (s *connSet[C]) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.lingering {
+		_ = c.Close() // whatever it says, it is not used any more
+	}
+	clear(s.lingering)
+	s.signal()
+}
--- a/pipeline/listener.go
+++ b/pipeline/listener.go
@@ -46,7 +46,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err == nil {
-		return newConn(c, l.server.ahead, l.server.conns, l.server.writeLimit()), nil
+		return newConn(c, l.server), nil
 	}
 	select {
 	case <-l.stopped:
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -53,15 +53,17 @@
 // Server is an http.Server that reads ahead.
 type Server struct {
 	*http.Server
+	http2 *http2Server // nil for none
 	ahead *queue
-	conns *connSet
+	conns *connSet[*conn]
 
 	mu        sync.Mutex
 	listeners []*listener
 }
 
 // New makes a server read ahead. It takes over the hooks ConnState and ConnContext,
-// which must not be set.
+// which must not be set, and HTTP/2 without TLS, which it serves by another http.Server with the same
+// handler and limits.
 func New(s *http.Server) *Server {
 	s.ConnState = connState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -70,17 +72,30 @@
 		}
 		return ctx
 	}
-	return &Server{Server: s, ahead: newQueue(), conns: newConnSet()}
+	return &Server{Server: s, http2: takeHTTP2(s), ahead: newQueue(), conns: newConnSet[*conn]()}
 }
 
 // Serve serves a listener until the server is shut down or closed.
 func (s *Server) Serve(l net.Listener) error {
-	ahead := make(chan error, 1)
-	go func() { ahead <- s.Server.Serve(s.ahead) }()
-	err := s.Server.Serve(s.listen(l))
-	_ = s.ahead.Close() // always nil
-	<-ahead
-	return err
+	var inside sync.WaitGroup
+	defer inside.Wait()
+	inside.Go(func() { _ = s.Server.Serve(s.ahead) }) // it ends with the queue
+	defer s.ahead.Close()
+	if s.http2 != nil {
+		inside.Go(func() { _ = s.http2.Serve(s.http2.queue) }) // as above
+		defer s.http2.queue.Close()
+	}
+	return s.Server.Serve(s.listen(l))
+}
+
+// Close ends the server and cuts all connections.
+func (s *Server) Close() error {
+	s.conns.cut()
+	var err error
+	if s.http2 != nil {
+		err = s.http2.Close()
+	}
+	return errors.Join(err, s.Server.Close())
 }
 
 // BeginStop is the first step of a planned stop. Connections are still accepted, and requests are still
@@ -89,16 +104,23 @@
 func (s *Server) BeginStop() { s.conns.beginStop() }
 
 // Shutdown accepts no other connection and ends the server when all requests that were
-// read have their responses, or when ctx ends. The shutdown of net/http begins after that; it
-// ends the connections that package pipeline does not split into requests, such as those of HTTP/2.
+// read have their responses, or when ctx ends, with its error. The shutdown of net/http begins after that,
+// when it has nothing left to end.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.ahead.stop()
 	s.stopAccepting()
-	return errors.Join(s.conns.stop(ctx), s.Server.Shutdown(ctx))
+	ended := make(chan error, 1)
+	go func() { ended <- s.shutdownHTTP2(ctx) }()
+	return errors.Join(s.conns.stop(ctx), <-ended, s.Server.Shutdown(ctx))
 }
 
-// Connections returns the number of open connections that are split into requests.
-func (s *Server) Connections() int { return s.conns.len() }
+// shutdownHTTP2 is the part of Shutdown that ends connections of HTTP/2.
+func (s *Server) shutdownHTTP2(ctx context.Context) error {
+	if s.http2 == nil {
+		return nil
+	}
+	return s.http2.shutdown(ctx)
+}
 
 // connState tells connections when net/http has ended a request, has closed the connection or has
 // handed it to a handler.
@@ -110,7 +132,10 @@
 			c.activate()
 		case http.StateIdle:
 			c.idle()
-		case http.StateHijacked, http.StateClosed:
+		case http.StateHijacked:
+			c.hijack()
+			c.conns.remove(c)
+		case http.StateClosed:
 			c.conns.remove(c)
 		}
 	case *ahead:
--- a/pipeline/queue.go
+++ b/pipeline/queue.go
@@ -5,22 +5,22 @@
 	"sync"
 )
 
-// queue is the listener whose connections are requests served ahead.
+// queue is the listener whose connections are requests served ahead, or connections of HTTP/2.
 type queue struct {
-	requests chan net.Conn
-	closed   chan struct{}
-	once     sync.Once
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
 
 	mu      sync.Mutex
 	stopped bool // no other one is taken
 }
 
 func newQueue() *queue {
-	return &queue{requests: make(chan net.Conn), closed: make(chan struct{})}
+	return &queue{conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
-// push hands a request over. It returns false where none is taken any more.
-func (q *queue) push(a *ahead) bool {
+// push hands a connection over. It returns false where none is taken any more.
+func (q *queue) push(c net.Conn) bool {
 	q.mu.Lock()
 	stopped := q.stopped
 	q.mu.Unlock()
@@ -28,24 +28,24 @@
 		return false
 	}
 	select {
-	case q.requests <- a:
+	case q.conns <- c:
 		return true
 	case <-q.closed:
 		return false
 	}
 }
 
-// stop takes no other request.
+// stop takes no other connection.
 func (q *queue) stop() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.stopped = true
 }
 
-// Accept returns the next request.
+// Accept returns the next connection.
 func (q *queue) Accept() (net.Conn, error) {
 	select {
-	case c := <-q.requests:
+	case c := <-q.conns:
 		return c, nil
 	case <-q.closed:
 		return nil, net.ErrClosed
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -9,13 +9,15 @@
 // reader splits what a caller sends into requests and decides who reads each of them:
 // net/http, or a connection of its own.
 type reader struct {
-	unread []byte  // read from the caller and not handed on; a part of *buffer
-	buffer *[]byte // of the pool; nil while nothing is unread
-	rest   int64   // of the request that net/http is reading, in bytes, or forever
-	chunks chunks  // of that request, behind rest
-	inHead bool    // net/http is reading a request whose header has not come whole
-	head   []byte  // of it, as far as it was handed on
-	ended  bool    // nothing more comes behind what is unread
+	unread  []byte  // read from the caller and not handed on; a part of *buffer
+	buffer  *[]byte // of the pool; nil while nothing is unread
+	rest    int64   // of the request that net/http is reading, in bytes, or forever
+	chunks  chunks  // of that request, behind rest
+	inHead  bool    // net/http is reading a request whose header has not come whole
+	head    []byte  // of it, as far as it was handed on
+	ended   bool    // nothing more comes behind what is unread
+	sniffed bool    // it is known not to be HTTP/2
+	begun   bool    // a request has been read
 }
 
 const (
@@ -38,6 +40,8 @@
 		return r.readHead(c, p)
 	case len(r.unread) == 0 && c.isFree() && c.isSealed():
 		return 0, io.EOF // all that was read is answered
+	case !r.sniffed:
+		return 0, r.sniff(c)
 	case len(r.unread) == 0 && c.isFree() && len(p) >= directBytes:
 		return r.readDirect(c, p[:min(len(p), maxHead)])
 	case len(r.unread) == 0:
@@ -121,6 +125,7 @@
 	if n == 0 {
 		return 0, err
 	}
+	r.begun = true
 	c.begin(false)
 	f := frameOf(p[:n])
 	switch f.form {
@@ -145,7 +150,8 @@
 
 // begin gives net/http the request that is unread.
 func (r *reader) begin(c *conn) error {
-	c.begin(true)
+	c.begin(r.begun)
+	r.begun = true
 	f := frameOf(r.unread)
 	switch {
 	case f.form == opaque:
--- a/pipeline/seal.go
+++ b/pipeline/seal.go
@@ -1,5 +1,7 @@
 package pipeline
 
+import "net"
+
 // reading says what a connection's reader does. What it has read may be looked at while it rests.
 type reading uint8
 
@@ -22,7 +24,7 @@
 func (c *conn) mayReceive(from reading) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sealed && from == readingNext {
+	if c.dead || c.sealed && from == readingNext {
 		return false
 	}
 	c.reading = from
@@ -30,6 +32,16 @@
 	return true
 }
 
+// refused returns the error for a read that may not wait for the caller.
+func (c *conn) refused() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead {
+		return net.ErrClosed
+	}
+	return errAgain
+}
+
 // isSealed reports whether nothing more is read of requests that have not begun.
 func (c *conn) isSealed() bool {
 	c.mu.Lock()
