pipeline: notice callers that leave while a stop drains

Shutdown sealed all connections at once, so that a caller that left before its response began was not noticed any more, and its request was served to the end for nobody. A connection is now sealed by its next response: by the handler (Place.Last), or behind the response of a handler that does not ask. Idle ones end at once, as before.

Tests: a caller that leaves while the stop drains, handlers that do not ask, and bodies that arrive in parts while the response begins.

--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -7,9 +7,10 @@
 // read ahead: while a request is served, the ones behind it that are simple (a GET or
 // HEAD without a body; see frame.go) are served at once, each by the same http.Server
 // as if it had come on a connection of its own (ahead.go). What is not simple waits
-// until all before it are answered and is then read by net/http as ever, so that
-// bodies, upgrades, HTTP/1.0, HTTP/2 and everything malformed are treated as they are
-// without this package.
+// until all before it are answered and is then read by net/http as ever. Its body is
+// followed to its end (chunks.go). From a request on whose end is not known exactly,
+// such as an upgrade or one of HTTP/1.0, net/http reads the connection alone: it is
+// opaque. A connection of HTTP/2 goes to an http.Server of its own (http2.go).
 //
 // The package owns the callers' connections, their read-ahead and the order of their
 // responses. It decides nothing about requests: a handler whose request must not
@@ -19,6 +20,13 @@
 // contexts of all are cancelled, and when a response closes the connection, those
 // behind it are cut off and count as not read.
 //
+// A planned stop has two steps. BeginStop is the first: connections and requests are
+// still accepted, but once a response begins on a connection, the connection is sealed
+// (seal.go): no other request is read from it, those that were read whole are answered,
+// and the last of them closes it. What was read of another request in part is dropped.
+// Shutdown is the second: idle connections end, and each other one behind the requests
+// that were read from it.
+//
 // # Usage
 //
 //	server := pipeline.New(&http.Server{Handler: h})
@@ -29,6 +37,12 @@
 //	place := pipeline.PlaceOf(r.Context())
 //	if err := place.Wait(); err != nil { return } // the caller is gone
 //	if stopping && place.Last() { w.Header().Set("Connection", "close") }
+//
+// and in a planned stop, with the handler's stopping set at the first step:
+//
+//	server.BeginStop()
+//	// wait until no caller is sent here any more
+//	err := server.Shutdown(ctx)
 package pipeline
 
 import (
--- a/pipeline/seal.go
+++ b/pipeline/seal.go
@@ -62,6 +62,18 @@
 	return c.reading == resting && !c.dead && c.reader.seal()
 }
 
+// sealIfStopping seals the connection behind a response whose handler did not, without waiting for a read
+// that is under way; c.mu must be held.
+func (c *conn) sealIfStopping() {
+	if !c.stopping {
+		return
+	}
+	c.sealed = true
+	if c.reading == readingNext {
+		_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection only
+	}
+}
+
 // last reports whether no request behind net/http's has been read, and sees to it that it stays so.
 func (c *conn) last() bool {
 	c.mu.Lock()
--- a/pipeline/seal_test.go
+++ b/pipeline/seal_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/lotuswing/lotuswing/pipeline"
 	"gotest.tools/v3/assert"
 )
 
@@ -188,3 +191,108 @@
 		})
 	}
 }
+
+// TestSealingLeavesBodyAlone: a body that arrives in parts is read to its end by another goroutine while the
+// response begins, and nothing behind it.
+func TestSealingLeavesBodyAlone(t *testing.T) {
+	head := "POST / HTTP/1.1\r\nHost: a\r\n"
+	for name, parts := range map[string][]string{
+		"length":  {head + "Content-Length: 8\r\n\r\n", "ab", "cd", "efgh"},
+		"chunked": {head + "Transfer-Encoding: chunked\r\n\r\n", "4", "\r\nabc", "d\r\n4\r\nefgh", "\r\n0\r", "\nA: b\r\n", "\r\n"},
+		"Expect":  {head + "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nabcdefgh", "\r\n0\r\n\r\n"},
+		"opaque":  {head + "Transfer-Encoding: chunked\r\n\r\n", "8 \r\n", "abcdefgh\r\n0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				last := make(chan bool, 1)
+				inMemoryServer(t, func(w http.ResponseWriter, r *http.Request) {
+					body := make(chan string)
+					go func() {
+						p, err := io.ReadAll(r.Body)
+						assert.Check(t, err == nil)
+						body <- string(p)
+					}()
+					time.Sleep(time.Second)
+					last <- pipeline.PlaceOf(r.Context()).Last()
+					w.Header().Set("Connection", "close")
+					_, _ = io.WriteString(w, <-body)
+				}, func(s *pipeline.Server, c *caller) {
+					s.BeginStop()
+					written := make(chan struct{})
+					go func() {
+						defer close(written)
+						for _, part := range parts {
+							time.Sleep(700 * time.Millisecond)
+							_, err := io.WriteString(c, part)
+							assert.Check(t, err == nil)
+						}
+						n, _ := io.WriteString(c, behindGET)
+						assert.Check(t, n == 0 || name == "opaque")
+					}()
+					r, err := http.ReadResponse(c.in, nil)
+					assert.NilError(t, err)
+					if name == "Expect" {
+						r, err = http.ReadResponse(c.in, nil)
+						assert.NilError(t, err)
+					}
+					body, err := io.ReadAll(r.Body)
+					assert.NilError(t, err)
+					assert.Equal(t, string(body), "abcdefgh")
+					assert.Assert(t, <-last)
+					assert.NilError(t, s.Shutdown(context.Background()))
+					<-written
+				})
+			})
+		})
+	}
+}
+
+// inMemoryServer serves a handler in virtual time and plays a caller.
+func inMemoryServer(t *testing.T, h http.HandlerFunc, play func(s *pipeline.Server, c *caller)) {
+	t.Helper()
+	s := pipeline.New(&http.Server{Handler: h, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute})
+	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	mine, theirs := net.Pipe()
+	l.conns <- theirs
+	play(s, newCaller(mine))
+	_ = s.Close() // the test is over
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+	_ = mine.Close() // as above
+}
+
+// TestCallerThatLeavesWhileDrainingIsNoticed before the response begins.
+func TestCallerThatLeavesWhileDrainingIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inMemoryServer(t, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+		}, func(s *pipeline.Server, c *caller) {
+			c.get(t, "/")
+			synctest.Wait()
+			s.BeginStop()
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.Shutdown(context.Background()) }()
+			synctest.Wait()
+			assert.NilError(t, c.Close())
+			assert.NilError(t, <-stopped)
+		})
+	})
+}
+
+// TestDrainingEndsBehindHandlersThatDoNotAsk for their place.
+func TestDrainingEndsBehindHandlersThatDoNotAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inMemoryServer(t, func(http.ResponseWriter, *http.Request) { time.Sleep(serveTime) }, func(s *pipeline.Server, c *caller) {
+			p := &pipeliner{conn: c.Conn, in: c.in, request: "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"}
+			ended := make(chan struct{})
+			go func() { p.run(5); close(ended) }()
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			assert.NilError(t, s.Shutdown(ctx))
+			<-ended
+			assert.Equal(t, p.answered, p.read)
+		})
+	})
+}
