--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -17,7 +17,8 @@
 type conn struct {
 	net.Conn
 	queue      *queue
-	conns      *connSet
+	http2      *http2Server // nil for none
+	conns      *connSet[*conn]
 	writeLimit time.Duration
 	reader     reader // used by Read alone, of which net/http has one at a time
 
@@ -30,48 +31,49 @@
 	dead     bool     // it has ended
 	stopping bool     // it ends when all requests that were read have their responses
 	inHead   bool     // the request that net/http is reading has no whole header yet
-	behind   bool     // a part of a request behind those that are served has been read
+	sealed   bool     // nothing more is read of requests that have not begun
+	reading  reading
+	opaque   bool // net/http reads the rest of the connection alone
+	active   bool // net/http has read a header, and has not ended that request
 	deadline deadline
 	requests int     // that were read
 	current  Arrival // of the request that net/http has
 
+	moved    bool // another server has it
+	hijacked bool // a handler has it
+	lingers  bool // its sending direction is closed, and the whole of it will be
+
 	readEnded    bool // nothing more comes from the caller
 	writeLimited bool // a response written ahead has set a deadline for writing
 }
 
-// deadline is what net/http has set for reading. While requests are served ahead, the
-// connection is not idle and its deadline is not in force.
-type deadline struct {
-	at      time.Time
-	span    time.Duration // from when it was set
-	aborted bool          // it was past when it was set: a read is to return
-}
-
-// longAgo is a deadline that ends a read at once.
-var longAgo = time.Unix(1, 0)
-
 // errAgain is returned by a read of the caller's connection that ended because the
 // state of the connection changed.
 var errAgain = errors.New("pipeline: connection changed during a read")
 
-// newConn returns a caller's connection, and adds it to conns.
-func newConn(c net.Conn, q *queue, conns *connSet, writeLimit time.Duration) *conn {
-	fc := &conn{Conn: c, queue: q, conns: conns, writeLimit: writeLimit}
-	fc.changed.L = &fc.mu
-	conns.add(fc)
-	return fc
+// newConn returns a caller's connection of a server.
+func newConn(c net.Conn, s *Server) *conn {
+	own := &conn{Conn: c, queue: s.ahead, http2: s.http2, conns: s.conns, writeLimit: s.writeLimit()}
+	own.changed.L = &own.mu
+	s.conns.add(own)
+	return own
 }
 
-// isPast reports whether a deadline has passed. net/http sets one far in the past to
-// end a read.
-func isPast(t, now time.Time) bool { return !t.IsZero() && !t.After(now) }
+// hijack notes that a handler has the connection.
+func (c *conn) hijack() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hijacked = true
+}
 
 // Read reads what net/http is to read of the connection: requests, when all before
 // them are answered. Those that can be served ahead are handed to the queue instead.
 func (c *conn) Read(p []byte) (int, error) {
+	c.setReading(working)
+	defer c.setReading(resting)
 	for {
 		n, err := c.reader.read(c, p)
-		c.noteRead(c.reader.inHead, c.reader.hasBehind())
+		c.noteRead(c.reader.inHead)
 		if errors.Is(err, errAgain) {
 			continue
 		}
@@ -79,9 +81,14 @@
 	}
 }
 
-// receive reads from the caller.
-func (c *conn) receive(p []byte) (int, error) {
+// receive reads from the caller. Of a request that has not begun, it reads nothing once the connection
+// is sealed, and returns errAgain.
+func (c *conn) receive(p []byte, from reading) (int, error) {
+	if !c.mayReceive(from) {
+		return 0, c.refused()
+	}
 	n, err := c.Conn.Read(p)
+	c.setReading(working)
 	switch {
 	case n > 0:
 		return n, nil // an error comes again with the next read
@@ -105,32 +112,6 @@
 	}
 }
 
-// timedOut returns the error for a read whose deadline passed: errAgain where that was
-// not the deadline that net/http has set, or does not hold now.
-func (c *conn) timedOut(now time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.dead:
-		return net.ErrClosed
-	case c.deadline.aborted, c.stopping && c.isIdle():
-		return os.ErrDeadlineExceeded
-	case len(c.served) > 0:
-		return c.arm(time.Time{})
-	case isPast(c.deadline.at, now):
-		return os.ErrDeadlineExceeded
-	}
-	return c.arm(c.deadline.at)
-}
-
-// arm sets the connection's own deadline, for another read; c.mu is held.
-func (c *conn) arm(t time.Time) error {
-	if err := c.Conn.SetReadDeadline(t); err != nil {
-		return err
-	}
-	return errAgain
-}
-
 // isFree reports whether net/http can be given a request.
 func (c *conn) isFree() bool {
 	c.mu.Lock()
@@ -154,7 +135,7 @@
 	c.requests++
 	c.current = Arrival{Number: c.requests, Behind: behind}
 	c.ending = c.closing
-	if c.stopping {
+	if c.stopping || c.sealed {
 		_ = c.Conn.SetReadDeadline(c.deadline.at) // fails on a closed connection only
 	}
 	if c.writeLimited {
@@ -168,6 +149,9 @@
 func (c *conn) hold() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = resting // the reader stays as it is
+	defer func() { c.reading = working }()
+	c.changed.Broadcast()
 	before := len(c.served)
 	for {
 		switch {
@@ -182,9 +166,9 @@
 	}
 }
 
-// serveAhead lets a request be served ahead; behind says whether a part of a request behind it has been
-// read. It returns false if there are too many or no other one may begin.
-func (c *conn) serveAhead(request []byte, behind bool) bool {
+// serveAhead lets a request be served ahead. It returns false if there are too many or no other one may
+// begin.
+func (c *conn) serveAhead(request []byte) bool {
 	a := &ahead{conn: c, request: slices.Clone(request)}
 	c.mu.Lock()
 	if c.ending || c.dead || len(c.served) >= maxAhead {
@@ -194,14 +178,13 @@
 	c.served = append(c.served, a)
 	c.requests++
 	a.came = Arrival{Number: c.requests, Behind: true}
-	c.behind = behind // before the request can ask for its place
 	c.mu.Unlock()
 	if c.queue.push(a) {
 		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending, c.behind = true, true // the server stops; the request stays unread
+	c.ending = true // the server stops; the request stays unread
 	c.served = slices.DeleteFunc(c.served, func(o *ahead) bool { return o == a })
 	c.requests--
 	return false
@@ -209,162 +192,22 @@
 
 // unsplit notes that net/http reads the rest of the connection alone.
 func (c *conn) unsplit() {
-	c.conns.remove(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.current = Arrival{}
-}
-
-// idle notes that net/http has served its request.
-func (c *conn) idle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.busy = false
-	c.advance()
-	c.wakeIfStopping()
-}
-
-// answered notes that a request served ahead has its response.
-func (c *conn) answered(a *ahead) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	a.done = true
-	c.advance()
-}
-
-// advance lets the next request write its response; c.mu is held.
-func (c *conn) advance() {
-	before := len(c.served)
-	for !c.busy && len(c.served) > 0 && c.served[0].done {
-		c.served = c.served[1:]
-	}
-	if !c.busy && len(c.served) > 0 && c.served[0].broken {
-		c.end()
-	}
-	if before > 0 && len(c.served) == 0 {
-		c.drained(time.Now())
-	}
-	c.changed.Broadcast()
-}
-
-// drained puts the connection's deadline in force when the last request served ahead
-// has its response, and lets a read look at what is left to read; c.mu is held.
-func (c *conn) drained(now time.Time) {
-	if c.closing {
-		c.end()
-		return
-	}
-	if !c.deadline.at.IsZero() && !c.deadline.aborted {
-		c.deadline.at = now.Add(c.deadline.span)
-	}
-	_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection, whose read returns anyway
+	c.opaque, c.current = true, Arrival{}
 }
 
 // noteRead records how far the caller's requests have been read.
-func (c *conn) noteRead(inHead, behind bool) {
+func (c *conn) noteRead(inHead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopping && c.inHead && !inHead {
 		_ = c.Conn.SetReadDeadline(c.deadline.at) // fails on a closed connection only
 	}
-	c.inHead, c.behind = inHead, behind
-	c.wakeIfStopping()
-}
-
-// isIdle reports whether no request that has been read is without a response. A request whose header
-// is incomplete has not been read. c.mu must be held.
-func (c *conn) isIdle() bool {
-	return len(c.served) == 0 && (!c.busy || c.inHead)
-}
-
-// stop lets the connection end when all requests that were read have their responses. A read that
-// waits for the next request returns; if it has just read one, that one is served.
-func (c *conn) stop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopping = true
+	c.inHead = inHead
 	c.wakeIfStopping()
 }
 
-// wakeIfStopping ends a read that waits for the next request of a connection that is stopping; c.mu
-// must be held.
-func (c *conn) wakeIfStopping() {
-	if c.stopping && c.isIdle() {
-		_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection only
-	}
-}
-
-// end ends the connection for all its requests; c.mu is held.
-func (c *conn) end() {
-	c.dead = true
-	_ = c.Conn.Close() // whatever it says, nothing is read or written any more
-	c.changed.Broadcast()
-}
-
-// writeAhead writes a part of the response of a request served ahead.
-func (c *conn) writeAhead(p []byte) (int, error) {
-	if err := c.limitWrite(time.Now()); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.end()
-	}
-	return n, err
-}
-
-// limitWrite bounds the next write.
-func (c *conn) limitWrite(now time.Time) error {
-	if c.writeLimit <= 0 {
-		return nil
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writeLimited = true
-	return c.Conn.SetWriteDeadline(now.Add(c.writeLimit))
-}
-
-// Close closes the connection. While it is idle towards net/http and requests are
-// served ahead, which is when the caller has ended its own direction, it ends after
-// them.
-func (c *conn) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.busy && len(c.served) > 0 && !c.dead {
-		c.ending, c.closing = true, true
-		return nil
-	}
-	c.dead = true
-	c.changed.Broadcast()
-	return c.Conn.Close()
-}
-
-// errNoHalfClose: the connection cannot end one direction only.
-var errNoHalfClose = errors.New("pipeline: connection has no half close")
-
-// CloseWrite ends the sending direction, as upgraded sessions need.
-func (c *conn) CloseWrite() error {
-	if h, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return h.CloseWrite()
-	}
-	return errNoHalfClose
-}
-
-// SetReadDeadline sets the deadline of reads.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.deadline = deadline{at: t, span: t.Sub(now), aborted: isPast(t, now)}
-	c.changed.Broadcast()
-	if c.stopping && c.isIdle() {
-		t = longAgo
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
 // wait returns at once: nothing stands before net/http's request.
 func (c *conn) wait() error { return nil }
 
@@ -374,15 +217,3 @@
 	defer c.mu.Unlock()
 	return c.current
 }
-
-// last reports whether nothing is served behind net/http's request, and sees to it
-// that it stays so.
-func (c *conn) last() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.served) > 0 || c.behind {
-		return false
-	}
-	c.ending = true
-	return true
-}
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -9,12 +9,15 @@
 // reader splits what a caller sends into requests and decides who reads each of them:
 // net/http, or a connection of its own.
 type reader struct {
-	unread []byte  // read from the caller and not handed on; a part of *buffer
-	buffer *[]byte // of the pool; nil while nothing is unread
-	rest   int64   // of the request that net/http is reading, in bytes, or forever
-	inHead bool    // net/http is reading a request whose header has not come whole
-	head   []byte  // of it, as far as it was handed on
-	ended  bool    // nothing more comes behind what is unread
+	unread  []byte  // read from the caller and not handed on; a part of *buffer
+	buffer  *[]byte // of the pool; nil while nothing is unread
+	rest    int64   // of the request that net/http is reading, in bytes, or forever
+	chunks  chunks  // of that request, behind rest
+	inHead  bool    // net/http is reading a request whose header has not come whole
+	head    []byte  // of it, as far as it was handed on
+	ended   bool    // nothing more comes behind what is unread
+	sniffed bool    // it is known not to be HTTP/2
+	begun   bool    // a request has been read
 }
 
 const (
@@ -31,42 +34,60 @@
 // read reads for net/http, or returns errAgain after something has changed.
 func (r *reader) read(c *conn, p []byte) (int, error) {
 	switch {
-	case r.rest != 0:
+	case r.inBody():
 		return r.readRest(c, p)
 	case r.inHead:
 		return r.readHead(c, p)
+	case len(r.unread) == 0 && c.isFree() && c.isSealed():
+		return 0, io.EOF // all that was read is answered
+	case !r.sniffed:
+		return 0, r.sniff(c)
 	case len(r.unread) == 0 && c.isFree() && len(p) >= directBytes:
 		return r.readDirect(c, p[:min(len(p), maxHead)])
 	case len(r.unread) == 0:
-		return 0, r.fill(c)
+		return 0, r.fill(c, readingNext)
 	case c.isFree():
 		return 0, r.begin(c)
 	}
 	return 0, r.readAhead(c)
 }
 
-// hasBehind reports whether something is unread that belongs to a request behind the one that net/http
-// is reading.
-func (r *reader) hasBehind() bool {
-	return !r.inHead && r.rest != forever && int64(len(r.unread)) > r.rest
-}
-
 // readRest reads bytes of a request whose end is known.
 func (r *reader) readRest(c *conn, p []byte) (int, error) {
-	if r.rest > 0 {
-		p = p[:min(int64(len(p)), r.rest)]
+	if r.rest == forever {
+		return r.take(c, p)
 	}
-	n, err := r.take(c, p)
-	if r.rest > 0 {
-		r.rest -= int64(n)
+	n, err := r.take(c, p[:min(int64(len(p)), r.rest+r.chunks.need())])
+	if _, ok := r.own(p[:n]); !ok {
+		r.unsplit(c)
 	}
 	return n, err
 }
 
+// inBody reports whether more is to come of the request that net/http is reading, whose header is whole.
+func (r *reader) inBody() bool { return r.rest != 0 || r.chunks.state != chunksEnd }
+
+// own returns how many bytes at the start of p belong to the request that net/http is reading, and takes
+// them as read. It returns false where that is not known.
+func (r *reader) own(p []byte) (n int, ok bool) {
+	n = int(min(r.rest, int64(len(p))))
+	if r.rest -= int64(n); r.rest > 0 {
+		return n, true
+	}
+	more, ok := r.chunks.scan(p[n:])
+	return n + more, ok
+}
+
+// unsplit leaves the rest of the connection to net/http.
+func (r *reader) unsplit(c *conn) {
+	r.rest, r.chunks = forever, chunks{}
+	c.unsplit()
+}
+
 // take reads what is unread, else from the caller.
 func (r *reader) take(c *conn, p []byte) (int, error) {
 	if len(r.unread) == 0 {
-		return c.receive(p)
+		return c.receive(p, readingBody)
 	}
 	n := copy(p, r.unread)
 	r.drop(n)
@@ -76,7 +97,7 @@
 // readHead reads bytes of a request until its header is whole.
 func (r *reader) readHead(c *conn, p []byte) (int, error) {
 	if len(r.unread) == 0 {
-		if err := r.fill(c); len(r.unread) == 0 {
+		if err := r.fill(c, readingBody); len(r.unread) == 0 {
 			return 0, err
 		}
 	}
@@ -84,15 +105,15 @@
 	f := frameOf(whole)
 	switch {
 	case f.form == opaque:
-		r.inHead, r.head, r.rest = false, nil, forever
-		c.unsplit()
+		r.inHead, r.head = false, nil
+		r.unsplit(c)
 	case f.form == partial:
 		n := copy(p, r.unread)
 		r.head = append(r.head, r.unread[:n]...)
 		r.drop(n)
 		return n, nil
 	default:
-		r.rest = f.length - int64(len(r.head))
+		r.rest, r.chunks = f.length-int64(len(r.head)), f.body()
 		r.inHead, r.head = false, nil
 	}
 	return 0, errAgain
@@ -100,39 +121,45 @@
 
 // readDirect reads the start of a request from the caller into net/http's buffer.
 func (r *reader) readDirect(c *conn, p []byte) (int, error) {
-	n, err := c.receive(p)
+	n, err := c.receive(p, readingNext)
 	if n == 0 {
 		return 0, err
 	}
+	r.begun = true
 	c.begin(false)
 	f := frameOf(p[:n])
-	switch {
-	case f.form == opaque:
-		r.rest = forever
-		c.unsplit()
-	case f.form == partial:
+	switch f.form {
+	case opaque:
+		r.unsplit(c)
+		return n, nil
+	case partial:
 		r.inHead, r.head = true, append([]byte(nil), p[:n]...)
-	case f.length < int64(n):
-		r.keep(p[f.length:n])
-		n = int(f.length)
-	default:
-		r.rest = f.length - int64(n)
+		return n, nil
 	}
-	return n, nil
+	r.rest, r.chunks = f.length, f.body()
+	own, ok := r.own(p[:n])
+	if !ok {
+		r.unsplit(c)
+		return n, nil
+	}
+	if own < n {
+		r.keep(p[own:n])
+	}
+	return own, nil
 }
 
 // begin gives net/http the request that is unread.
 func (r *reader) begin(c *conn) error {
-	c.begin(true)
+	c.begin(r.begun)
+	r.begun = true
 	f := frameOf(r.unread)
 	switch {
 	case f.form == opaque:
-		r.rest = forever
-		c.unsplit()
+		r.unsplit(c)
 	case f.form == partial:
 		r.inHead = true
 	default:
-		r.rest = f.length
+		r.rest, r.chunks = f.length, f.body()
 	}
 	return errAgain
 }
@@ -143,25 +170,34 @@
 	f := frameOf(r.unread)
 	switch {
 	case f.form == partial && !r.ended:
-		return r.fill(c)
-	case f.form == simple && c.serveAhead(r.unread[:f.length], len(r.unread) > int(f.length)):
+		return r.fill(c, readingNext)
+	case f.form == simple && c.serveAhead(r.unread[:f.length]):
 		r.drop(int(f.length))
 		return errAgain
 	}
+	return r.await(c)
+}
+
+// await waits until the connection changes: it returns errAgain.
+func (r *reader) await(c *conn) error {
 	if err := c.hold(); err != nil {
 		return err
 	}
 	return errAgain
 }
 
-// fill reads more from the caller, to be looked at: it returns errAgain.
-func (r *reader) fill(c *conn) error {
+// fill reads more from the caller, to be looked at: it returns errAgain. On a sealed connection it waits
+// until something changes instead.
+func (r *reader) fill(c *conn, from reading) error {
+	if from == readingNext && c.isSealed() {
+		return r.await(c)
+	}
 	if r.buffer == nil {
 		r.buffer = buffers.Get().(*[]byte)
 	}
 	kept := copy(*r.buffer, r.unread)
 	r.unread = (*r.buffer)[:kept]
-	n, err := c.receive((*r.buffer)[kept:])
+	n, err := c.receive((*r.buffer)[kept:], from)
 	r.unread = (*r.buffer)[:kept+n]
 	if errors.Is(err, io.EOF) && kept > 0 {
 		r.ended = true // net/http is to see what is unread, when it is its turn
--- a/server/stop.go
+++ b/server/stop.go
@@ -14,7 +14,7 @@
 // the limit ended first.
 func (s *Server) Stop(ctx context.Context) (cut int64, err error) {
 	close(s.stopping)
-	s.front.StopAhead()
+	s.front.BeginStop()
 	began := time.Now()
 	times := s.cfg.Settings.Stop
 	plan := drain.NewPlan(began, drain.Times{Notice: times.Notice, Limit: times.Limit, Grace: times.Grace})
