server: one drain.Plan drives the planned stop

Callers saw: the listener stayed open until duties were handed over, however long a store or a peer took, and the limit for requests in flight began after that: the process was killed at its grace with requests in flight. A suspension of the VM delayed all steps by its length. The end of the process (spans, links, chooser) took its time from nobody's account.

Cause: each wait of the stop began when the one before had ended.

Change: plannedStop makes the steps of a drain.Plan at the plan's absolute times. Handing over runs beside them and is waited for until the plan ends at most. Suspensions move the plan, which the balancer gets again; a process that was paused makes the steps that are due at once, in order. The end of the process takes at most half of the time that is left until it is killed, and 1 s. Stop uses the settings in force at the signal; SetStop changes those of the next stop. The shares of settings.Stop.Within are those of package drain. /status has the stop's state, /readyz its phase; new metrics stop_phase, stop_cut and stop_handover_ms.

TestHandingOverTakesNoPartOfTheGrace expected the listener to be open for 4 s where handing over takes 4 s, which was the fault. It now expects that the listener closes and the stop ends at the same times whether handing over takes 0, 0.4, 3, 4 or 10 s or does not return, with and without heed of its context; that it is waited for while nothing else is left is still asked for. settings' TestStopFitsItsGrace asks the same of the plan as it did of Within.

--- a/server/admin.go
+++ b/server/admin.go
@@ -62,7 +62,7 @@
 
 func (s *Server) ready(context.Context, any) (any, error) {
 	if s.isStopping() {
-		return health{Why: "planned stop"}, nil
+		return health{Why: "planned stop: " + s.stopStatus(time.Now()).Phase}, nil
 	}
 	if s.noneReached(time.Now()) {
 		return health{Why: "no endpoint is reached"}, nil
@@ -76,6 +76,7 @@
 	node.Status
 	InFlight int64
 	Stopping bool
+	Stop     StopStatus
 }
 
 // DirectStatus is the answer of /status of a balancer that chooses on its own.
@@ -84,17 +85,18 @@
 	Copy     relay.Status // of the store; zero where no changes are handed on
 	InFlight int64
 	Stopping bool
+	Stop     StopStatus
 }
 
 func (s *Server) status(context.Context, any) (any, error) {
 	if s.direct != nil {
-		st := DirectStatus{Status: s.direct.Status(), InFlight: s.balancer.InFlight(), Stopping: s.isStopping()}
+		st := DirectStatus{Status: s.direct.Status(), InFlight: s.balancer.InFlight(), Stopping: s.isStopping(), Stop: s.stopStatus(time.Now())}
 		if s.relays != nil {
 			st.Copy = s.relays.Status(time.Now())
 		}
 		return st, nil
 	}
-	return Status{Status: s.node.Status(), InFlight: s.balancer.InFlight(), Stopping: s.isStopping()}, nil
+	return Status{Status: s.node.Status(), InFlight: s.balancer.InFlight(), Stopping: s.isStopping(), Stop: s.stopStatus(time.Now())}, nil
 }
 
 // isStopping reports whether a planned stop has begun.
@@ -111,6 +113,7 @@
 	metrics.GetOrRegisterGauge("requests_in_flight", s.metrics).Update(s.balancer.InFlight())
 	metrics.GetOrRegisterGauge("caller_connections", s.metrics).Update(int64(s.front.Connections()))
 	metrics.GetOrRegisterGauge("stopping", s.metrics).Update(gaugeOf(s.isStopping()))
+	s.updateStopMetrics(time.Now())
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if s.follower != nil {
 		metrics.GetOrRegisterGauge("store_calls", s.metrics).Update(s.follower.Calls())
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -95,6 +96,9 @@
 	stopping   chan struct{}
 	startedAt  time.Time
 
+	stop         atomic.Pointer[plannedStop]   // nil until one begins
+	stopSettings atomic.Pointer[settings.Stop] // nil for those of the start
+
 	stopDetours func() // ends the checks of lost paths; nil where there are none
 
 	routable chan struct{} // closed once requests can be routed, if that is within orderedFirstWait
--- a/server/stop.go
+++ b/server/stop.go
@@ -2,93 +2,160 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
-	"github.com/lotuswing/lotuswing/internal/pause"
+	"github.com/lotuswing/lotuswing/balancer"
+	"github.com/lotuswing/lotuswing/coord/drain"
+	"github.com/lotuswing/lotuswing/pipeline"
+	"github.com/lotuswing/lotuswing/settings"
+	"github.com/rcrowley/go-metrics"
 )
 
-// Stop is the planned stop: not ready first, then the notice for the
-// platform's balancer, then no new connections, and every request in flight
-// is served to its end. It returns how many requests were cut because ctx or
-// the limit ended first.
+// ErrCut means that a planned stop ended before all that callers had open.
+var ErrCut = errors.New("server: the stop ended before all requests and sessions")
+
+// stoppingBalancer is what a planned stop needs of the balancer.
+type stoppingBalancer interface {
+	Stop(plan drain.Plan)
+	CutAttempts() int
+	InFlight() int64
+	WaitUpgraded()
+}
+
+// stoppingFront is what a planned stop needs of the callers' server.
+type stoppingFront interface {
+	BeginStop()
+	Shutdown(ctx context.Context) error
+	Close() error
+	Connections() int
+}
+
+// planBalancer and planFront adapt the balancer and the callers' server to a plan.
+type (
+	planBalancer struct{ *balancer.Balancer }
+	planFront    struct{ *pipeline.Server }
+)
+
+func (b planBalancer) Stop(plan drain.Plan) { b.Balancer.Stop(plan.Began()) }
+func (b planBalancer) CutAttempts() int     { return 0 }
+func (f planFront) BeginStop()              { f.StopAhead() }
+
+// Stop is the planned stop. It follows one drain.Plan, made of the settings that are in force now. It
+// returns how many requests were given up or closed, and ErrCut if the end of the plan or of ctx came
+// before that of all that callers had open.
 func (s *Server) Stop(ctx context.Context) (cut int64, err error) {
-	close(s.stopping)
-	s.front.StopAhead()
 	began := time.Now()
-	s.balancer.Stop(began)
-	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight())
-	stop := s.cfg.Settings.Stop.Within()
-	draining, endDrain := context.WithTimeout(ctx, stop.Notice+stop.Limit)
-	defer endDrain()
-	drained := s.drainCarried(draining)
-	s.announce(ctx, stop.Notice)
-	s.cfg.Log.Info("stop closes the listener", "in_flight", s.balancer.InFlight(), "connections", s.front.Connections(), "after", time.Since(began))
-	limited, cancel := context.WithTimeout(ctx, stop.Limit)
-	defer cancel()
-	err = s.front.Shutdown(limited)
-	if err == nil {
-		err = s.waitSessions(limited)
-	}
-	if err != nil {
-		cut = s.balancer.InFlight()
-		s.cfg.Log.Error("stop cuts requests", "in_flight", cut, "connections", s.front.Connections(), "after", time.Since(began), "error", err)
-		_ = s.front.Close() // what is still open is cut, whatever it says
+	times := s.stopTimes()
+	steps := &stopOf{server: s, balancer: planBalancer{s.balancer}, front: planFront{s.front}, began: began}
+	stop := newPlannedStop(steps, times, s.suspended.Check, began)
+	s.stop.Store(stop)
+	close(s.stopping)
+	steps.front.BeginStop()
+	s.cfg.Log.Info("stop begins", "in_flight", s.balancer.InFlight(), "connections", s.front.Connections())
+	if !stop.run(ctx) {
+		err = ErrCut
 	}
-	<-drained
-	s.close()
+	cut = stop.cut()
+	metrics.GetOrRegisterCounter("stop_cut", s.metrics).Inc(cut)
+	s.close(closeWait(stop.plan.Began().Add(times.Grace), times, time.Now()))
 	return cut, err
 }
 
-// announce hands duties over and gives the platform's balancer its notice, both
-// at the same time: the process may be killed when its grace has passed, however
-// long a store or a peer takes to answer.
-func (s *Server) announce(ctx context.Context, notice time.Duration) {
-	left := make(chan struct{})
+// SetStop takes settings into force for the next planned stop. One that runs keeps its own.
+func (s *Server) SetStop(next settings.Stop) { s.stopSettings.Store(&next) }
+
+// stopTimes returns the settings in force.
+func (s *Server) stopTimes() drain.Times {
+	if changed := s.stopSettings.Load(); changed != nil {
+		return changed.Times()
+	}
+	return s.cfg.Settings.Stop.Times()
+}
+
+// stopOf are the steps of the planned stop of a server.
+type stopOf struct {
+	server   *Server
+	balancer stoppingBalancer
+	front    stoppingFront
+	began    time.Time
+	drained  atomic.Bool
+}
+
+// SetPlan implements stopSteps.
+func (o *stopOf) SetPlan(plan drain.Plan) { o.balancer.Stop(plan) }
+
+// HandOver implements stopSteps.
+func (o *stopOf) HandOver(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
 	go func() {
-		s.chooser.HandOver(ctx)
-		close(left)
+		defer close(done)
+		o.server.chooser.HandOver(ctx)
+		took := time.Since(o.began)
+		if ctx.Err() != nil {
+			o.server.cfg.Log.Warn("duties not handed over", "after", took)
+			return
+		}
+		metrics.GetOrRegisterGauge("stop_handover_ms", o.server.metrics).Update(took.Milliseconds())
+		o.server.cfg.Log.Info("duties handed over", "took", took)
 	}()
-	pause.For(ctx, notice)
-	<-left
+	return done
 }
 
-// waitSessions waits for upgraded connections, which Shutdown does not know.
-func (s *Server) waitSessions(ctx context.Context) error {
+// DrainCarried implements stopSteps.
+func (o *stopOf) DrainCarried(ctx context.Context) <-chan struct{} { return o.server.drainCarried(ctx) }
+
+// CloseListener implements stopSteps.
+func (o *stopOf) CloseListener(ctx context.Context) <-chan struct{} {
+	o.log("stop closes the listener")
 	done := make(chan struct{})
 	go func() {
-		s.balancer.WaitUpgraded()
+		defer close(done)
+		if err := o.front.Shutdown(ctx); err != nil {
+			o.server.cfg.Log.Debug("callers' server not shut down", "error", err)
+			if ctx.Err() != nil {
+				return
+			}
+		}
+		o.drained.Store(o.waitSessions(ctx))
+	}()
+	return done
+}
+
+// waitSessions waits for upgraded connections, which Shutdown does not know, and reports whether they
+// have ended.
+func (o *stopOf) waitSessions(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		o.balancer.WaitUpgraded()
 		close(done)
 	}()
 	select {
 	case <-done:
-		return nil
+		return true
 	case <-ctx.Done():
-		return ctx.Err()
+		return awaitAll(time.Millisecond, done) // with no session it ends at once
 	}
 }
 
-// Kill ends the process's part at once, as a crash does.
-func (s *Server) Kill() {
-	_ = s.front.Close() // as a crash, without a word
-	s.close()
+// Drained implements stopSteps.
+func (o *stopOf) Drained() bool { return o.drained.Load() }
+
+// CutAttempts implements stopSteps.
+func (o *stopOf) CutAttempts() int {
+	o.log("stop gives up attempts")
+	return o.balancer.CutAttempts()
 }
 
-// traceFlushWait bounds the sending of the last spans.
-const traceFlushWait = time.Second
+// CloseAll implements stopSteps.
+func (o *stopOf) CloseAll() int64 {
+	count := o.balancer.InFlight()
+	o.server.cfg.Log.Error("stop cuts requests", "in_flight", count, "connections", o.front.Connections(), "after", time.Since(o.began))
+	_ = o.front.Close() // what is still open is cut, whatever it says
+	return count
+}
 
-// close ends what callers do not see. The listeners are closed whatever they say.
-func (s *Server) close() {
-	if s.stopDetours != nil {
-		s.stopDetours()
-	}
-	s.chooser.Close()
-	_ = s.admin.Close()
-	if s.scrapes != nil {
-		_ = s.scrapes.Close()
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), traceFlushWait)
-	defer cancel()
-	if err := s.tracing.Shutdown(ctx); err != nil {
-		s.cfg.Log.Warn("last spans not sent", "error", err)
-	}
+func (o *stopOf) log(step string) {
+	o.server.cfg.Log.Info(step, "in_flight", o.balancer.InFlight(), "connections", o.front.Connections(), "after", time.Since(o.began))
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,7 @@
 	"os"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/drain"
 	"github.com/lotuswing/lotuswing/coord/urgency"
 	"github.com/lotuswing/lotuswing/internal/jsonc"
 )
@@ -146,22 +147,8 @@
 	Grace time.Duration `json:"grace"`
 }
 
-// Parts of the grace that the notice may take and that is left unused: of 6 s, 3 s and 0.42 s,
-// which a process on 0.16 of a core can need for its end.
-const (
-	noticeShare = 0.5
-	spareShare  = 0.07
-)
-
-// Within returns the stop shortened to its grace.
-func (s Stop) Within() Stop {
-	if s.Grace == 0 {
-		return s
-	}
-	s.Notice = min(s.Notice, time.Duration(noticeShare*float64(s.Grace)))
-	s.Limit = min(s.Limit, time.Duration((1-spareShare)*float64(s.Grace))-s.Notice)
-	return s
-}
+// Times returns what the plan of a stop is made of.
+func (s Stop) Times() drain.Times { return drain.Times(s) }
 
 // Limits of what callers may send.
 type Limits struct {
