server: refuse requests that wait for the first configuration when a stop begins

A balancer that got SIGTERM in its first 300 ms read no request until that time had passed, where requests are not held at the start: their callers waited for a refusal. serveFront now serves at once when a stop begins. A request that is held while the configuration and the stop come together is routed, rather than by the chance of a select.

TestStopRefusesRequestsThatWaitForFirstConfiguration covers both ways of waiting.

--- a/server/firstconfig.go
+++ b/server/firstconfig.go
@@ -25,13 +25,19 @@
 func (s *Server) serveFront() {
 	if s.direct != nil {
 		go s.watchReady()
-		for time.Since(s.startedAt) < firstWait && !s.isReady() && !s.holdsAtStart() {
-			time.Sleep(readyPoll)
-		}
+		s.waitToServe()
 	}
 	s.serveUntilClosed(s.front, s.frontL)
 }
 
+// waitToServe waits until requests can be routed or wait in awaitReady, or until a planned stop begins,
+// at most until firstWait after the start.
+func (s *Server) waitToServe() {
+	for time.Since(s.startedAt) < firstWait && !s.isReady() && !s.holdsAtStart() && !s.isStopping() {
+		time.Sleep(readyPoll)
+	}
+}
+
 // watchReady closes s.routable once requests can be routed. It ends after orderedFirstWait.
 func (s *Server) watchReady() {
 	for time.Since(s.startedAt) < orderedFirstWait {
@@ -77,6 +83,7 @@
 		return true
 	case <-timer.C:
 	case <-s.stopping:
+		return isClosed(s.routable)
 	case <-ctx.Done():
 	}
 	return false
--- a/server/firstconfig_test.go
+++ b/server/firstconfig_test.go
@@ -6,7 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/urgency"
+	"github.com/lotuswing/lotuswing/direct"
+	"github.com/lotuswing/lotuswing/directory"
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 )
 
@@ -56,6 +60,22 @@
 	}
 }
 
+// TestStopRefusesRequestsThatWaitForFirstConfiguration at once, those that wait to be read included.
+func TestStopRefusesRequestsThatWaitForFirstConfiguration(t *testing.T) {
+	for _, mode := range []urgency.Mode{urgency.On, urgency.Off} {
+		synctest.Test(t, func(t *testing.T) {
+			s := starting(mode)
+			s.direct = direct.New(direct.Config{Directory: directory.New(), Metrics: metrics.NewRegistry(), Log: hclog.NewNullLogger()})
+			began := time.Now()
+			time.AfterFunc(100*time.Millisecond, func() { close(s.stopping) })
+			s.waitToServe()
+			assert.Assert(t, !s.awaitReady(context.Background()))
+			late := time.Since(began) - 100*time.Millisecond
+			assert.Assert(t, late >= 0 && late <= readyPoll, "%v: %v", mode, late)
+		})
+	}
+}
+
 // TestNotReadyRetryAfter checks that callers are told the likely time where requests are held at the
 // start, and one second as before elsewhere.
 func TestNotReadyRetryAfter(t *testing.T) {
