cli: take changed settings of the stop into force without a restart

A shorter grace that operators set with a reload was told as needing a restart, and the next stop was planned for the longer one: the process was killed with requests in flight. The reload now gives the settings to the server, for the next stop.

TestChangedStopIsInForceWithoutRestart fails without the change (no call of SetStop, needs_restart).

--- a/cli/reload.go
+++ b/cli/reload.go
@@ -15,19 +15,21 @@
 // fileCheckPeriod is how often the settings file is looked at for a change that nobody announces.
 const fileCheckPeriod = 2 * time.Second
 
-// retryLimiter takes a changed bound on retries into force.
-type retryLimiter interface {
+// reloadable takes changed settings into force.
+type reloadable interface {
 	SetRetryLimit(limit retry.WindowLimit)
+	// SetStop changes the next planned stop, and none that runs.
+	SetStop(next settings.Stop)
 }
 
 // reloader takes changed settings into force as far as that is possible without
-// a restart: the log level and the bound on retries. It says what is not. Wrong
-// settings change nothing.
+// a restart: the log level, the bound on retries and the times of a planned stop.
+// It says what is not. Wrong settings change nothing.
 type reloader struct {
 	file    string
 	current settings.Settings
 	log     hclog.Logger
-	server  retryLimiter
+	server  reloadable
 	seen    []byte // the file's content that was dealt with last
 }
 
@@ -81,9 +83,12 @@
 	if next.Retries != r.current.Retries && next.Retries != (settings.Retries{}) {
 		r.server.SetRetryLimit(platform.RetryLimit(next.Retries))
 	}
+	if next.Stop != r.current.Stop {
+		r.server.SetStop(next.Stop)
+	}
 	same := next
-	same.Log, same.Retries = r.current.Log, r.current.Retries
+	same.Log, same.Retries, same.Stop = r.current.Log, r.current.Retries, r.current.Stop
 	r.log.Info("settings read again", "log_level", next.Log, "retry_ratio", next.Retries.Ratio,
-		"needs_restart", !reflect.DeepEqual(same, r.current))
-	r.current.Log, r.current.Retries = next.Log, next.Retries
+		"stop", next.Stop, "needs_restart", !reflect.DeepEqual(same, r.current))
+	r.current.Log, r.current.Retries, r.current.Stop = next.Log, next.Retries, next.Stop
 }
--- a/cli/reload_test.go
+++ b/cli/reload_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/retry"
@@ -14,10 +15,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// fakeRetryLimiter remembers the bounds that it was given.
-type fakeRetryLimiter struct{ limits []retry.WindowLimit }
+// fakeServer remembers what it was given.
+type fakeServer struct {
+	limits []retry.WindowLimit
+	stops  []settings.Stop
+}
 
-func (f *fakeRetryLimiter) SetRetryLimit(limit retry.WindowLimit) { f.limits = append(f.limits, limit) }
+func (f *fakeServer) SetRetryLimit(limit retry.WindowLimit) { f.limits = append(f.limits, limit) }
+func (f *fakeServer) SetStop(next settings.Stop)            { f.stops = append(f.stops, next) }
 
 const settingsText = `{"id": "vm-1", "zone": %q, "listen": "127.0.0.1:1", "admin": "127.0.0.1:2", "log_level": %q,
 	"discovery": {"kind": "platform", "url": "http://127.0.0.1:3"}, "retries": {"ratio": %v, "burst": 64, "window": "10s"}}`
@@ -34,7 +39,7 @@
 	assert.NilError(t, err)
 	var out bytes.Buffer
 	log := hclog.New(&hclog.LoggerOptions{Output: &out, Level: hclog.Info})
-	server := &fakeRetryLimiter{}
+	server := &fakeServer{}
 	r := &reloader{file: file, current: current, log: log, server: server}
 	r.seen, err = os.ReadFile(file)
 	assert.NilError(t, err)
@@ -54,3 +59,24 @@
 	r.read(true)
 	assert.Assert(t, strings.Contains(out.String(), "needs_restart=true"), out.String())
 }
+
+func TestChangedStopIsInForceWithoutRestart(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "s.jsonc")
+	write := func(stop string) {
+		text := strings.Replace(fmt.Sprintf(settingsText, "medina", "info", 0.2), "{", `{"stop": `+stop+`, `, 1)
+		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	}
+	write(`{"notice": "3s", "grace": "30s"}`)
+	current, err := settings.Load(file)
+	assert.NilError(t, err)
+	var out bytes.Buffer
+	server := &fakeServer{}
+	r := &reloader{file: file, current: current, log: hclog.New(&hclog.LoggerOptions{Output: &out}), server: server}
+	r.read(true)
+	assert.Equal(t, len(server.stops), 0, "nothing has changed")
+	write(`{"notice": "1s", "grace": "6s"}`)
+	r.read(false)
+	r.read(true)
+	assert.DeepEqual(t, server.stops, []settings.Stop{{Notice: time.Second, Limit: time.Hour, Grace: 6 * time.Second}})
+	assert.Assert(t, !strings.Contains(out.String(), "needs_restart=true"), out.String())
+}
