node: bound handing over in a planned stop

Operators saw: HandOver called each member in turn with the wait of a heartbeat, so a stop took longer with each member and 0.2 s more with each silent one: at worst 6 s with 30 balancers, 60 s with 300, 197 s with 984 and 1,451 s with 7,257 (worked out). While and after that the node could be made a home of a service that it did not know as one, and could take the measuring lease again: a step of the meter that had begun before looked at nothing but the time.

Change: 8 members are told at the same time: new homes of services first, then seeds, then others at random. Heartbeats, which carry that the node leaves, tell the rest. A balancer that asks a home which has moved now asks it why, once at a time, so that it learns of the stop in one exchange and need not wait for gossip. A node that has left grants nothing and keeps no lease. Leases are given back at the same time, within 1 s.

--- a/node/acquire.go
+++ b/node/acquire.go
@@ -48,6 +48,7 @@
 			go n.cancelAt(home, r)
 			return placement.Grant{}, &placement.Refusal{Reason: reason.CallerLeft}
 		case errors.Is(err, errMoved) || isRemote(err, errMoved):
+			n.askWhyMoved(ctx, home)
 			if !n.pauseForMove(ctx, end) {
 				return placement.Grant{}, &placement.Refusal{Reason: reason.Expired, RetryAfter: defaultRetryAfter}
 			}
--- a/node/homes.go
+++ b/node/homes.go
@@ -14,6 +14,7 @@
 	node  *Node
 	mu    sync.Mutex
 	hosts map[string]*host
+	left  bool // this node stops: it is no home any more
 	pause *lease.PauseDetector
 }
 
@@ -34,6 +35,9 @@
 	made := newHost(contract.NewLedger(contract.Options{}))
 	made.apply(contract.Step{At: h.node.now(), Op: contract.OpBegin})
 	made.update(h.node.now(), s.endpoints[service], s.leaving)
+	if h.left {
+		made.move()
+	}
 	h.hosts[service] = made
 	return made
 }
@@ -70,6 +74,14 @@
 	}
 }
 
+// leave makes this node no home any more, and tells those who wait here to ask the new ones.
+func (h *homes) leave() {
+	h.mu.Lock()
+	h.left = true
+	h.mu.Unlock()
+	h.move()
+}
+
 // move tells those who wait here to ask the new home.
 func (h *homes) move() {
 	for _, host := range h.all() {
--- a/node/measure.go
+++ b/node/measure.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex
 	account budget.Account
 	renewed time.Time
+	left    bool // the lease was given back in a planned stop, and is not taken again
 }
 
 func newMeter(n *Node, tenantName string) *meter {
@@ -81,7 +82,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := bootclock.Now()
-	if now.Sub(m.renewed) < measureRenew {
+	if m.left || now.Sub(m.renewed) < measureRenew {
 		return
 	}
 	m.renewed = now
@@ -108,7 +109,7 @@
 func (m *meter) release(ctx context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.account = budget.Account{}
+	m.account, m.left = budget.Account{}, true
 	if err := m.keeper.Release(ctx); err != nil { // it lapses by itself then
 		m.node.log.Debug("measuring lease not given back", "tenant", m.tenant, "error", err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -8,7 +8,7 @@
 // new one (snapshot.go). A request begins in acquire.go: at the home (home.go, and
 // host.go on the home's side) or, where none answers, in alone.go. Members (membership.go)
 // are kept up to date in heartbeat.go, documents in documents.go and vmlist.go, endpoints
-// that leave in marks.go, measuring in measure.go. The rules are those of package
+// that leave in marks.go, measuring in measure.go, planned stops in handover.go. The rules are those of package
 // coord/contract and its neighbours.
 //
 // It relies on package link for calls between balancers, on the product's store
@@ -76,6 +76,7 @@
 	sequence atomic.Uint64
 
 	publishing sync.Mutex // held by writers of the snapshot
+	askingWhy  sync.Mutex // held by the one that asks a home why it has moved
 	started    time.Time
 
 	members *membership
@@ -189,22 +190,6 @@
 	n.homes.tick(n.now())
 }
 
-// HandOver announces a planned stop to all peers: they choose other homes and
-// send nothing new here. Calls already waiting here are answered.
-func (n *Node) HandOver(ctx context.Context) {
-	n.members.leave()
-	n.rebuild()
-	for _, m := range n.snapshot.Load().view.Members {
-		if m.ID != n.cfg.Settings.ID {
-			n.exchange(ctx, m.Addr)
-		}
-	}
-	n.homes.move()
-	for _, m := range n.meters {
-		m.release(ctx)
-	}
-}
-
 // Close ends all loops and links.
 func (n *Node) Close() {
 	n.stop()
