relay: take no duty up in a planned stop, and release what could not be released

Callers saw nothing at once: a relay whose registration the store did not release at the first attempt, or whose registration was being made when the stop began, went on renewing it until the process ended. Its zone had no other relay for one TTL after that. It also led roll-outs and made trials of the quarantine for its zone until the registration had gone, work that its end cut off.

Change: a balancer that stops releases its registration in place of renewing it, and does not count as the relay by its own registration after it has released it. TakesDuties is false from the beginning of a stop; roll-outs and quarantine ask it. Whoever reports counts or asks for permits goes by the registration as before, so that both sides agree. Followers learn of the end of the registration from the relay itself, which hands this change on like others: they wait in Changes.

TestRegistrationThatCouldNotBeReleasedIsNotRenewed fails without it: no new relay in 20 s.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -18,6 +18,10 @@
 // ServesAsRelay reports whether this balancer is its zone's relay.
 func (g *Group) ServesAsRelay() bool { return g.isRelay(time.Now()) }
 
+// TakesDuties reports whether this balancer does what one balancer of its zone should do: it is the
+// relay, and does not stop.
+func (g *Group) TakesDuties() bool { return !g.leaving.Load() && g.ServesAsRelay() }
+
 // isRelay reports whether this balancer is its zone's registered relay. While the zone has none,
 // this balancer also counts as the relay for one TTL after it registered, because the store may not
 // have reported the registration yet.
--- a/relay/registration.go
+++ b/relay/registration.go
@@ -48,11 +48,17 @@
 }
 
 // maintainRegistration registers this balancer as its zone's relay while the zone has none, and
-// renews the registration, until ctx ends.
+// renews the registration, until ctx ends. In a planned stop it releases the registration instead.
 func (g *Group) maintainRegistration(ctx context.Context) {
 	for ctx.Err() == nil {
 		current, ok := g.replica.relay(g.cfg.Zone)
 		switch {
+		case ok && current.Addr == g.cfg.Addr && g.leaving.Load():
+			pause.For(ctx, g.opts.Wait) // which Leave takes at most
+			if g.releasedLease.Load() != current.lease {
+				g.release(ctx, current)
+			}
+			g.replica.waitChange(ctx, g.opts.TTL/renewalsPerTTL)
 		case ok && current.Addr == g.cfg.Addr:
 			g.renew(ctx, current)
 			pause.For(ctx, g.opts.TTL/renewalsPerTTL)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -157,6 +157,7 @@
 	// registeredAfter is when this balancer last registered, in ns since createdAt; 0 for never. It
 	// bridges the time until the store reports the registration.
 	registeredAfter atomic.Int64
+	releasedLease   atomic.Uint64 // the lease that Leave ended; 0 for none
 
 	mu              sync.Mutex
 	penalized       map[string]time.Time   // until when a relay that failed is not asked, by address
@@ -216,18 +217,26 @@
 	return nil
 }
 
-// Leave releases the registration, so that another balancer takes over before this one stops.
+// Leave releases the registration, so that another balancer takes over before this one stops. It takes
+// at most Options.Wait. This balancer takes no duty up any more; a registration that could not be
+// released, or was being made, is released later (maintainRegistration).
 func (g *Group) Leave(ctx context.Context) {
 	g.leaving.Store(true)
-	own, ok := g.replica.relay(g.cfg.Zone)
-	if !ok || own.Addr != g.cfg.Addr {
-		return
+	if own, ok := g.replica.relay(g.cfg.Zone); ok && own.Addr == g.cfg.Addr {
+		g.release(ctx, own)
 	}
+}
+
+// release ends this balancer's registration.
+func (g *Group) release(ctx context.Context, own Relay) {
 	ctx, cancel := context.WithTimeout(ctx, g.opts.Wait)
 	defer cancel()
 	if err := g.cfg.Registry.Release(ctx, own.lease); err != nil {
 		g.cfg.Log.Warn("could not release relay registration", "error", err)
+		return
 	}
+	g.registeredAfter.Store(0)
+	g.releasedLease.Store(own.lease)
 }
 
 // Close stops the loops, the server and all connections, and waits until they have ended.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -354,6 +354,21 @@
 	publishAndWait(t, store, 3, others...)
 }
 
+// TestRegistrationThatCouldNotBeReleasedIsNotRenewed guards against a relay that stops and keeps its
+// duties because the store did not answer once.
+func TestRegistrationThatCouldNotBeReleasedIsNotRenewed(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	_, zoneRelay, others := startZone(t, store, 2)
+	assert.Assert(t, zoneRelay.group.TakesDuties())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	zoneRelay.group.Leave(ctx)
+	assert.Assert(t, !zoneRelay.group.TakesDuties())
+	waitUntil(t, "a new relay", func() bool { return len(settledBalancers(others)) == 1 })
+	assert.Equal(t, store.Calls()["kv-lease-end"], 1)
+}
+
 // TestStoreDown checks that no balancer drops its content while the store is down, and that all
 // balancers get changes again afterwards.
 func TestStoreDown(t *testing.T) {
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -149,8 +149,8 @@
 // relayZones is which zones have a relay, once this balancer knows.
 type relayZones struct{ server *Server }
 
-// Serving reports whether this balancer is its zone's relay.
-func (z relayZones) Serving() bool { return z.server.relays.ServesAsRelay() }
+// Serving reports whether this balancer is its zone's relay and does not stop.
+func (z relayZones) Serving() bool { return z.server.relays.TakesDuties() }
 
 // RelayZones returns the zones that have one.
 func (z relayZones) RelayZones() []string { return z.server.relays.RelayZones() }
@@ -199,7 +199,9 @@
 }
 
 // serving reports whether this balancer does what one of its zone should do.
-func (s *Server) serving() bool { return s.relays == nil || s.relays.ServesAsRelay() }
+func (s *Server) serving() bool {
+	return !s.isStopping() && (s.relays == nil || s.relays.TakesDuties())
+}
 
 // observe hands changes that are in force to all that keep something of them.
 func (s *Server) observe(c directory.Changes) {
