control: lotusctl stops shows how far planned stops have come

Operators saw of a stop only that /readyz failed. The command asks one or more balancers for the Stop part of /status and prints phase, time left, requests and connections, duties, and what was cut, as a table or JSON. A balancer that does not answer, as one that has stopped, is a row; the command fails if none answers.

--- a/control/control.go
+++ b/control/control.go
@@ -56,6 +56,7 @@
 	addSaid(a)
 	addQueues(a)
 	addPaths(a)
+	addStops(a)
 	addDemo(a)
 	addReplay(a)
 	addTrace(a)
--- a/server/stopstatus.go
+++ b/server/stopstatus.go
@@ -59,3 +59,6 @@
 		HandedOver: p.handedOver, HandOverTook: p.handOverTook, GivenUp: p.givenUp, Cut: cut,
 	}
 }
+
+// Stopping reports whether a planned stop has begun.
+func (st StopStatus) Stopping() bool { return st.Phase != drain.Running.String() }
