control: stand-ins let requests in flight end

On SIGTERM the stand-in store and endpoint closed all connections at once: a balancer's request at a stand-in that was told to end failed. They now accept no other connection and serve what is in flight for up to 5 s; a second signal ends the process.

--- a/control/standins.go
+++ b/control/standins.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/lotuswing/lotuswing/command"
@@ -40,14 +42,29 @@
 	}
 	ctx, stop := untilSignal()
 	defer stop()
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	go func() {
-		<-ctx.Done()
-		_ = srv.Close()
-	}()
+	context.AfterFunc(ctx, stop) // a second signal ends the process
 	_, _ = fmt.Fprintf(e.Out, "listening on %s\n", l.Addr())
+	return serveUntil(ctx, l, h, inFlightWait)
+}
+
+// inFlightWait is how long requests in flight may take once a stand-in has been told to end.
+const inFlightWait = 5 * time.Second
+
+// serveUntil serves a listener until ctx ends, and then the requests in flight for at most wait.
+func serveUntil(ctx context.Context, l net.Listener, h http.Handler, wait time.Duration) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	ended := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(ended)
+		limited, cancel := context.WithTimeout(context.Background(), wait)
+		defer cancel()
+		if srv.Shutdown(limited) != nil {
+			_ = srv.Close() // the rest is cut
+		}
+	})
 	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("standin: %w", err)
 	}
+	<-ended
 	return nil
 }
