--- a/server/platform_test.go
+++ b/server/platform_test.go
@@ -42,6 +42,7 @@
 // platformBalancer is a balancer on the platform, by its addresses.
 type platformBalancer struct {
 	front, admin, link string
+	server             *server.Server
 	kill               func() // ends the process
 }
 
@@ -103,7 +104,7 @@
 		Suspended: r.suspended,
 	})
 	assert.NilError(t, err)
-	b.kill = sync.OnceFunc(srv.Kill)
+	b.server, b.kill = srv, sync.OnceFunc(srv.Kill)
 	t.Cleanup(b.kill)
 	return b
 }
