--- a/relay/relay.go
+++ b/relay/relay.go
@@ -217,9 +217,8 @@
 	return nil
 }
 
-// Leave releases the registration, so that another balancer takes over before this one stops. It takes
-// at most Options.Wait. This balancer takes no duty up any more; a registration that could not be
-// released, or was being made, is released later (maintainRegistration).
+// Leave releases the registration within Options.Wait, so that another balancer takes over before this
+// one stops. One that could not be released, or was being made, is released later.
 func (g *Group) Leave(ctx context.Context) {
 	g.leaving.Store(true)
 	if own, ok := g.replica.relay(g.cfg.Zone); ok && own.Addr == g.cfg.Addr {
--- a/server/server.go
+++ b/server/server.go
@@ -1,6 +1,7 @@
 // Package server runs one balancer process: listeners for callers, operators
 // and peers (server.go), what chooses endpoints, alone or with peers (chooser.go),
-// the admin address (admin.go) and the planned stop (stop.go).
+// the admin address (admin.go), the planned stop (stop.go, its schedule in plannedstop.go, its state in
+// stopstatus.go) and the end of the process (close.go).
 //
 // It owns the listeners and the order in which parts start and stop. It relies on
 // checked settings.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -150,6 +150,13 @@
 // Times returns what the plan of a stop is made of.
 func (s Stop) Times() drain.Times { return drain.Times(s) }
 
+// Within returns the stop as its plan shortens it to its grace.
+func (s Stop) Within() Stop {
+	began := time.Unix(0, 0)
+	plan := drain.NewPlan(began, s.Times())
+	return Stop{Notice: plan.NoticeEnds().Sub(began), Limit: plan.EndsAt().Sub(plan.NoticeEnds()), Grace: s.Grace}
+}
+
 // Limits of what callers may send.
 type Limits struct {
 	HeaderBytes   int           `json:"header_bytes"`   // default 64 KiB
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/lotuswing/lotuswing/coord/drain"
 	"github.com/lotuswing/lotuswing/settings"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -61,15 +60,11 @@
 // TestStopFitsItsGrace: a planned stop ends before the process is killed.
 func TestStopFitsItsGrace(t *testing.T) {
 	long := settings.Stop{Notice: 3 * time.Second, Limit: time.Hour}
-	began := time.Unix(1000, 0)
-	plan := drain.NewPlan(began, long.Times())
-	assert.Equal(t, plan.NoticeEnds().Sub(began), long.Notice, "without a grace nothing is shortened")
-	assert.Equal(t, plan.EndsAt().Sub(began), long.Notice+long.Limit)
+	assert.Equal(t, long.Within(), long, "without a grace nothing is shortened")
 	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 6 * time.Second, time.Minute} {
 		long.Grace = grace
-		plan := drain.NewPlan(began, long.Times())
-		notice, end := plan.NoticeEnds().Sub(began), plan.EndsAt().Sub(began)
-		assert.Assert(t, notice <= 3*time.Second && end > notice)
-		assert.Assert(t, end < grace, "%v: %v and %v", grace, notice, end)
+		got := long.Within()
+		assert.Assert(t, got.Notice <= 3*time.Second && got.Limit > 0)
+		assert.Assert(t, got.Notice+got.Limit < grace, "%v: %v and %v", grace, got.Notice, got.Limit)
 	}
 }
