--- a/cli/balancer_test.go
+++ b/cli/balancer_test.go
@@ -130,6 +130,8 @@
 		_, body := get("http://" + admin + "/readyz")
 		return strings.Contains(body, "planned stop: ")
 	})
+	_, status := get("http://" + admin + "/status")
+	assert.Assert(t, strings.Contains(status, `"Stop":{"Phase":"`) && !strings.Contains(status, `"Phase":"running"`), status)
 	write("10m")
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	waitUntil(t, "reload", func() bool { return strings.Contains(out.String(), "settings read again") })
