--- a/server/server.go
+++ b/server/server.go
@@ -1,6 +1,7 @@
 // Package server runs one balancer process: listeners for callers, operators
 // and peers (server.go), what chooses endpoints, alone or with peers (chooser.go),
-// the admin address (admin.go) and the planned stop (stop.go).
+// the admin address (admin.go), the planned stop (stop.go, its schedule in plannedstop.go, its state in
+// stopstatus.go) and the end of the process (close.go).
 //
 // It owns the listeners and the order in which parts start and stop. It relies on
 // checked settings.
@@ -18,6 +19,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -95,6 +97,9 @@
 	stopping   chan struct{}
 	startedAt  time.Time
 
+	stop         atomic.Pointer[plannedStop]   // nil until one begins
+	stopSettings atomic.Pointer[settings.Stop] // nil for those of the start
+
 	stopDetours func() // ends the checks of lost paths; nil where there are none
 
 	routable chan struct{} // closed once requests can be routed, if that is within orderedFirstWait
