soak: let kept connections rest after chunked bodies

Callers with one request outstanding now rest at times for up to twice the notice after one, and send a slow request next.

--- a/soak/keepers.go
+++ b/soak/keepers.go
@@ -23,6 +23,7 @@
 const (
 	keeperNumbers = 1000 // of callers that keep connections, from here on
 	keeperRedial  = 10 * time.Millisecond
+	keeperRest    = 2 * stopNotice   // idle at most
 	keptAnswer    = 3 * routeTimeout // longest wait for a response whose turn has come
 	mostPayload   = 5000
 	chunkSize     = 700
@@ -37,17 +38,20 @@
 }
 
 // keeper is a caller that keeps a connection in use until it ends. It has always as many
-// requests outstanding as its depth, and one with a depth of 1 pauses between them.
+// requests outstanding as its depth. One with a depth of 1 pauses between them, at times for longer than
+// the notice after a chunked body, with a slow request next.
 type keeper struct {
 	*caller
-	depth int
-	next  int // number of the next request
+	depth  int
+	next   int  // number of the next request
+	rested bool // the connection was idle for long
 }
 
 // kept is a request outstanding on a kept connection.
 type kept struct {
 	*sentRequest
 	payload string
+	chunked bool
 }
 
 func newKeeper(i int, balancers []*balancer, l *ledger, rng *rand.Rand) *keeper {
@@ -85,6 +89,9 @@
 	defer func() { _ = conn.Close() }() // whatever it says
 	in := bufio.NewReader(conn)
 	mix := mixes[k.rng.IntN(len(mixes))]
+	if k.rested = false; k.depth == 1 {
+		mix = mixes[len(mixes)-1] // chunked bodies, too
+	}
 	var outstanding []kept
 	open := true // it takes what is written
 	for {
@@ -103,13 +110,23 @@
 			k.endKept(outstanding[1:], closed)
 			return
 		}
+		last := outstanding[0]
 		outstanding = outstanding[1:]
 		if k.depth == 1 {
-			pause.For(ctx, time.Duration(k.rng.Int64N(int64(callerPause))))
+			k.rest(ctx, last)
 		}
 	}
 }
 
+// rest pauses after a response.
+func (k *keeper) rest(ctx context.Context, after kept) {
+	longest := callerPause
+	if k.rested = after.chunked && k.rng.IntN(2) == 0; k.rested {
+		longest = keeperRest
+	}
+	pause.For(ctx, time.Duration(k.rng.Int64N(int64(longest))))
+}
+
 // send sends a request and reports whether the connection takes others.
 func (k *keeper) send(conn net.Conn, b *balancer, mix []string) (kept, bool) {
 	r, text := k.draw(b, mix)
@@ -136,24 +153,26 @@
 		kind: fmt.Sprintf("depth %d", k.depth), balancer: b.id, team: k.team, key: k.present(),
 	}}
 	prefix := mix[k.rng.IntN(len(mix))]
-	chunked := false
+	if k.rested {
+		prefix = slowPrefix
+	}
 	if prefix == filePrefix {
 		r.method, r.repeatable = http.MethodPost, false
 		r.payload = strings.Repeat("p", 1+k.rng.IntN(mostPayload))
-		if chunked = k.rng.IntN(3) == 0; chunked {
+		if r.chunked = k.rng.IntN(3) == 0; r.chunked {
 			r.kind += ", chunked"
 		}
 	}
 	r.path = fmt.Sprintf("%s%d?n=%d", prefix, k.number, k.next)
 	k.next++
-	text := k.write(r, chunked)
+	text := write(r)
 	r.at = time.Now()
 	k.ledger.begin(r.sentRequest)
 	return r, text
 }
 
 // write returns the bytes of a request.
-func (k *keeper) write(r kept, chunked bool) string {
+func write(r kept) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n",
 		r.method, r.path, host, dialect.RequestID, r.id, dialect.Timeout, dialect.FormatTimeout(routeTimeout))
@@ -161,7 +180,7 @@
 		fmt.Fprintf(&text, "%s: %s%s\r\n", access.AuthorizationHeader, bearer, r.key)
 	}
 	switch {
-	case chunked:
+	case r.chunked:
 		text.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 		for rest := r.payload; rest != ""; rest = rest[min(chunkSize, len(rest)):] {
 			part := rest[:min(chunkSize, len(rest))]
