reach: one rule for a carried connection in a planned stop

What a carrier does with a connection in its stop was a condition of the server, without the time that is left and without the user's part in it. Carried.InStop says whether to tell the user, wait, close or cut. Nothing asks it yet.

--- a/coord/reach/reach.go
+++ b/coord/reach/reach.go
@@ -6,7 +6,7 @@
 // tells the difference. A Path holds the result for one endpoint, an Outlook what the paths of all
 // endpoints together show, a Contact whether any endpoint of a service is reached at all (contact.go),
 // and Carriers what is known of the balancers that may carry (carriers.go). Admit decides at a carrier
-// (admit.go).
+// about one more connection (admit.go), and Carried.InStop in a planned stop about an open one (carried.go).
 //
 // The package has no state, no clock and no I/O: all types are immutable values that the caller keeps.
 //
