detour, upstream: a carrier in a planned stop tells the users of its connections

Cause: the stop closed carried connections once they were quiet, that is 300 ms after the endpoint's last bytes. A connection that is always in use never is; its user, which does not know of the stop, sent requests on it until the stop cut it. A response that paused for 300 ms was cut as well.

Change: the carrier sends a mark (frame length 0xffff, which no frame can have) as soon as its stop begins, also to connections that were being opened then, and only if the request to open said "draining". The user's Conn sees it within Read, notes the carrier as stopping and tells package upstream (upstream.Drainer). That seals the connection for further requests and probes, sends them on another one in the same attempt, and closes the connection once no request has it. Balancers of earlier versions, and clients with HTTP/2, whose connections are shared, do not say "draining" and are treated as before.

Why it works: only the user knows when no response is outstanding, and a request that got a sealed connection has not been written.

The test of a connection with the old request (no "draining") stays as it is. TestMessages has both forms of the request; the form without the field is unchanged.

--- a/detour/conn.go
+++ b/detour/conn.go
@@ -6,21 +6,49 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 )
 
-// frameHeaderSize is the size of the length before the bytes of a frame. The carrier sends the bytes of
-// the endpoint in frames, and an empty frame at their end. Otherwise the end of a carrier would look
-// like the end of a response that has no length.
-const frameHeaderSize = 2
-
 // Conn is a connection that a carrier opened.
 type Conn struct {
 	net.Conn
 	reader    *bufio.Reader
 	carrier   string
 	tunnel    string
-	remaining int  // bytes of the current frame that were not read yet
-	ended     bool // the empty frame was read
+	onMark    func() // called when the carrier says that the connection is draining; nil for nothing
+	remaining int    // bytes of the current frame that were not read yet
+	ended     bool   // endMark was read
+
+	mu         sync.Mutex
+	draining   bool
+	onDraining func() // nil for nothing
+}
+
+// OnDraining implements upstream.Drainer.
+func (c *Conn) OnDraining(f func()) {
+	c.mu.Lock()
+	c.onDraining = f
+	draining := c.draining
+	c.mu.Unlock()
+	if draining {
+		f()
+	}
+}
+
+// markDraining records that the carrier is in a planned stop.
+func (c *Conn) markDraining() {
+	c.mu.Lock()
+	first, f := !c.draining, c.onDraining
+	c.draining = true
+	c.mu.Unlock()
+	if !first {
+		return
+	}
+	for _, call := range []func(){c.onMark, f} {
+		if call != nil {
+			call()
+		}
+	}
 }
 
 // Via returns the address of the carrier and the identity of the connection in its log.
@@ -29,14 +57,10 @@
 // Read reads what the endpoint sent. It returns io.ErrUnexpectedEOF if the connection to the carrier
 // ends before that to the endpoint.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.remaining == 0 && !c.ended {
-		header, err := c.reader.Peek(frameHeaderSize) // after a failure the header is read again
-		if err != nil {
+	for c.remaining == 0 && !c.ended {
+		if err := c.readHeader(); err != nil {
 			return 0, unexpectedEnd(err)
 		}
-		c.remaining = int(binary.BigEndian.Uint16(header))
-		c.ended = c.remaining == 0
-		_, _ = c.reader.Discard(frameHeaderSize) // buffered
 	}
 	if c.ended {
 		return 0, io.EOF
@@ -46,6 +70,25 @@
 	return n, unexpectedEnd(err)
 }
 
+// readHeader reads the length of the next frame, or a mark.
+func (c *Conn) readHeader() error {
+	header, err := c.reader.Peek(frameHeaderSize) // after a failure the header is read again
+	if err != nil {
+		return err
+	}
+	length := int(binary.BigEndian.Uint16(header))
+	_, _ = c.reader.Discard(frameHeaderSize) // buffered
+	switch length {
+	case endMark:
+		c.ended = true
+	case drainingMark:
+		c.markDraining()
+	default:
+		c.remaining = length
+	}
+	return nil
+}
+
 // unexpectedEnd returns io.ErrUnexpectedEOF in place of io.EOF.
 func unexpectedEnd(err error) error {
 	if errors.Is(err, io.EOF) {
--- /dev/null
+++ b/detour/conn_test.go
@@ -0,0 +1,47 @@
+package detour
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMarkIsNoByteOfEndpoint: wherever the mark comes between frames, and however it is split over
+// reads, the bytes of the endpoint are the same, and the mark is seen once.
+func TestMarkIsNoByteOfEndpoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bodies := rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 1, maxFrame), 0, 4).Draw(t, "bodies")
+		marked := rapid.IntRange(0, len(bodies)).Draw(t, "marked") // before this frame
+		var wire, sent []byte
+		for i := range len(bodies) + 1 {
+			if i == marked {
+				wire = binary.BigEndian.AppendUint16(wire, drainingMark)
+			}
+			if i < len(bodies) {
+				wire = append(binary.BigEndian.AppendUint16(wire, uint16(len(bodies[i]))), bodies[i]...)
+				sent = append(sent, bodies[i]...)
+			}
+		}
+		wire = binary.BigEndian.AppendUint16(wire, endMark)
+		var r io.Reader = bytes.NewReader(wire)
+		if rapid.Bool().Draw(t, "split") {
+			r = iotest.OneByteReader(r)
+		}
+		marks, told := 0, 0
+		c := &Conn{reader: bufio.NewReader(r), onMark: func() { marks++ }}
+		c.OnDraining(func() { told++ })
+		got, err := io.ReadAll(c)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, sent))
+		assert.Equal(t, marks, 1)
+		assert.Equal(t, told, 1)
+		c.OnDraining(func() { told++ })
+		assert.Equal(t, told, 2)
+	})
+}
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -34,6 +34,7 @@
 	lost    atomic.Bool       // it has found out that its paths are lost
 	addr    string
 	link    *link.Server
+	metrics metrics.Registry
 }
 
 // noCalls is an rpc receiver without use.
@@ -47,10 +48,10 @@
 
 func startCarrier(t *testing.T, maxCarried int) *carrier {
 	t.Helper()
-	c := &carrier{}
+	c := &carrier{metrics: metrics.NewRegistry()}
 	c.server = detour.NewServer(detour.ServerConfig{
 		Find: find, PathLost: func(string) bool { return c.lost.Load() }, Dial: c.network.Wrap((&net.Dialer{}).DialContext),
-		MaxCarried: maxCarried, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+		MaxCarried: maxCarried, Log: hclog.NewNullLogger(), Metrics: c.metrics,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -307,18 +308,22 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	r := newRig(t, l.Addr().String())
-	go func() { _, _ = r.table.DialDetour(context.Background(), "tcp", "10.0.0.1:80") }()
-	conn, err := l.Accept()
-	assert.NilError(t, err)
-	line, err := bufio.NewReader(conn).ReadString('\n')
-	assert.NilError(t, err)
-	assert.NilError(t, conn.Close())
+	var lines []string
+	for _, ctx := range []context.Context{t.Context(), upstream.WithDraining(t.Context())} {
+		go func() { _, _ = r.table.DialDetour(ctx, "tcp", "10.0.0.1:80") }()
+		conn, err := l.Accept()
+		assert.NilError(t, err)
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		assert.NilError(t, err)
+		assert.NilError(t, conn.Close())
+		lines = append(lines, fmt.Sprintf("%q", line))
+	}
 	var answers []string
 	for _, a := range []reach.Answer{reach.Accepted, reach.Unreachable, reach.PathLost, reach.Busy, reach.Stopping, reach.Unlisted, reach.Malformed} {
 		answers = append(answers, string(a))
 	}
 	slices.Sort(answers)
-	golden.Assert(t, fmt.Sprintf("%q\n%s\n", line, strings.Join(answers, "\n")), "messages.golden")
+	golden.Assert(t, strings.Join(append(lines, answers...), "\n")+"\n", "messages.golden")
 }
 
 // open opens a connection through the rig's carrier.
--- a/detour/dial.go
+++ b/detour/dial.go
@@ -102,9 +102,10 @@
 		return
 	}
 	conn := &Conn{Conn: stream, reader: bufio.NewReader(stream), carrier: carrier, tunnel: fmt.Sprintf("%s-%d", t.cfg.ID, t.sequence.Add(1))}
+	conn.onMark = func() { t.recordDraining(conn) }
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	var reply openReply
-	o.err = writeLine(stream, openRequest{Endpoint: addr, From: t.cfg.ID, Tunnel: conn.tunnel})
+	o.err = writeLine(stream, openRequest{Endpoint: addr, From: t.cfg.ID, Tunnel: conn.tunnel, Draining: upstream.ObeysDraining(ctx)})
 	if o.err == nil {
 		o.err = readLine(conn.reader, &reply)
 	}
@@ -134,6 +135,12 @@
 	}
 }
 
+// recordDraining records that the carrier of a connection is in a planned stop, as if it had refused one.
+func (t *Table) recordDraining(c *Conn) {
+	t.recordAnswer(opening{carrier: c.carrier, answer: reach.Stopping})
+	t.cfg.Log.Debug("carrier is stopping", "carrier", c.carrier, "tunnel", c.tunnel)
+}
+
 // carrierOrder returns the carriers in the order in which they should be asked. It fetches a new list
 // if the known one is old, and waits for it if none is known.
 func (t *Table) carrierOrder(ctx context.Context) []string {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -96,6 +96,9 @@
 			}
 			ctx, cancel := context.WithTimeout(ctx, opts.DialTimeout)
 			defer cancel()
+			if !opts.HTTP2 { // its connections are shared, and net/http does not say when they are idle
+				ctx = WithDraining(ctx)
+			}
 			c, err := open(ctx, network, addr)
 			if err != nil {
 				return nil, err
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -36,10 +36,20 @@
 
 	broken    chan struct{} // closed once a read has failed because the endpoint closed the connection
 	breakOnce sync.Once
+
+	mu       sync.Mutex
+	draining bool // it must be used for no further request, see Drainer
+	users    int  // requests that have it
 }
 
 // newConn returns a conn that records when a read fails.
-func newConn(c net.Conn) *conn { return &conn{Conn: c, broken: make(chan struct{})} }
+func newConn(inner net.Conn) *conn {
+	c := &conn{Conn: inner, broken: make(chan struct{})}
+	if d, ok := inner.(Drainer); ok {
+		d.OnDraining(c.drain)
+	}
+	return c
+}
 
 // Read reads, and records that the connection is broken if that fails. http.Transport reads from a
 // connection all the time, also before the first request.
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -38,8 +38,12 @@
 	}
 	// The empty User-Agent keeps net/http from sending its own.
 	r := &http.Request{Method: http.MethodGet, URL: target, Host: addr, Header: http.Header{"User-Agent": {""}}}
+	ctx = httptrace.WithClientTrace(ctx, tracker.trace(Request{}))
 	sent := time.Now()
-	response, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, tracker.trace(Request{}))))
+	response, err := transport.RoundTrip(r.WithContext(ctx))
+	for tries := 1; err != nil && tracker.isDraining() && tries < maxDrainingTries && ctx.Err() == nil; tries++ {
+		response, err = transport.RoundTrip(r.WithContext(ctx))
+	}
 	if err != nil && ctx.Err() == nil && isReset(tracker.connection(), err) {
 		return Report{}, fmt.Errorf("%w: probe: %w", ErrReset, err)
 	}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -4,9 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
-	"net/textproto"
 	"net/url"
-	"sync"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/reason"
@@ -70,6 +68,7 @@
 	Err     error // why there is no response
 	// connected says that the transport picked a connection.
 	connected bool
+	draining  bool // nothing was sent, because the connection is draining
 	cancel    func()
 }
 
@@ -97,8 +96,19 @@
 	}
 }
 
-// sendOver makes one attempt over a transport.
+// sendOver makes one attempt over a transport. If the connection that it picks turns out to be draining,
+// nothing was sent, and another one is picked.
 func (c *Client) sendOver(ctx context.Context, transport *http.Transport, r Request) Result {
+	for tries := 1; ; tries++ {
+		res := c.sendOnce(ctx, transport, r)
+		if !res.draining || tries == maxDrainingTries || ctx.Err() != nil || !r.Body.Replayable() {
+			return res
+		}
+	}
+}
+
+// sendOnce makes one attempt over one connection.
+func (c *Client) sendOnce(ctx context.Context, transport *http.Transport, r Request) Result {
 	sent := time.Now()
 	remaining := r.Deadline.Sub(sent)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -163,80 +173,3 @@
 	}
 	return out.WithContext(ctx)
 }
-
-// connTracker records which connection an attempt got, and seals it if the request must not be
-// sent on it.
-type connTracker struct {
-	mostIdle time.Duration // 0 for any
-	admitted func() bool   // nil for always
-	settle   time.Duration // how long a new connection must stay open before it is used
-
-	mu            sync.Mutex
-	gotConnection bool  // the transport picked a connection
-	conn          *conn // that connection; nil if this package's dialer did not open it
-	writesBefore  int64 // writes on the connection before this attempt
-	idleTooLong   bool  // the connection had been idle for longer than mostIdle and is sealed
-	withdrawn     bool  // admitted returned false, and the connection is sealed
-	broken        bool  // the endpoint closed the new connection within settle, and it is sealed
-}
-
-// gotConn records the connection that the transport picked for the attempt, and seals it if the
-// request must not be sent on it. It is the GotConn hook of httptrace.
-func (t *connTracker) gotConn(info httptrace.GotConnInfo) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.gotConnection = true
-	t.conn, _ = info.Conn.(*conn)
-	if t.conn != nil {
-		t.writesBefore = t.conn.writes.Load()
-	}
-	if t.conn == nil {
-		return
-	}
-	t.broken = t.settle > 0 && !info.Reused && t.conn.breaksWithin(t.settle) && t.conn.sealIfNoWriteSince(t.writesBefore)
-	if t.broken {
-		return
-	}
-	t.withdrawn = t.admitted != nil && !t.admitted() && t.conn.sealIfNoWriteSince(t.writesBefore)
-	t.idleTooLong = !t.withdrawn && t.mostIdle > 0 && info.Reused && info.IdleTime > t.mostIdle && t.conn.sealIfNoWriteSince(t.writesBefore)
-}
-
-// connection returns the connection that the transport picked last; nil for none.
-func (t *connTracker) connection() *conn {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.conn
-}
-
-// connected reports whether the transport picked a connection.
-func (t *connTracker) connected() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.gotConnection
-}
-
-// via returns the carrier and the tunnel of the connection; empty for a direct one.
-func (t *connTracker) via() (carrier, tunnel string) {
-	c := t.connection()
-	if c == nil {
-		return "", ""
-	}
-	if detoured, ok := c.Conn.(interface {
-		Via() (carrier, tunnel string)
-	}); ok {
-		return detoured.Via()
-	}
-	return "", ""
-}
-
-// trace returns the hooks for net/http that call gotConn and the callbacks of r.
-func (t *connTracker) trace(r Request) *httptrace.ClientTrace {
-	hooks := &httptrace.ClientTrace{GotConn: t.gotConn, GotFirstResponseByte: r.OnResponseBegun}
-	if r.OnInformational != nil {
-		hooks.Got1xxResponse = func(code int, header textproto.MIMEHeader) error {
-			r.OnInformational(code, http.Header(header))
-			return nil
-		}
-	}
-	return hooks
-}
--- a/upstream/verdict.go
+++ b/upstream/verdict.go
@@ -126,6 +126,9 @@
 		return Result{Verdict: verdict.NotRun, Reason: reason.DialFailed, Err: ErrPathLost}
 	case !t.gotConnection:
 		return Result{Verdict: verdict.NotRun, Reason: noConnectionReason(cause), Err: err}
+	case t.draining: // sealed before anything could be written
+		_ = t.conn.Close()
+		return Result{Verdict: verdict.NotRun, Reason: reason.NothingWritten, draining: true, Err: err}
 	case t.broken: // sealed before anything could be written
 		_ = t.conn.Close()
 		return Result{Verdict: verdict.NotRun, Reason: reason.NothingWritten, Reset: true, Err: err}
