detour: test that a carrier in its stop is asked last; document stops

A carrier that said that it is draining counts as one that refused because of its stop. With the answer Accepted in place of Stopping the test fails: the carrier is asked first at random.

--- a/detour/conn_test.go
+++ b/detour/conn_test.go
@@ -5,9 +5,14 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"testing/iotest"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/reach"
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -45,3 +50,17 @@
 		assert.Equal(t, told, 2)
 	})
 }
+
+// TestCarrierThatDrainsIsAskedLast, like one that refuses a connection because of its stop.
+func TestCarrierThatDrainsIsAskedLast(t *testing.T) {
+	table := NewTable(Config{Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+	table.carriers = table.carriers.WithList([]reach.Carrier{{Addr: "a"}, {Addr: "b"}, {Addr: "c"}}, time.Now())
+	wire := bytes.NewReader([]byte{0xff, 0xff, 0, 0})
+	c := &Conn{reader: bufio.NewReader(wire), carrier: "b"}
+	c.onMark = func() { table.recordDraining(c) }
+	_, err := c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	for range 20 {
+		assert.Equal(t, table.carriers.Order(rand.Float64, time.Now())[2], "b")
+	}
+}
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -8,6 +8,11 @@
 // limits and retries. So a request is counted once, and what a broken connection proves does not depend
 // on the carrier.
 //
+// In a planned stop a carrier tells the balancers that use its connections, once, at its beginning. They
+// send no further request on these, ask other carriers, and close each once no response is outstanding on
+// it (upstream.Drainer). If all carriers stop one after another, each next one is asked; if all are in a
+// stop at once, requests are not sent, and their callers learn that they did not run.
+//
 // A Table owns the background checks of lost paths, and a Server the connections that it carries. Both
 // rely on package link for streams between balancers, and a Table on a Finder that names carriers.
 //
