cli: signals are caught before the settings are read

A SIGHUP that comes before the process catches it ends the process with status 129: 10 of 50 starts with a SIGHUP after 1 to 30 ms on an idle machine, all of those with 1 and 2 ms. Signals were caught after the settings had been read and the log made; they are caught first now. The test ended with 'signal: hangup' before.

The window is not gone: with the change 11 of 50 starts ended, all of those with 1 and 2 ms and one with 4 ms, while the program is loaded and the runtime starts. What is gone is the time for reading the settings.

--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -58,6 +58,7 @@
 }
 
 func runBalancer(e *command.Env, file string, simulated simulation) error {
+	signals, reloads := catchSignals() // before anything that takes time: a SIGHUP that is not caught ends the process
 	s, err := settings.Load(file)
 	if err != nil {
 		return command.ExitError{Code: command.ExitUsage, Err: err}
@@ -71,10 +72,6 @@
 	if err != nil {
 		return command.ExitError{Code: command.ExitUsage, Err: err}
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	limitMemory(s.Memory)
 	cfg := serverConfig(s, log, e)
 	if simulated.clock != "" {
@@ -101,6 +98,14 @@
 	return err
 }
 
+// catchSignals returns the signals that stop the process and those that make it read its settings again.
+func catchSignals() (stops, reloads chan os.Signal) {
+	stops, reloads = make(chan os.Signal, 2), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	return stops, reloads
+}
+
 // suspendedBy returns what tells for how long the VM was suspended from a file. One that is
 // not there or cannot be read tells of nothing.
 func suspendedBy(file string, log hclog.Logger) func() time.Duration {
--- a/cli/balancer_test.go
+++ b/cli/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/lotuswing/lotuswing/command"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 	"github.com/lotuswing/lotuswing/tenant"
 	"gotest.tools/v3/assert"
@@ -141,3 +143,16 @@
 	assert.Equal(t, <-exit, 0, "%s", out.String())
 	assert.Assert(t, strings.Contains(out.String(), "cut=0"), out.String())
 }
+
+func TestHangUpWhileSettingsAreReadDoesNotEndProcess(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings")
+	assert.NilError(t, syscall.Mkfifo(file, 0o600))
+	ended := make(chan int, 1)
+	go func() { ended <- Balancer([]string{"run", "--settings", file}, io.Discard, io.Discard) }()
+	w, err := os.OpenFile(file, os.O_WRONLY, 0) // returns once the settings are being read
+	assert.NilError(t, err)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	_, err = io.WriteString(w, "not settings")
+	assert.NilError(t, errors.Join(err, w.Close()))
+	assert.Equal(t, <-ended, command.ExitUsage)
+}
