relay, server: calls of other balancers are answered at the end of a planned stop

A stopping balancer closed the connections of other balancers with calls under way. It reads no further calls then and answers those under way, for as long as the end of the process may take. Metrics count callers' connections by what they do. The soak replaces settings files whole.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -51,14 +51,16 @@
 	Directory *directory.Directory
 	Client    Prober
 	// Suspensions detects suspensions of the VM; nil for none.
-	Suspensions     *suspend.Detector
-	Log             hclog.Logger
-	Metrics         metrics.Registry
-	Handover        func(context.Context) // hands duties to other balancers before a planned stop; may be nil
-	Stop            func()                // stops the updates of the directory; may be nil
-	RolloutRecorder RolloutRecorder       // records the outcomes of requests during rollouts; nil for none
-	Limits          Limits                // tracks the rate limits of endpoints; nil for none
-	Order           urgency.Mode          // when requests are served by urgency
+	Suspensions *suspend.Detector
+	Log         hclog.Logger
+	Metrics     metrics.Registry
+	Handover    func(context.Context) // hands duties to other balancers before a planned stop; may be nil
+	Stop        func()                // stops the updates of the directory; may be nil
+	// Shutdown answers the calls of other balancers that are under way, until ctx ends; may be nil.
+	Shutdown        func(ctx context.Context)
+	RolloutRecorder RolloutRecorder // records the outcomes of requests during rollouts; nil for none
+	Limits          Limits          // tracks the rate limits of endpoints; nil for none
+	Order           urgency.Mode    // when requests are served by urgency
 	// MaxWaiting bounds the number of requests that wait in the queues of all services; default
 	// DefaultMaxWaiting.
 	MaxWaiting int
@@ -255,6 +257,14 @@
 	}
 }
 
+// Shutdown is Close after Config.Shutdown, if that is set.
+func (c *Chooser) Shutdown(ctx context.Context) {
+	if c.cfg.Shutdown != nil {
+		c.cfg.Shutdown(ctx)
+	}
+	c.Close()
+}
+
 // Close stops the updates of the directory.
 func (c *Chooser) Close() {
 	if c.cfg.Stop != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -190,6 +190,14 @@
 	n.homes.tick(n.now())
 }
 
+// Shutdown is Close, but answers the calls of other balancers that are under way, until ctx ends.
+func (n *Node) Shutdown(ctx context.Context) {
+	if err := n.server.Shutdown(ctx); err != nil {
+		n.log.Debug("calls of other balancers cut", "error", err)
+	}
+	n.Close()
+}
+
 // Close ends all loops and links.
 func (n *Node) Close() {
 	n.stop()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -238,6 +238,14 @@
 	g.releasedLease.Store(own.lease)
 }
 
+// AnswerCalls accepts no further calls of other balancers and answers those under way, until ctx ends. It
+// comes before Close.
+func (g *Group) AnswerCalls(ctx context.Context) {
+	if err := g.server.Shutdown(ctx); err != nil {
+		g.cfg.Log.Debug("calls of other balancers cut", "error", err)
+	}
+}
+
 // Close stops the loops, the server and all connections, and waits until they have ended.
 func (g *Group) Close() {
 	g.stop()
--- a/server/admin.go
+++ b/server/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -111,7 +112,7 @@
 
 func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.GetOrRegisterGauge("requests_in_flight", s.metrics).Update(s.balancer.InFlight())
-	metrics.GetOrRegisterGauge("caller_connections", s.metrics).Update(int64(s.front.Connections()))
+	s.updateConnectionMetrics()
 	metrics.GetOrRegisterGauge("stopping", s.metrics).Update(gaugeOf(s.isStopping()))
 	s.updateStopMetrics(time.Now())
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
@@ -146,6 +147,14 @@
 	s.latency.Write(w)
 }
 
+// updateConnectionMetrics sets the gauges of callers' connections.
+func (s *Server) updateConnectionMetrics() {
+	n := s.front.Counts()
+	for state, count := range map[string]int{"idle": n.Idle, "in-service": n.InService, "sealed": n.Sealed, "opaque": n.Opaque, "http2": n.HTTP2} {
+		metrics.GetOrRegisterGauge(fmt.Sprintf("caller_connections{state=%q}", state), s.metrics).Update(int64(count))
+	}
+}
+
 // gaugeOf is 1 for true and 0 for false.
 func gaugeOf(b bool) int64 {
 	if b {
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -25,6 +25,8 @@
 	balancer.Chooser
 	// HandOver announces a planned stop.
 	HandOver(ctx context.Context)
+	// Shutdown is Close, but lets calls of other balancers that are under way be answered until ctx ends.
+	Shutdown(ctx context.Context)
 	Close()
 }
 
@@ -111,7 +113,7 @@
 		cfg.Paths = s.paths
 	}
 	if s.relays != nil {
-		cfg.Handover = s.relays.Leave
+		cfg.Handover, cfg.Shutdown = s.relays.Leave, s.relays.AnswerCalls
 		cfg.Stop = func() {
 			stop()
 			s.relays.Close()
--- a/server/close.go
+++ b/server/close.go
@@ -27,37 +27,38 @@
 // Kill ends the process's part at once, as a crash does.
 func (s *Server) Kill() {
 	_ = s.front.Close() // as a crash, without a word
-	<-s.beginClose(traceFlushWait)
+	<-s.beginClose(traceFlushWait, func(context.Context) { s.chooser.Close() })
 }
 
 // close ends what callers do not see, and waits for that as long as limit at most.
 func (s *Server) close(limit time.Duration) {
-	if !awaitAll(limit, s.beginClose(limit)) {
+	if !awaitAll(limit, s.beginClose(limit, s.chooser.Shutdown)) {
 		s.cfg.Log.Warn("process ends before all its parts", "after", limit)
 	}
 }
 
-// beginClose begins to end what callers do not see. The listeners are closed whatever they say.
-func (s *Server) beginClose(flushWait time.Duration) <-chan struct{} {
+// beginClose begins to end what callers do not see; closeChooser gets a context that ends after flushWait.
+// The listeners are closed whatever they say.
+func (s *Server) beginClose(flushWait time.Duration, closeChooser func(context.Context)) <-chan struct{} {
 	_ = s.admin.Close()
 	if s.scrapes != nil {
 		_ = s.scrapes.Close()
 	}
 	flushed, closed := make(chan struct{}), make(chan struct{})
+	ctx, cancel := context.WithTimeout(context.Background(), flushWait)
 	go func() {
 		defer close(flushed)
-		ctx, cancel := context.WithTimeout(context.Background(), flushWait)
-		defer cancel()
 		if err := s.tracing.Shutdown(ctx); err != nil {
 			s.cfg.Log.Warn("last spans not sent", "error", err)
 		}
 	}()
 	go func() {
 		defer close(closed)
+		defer cancel()
 		if s.stopDetours != nil {
 			s.stopDetours()
 		}
-		s.chooser.Close()
+		closeChooser(ctx)
 		<-flushed
 	}()
 	return closed
--- a/soak/process.go
+++ b/soak/process.go
@@ -109,7 +109,11 @@
 	if err != nil {
 		return fmt.Errorf("soak: settings: %w", err)
 	}
-	return os.WriteFile(b.file, raw, 0o600)
+	next := b.file + ".next" // a process that starts meanwhile must not read a part
+	if err := os.WriteFile(next, raw, 0o600); err != nil {
+		return fmt.Errorf("soak: settings: %w", err)
+	}
+	return os.Rename(next, b.file)
 }
 
 // run starts the process.
