server: the end of handing over is not missed by a stop

A stop that nothing held any more could end 50 ms late: a channel that was closed between being looked at and being waited for made the loop wait for its next look.

--- a/server/plannedstop.go
+++ b/server/plannedstop.go
@@ -60,7 +60,8 @@
 	handedOver, carried := p.watchHandOver(p.steps.HandOver(ctx)), p.steps.DrainCarried(ctx)
 	var callers <-chan struct{} // nil until the listener is closed
 	for {
-		if isClosed(callers) && isClosed(carried) && isClosed(handedOver) && p.steps.Drained() {
+		open := firstOpen(callers, carried, handedOver)
+		if callers != nil && open == nil && p.steps.Drained() {
 			return true
 		}
 		switch p.nextStep(ctx, time.Now()) {
@@ -72,7 +73,7 @@
 			cancel()
 			return p.end(callers, carried)
 		case drain.Running, drain.Notice:
-			p.wait(ctx, firstOpen(callers, carried, handedOver))
+			p.wait(ctx, open)
 		}
 	}
 }
