pipeline: streams and late HTTP/2 connections end with a planned stop

A connection whose response had begun before the stop was not sealed, since no response of it began in the stop: what its caller sent behind a stream was served, and lost with the connection when the stream was cut. It is sealed when the stop begins.

The new test failed before: the request behind the stream was read.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,11 +34,13 @@
 	inHead   bool     // the request that net/http is reading has no whole header yet
 	sealed   bool     // nothing more is read of requests that have not begun
 	reading  reading
-	opaque   bool // net/http reads the rest of the connection alone
-	active   bool // net/http has read a header, and has not ended that request
-	deadline deadline
-	requests int     // that were read
-	current  Arrival // of the request that net/http has
+	// responding says that a part of a response was written whose end was not.
+	responding atomic.Bool
+	opaque     bool // net/http reads the rest of the connection alone
+	active     bool // net/http has read a header, and has not ended that request
+	deadline   deadline
+	requests   int     // that were read
+	current    Arrival // of the request that net/http has
 
 	moved    bool // another server has it
 	hijacked bool // a handler has it
@@ -81,6 +84,12 @@
 	}
 }
 
+// Write writes a part of a response.
+func (c *conn) Write(p []byte) (int, error) {
+	c.responding.Store(true)
+	return c.Conn.Write(p)
+}
+
 // receive reads from the caller. Of a request that has not begun, it reads nothing once the connection
 // is sealed, and returns errAgain.
 func (c *conn) receive(p []byte, from reading) (int, error) {
--- a/pipeline/conns.go
+++ b/pipeline/conns.go
@@ -18,6 +18,7 @@
 // has not reached net/http yet, and drops a request that net/http reads after Shutdown has begun.
 type connSet[C interface {
 	comparable
+	beginStop()
 	stop()
 }] struct {
 	mu        sync.Mutex
@@ -31,6 +32,7 @@
 
 func newConnSet[C interface {
 	comparable
+	beginStop()
 	stop()
 }]() *connSet[C] {
 	return &connSet[C]{conns: map[C]bool{}, lingering: map[net.Conn]bool{}, ended: make(chan struct{})}
@@ -81,8 +83,11 @@
 // beginStop notes that a planned stop has begun.
 func (s *connSet[C]) beginStop() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.stopping = true
+	s.mu.Unlock()
+	for _, c := range s.list() {
+		c.beginStop()
+	}
 }
 
 // stop stops all connections and waits until they have ended, or ctx ends.
--- a/pipeline/deadline.go
+++ b/pipeline/deadline.go
@@ -76,7 +76,7 @@
 	if err := c.limitWrite(time.Now()); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.Write(p)
 	if err != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/pipeline/http2.go
+++ b/pipeline/http2.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 )
 
 // preface begins each connection of a caller that knows that the server speaks HTTP/2.
@@ -57,8 +58,10 @@
 	polling, cancel := context.WithCancel(ctx)
 	polled := make(chan struct{})
 	go func() {
-		_ = s.Shutdown(polling) // what is left over is seen by conns
-		close(polled)
+		defer close(polled)
+		for polling.Err() == nil {
+			s.tellAll(polling)
+		}
 	}()
 	err := s.conns.stop(ctx)
 	cancel()
@@ -66,6 +69,18 @@
 	return err
 }
 
+// tellPeriod is the pause between two times that all callers are told to begin no other stream.
+const tellPeriod = 50 * time.Millisecond
+
+// tellAll tells all callers to begin no other stream, and returns after tellPeriod. net/http tells those
+// alone whose connection it has begun to serve when the call begins.
+func (s *http2Server) tellAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tellPeriod)
+	defer cancel()
+	_ = s.Shutdown(ctx) // what is left over is seen by conns
+	<-ctx.Done()
+}
+
 // http2Conn is a caller's connection of HTTP/2.
 type http2Conn struct {
 	net.Conn
@@ -86,6 +101,9 @@
 // Close closes the connection.
 func (c *http2Conn) Close() error { return c.close() }
 
+// beginStop does nothing: responses tell the caller.
+func (c *http2Conn) beginStop() {}
+
 // stop does nothing: the shutdown of net/http tells the caller.
 func (c *http2Conn) stop() {}
 
--- a/pipeline/seal.go
+++ b/pipeline/seal.go
@@ -65,15 +65,28 @@
 // sealIfStopping seals the connection behind a response whose handler did not, without waiting for a read
 // that is under way; c.mu must be held.
 func (c *conn) sealIfStopping() {
-	if !c.stopping {
-		return
+	if c.stopping {
+		c.sealAtOnce()
 	}
+}
+
+// sealAtOnce seals the connection without waiting for a read that is under way; c.mu must be held.
+func (c *conn) sealAtOnce() {
 	c.sealed = true
 	if c.reading == readingNext {
 		_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection only
 	}
 }
 
+// beginStop seals the connection if a response has begun, which can no longer say that it closes it.
+func (c *conn) beginStop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.responding.Load() {
+		c.sealAtOnce()
+	}
+}
+
 // last reports whether no request behind net/http's has been read, and sees to it that it stays so.
 func (c *conn) last() bool {
 	c.mu.Lock()
--- a/pipeline/stop_test.go
+++ b/pipeline/stop_test.go
@@ -193,3 +193,37 @@
 		assert.ErrorIs(t, late, io.ErrClosedPipe)
 	})
 }
+
+func TestNothingIsServedBehindAResponseThatBeganBeforeTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate, served := make(chan struct{}), make(chan string, 2)
+		s := &stoppable{listener: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}, served: make(chan error, 1)}
+		s.Server = pipeline.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			served <- r.URL.Path
+			_, _ = io.WriteString(w, "begun ")
+			_ = http.NewResponseController(w).Flush()
+			<-gate
+			_, _ = io.WriteString(w, "ended")
+		})})
+		go func() { s.served <- s.Serve(s.listener) }()
+		conn := s.dial()
+		_, err := io.WriteString(conn, "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		s.beginStop()
+		behind := make(chan error, 1)
+		go func() {
+			_, err := io.WriteString(conn, "GET /behind HTTP/1.1\r\nHost: a\r\n\r\n")
+			behind <- err
+		}()
+		synctest.Wait()
+		close(gate)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "begun ended")
+		assert.ErrorIs(t, <-behind, io.ErrClosedPipe)
+		s.close(t)
+		assert.Equal(t, len(served), 1)
+	})
+}
