cli, server: a planned stop is counted from its signal

A SIGTERM that comes while the process starts was read only afterwards, and the stop was counted from then on, though the time until the process is killed had begun with the signal. Found in a review, by reading.

--- a/cli/balancer.go
+++ b/cli/balancer.go
@@ -58,7 +58,7 @@
 }
 
 func runBalancer(e *command.Env, file string, simulated simulation) error {
-	signals, reloads := catchSignals() // before anything that takes time: a SIGHUP that is not caught ends the process
+	signals, stopAsked, reloads := catchSignals() // before anything that takes time: a SIGHUP that is not caught ends the process
 	s, err := settings.Load(file)
 	if err != nil {
 		return command.ExitError{Code: command.ExitUsage, Err: err}
@@ -86,24 +86,30 @@
 		return err
 	}
 	go (&reloader{file: file, current: s, log: log, server: srv}).run(reloads)
-	<-signals
+	asked := <-stopAsked
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
 		<-signals // a second signal ends the waiting
 		cancel()
 	}()
-	cut, err := srv.Stop(ctx)
+	cut, err := srv.Stop(ctx, asked)
 	log.Info("stopped", "cut", cut)
 	return err
 }
 
-// catchSignals returns the signals that stop the process and those that make it read its settings again.
-func catchSignals() (stops, reloads chan os.Signal) {
-	stops, reloads = make(chan os.Signal, 2), make(chan os.Signal, 1)
+// catchSignals returns the signals that follow the one that stops the process, when that one came, and
+// those that make the process read its settings again.
+func catchSignals() (more <-chan os.Signal, asked <-chan time.Time, reloads chan os.Signal) {
+	stops, first := make(chan os.Signal, 2), make(chan time.Time, 1)
+	reloads = make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reloads, syscall.SIGHUP)
-	return stops, reloads
+	go func() {
+		<-stops
+		first <- time.Now()
+	}()
+	return stops, first, reloads
 }
 
 // suspendedBy returns what tells for how long the VM was suspended from a file. One that is
--- a/server/server.go
+++ b/server/server.go
@@ -10,7 +10,7 @@
 //
 //	s, err := server.Start(server.Config{Settings: settings, Log: log, Traces: os.Stderr})
 //	...
-//	cut, err := s.Stop(ctx)
+//	cut, err := s.Stop(ctx, time.Now())
 package server
 
 import (
--- a/server/stop.go
+++ b/server/stop.go
@@ -30,11 +30,10 @@
 	Connections() int
 }
 
-// Stop is the planned stop. It follows one drain.Plan, made of the settings that are in force now. It
-// returns how many requests were given up or closed, and ErrCut if the end of the plan or of ctx came
+// Stop is the planned stop, which was asked for at began. It follows one drain.Plan, made of the settings
+// that are in force now. It returns how many requests were given up or closed, and ErrCut if the end of the plan or of ctx came
 // before that of all that callers had open.
-func (s *Server) Stop(ctx context.Context) (cut int64, err error) {
-	began := time.Now()
+func (s *Server) Stop(ctx context.Context, began time.Time) (cut int64, err error) {
 	times := s.stopTimes()
 	steps := &stopOf{server: s, balancer: s.balancer, front: s.front, began: began}
 	stop := newPlannedStop(steps, times, s.suspended.Check, began)
--- a/server/stopcut_test.go
+++ b/server/stopcut_test.go
@@ -49,7 +49,7 @@
 	}()
 	<-begun
 	b.server.SetStop(times)
-	return b.server.Stop(ctx)
+	return b.server.Stop(ctx, time.Now())
 }
 
 // TestStopCutsWhatIsLeft at the end of its plan, and at a second signal.
