balancer: what a stop gives up says the verdict of all attempts

The log line of a request that was given up while it searched for an endpoint said not-run, also after an attempt that may have run; the caller's response was right. A wait for a trial that the stop ended was refused as quarantined. Found in a review, by reading.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -89,7 +89,7 @@
 		refused.Reason = expiryReason(refused.Reason, x.deadline, now)
 		if isStopCut(ctx) {
 			refused.Reason = reason.Stopping
-			b.noteCut(x, "", verdict.NotRun, now)
+			b.noteCut(x, "", combineVerdicts(verdict.NotRun, x.mayHaveRun), now)
 		}
 		x.logNoEndpoint(number, refused, now)
 		return placement.Grant{}, refusal{reason: refused.Reason, message: "service " + x.route.ServiceKey(), retryAfter: refused.RetryAfter}
--- a/balancer/quarantine.go
+++ b/balancer/quarantine.go
@@ -29,6 +29,9 @@
 		return nil
 	}
 	admission, refused := b.cfg.Quarantine.Admit(ctx, x.quarantineRequest())
+	if refused != nil && isStopCut(ctx) {
+		return refusal{reason: reason.Stopping, message: refused.Evidence}
+	}
 	if refused != nil {
 		return refusal{reason: reason.Quarantined, message: refused.Evidence, retryAfter: refused.RetryAfter}
 	}
