balancer: a body that does not arrive is answered by deadline and stop

Callers that stopped in the middle of a body got no answer: neither the deadline nor the end of a planned stop ended the read, and the stop closed the connection with the request at its endpoint. Cancelling an attempt does not end a read of the caller's connection, which net/http's transport waits for; a small body was read without regard to a stop. The read of the body is ended at the deadline, while no response has begun, and when attempts are given up; the response then closes the connection.

--- a/balancer/body.go
+++ b/balancer/body.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -27,21 +28,45 @@
 	return nil
 }
 
+// bodyGrace is how long after the request's deadline the reading of its body ends, so that an attempt
+// ends by its own deadline first.
+const bodyGrace = 10 * time.Millisecond
+
+// bindBody ends the reading of the caller's body when ctx ends and, until release is called, shortly after
+// the request's deadline. A read of a body that does not arrive ends by neither.
+func bindBody(ctx context.Context, x *exchange) (release func()) {
+	if x.r.ContentLength == 0 {
+		return func() {}
+	}
+	control := http.NewResponseController(x.w)
+	end := func() {
+		if !x.body.Ended() {
+			x.bodyCut.Store(true)
+			_ = control.SetReadDeadline(time.Unix(1, 0)) // without a read deadline the read ends when the caller disconnects
+		}
+	}
+	unbind := context.AfterFunc(ctx, end)
+	timer := time.AfterFunc(time.Until(x.deadline)+bodyGrace, end)
+	x.responseBegins = func() { timer.Stop() }
+	return func() {
+		timer.Stop()
+		unbind()
+	}
+}
+
 // readSmallBody reads a body of up to limit bytes before the request waits for an endpoint. A slow
 // upload then holds no slot, and net/http detects when the caller disconnects.
-func readSmallBody(x *exchange, limit int) error {
+func readSmallBody(ctx context.Context, x *exchange, limit int) error {
 	if x.r.ContentLength <= 0 || x.r.ContentLength > int64(limit) {
 		return nil
 	}
-	// Some connections support no read deadline; the read then ends when the caller disconnects.
-	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(x.deadline)
 	err := x.body.Prefetch()
-	_ = control.SetReadDeadline(time.Time{})
 	switch {
 	case err == nil:
 		x.bodyRead = true
 		return nil
+	case isStopCut(ctx):
+		return refusal{reason: reason.Stopping, message: "the body did not arrive in time"}
 	case !time.Now().Before(x.deadline):
 		return refusal{reason: reason.DeadlineWaiting, message: "the body did not arrive in time"}
 	}
--- a/balancer/forward.go
+++ b/balancer/forward.go
@@ -43,7 +43,10 @@
 	if err := x.awaitTurn(); err != nil {
 		return err
 	}
-	if b.stop.plan().Stopping() && x.place.Last() {
+	if x.responseBegins != nil {
+		x.responseBegins()
+	}
+	if b.stop.plan().Stopping() && x.place.Last() || x.bodyCut.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
 	return nil
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -28,6 +28,10 @@
 	if err := b.prepareRequest(ctx, x); err != nil {
 		return nil, err
 	}
+	defer bindBody(ctx, x)()
+	if err := readSmallBody(ctx, x, b.cfg.Limits.ReplayBytes); err != nil {
+		return nil, err
+	}
 	x.replaceKeyWithTeam(b.cfg.Policy.Dialect.Team)
 	b.retries.addRequest(x.route.ServiceKey(), time.Now())
 	defer b.endTrial(x)
@@ -55,8 +59,8 @@
 	x.recordFailure(a)
 }
 
-// prepareRequest limits the body, adapts the headers and reads a small body, so that the request
-// can be sent, if necessary more than once.
+// prepareRequest limits the body and adapts the headers, so that the request can be sent, if necessary
+// more than once.
 func (b *Balancer) prepareRequest(ctx context.Context, x *exchange) error {
 	if err := limitBody(x, b.cfg.Limits.BodyBytes); err != nil {
 		return err
@@ -64,7 +68,7 @@
 	prepareHeaders(x.r, !b.cfg.Policy.HideCallerAddress)
 	b.cfg.Tracing.Propagator.Inject(ctx, propagation.HeaderCarrier(x.r.Header))
 	x.body = upstream.NewBody(x.r.Body, b.cfg.Limits.ReplayBytes)
-	return readSmallBody(x, b.cfg.Limits.ReplayBytes)
+	return nil
 }
 
 // claimRetry decides whether the request gets another attempt and, if so, charges the retry budget
--- a/balancer/stop_test.go
+++ b/balancer/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -101,3 +102,51 @@
 	assert.Equal(t, why, "LW2006")
 	assert.Assert(t, closes)
 }
+
+func TestBodyThatDoesNotArriveIsAnsweredByDeadlineAndCut(t *testing.T) {
+	chunked := "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+	counted := "Content-Length: 8\r\n\r\nhalf"
+	for name, c := range map[string]struct {
+		rest   string
+		cut    bool
+		status int
+		reason string
+	}{
+		"chunked, deadline":     {chunked, false, http.StatusGatewayTimeout, "LW3005"},
+		"chunked, cut":          {chunked, true, http.StatusBadGateway, "LW3012"},
+		"with length, deadline": {counted, false, http.StatusGatewayTimeout, "LW2008"},
+		"with length, cut":      {counted, true, http.StatusServiceUnavailable, "LW2006"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newPipelinedHarness(t)
+			b.balancer.Stop(drainingPlan(time.Hour))
+			deadline := 300
+			if c.cut {
+				deadline = 2000
+			}
+			_, err := fmt.Fprintf(b.conn, "POST /unsafe/1 HTTP/1.1\r\nHost: desk\r\nRequest-Id: q\r\nDeadline-Ms: %d\r\n%s", deadline, c.rest)
+			assert.NilError(t, err)
+			if c.cut {
+				b.awaitBody(t, c.rest == chunked)
+				b.balancer.CutAttempts()
+			}
+			status, why, closes := b.readRefusal(t)
+			assert.Equal(t, status, c.status)
+			assert.Equal(t, why, c.reason)
+			assert.Assert(t, closes)
+		})
+	}
+}
+
+// awaitBody waits until the balancer waits for the rest of a body, of a request that is at the endpoint
+// if sent.
+func (b *pipelinedHarness) awaitBody(t *testing.T, sent bool) {
+	t.Helper()
+	if sent {
+		<-b.reached
+		return
+	}
+	for b.balancer.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
 // errAttemptClosed is returned by a read from the reader of an attempt after its Close. By then
@@ -18,8 +19,9 @@
 	source    io.Reader
 	maxPrefix int
 	prefix    []byte
-	bytesRead int   // from source
-	err       error // last error of source, io.EOF at its end
+	bytesRead int         // from source
+	err       error       // last error of source, io.EOF at its end
+	ended     atomic.Bool // err is set
 }
 
 // NewBody returns a body that reads from source and keeps up to maxPrefix bytes in memory for a
@@ -41,12 +43,16 @@
 		n, b.err = b.source.Read(buf)
 		b.record(buf[:n])
 	}
+	b.ended.Store(b.err != nil)
 	if b.err == nil || errors.Is(b.err, io.EOF) {
 		return nil
 	}
 	return b.err
 }
 
+// Ended reports whether nothing more will be read from the source, because it has ended or failed.
+func (b *Body) Ended() bool { return b.ended.Load() }
+
 // fillChunkBytes is the size of the buffer into which Prefetch reads.
 const fillChunkBytes = 4 << 10
 
@@ -104,6 +110,7 @@
 	n, err := b.source.Read(p)
 	b.record(p[:n])
 	b.err = err
+	b.ended.Store(err != nil)
 	a.offset += n
 	return n, err
 }
