--- a/soak/keepers.go
+++ b/soak/keepers.go
@@ -21,7 +21,7 @@
 var depths = []int{1, 2, 4, 16, 1, 4}
 
 const (
-	keeperNumbers = 1000 // of callers that keep connections, from here on
+	keeperNumbers = 500 // of callers that keep connections, from here on
 	keeperRedial  = 10 * time.Millisecond
 	keeperRest    = 2 * stopNotice   // idle at most
 	keptAnswer    = 3 * routeTimeout // longest wait for a response whose turn has come
