--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -7,7 +7,6 @@
 	"os"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -23,19 +22,19 @@
 	writeLimit time.Duration
 	reader     reader // used by Read alone, of which net/http has one at a time
 
-	mu       sync.Mutex
-	changed  sync.Cond
-	busy     bool     // net/http serves a request of this connection itself
-	served   []*ahead // those served ahead, in order
-	ending   bool     // no other one begins ahead
-	closing  bool     // it ends when the last one served ahead has its response
-	dead     bool     // it has ended
-	stopping bool     // it ends when all requests that were read have their responses
-	inHead   bool     // the request that net/http is reading has no whole header yet
-	sealed   bool     // nothing more is read of requests that have not begun
-	reading  reading
-	// responding says that a part of a response was written whose end was not.
-	responding atomic.Bool
+	mu         sync.Mutex
+	changed    sync.Cond
+	busy       bool     // net/http serves a request of this connection itself
+	served     []*ahead // those served ahead, in order
+	ending     bool     // no other one begins ahead
+	closing    bool     // it ends when the last one served ahead has its response
+	dead       bool     // it has ended
+	stopping   bool     // it ends when all requests that were read have their responses
+	inHead     bool     // the request that net/http is reading has no whole header yet
+	sealed     bool     // nothing more is read of requests that have not begun
+	reading    reading
+	responding bool // a part of a response was written whose end was not
+	halted     bool // nothing is read behind that response
 	opaque     bool // net/http reads the rest of the connection alone
 	active     bool // net/http has read a header, and has not ended that request
 	deadline   deadline
@@ -86,7 +85,9 @@
 
 // Write writes a part of a response.
 func (c *conn) Write(p []byte) (int, error) {
-	c.responding.Store(true)
+	c.mu.Lock()
+	c.responding = true
+	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
 
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -189,7 +189,7 @@
 // fill reads more from the caller, to be looked at: it returns errAgain. On a sealed connection it waits
 // until something changes instead.
 func (r *reader) fill(c *conn, from reading) error {
-	if from == readingNext && c.isSealed() {
+	if from == readingNext && c.isHalted() {
 		return r.await(c)
 	}
 	if r.buffer == nil {
--- a/pipeline/seal.go
+++ b/pipeline/seal.go
@@ -24,7 +24,7 @@
 func (c *conn) mayReceive(from reading) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.dead || c.sealed && from == readingNext {
+	if c.dead || (c.sealed || c.halted) && from == readingNext {
 		return false
 	}
 	c.reading = from
@@ -42,6 +42,13 @@
 	return errAgain
 }
 
+// isHalted reports whether nothing is read now of requests that have not begun.
+func (c *conn) isHalted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sealed || c.halted
+}
+
 // isSealed reports whether nothing more is read of requests that have not begun.
 func (c *conn) isSealed() bool {
 	c.mu.Lock()
@@ -66,27 +73,32 @@
 // that is under way; c.mu must be held.
 func (c *conn) sealIfStopping() {
 	if c.stopping {
-		c.sealAtOnce()
+		c.sealed = true
+		c.wakeNext()
 	}
 }
 
-// sealAtOnce seals the connection without waiting for a read that is under way; c.mu must be held.
-func (c *conn) sealAtOnce() {
-	c.sealed = true
+// wakeNext ends a read that waits for a request that has not begun; c.mu must be held.
+func (c *conn) wakeNext() {
 	if c.reading == readingNext {
 		_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection only
 	}
 }
 
-// beginStop seals the connection if a response has begun, which can no longer say that it closes it.
+// beginStop lets nothing be read behind a response that has begun, which can no longer say that it closes
+// the connection, until that response has ended.
 func (c *conn) beginStop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.responding.Load() {
-		c.sealAtOnce()
+	if c.responding && (c.busy || len(c.served) > 0) {
+		c.halted = true
+		c.wakeNext()
 	}
 }
 
+// responded notes that a response has ended; c.mu must be held.
+func (c *conn) responded() { c.responding, c.halted = false, false }
+
 // last reports whether no request behind net/http's has been read, and sees to it that it stays so.
 func (c *conn) last() bool {
 	c.mu.Lock()
--- a/pipeline/turn.go
+++ b/pipeline/turn.go
@@ -17,7 +17,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.active = false, false
-	c.responding.Store(false)
+	c.responded()
 	c.advance()
 	c.sealIfStopping()
 	c.wakeIfStopping()
@@ -28,7 +28,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a.done = true
-	c.responding.Store(false)
+	c.responded()
 	c.advance()
 	c.sealIfStopping()
 }
