--- a/balancer/stop_test.go
+++ b/balancer/stop_test.go
@@ -119,12 +119,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newPipelinedHarness(t)
-			b.balancer.Stop(drainingPlan(time.Hour))
-			deadline := 300
+			b.chooser.table = newPrefixChooserWithin(time.Hour).table
+			b.balancer.Stop(drainingPlan(2 * time.Hour))
+			deadline := 300 * time.Millisecond
 			if c.cut {
-				deadline = 2000
+				deadline = time.Hour
 			}
-			_, err := fmt.Fprintf(b.conn, "POST /unsafe/1 HTTP/1.1\r\nHost: desk\r\nRequest-Id: q\r\nDeadline-Ms: %d\r\n%s", deadline, c.rest)
+			_, err := fmt.Fprintf(b.conn, "POST /unsafe/1 HTTP/1.1\r\nHost: desk\r\nRequest-Id: q\r\nDeadline-Ms: %d\r\n%s", deadline.Milliseconds(), c.rest)
 			assert.NilError(t, err)
 			if c.cut {
 				b.awaitBody(t, c.rest == chunked)
