directory, relay: how late a change is known, by which way, and the store's era

On call nobody could tell why a balancer did not have a change: whether it came late, by which way it should have come, or whether the store had come back from a copy. Lines of configurations and endpoints name the way and the longest time since the acknowledgement; the store's era is a metric, and a line when it rises.

--- a/directory/apply.go
+++ b/directory/apply.go
@@ -8,9 +8,11 @@
 // Apply applies changes to the directory, whether the store or another process sent them, and logs
 // what they did.
 func (f *Follower) Apply(changes Changes) {
-	applied := f.directory.Apply(changes, time.Now())
+	now := time.Now()
+	applied := f.directory.Apply(changes, now)
+	within := changes.Age(now).Milliseconds()
 	if applied.Version > 0 {
-		f.opts.Log.Info("configuration in force", "version", applied.Version, "revision", changes.Revision)
+		f.opts.Log.Info("configuration in force", "version", applied.Version, "revision", changes.Revision, "via", changes.Via, "within_ms", within)
 	}
 	if applied.Ignored > 0 {
 		f.opts.Log.Warn("older configuration ignored", "version", applied.Ignored, "revision", changes.Revision)
@@ -25,14 +27,14 @@
 		f.opts.Log.Info("rollout", "service", r.Order.Service, "version", r.version(), "state", r.Status().State, "share", r.Share(),
 			"begun", r.Started(), "taken_back", r.Order.Withdrawn, "by", r.Record.By)
 	}
-	f.logStateChanges(applied.StateChanges, changes)
+	f.logStateChanges(applied.StateChanges, changes, now)
 	f.opts.OnApplied(changes)
 }
 
 // logStateChanges logs one line for each endpoint whose state changed. If the changes are a full
 // read, or a part of a full read, and changed more than maxEndpointLines endpoints, it logs one line
 // with the number of endpoints by state instead.
-func (f *Follower) logStateChanges(stateChanges []Change, changes Changes) {
+func (f *Follower) logStateChanges(stateChanges []Change, changes Changes, now time.Time) {
 	if (changes.Complete || changes.Partial) && len(stateChanges) > maxEndpointLines {
 		count := map[State]int{}
 		for _, c := range stateChanges {
@@ -41,8 +43,10 @@
 		f.opts.Log.Info("endpoints", "listed", count[Listed], "missing", count[Missing], "leaving", count[Leaving], "revision", changes.Revision)
 		return
 	}
+	within := changes.Age(now).Milliseconds()
 	for _, c := range stateChanges {
-		f.opts.Log.Info("endpoint", "id", c.ID, "service", c.Service, "state", c.State.String(), "revision", changes.Revision)
+		f.opts.Log.Info("endpoint", "id", c.ID, "service", c.Service, "state", c.State.String(), "revision", changes.Revision,
+			"via", changes.Via, "within_ms", within)
 	}
 }
 
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -87,8 +87,36 @@
 	Complete      bool     // the changes are a full read, of all that the store holds; what is not in them was deleted
 	Errors        []error  // errors of records that could not be read
 	Records       []Record // the store's records of all of the above
+
+	// Via says how this process learnt of the changes, for logs and metrics.
+	Via Via
+	// Since is a time before which the store had accepted none of the changes that are new to this
+	// process, as far as its checks tell; zero where that is unknown.
+	Since time.Time
+}
+
+// Via is a way by which a process learns of changes.
+type Via string
+
+// The ways.
+const (
+	ViaWatch Via = "watch" // a watch of the store
+	ViaRead  Via = "read"  // a full read of the store, or of all registrations
+	ViaRelay Via = "relay" // the answer of another balancer
+	ViaCopy  Via = "copy"  // a first copy of another balancer
+)
+
+// Age returns for how long the store may have had the newest of the changes, 0 if that is unknown.
+func (c Changes) Age(now time.Time) time.Duration {
+	if c.Since.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(c.Since))
 }
 
+// Count returns the number of changes.
+func (c Changes) Count() int { return c.count() }
+
 // Outdated reports whether the changes are a full read at a revision below known, or a part of a
 // full read that arrives after a complete one. known is the revision up to which all changes are
 // applied; 0 before the first full read. Applying outdated changes would restore keys that were
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -48,6 +48,8 @@
 	lost        atomic.Bool   // a read or watch failed, and none has succeeded since
 	failures    atomic.Int64  // consecutive failed reads and watches
 	answeredAt  atomic.Int64  // time of the store's last answer, in ns since startedAt; 0 for none
+	confirmedAt atomic.Int64  // a time at which the directory knew all that the store had accepted, in ns since startedAt; 0 for none
+	era         atomic.Uint64 // the store's era at its last answer; 0 if it states none
 	startedAt   time.Time     // with a monotonic clock reading
 	calls       atomic.Int64  // calls made to the store
 	watchAdvice chan advice   // why to abandon the present watch
@@ -104,6 +106,47 @@
 	return f.startedAt.Add(time.Duration(answeredAt))
 }
 
+// Confirmed returns the latest time at which the directory is known to have had all changes that the
+// store had accepted; the zero time if there is none. A check by a cheap read counts, though what it
+// returns may be older.
+func (f *Follower) Confirmed() time.Time {
+	at := f.confirmedAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return f.startedAt.Add(time.Duration(at))
+}
+
+// Confirm records that at the given time the directory had all changes that the store had accepted,
+// as another balancer states.
+func (f *Follower) Confirm(at time.Time) {
+	since := int64(at.Sub(f.startedAt))
+	for {
+		old := f.confirmedAt.Load()
+		if since <= old || f.confirmedAt.CompareAndSwap(old, since) {
+			return
+		}
+	}
+}
+
+// eraSource is a Source that states how often the store has been restored from a copy.
+type eraSource interface{ Era() uint64 }
+
+// Era returns the store's era at its last answer, 0 if it states none.
+func (f *Follower) Era() uint64 { return f.era.Load() }
+
+// logEra logs a change of the store's era, which says that the store was restored from a copy.
+func (f *Follower) logEra() {
+	source, ok := f.source.(eraSource)
+	if !ok {
+		return
+	}
+	current := source.Era()
+	if old := f.era.Swap(current); old != current && old > 0 {
+		f.opts.Log.Warn("store was restored from a copy", "era", current, "previous_era", old, "revision", f.directory.Snapshot().Revision)
+	}
+}
+
 // Resume accounts for a suspension of the VM of the given length: the store's last answer is that
 // much older, and the connection of a waiting watch may have been lost.
 func (f *Follower) Resume(suspended time.Duration) {
@@ -160,6 +203,7 @@
 // ends.
 func (f *Follower) follow(ctx context.Context) {
 	for f.active.wait(ctx) {
+		began := time.Now()
 		changes, err := f.watch(ctx)
 		switch {
 		case errors.Is(err, ErrCompacted):
@@ -174,7 +218,9 @@
 			f.pauseAfterFailure(ctx, "watch", err)
 		default:
 			f.recordAnswer()
+			changes.Via, changes.Since = ViaWatch, f.Confirmed()
 			f.Apply(changes)
+			f.Confirm(began)
 			f.pauseForBatch(ctx, changes)
 		}
 	}
@@ -202,6 +248,7 @@
 func (f *Follower) recordAnswer() {
 	f.answeredAt.Store(int64(time.Since(f.startedAt)))
 	f.failures.Store(0)
+	f.logEra()
 	if f.lost.Swap(false) {
 		f.opts.Log.Info("store regained")
 	}
--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -40,6 +40,7 @@
 // that, and returns the watchdog's advice.
 func (f *Follower) check(ctx context.Context, w *watchdog) advice {
 	w.observeKnown(f.directory.Snapshot().Revision)
+	began := time.Now()
 	revision, err := f.revision(ctx, false)
 	if ctx.Err() != nil {
 		return trustWatch
@@ -54,6 +55,9 @@
 	}
 	watching := f.watching.observe(highest)
 	action := w.observe(time.Now(), revision, f.directory.Snapshot().Revision, watching, err)
+	if err == nil && !w.lagging && w.highest <= f.directory.Snapshot().Revision {
+		f.Confirm(began)
+	}
 	if w.lagging != lagged {
 		f.opts.Log.Info("cheap reads of the store", "lagging", w.lagging, "revision", revision, "known", w.highest)
 	}
@@ -64,6 +68,9 @@
 		return trustWatch // the next cheap check shows whether the store answers
 	}
 	action = w.observeExact(revision, f.directory.Snapshot().Revision)
+	if action == trustWatch {
+		f.Confirm(began)
+	}
 	f.watching.observe(w.highest)
 	return action
 }
--- a/directory/read.go
+++ b/directory/read.go
@@ -17,7 +17,7 @@
 	return f.read(ctx, readTimeout, func(ctx context.Context) (Changes, error) {
 		return paged.ReadPages(ctx, false, func(page Changes) bool {
 			entries += len(page.Entries)
-			page.Partial = true
+			page.Partial, page.Via = true, ViaRead
 			f.Apply(page)
 			return entries < MinServingEntries
 		})
@@ -62,11 +62,16 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	f.calls.Add(1)
+	began := time.Now()
 	changes, err := call(ctx)
 	if err != nil {
 		return err
 	}
 	f.recordAnswer()
+	changes.Via, changes.Since = ViaRead, f.Confirmed()
 	f.Apply(changes)
+	if changes.Complete {
+		f.Confirm(began)
+	}
 	return nil
 }
--- a/relay/bootstrap.go
+++ b/relay/bootstrap.go
@@ -48,7 +48,7 @@
 // ApplyPart applies a partial copy from another balancer.
 func (s bootstrapState) ApplyPart(records []directory.Record) {
 	changes := s.group.cfg.Decoder.Decode(records, 0, false)
-	changes.Partial = true
+	changes.Partial, changes.Via = true, directory.ViaCopy
 	s.group.follower.Apply(changes)
 }
 
@@ -60,7 +60,9 @@
 
 // Apply applies a complete copy from another balancer.
 func (s bootstrapState) Apply(records []directory.Record, at uint64) {
-	s.group.follower.Apply(s.group.cfg.Decoder.Decode(records, at, true))
+	changes := s.group.cfg.Decoder.Decode(records, at, true)
+	changes.Via = directory.ViaCopy
+	s.group.follower.Apply(changes)
 }
 
 // Relays returns the registered relays.
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/link"
 )
 
@@ -191,8 +192,14 @@
 	if err != nil {
 		return err
 	}
+	now := time.Now()
 	if len(records) > 0 || reply.At > after {
-		g.follower.Apply(g.cfg.Decoder.Decode(records, reply.At, reply.Whole))
+		changes := g.cfg.Decoder.Decode(records, reply.At, reply.Whole)
+		changes.Via, changes.Since = directory.ViaRelay, timeOf(reply.ChangesAge, now)
+		g.follower.Apply(changes)
+	}
+	if reply.ConfirmedAge > 0 {
+		g.follower.Confirm(timeOf(reply.ConfirmedAge, now))
 	}
 	return nil
 }
--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -38,6 +38,12 @@
 // SetServing does nothing.
 func (f staticFollower) SetServing(bool) {}
 
+// Confirmed reports that no time is known.
+func (f staticFollower) Confirmed() time.Time { return time.Time{} }
+
+// Confirm does nothing.
+func (f staticFollower) Confirm(time.Time) {}
+
 // EndRetryPause counts its calls.
 func (f staticFollower) EndRetryPause() { f.retried.Add(1) }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -82,6 +82,10 @@
 	ReadRegistrations(ctx context.Context) error
 	// Active reports whether the follower watches the store.
 	Active() bool
+	// Confirmed returns the latest time at which all that the store had accepted was known here, and
+	// Confirm records such a time that another balancer has stated; zero for never.
+	Confirmed() time.Time
+	Confirm(at time.Time)
 	// LastAnswer returns when the store last answered; zero for never.
 	LastAnswer() time.Time
 	// UpToDate reports whether the follower watches the store and got an answer lately, so that its
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -52,6 +52,7 @@
 type change struct {
 	revision uint64
 	key      string
+	since    time.Time // see directory.Changes.Since
 }
 
 // apply applies changes and returns one error for each registration that could not be parsed.
@@ -62,7 +63,7 @@
 		return nil
 	}
 	for _, r := range c.Records {
-		rep.applyRecord(r, now)
+		rep.applyRecord(r, c.Since, now)
 	}
 	if c.Complete {
 		rep.deleteAbsent(c, now)
@@ -124,12 +125,12 @@
 }
 
 // applyRecord stores a record if it is newer than the known one.
-func (rep *replica) applyRecord(r directory.Record, now time.Time) {
+func (rep *replica) applyRecord(r directory.Record, since, now time.Time) {
 	if old, ok := rep.records[r.Key]; ok && old.Revision >= r.Revision {
 		return
 	}
 	rep.records[r.Key] = r
-	rep.insertChange(change{revision: r.Revision, key: r.Key})
+	rep.insertChange(change{revision: r.Revision, key: r.Key, since: since})
 	if r.Gone {
 		rep.tombstones[r.Key] = now
 		return
@@ -176,7 +177,7 @@
 	}
 	for key, r := range rep.records {
 		if !present[key] && !r.Gone && r.Revision <= c.Revision {
-			rep.applyRecord(directory.Record{Key: key, Revision: c.Revision, Gone: true}, now)
+			rep.applyRecord(directory.Record{Key: key, Revision: c.Revision, Gone: true}, c.Since, now)
 		}
 	}
 }
@@ -247,9 +248,10 @@
 // delta is the set of changes after a revision, or the full content.
 type delta struct {
 	records       []directory.Record
-	after         uint64 // revision that was asked for; 0 for the full content
-	knownRevision uint64 // all changes up to this revision are included
-	whole         bool   // records are the full content
+	after         uint64    // revision that was asked for; 0 for the full content
+	knownRevision uint64    // all changes up to this revision are included
+	whole         bool      // records are the full content
+	since         time.Time // before which the store had accepted none of the records' changes; zero if unknown
 }
 
 // since returns the changes after a revision, in the order of revisions, or the full content if the
@@ -269,11 +271,20 @@
 	for _, c := range rep.changeLog[first:] {
 		if r := rep.records[c.key]; rep.isCurrent(c) && !(d.whole && r.Gone) {
 			d.records = append(d.records, r)
+			d.since = earliest(d.since, c.since)
 		}
 	}
 	return d
 }
 
+// earliest returns the earlier of two times, of which a zero one is unknown.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // revision returns the revision up to which all changes are known, and whether the copy is
 // complete.
 func (rep *replica) revision() (uint64, bool) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -35,6 +35,10 @@
 	StoreLost bool   // the relay is not settled because the store does not answer it
 	Askers    int    // number of balancers that asked the relay lately
 	Instead   string // if the relay is not settled: address of a balancer to ask instead; empty for none
+	// ConfirmedAge is how long ago the relay last knew all that the store had accepted, and ChangesAge
+	// for how long the store may have had the newest of the records; 0 if that is unknown.
+	ConfirmedAge time.Duration
+	ChangesAge   time.Duration
 	// The requested notes, whether the relay is settled or not, with the life of the log and the
 	// index of its last note.
 	Notes     []Note
@@ -90,13 +94,33 @@
 	if err != nil {
 		return err
 	}
-	*reply = ChangesReply{Settled: g.follower.UpToDate(time.Now()), Whole: d.whole, At: d.knownRevision, Packed: packed}
+	now := time.Now()
+	*reply = ChangesReply{
+		Settled: g.follower.UpToDate(now), Whole: d.whole, At: d.knownRevision, Packed: packed,
+		ConfirmedAge: ageOf(g.follower.Confirmed(), now), ChangesAge: ageOf(d.since, now),
+	}
 	if !reply.Settled {
 		*reply = g.unsettledReply(time.Now())
 	}
 	return nil
 }
 
+// ageOf returns the time from then to now, 0 if then is zero.
+func ageOf(then, now time.Time) time.Duration {
+	if then.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(then))
+}
+
+// timeOf returns the time that was age before now, the zero time for an age of 0.
+func timeOf(age time.Duration, now time.Time) time.Time {
+	if age <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-age)
+}
+
 // Copy returns the full content, or a part of it, to a balancer that starts.
 func (r *rpcService) Copy(args bootstrap.CopyArgs, reply *bootstrap.CopyReply) error {
 	answer, err := r.group.copyServer.Answer(context.Background(), args)
--- a/server/admin.go
+++ b/server/admin.go
@@ -119,6 +119,7 @@
 	if s.follower != nil {
 		metrics.GetOrRegisterGauge("store_calls", s.metrics).Update(s.follower.Calls())
 		metrics.GetOrRegisterGauge("following_store", s.metrics).Update(gaugeOf(s.follower.Active()))
+		metrics.GetOrRegisterGauge("store_era", s.metrics).Update(int64(s.follower.Era()))
 		metrics.GetOrRegisterGauge("store_lost", s.metrics).Update(gaugeOf(s.follower.Lost()))
 	}
 	if s.directory != nil {
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -17,6 +17,7 @@
 	"github.com/lotuswing/lotuswing/quarantine"
 	"github.com/lotuswing/lotuswing/relay"
 	"github.com/lotuswing/lotuswing/rollout"
+	"github.com/rcrowley/go-metrics"
 )
 
 // chooser routes requests and chooses their endpoints, alone or with other
@@ -207,6 +208,7 @@
 
 // observe hands changes that are in force to all that keep something of them.
 func (s *Server) observe(c directory.Changes) {
+	s.recordAge(c, time.Now())
 	if s.relays != nil {
 		s.relays.ApplyChanges(c)
 	}
@@ -214,6 +216,13 @@
 	s.rollouts.Observe(c)
 }
 
+// recordAge records for how long the store may have had changes before this balancer learnt of them.
+func (s *Server) recordAge(c directory.Changes, now time.Time) {
+	if age := c.Age(now); age > 0 && c.Count() > 0 && !c.Complete {
+		metrics.GetOrRegisterTimer(fmt.Sprintf("change_age{via=%q}", c.Via), s.metrics).Update(age)
+	}
+}
+
 // bytesPerMegabit turns a rate in Mbit/s into bytes a second.
 const bytesPerMegabit = 1e6 / 8
 
