directory: one budget from the acknowledgement of a change until it is known

Callers met endpoints that leave, and older configurations, just over the bound. The pause after a change, the wait for a silent watch and the next check were shares of the bound that added up to 1.95 of 2 s, and the calls came on top; what a check saw in the pause was forgotten when the next watch began, and exact checks had the double of their period.

coord/freshness hands out one budget: what a check has seen carries the last time at which nothing was missing, and the pause, the watch's patience and the read each get what is left, less what calls have cost lately. Refused watches cause reads with a growing pause. Positions order what is seen across eras.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/freshness"
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
@@ -14,6 +16,10 @@
 // for.
 var ErrCompacted = errors.New("directory: store has compacted its history")
 
+// ErrRestored says that the store was restored from a copy since the position that a watch asked for, or
+// that it answered from before a restore.
+var ErrRestored = errors.New("directory: store was restored from a copy")
+
 // Source is a store that holds the configuration and the endpoints.
 type Source interface {
 	// ReadAll reads everything, either exactly or cheaply; a cheap read may return data
@@ -54,7 +60,11 @@
 	calls       atomic.Int64  // calls made to the store
 	watchAdvice chan advice   // why to abandon the present watch
 	retry       chan struct{} // ends the pause after a failed call
+	noticed     chan struct{} // a check saw a change while no watch waits
 	watching    watching      // what the watch and the monitor know of each other
+	costs       costs         // of recent calls
+	refused     int           // number of watches in a row that the store refused; used by Run alone
+	rereads     atomic.Int64  // number of full reads because a watch was refused or missed changes
 }
 
 // NewFollower returns a follower of source that keeps d up to date once Run is called.
@@ -62,7 +72,7 @@
 	opts = opts.withDefaults()
 	return &Follower{
 		directory: d, source: source, opts: opts, active: newGate(!opts.Standby), startedAt: time.Now(),
-		watchAdvice: make(chan advice, 1), retry: make(chan struct{}, 1),
+		watchAdvice: make(chan advice, 1), retry: make(chan struct{}, 1), noticed: make(chan struct{}, 1),
 	}
 }
 
@@ -77,7 +87,7 @@
 // waiting is not cancelled.
 func (f *Follower) SetActive(active bool) {
 	if f.active.set(active) {
-		f.opts.Log.Info("following the store", "active", active, "revision", f.directory.Snapshot().Revision)
+		f.opts.Log.Info("following the store", "active", active, "revision", position.Text(f.directory.Snapshot().Revision))
 	}
 }
 
@@ -143,7 +153,7 @@
 	}
 	current := source.Era()
 	if old := f.era.Swap(current); old != current && old > 0 {
-		f.opts.Log.Warn("store was restored from a copy", "era", current, "previous_era", old, "revision", f.directory.Snapshot().Revision)
+		f.opts.Log.Warn("store was restored from a copy", "era", current, "previous_era", old, "revision", position.Text(f.directory.Snapshot().Revision))
 	}
 }
 
@@ -174,6 +184,20 @@
 	upToDateSlack    = 150 * time.Millisecond // how much older than a check period and its timeout the last answer may be
 )
 
+// Rereads returns how often everything was read again because the store refused a watch, or a watch missed
+// changes.
+func (f *Follower) Rereads() int64 { return f.rereads.Load() }
+
+// budget returns the time within which a change must be known. One on which other processes rely leaves them
+// a part of it.
+func (f *Follower) budget() freshness.Budget {
+	within := f.opts.Within
+	if f.serving.Load() {
+		within = time.Duration(servingBudgetShare * float64(within))
+	}
+	return freshness.Budget{Within: within, Patience: f.shortened(f.opts.StuckTimeout)}
+}
+
 // shortened returns a pause, shortened to servingShare of it if other processes rely on this
 // follower.
 func (f *Follower) shortened(d time.Duration) time.Duration {
@@ -194,6 +218,7 @@
 	for ctx.Err() == nil {
 		f.follow(ctx)
 		if f.active.wait(ctx) {
+			f.pauseForRereads(ctx)
 			f.readExactly(ctx)
 		}
 	}
@@ -206,17 +231,20 @@
 		began := time.Now()
 		changes, err := f.watch(ctx)
 		switch {
-		case errors.Is(err, ErrCompacted):
-			f.opts.Log.Info("store has compacted its history; reading everything again", "revision", f.directory.Snapshot().Revision)
+		case errors.Is(err, ErrCompacted), errors.Is(err, ErrRestored):
+			f.refused++
+			f.opts.Log.Info("store refuses the watch; reading everything again", "reason", err, "in_a_row", f.refused,
+				"revision", position.Text(f.directory.Snapshot().Revision))
 			return
 		case errors.Is(err, errWatchMissesChanges):
-			f.opts.Log.Info("watch misses changes; reading everything again", "revision", f.directory.Snapshot().Revision)
+			f.opts.Log.Info("watch misses changes; reading everything again", "revision", position.Text(f.directory.Snapshot().Revision))
 			return
 		case errors.Is(err, errWatchMayBeLost):
-			f.opts.Log.Info("watch may be lost; starting a new one", "revision", f.directory.Snapshot().Revision)
+			f.opts.Log.Info("watch may be lost; starting a new one", "revision", position.Text(f.directory.Snapshot().Revision))
 		case err != nil:
 			f.pauseAfterFailure(ctx, "watch", err)
 		default:
+			f.refused = 0
 			f.recordAnswer()
 			changes.Via, changes.Since = ViaWatch, f.Confirmed()
 			f.Apply(changes)
@@ -235,7 +263,35 @@
 		n -= len(changes.Registrations)
 	}
 	if n > 0 && n < backlogThreshold {
-		pause.For(ctx, f.shortened(f.opts.BatchDelay))
+		f.pauseUntilNoticed(ctx, f.shortened(f.opts.BatchDelay))
+	}
+}
+
+// pauseForRereads pauses before a full read if the store has refused several watches in a row.
+func (f *Follower) pauseForRereads(ctx context.Context) {
+	f.rereads.Add(1)
+	f.pauseUntilNoticed(ctx, f.budget().RereadPeriod(f.refused, f.opts.RetryPause, f.costs.load()))
+}
+
+// pauseUntilNoticed pauses for d, but ends early if a check sees a change that must be known before.
+func (f *Follower) pauseUntilNoticed(ctx context.Context, d time.Duration) {
+	end := time.Now().Add(d)
+	for ctx.Err() == nil {
+		now := time.Now()
+		missed := f.watching.lack(f.directory.Snapshot().Revision)
+		if missed.restored {
+			return
+		}
+		if missed.behind {
+			watchAt := f.budget().WatchAt(missed.confirmed, now, f.costs.load())
+			if watchAt.Before(end) {
+				end = watchAt
+			}
+		}
+		if !now.Before(end) {
+			return
+		}
+		pause.Until(ctx, f.noticed, end.Sub(now))
 	}
 }
 
--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -2,11 +2,38 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/freshness"
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/internal/pause"
 )
 
+// costs holds the recent durations of calls. It is safe for concurrent use.
+type costs struct {
+	mu    sync.Mutex
+	value freshness.Costs
+}
+
+func (c *costs) load() freshness.Costs {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.value
+}
+
+func (c *costs) observeCheck(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.value = c.value.WithCheck(d)
+}
+
+func (c *costs) observeRead(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.value = c.value.WithRead(d)
+}
+
 // monitor periodically checks the store's revision and has the watch abandoned when the watchdog
 // finds that it misses changes or may be lost.
 func (f *Follower) monitor(ctx context.Context) {
@@ -17,25 +44,50 @@
 			f.active.wait(ctx)
 			checked, w = time.Time{}, watchdog{} // so that the first check comes at once
 		}
-		w.stuckAfter, w.exactEvery, w.checkEvery = f.shortened(f.opts.StuckTimeout), f.opts.ExactCheckEvery, f.shortened(f.opts.CheckEvery)
+		f.configure(&w)
 		// The period counts from the start of a check to that of the next, however long an
 		// answer takes. While a store compacts its history, cheap reads show a change for
 		// little more than a second, so a longer period could miss it.
-		pause.For(ctx, time.Until(checked.Add(w.untilNextCheck())))
-		if !f.active.isOpen() {
+		next, exact := w.nextCheck(checked)
+		if f.pauseUntilDue(ctx, &w, next); !f.active.isOpen() {
 			continue
 		}
-		checked = time.Now()
 		if f.failures.Load() > 0 && f.watching.startedAt() == 0 {
-			w.lastFailed = false // the retries of the watch show what a check would
+			checked = time.Now()
+			w.lastFailed, w.exactCheckedAt = false, checked // the retries of the watch show what a check would
 			continue
 		}
-		if action := f.check(ctx, &w); action != trustWatch {
+		var action advice
+		if exact {
+			action = f.checkExactly(ctx, &w)
+		} else {
+			checked = time.Now()
+			action = f.check(ctx, &w)
+		}
+		if action != trustWatch {
 			f.abandonWatch(action)
 		}
 	}
 }
 
+// configure sets what the watchdog rests on and what changes with the follower's state.
+func (f *Follower) configure(w *watchdog) {
+	w.stuckAfter, w.exactEvery, w.checkEvery = f.shortened(f.opts.StuckTimeout), f.opts.ExactCheckEvery, f.shortened(f.opts.CheckEvery)
+	w.budget, w.costs, w.confirmed = f.budget(), f.costs.load(), f.Confirmed()
+}
+
+// pauseUntilDue pauses until the next check, and has the watch abandoned as soon as it lacks something for too long.
+func (f *Follower) pauseUntilDue(ctx context.Context, w *watchdog, next time.Time) {
+	if !w.due.IsZero() && w.due.Before(next) {
+		pause.For(ctx, time.Until(w.due))
+		if w.isDue(time.Now(), f.directory.Snapshot().Revision) && ctx.Err() == nil {
+			w.aheadSince, w.due = time.Time{}, time.Time{}
+			f.abandonWatch(readAgain)
+		}
+	}
+	pause.For(ctx, time.Until(next))
+}
+
 // check reads the store's revision cheaply, and exactly if the watchdog asks for
 // that, and returns the watchdog's advice.
 func (f *Follower) check(ctx context.Context, w *watchdog) advice {
@@ -47,34 +99,59 @@
 	}
 	if err == nil {
 		f.recordCheckAnswer(time.Now())
+		f.costs.observeCheck(time.Since(began))
 	}
 	lagged := w.lagging
 	highest := w.highest
 	if err == nil {
 		highest = max(highest, revision)
 	}
-	watching := f.watching.observe(highest)
-	action := w.observe(time.Now(), revision, f.directory.Snapshot().Revision, watching, err)
-	if err == nil && !w.lagging && w.highest <= f.directory.Snapshot().Revision {
+	at := f.directory.Snapshot().Revision
+	watching := f.observe(highest, at)
+	action := w.observe(time.Now(), revision, at, watching, err)
+	if err == nil && !w.lagging && w.highest <= at {
 		f.Confirm(began)
 	}
 	if w.lagging != lagged {
-		f.opts.Log.Info("cheap reads of the store", "lagging", w.lagging, "revision", revision, "known", w.highest)
+		f.opts.Log.Info("cheap reads of the store", "lagging", w.lagging, "revision", position.Text(revision), "known", position.Text(w.highest))
 	}
 	if action != checkExactly {
 		return action
 	}
-	if revision, err = f.revision(ctx, true); err != nil {
+	return f.checkExactly(ctx, w)
+}
+
+// checkExactly reads the store's revision exactly and returns the watchdog's advice.
+func (f *Follower) checkExactly(ctx context.Context, w *watchdog) advice {
+	began := time.Now()
+	w.exactCheckedAt = began
+	revision, err := f.revision(ctx, true)
+	if err != nil {
 		return trustWatch // the next cheap check shows whether the store answers
 	}
-	action = w.observeExact(revision, f.directory.Snapshot().Revision)
+	f.costs.observeCheck(time.Since(began))
+	at := f.directory.Snapshot().Revision
+	action := w.observeExact(revision, at)
 	if action == trustWatch {
 		f.Confirm(began)
 	}
-	f.watching.observe(w.highest)
+	f.observe(w.highest, at)
 	return action
 }
 
+// observe records the highest position that a check has seen, reports whether a watch waits, and ends the
+// pause before a watch that would come too late. at is the position up to which all changes are known.
+func (f *Follower) observe(highest, at uint64) (watching bool) {
+	watching = f.watching.observe(highest, f.Confirmed())
+	if !watching && highest > at {
+		select {
+		case f.noticed <- struct{}{}:
+		default:
+		}
+	}
+	return watching
+}
+
 // revision reads the store's revision within CheckTimeout.
 func (f *Follower) revision(ctx context.Context, exact bool) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.CheckTimeout)
--- a/directory/options.go
+++ b/directory/options.go
@@ -12,6 +12,9 @@
 // two seconds (see OptionsWithin).
 type Options struct {
 	Log hclog.Logger
+	// Within is the time from the store's acknowledgement of a change until the follower must know it, even
+	// if a watch is silent and calls are slow; default 1.86 s.
+	Within time.Duration
 	// BatchDelay is the pause after changes, so that the next answer brings several at once;
 	// default 1.4 s.
 	BatchDelay time.Duration
@@ -65,6 +68,7 @@
 func OptionsWithin(bound time.Duration) Options {
 	part := func(share float64) time.Duration { return time.Duration(share * float64(bound)) }
 	return Options{
+		Within:       part(withinShare),
 		BatchDelay:   part(gatherShare),
 		CheckEvery:   min(part(checkShare), maxCheckEvery),
 		StuckTimeout: part(stuckShare),
@@ -74,11 +78,15 @@
 
 // Shares of the bound, and limits of the durations.
 const (
+	// withinShare leaves a part of the bound for the decisions that follow from a change.
+	withinShare = 0.93
+	// servingBudgetShare leaves those that rely on a follower the time to replace it, if it ends meanwhile,
+	// by another one or by the store.
+	servingBudgetShare = 0.7
 	// gatherShare is high because each call to the store is paid for: a longer pause means
 	// fewer calls.
 	gatherShare = 0.7
-	// checkShare and stuckShare are 850 ms and 550 ms of 2 s. Together they stay below
-	// the bound.
+	// checkShare and stuckShare are the longest times, which package freshness shortens where calls are slow.
 	checkShare     = 0.425
 	stuckShare     = 0.275
 	checkWaitShare = 0.3
@@ -94,6 +102,7 @@
 // withDefaults returns the options with defaults in place of zero fields.
 func (o Options) withDefaults() Options {
 	defaults := OptionsWithin(defaultBound)
+	o.Within = cmp.Or(o.Within, defaults.Within)
 	o.BatchDelay = cmp.Or(o.BatchDelay, defaults.BatchDelay)
 	o.CheckEvery = cmp.Or(o.CheckEvery, defaults.CheckEvery)
 	o.CheckTimeout = cmp.Or(o.CheckTimeout, defaults.CheckTimeout)
--- a/directory/read.go
+++ b/directory/read.go
@@ -72,6 +72,7 @@
 	f.Apply(changes)
 	if changes.Complete {
 		f.Confirm(began)
+		f.costs.observeRead(time.Since(began))
 	}
 	return nil
 }
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -38,11 +38,16 @@
 		}
 	}()
 	after := f.directory.Snapshot().Revision
-	behind := f.watching.begin(time.Since(f.startedAt), after)
+	missed := f.watching.begin(time.Since(f.startedAt), after)
 	defer f.watching.end()
-	if behind {
+	if missed.behind {
 		// The monitor has seen a change in the pause before the watch. A sound watch brings it at once.
-		stuck := time.AfterFunc(f.opts.StuckTimeout, func() { f.abandonWatch(readAgain) })
+		now := time.Now()
+		readAt := f.budget().ReadAt(missed.confirmed, now, f.costs.load())
+		if missed.restored || !now.Before(readAt) {
+			return Changes{}, errWatchMissesChanges
+		}
+		stuck := time.AfterFunc(readAt.Sub(now), func() { f.abandonWatch(readAgain) })
 		defer stuck.Stop()
 	}
 	f.calls.Add(1)
--- a/directory/watchdog.go
+++ b/directory/watchdog.go
@@ -1,6 +1,11 @@
 package directory
 
-import "time"
+import (
+	"time"
+
+	"github.com/lotuswing/lotuswing/coord/freshness"
+	"github.com/lotuswing/lotuswing/coord/position"
+)
 
 // advice is what a watchdog recommends to do about a watch.
 type advice uint8
@@ -23,9 +28,13 @@
 // ahead of the store. The zero value has seen nothing. It is not safe for concurrent use.
 type watchdog struct {
 	stuckAfter time.Duration // within which the watch must bring a revision that a check has seen
-	exactEvery time.Duration // least time between exact checks while cheap reads lag
-	checkEvery time.Duration // time between cheap checks while the watch can be trusted
+	exactEvery time.Duration // time between exact checks while cheap reads lag
+	checkEvery time.Duration // longest time between cheap checks while the watch can be trusted
+	budget     freshness.Budget
+	costs      freshness.Costs
+	confirmed  time.Time // latest time at which nothing was missing; zero if unknown
 
+	due            time.Time // when everything must be read unless the watch brings what a check has seen; zero for never
 	lastFailed     bool      // the last cheap check was not answered
 	lagging        bool      // the last cheap check that was answered returned less than highest
 	highest        uint64    // highest revision that a check returned or that the directory has reached
@@ -54,9 +63,12 @@
 	w.lagging = revision < w.highest
 	w.highest = max(w.highest, revision)
 	if w.highest > at && watching {
+		if position.Restored(at, w.highest) {
+			return readAgain // a watch does not reach a later era
+		}
 		return w.checkStuck(now)
 	}
-	w.aheadSince = time.Time{}
+	w.aheadSince, w.due = time.Time{}, time.Time{}
 	if w.lagging && now.Sub(w.exactCheckedAt) >= w.exactEvery {
 		w.exactCheckedAt = now
 		return checkExactly
@@ -67,23 +79,35 @@
 // checkStuck judges a watch that has not brought a revision that a check has seen.
 func (w *watchdog) checkStuck(now time.Time) advice {
 	if w.aheadSince.IsZero() {
-		w.aheadSince = now
+		w.aheadSince, w.due = now, w.budget.ReadAt(w.confirmed, now, w.costs)
 		return trustWatch
 	}
 	if now.Sub(w.aheadSince) < w.stuckAfter {
 		return trustWatch
 	}
-	w.aheadSince = time.Time{}
+	w.aheadSince, w.due = time.Time{}, time.Time{}
 	return readAgain
 }
 
-// untilNextCheck returns the time between the last cheap check and the next: less than usual while
-// the watch has not brought a revision that a check has seen.
-func (w *watchdog) untilNextCheck() time.Duration {
+// nextCheck returns when the next check begins after one that began at checked, and whether it is an exact one:
+// while cheap reads lag, exact checks have a period of their own. While the watch has not brought a
+// revision that a check has seen, a check comes sooner.
+func (w *watchdog) nextCheck(checked time.Time) (at time.Time, exact bool) {
 	if !w.aheadSince.IsZero() {
-		return w.stuckAfter
+		return checked.Add(w.stuckAfter), false
+	}
+	at = checked.Add(w.budget.CheckPeriod(w.checkEvery, w.costs))
+	exactAt := w.exactCheckedAt.Add(w.budget.ExactCheckPeriod(w.exactEvery, w.costs))
+	if !w.budget.CheapFits(w.costs) || w.lagging && exactAt.Before(at.Add(w.costs.Check)) { // a cheap check must not delay the exact one
+		return exactAt, true
 	}
-	return w.checkEvery
+	return at, false
+}
+
+// isDue reports whether everything must be read now, given the revision up to which the directory knows all
+// changes, because the watch has not brought what a check has seen.
+func (w *watchdog) isDue(now time.Time, at uint64) bool {
+	return !w.due.IsZero() && !now.Before(w.due) && w.highest > at
 }
 
 // observeExact judges the watch after an exact check that returned revision.
--- a/directory/watchdog_test.go
+++ b/directory/watchdog_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/freshness"
 	"gotest.tools/v3/assert"
 )
 
@@ -62,11 +63,15 @@
 // TestStuckWatchIsCheckedSooner checks that after a revision that the watch has not brought, the
 // next check comes earlier than usual.
 func TestStuckWatchIsCheckedSooner(t *testing.T) {
-	w := watchdog{stuckAfter: 5, exactEvery: 50, checkEvery: 100}
+	w := watchdog{stuckAfter: 5, exactEvery: 50, checkEvery: 100, budget: freshness.Budget{Within: 1000}}
 	now := time.Unix(1000, 0)
-	assert.Equal(t, w.untilNextCheck(), time.Duration(100))
+	next := func() time.Duration {
+		at, _ := w.nextCheck(now)
+		return at.Sub(now)
+	}
+	assert.Equal(t, next(), time.Duration(100))
 	w.observe(now, 6, 5, true, nil)
-	assert.Equal(t, w.untilNextCheck(), time.Duration(5))
+	assert.Equal(t, next(), time.Duration(5))
 	w.observe(now, 6, 6, true, nil)
-	assert.Equal(t, w.untilNextCheck(), time.Duration(100))
+	assert.Equal(t, next(), time.Duration(100))
 }
--- a/directory/watching_test.go
+++ b/directory/watching_test.go
@@ -13,12 +13,13 @@
 	const known, seen = 5, 6
 	const now = time.Second
 	var checkFirst watching
-	assert.Assert(t, !checkFirst.observe(seen), "no watch waits yet")
-	assert.Assert(t, checkFirst.begin(now, known), "the watch begins behind the check")
+	confirmed := time.Unix(1000, 0)
+	assert.Assert(t, !checkFirst.observe(seen, confirmed), "no watch waits yet")
+	assert.Equal(t, checkFirst.begin(now, known), lack{behind: true, confirmed: confirmed}, "the watch begins behind the check")
 
 	var watchFirst watching
-	assert.Assert(t, !watchFirst.begin(now, known), "no check has seen more")
-	assert.Assert(t, watchFirst.observe(seen), "a watch waits")
+	assert.Assert(t, !watchFirst.begin(now, known).behind, "no check has seen more")
+	assert.Assert(t, watchFirst.observe(seen, confirmed), "a watch waits")
 	watchFirst.end()
-	assert.Assert(t, !watchFirst.observe(seen), "the watch has ended")
+	assert.Assert(t, !watchFirst.observe(seen, confirmed), "the watch has ended")
 }
