platform, directory, relay: content of a restored store is ordered by era and revision

Callers met endpoints that had said they leave, and configurations that had been replaced, for as long as the store's revisions were below those that balancers knew: the store had come back from a copy and gave revisions out again. Whole reads were dropped as outdated and repeated every 20 ms, and what was written up to the known revision never reached a follower.

Revisions are positions now: Store-Era above the revision. What the copy lacks or brings back counts after three seconds only, by when operator and endpoints have written again; leaving endpoints, versions of the configuration and new writes count at once. Rollout orders are named without the era, quarantine records of an earlier state change nothing.

--- a/directory/apply.go
+++ b/directory/apply.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lotuswing/lotuswing/coord/position"
 )
 
 // Apply applies changes to the directory, whether the store or another process sent them, and logs
@@ -10,25 +12,43 @@
 func (f *Follower) Apply(changes Changes) {
 	now := time.Now()
 	applied := f.directory.Apply(changes, now)
+	if applied.Restored {
+		f.opts.Log.Warn("store was restored from a copy; what is known counts for a while", "at", position.Text(changes.Revision), "for", restoreHold)
+		time.AfterFunc(restoreHold, f.endHold)
+	}
+	f.logApplied(applied, changes, now)
+	f.opts.OnApplied(changes)
+}
+
+// endHold applies what was held of a full read of a restored store.
+func (f *Follower) endHold() {
+	now := time.Now()
+	applied := f.directory.EndHold(now)
+	f.opts.Log.Info("content of the restored store counts", "endpoints_changed", len(applied.StateChanges), "zones_changed", len(applied.Zones))
+	f.logApplied(applied, Changes{Revision: f.directory.Snapshot().Revision, Via: ViaRead}, now)
+}
+
+// logApplied logs what changes did to the directory.
+func (f *Follower) logApplied(applied Applied, changes Changes, now time.Time) {
+	at := position.Text(changes.Revision)
 	within := changes.Age(now).Milliseconds()
 	if applied.Version > 0 {
-		f.opts.Log.Info("configuration in force", "version", applied.Version, "revision", changes.Revision, "via", changes.Via, "within_ms", within)
+		f.opts.Log.Info("configuration in force", "version", applied.Version, "revision", at, "via", changes.Via, "within_ms", within)
 	}
 	if applied.Ignored > 0 {
-		f.opts.Log.Warn("older configuration ignored", "version", applied.Ignored, "revision", changes.Revision)
+		f.opts.Log.Warn("older configuration ignored", "version", applied.Ignored, "revision", at)
 	}
 	for _, err := range slices.Concat(changes.Errors, applied.Errors) {
-		f.opts.Log.Error("unusable entry", "error", err, "revision", changes.Revision)
+		f.opts.Log.Error("unusable entry", "error", err, "revision", at)
 	}
 	for _, e := range applied.Zones {
-		f.opts.Log.Info("zone", "zone", e.Zone, "evacuated", !e.Ended, "revision", e.Revision)
+		f.opts.Log.Info("zone", "zone", e.Zone, "evacuated", !e.Ended, "revision", position.Text(e.Revision))
 	}
 	for _, r := range applied.Rollouts {
 		f.opts.Log.Info("rollout", "service", r.Order.Service, "version", r.version(), "state", r.Status().State, "share", r.Share(),
 			"begun", r.Started(), "taken_back", r.Order.Withdrawn, "by", r.Record.By)
 	}
 	f.logStateChanges(applied.StateChanges, changes, now)
-	f.opts.OnApplied(changes)
 }
 
 // logStateChanges logs one line for each endpoint whose state changed. If the changes are a full
@@ -40,12 +60,12 @@
 		for _, c := range stateChanges {
 			count[c.State]++
 		}
-		f.opts.Log.Info("endpoints", "listed", count[Listed], "missing", count[Missing], "leaving", count[Leaving], "revision", changes.Revision)
+		f.opts.Log.Info("endpoints", "listed", count[Listed], "missing", count[Missing], "leaving", count[Leaving], "revision", position.Text(changes.Revision))
 		return
 	}
 	within := changes.Age(now).Milliseconds()
 	for _, c := range stateChanges {
-		f.opts.Log.Info("endpoint", "id", c.ID, "service", c.Service, "state", c.State.String(), "revision", changes.Revision,
+		f.opts.Log.Info("endpoint", "id", c.ID, "service", c.Service, "state", c.State.String(), "revision", position.Text(changes.Revision),
 			"via", changes.Via, "within_ms", within)
 	}
 }
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/access"
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/tenant"
 )
 
@@ -47,8 +48,13 @@
 	Zone     string
 	Ended    bool
 	Revision uint64
+	Began    uint64 // revision of the latest order to evacuate the zone; set by the directory
 }
 
+// ID identifies an order of a service in records and notes of all balancers, together with its version. It is
+// the order's revision without the era, which balancers that started after a restore of the store do not know.
+func (o RolloutOrder) ID() uint64 { return position.Revision(o.Revision) }
+
 // RolloutOrder is an operator's order to roll out a version of a service, or the end of
 // that order.
 type RolloutOrder struct {
@@ -117,8 +123,8 @@
 // Count returns the number of changes.
 func (c Changes) Count() int { return c.count() }
 
-// Outdated reports whether the changes are a full read at a revision below known, or a part of a
-// full read that arrives after a complete one. known is the revision up to which all changes are
+// Outdated reports whether the changes are a full read at a position below known, or a part of a
+// full read that arrives after a complete one. known is the position up to which all changes are
 // applied; 0 before the first full read. Applying outdated changes would restore keys that were
 // deleted before the latest full read, because no record of those deletions is kept. Changes are
 // outdated when two first copies are read at once and the older one arrives last.
@@ -141,6 +147,7 @@
 	Ignored      uint64       // of a configuration that is older than the present one, 0 for none
 	StateChanges []Change     // new states of endpoints
 	Zones        []Evacuation // zones whose evacuation began or ended
+	Restored     bool         // the changes are the first full read since the store was restored from a copy
 
 	Rollouts []Rollout // rollouts that changed
 	Errors   []error   // errors of records that could not be read
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -10,6 +10,10 @@
 // An operator may evacuate an availability zone: until the store records the end of the evacuation,
 // the directory keeps the zone's endpoints, but they are not usable (evacuation.go).
 //
+// Revisions of records, changes and snapshots are positions (package coord/position): the store may be restored
+// from a copy and give its revisions out again. For some seconds after a restore, what the process knows counts
+// where the copy differs from it (restore.go).
+//
 // Two rules hold whatever the store says. The version of the configuration never
 // decreases within the life of a process. An endpoint that announced that it is
 // leaving gets no more requests, whatever entries of the same start are read later; a new start
@@ -32,6 +36,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lotuswing/lotuswing/coord/position"
 )
 
 // Directory is a process's copy of the shared configuration and of the endpoints. It is safe for
@@ -39,24 +45,25 @@
 type Directory struct {
 	snapshot atomic.Pointer[Snapshot]
 
-	mu                sync.Mutex // held by writers
-	config            *Config
-	endpoints         map[string]Endpoint         // by VM identity
-	unlisted          map[string]bool             // identities of endpoints in another state than Listed
-	services          map[string]map[string]bool  // identities of endpoints, by service
-	changed           map[string]changedEndpoints // since the last snapshot, by service
-	zones             evacuations
-	rollouts          rollouts
-	badOrderRevisions map[string]uint64 // revision of the latest rollout order whose version was found bad, by service
-	notices           leavingNotices    // about endpoints whose entries are not known yet
-	revision          uint64            // up to which all changes are applied
+	mu        sync.Mutex // held by writers
+	config    *Config
+	endpoints map[string]Endpoint         // by VM identity
+	unlisted  map[string]bool             // identities of endpoints in another state than Listed
+	services  map[string]map[string]bool  // identities of endpoints, by service
+	changed   map[string]changedEndpoints // since the last snapshot, by service
+	zones     evacuations
+	rollouts  rollouts
+	badOrders map[string]badOrder // the latest rollout order whose version was found bad, by service
+	notices   leavingNotices      // about endpoints whose entries are not known yet
+	held      *heldRead           // nil unless the store was restored a moment ago
+	revision  uint64              // position up to which all changes are applied
 }
 
 // New returns an empty directory.
 func New() *Directory {
 	d := &Directory{
 		endpoints: map[string]Endpoint{}, unlisted: map[string]bool{}, services: map[string]map[string]bool{}, changed: map[string]changedEndpoints{},
-		zones: evacuations{}, rollouts: rollouts{}, notices: leavingNotices{}, badOrderRevisions: map[string]uint64{},
+		zones: evacuations{}, rollouts: rollouts{}, notices: leavingNotices{}, badOrders: map[string]badOrder{},
 	}
 	d.snapshot.Store(&Snapshot{Endpoints: map[string][]Endpoint{}})
 	return d
@@ -73,23 +80,32 @@
 	if c.Outdated(d.revision) {
 		return applied
 	}
-	d.applyConfig(c.Config, &applied)
+	if d.isHeld(c) {
+		applied.Restored = position.Restored(d.revision, c.Revision)
+		c = d.hold(c, now)
+	}
+	d.apply(c, now, &applied)
+	return applied
+}
+
+// apply applies changes, also those of a full read that was held, and publishes a new snapshot; d.mu is held.
+func (d *Directory) apply(c Changes, now time.Time, applied *Applied) {
+	d.applyConfig(c.Config, applied)
 	for _, entry := range c.Entries {
-		d.applyEntry(entry, now, &applied)
+		d.applyEntry(entry, now, applied)
 	}
 	for _, g := range c.Gone {
-		d.applyGone(g, now, &applied)
+		d.applyGone(g, now, applied)
 	}
-	d.applyEvacuations(c.Evacuations, &applied)
+	d.applyEvacuations(c.Evacuations, applied)
 	if c.Complete {
-		d.applyAbsent(c, now, &applied)
-		d.applyEvacuations(d.zones.impliedEnds(c.Evacuations, c.Revision), &applied)
+		d.applyAbsent(c, now, applied)
+		d.applyEvacuations(d.zones.impliedEnds(c.Evacuations, c.Revision), applied)
 	}
-	d.applyRollouts(c, &applied)
+	d.applyRollouts(c, applied)
 	d.revision = max(d.revision, c.Revision)
 	d.removeExpired(now)
 	d.publish(now)
-	return applied
 }
 
 // removeExpired removes the endpoints and leaving notices that need not be remembered any longer.
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -37,6 +37,7 @@
 	WarmupReceivedAt time.Time     // when that statement was first read
 	Changed          time.Time     // when this process learnt what the state follows from: the latest entry, its deletion or a notice of leaving
 	Revision         uint64        // of the store's entry or of its deletion
+	EntryRevision    uint64        // of the latest entry
 
 	Gone       bool // the store has no entry for it
 	Unreadable bool // its entry exists but cannot be read, so it must not get requests
@@ -86,7 +87,7 @@
 // newEndpoint returns the endpoint of an entry, without regard to what was known before.
 func newEndpoint(entry Entry, now time.Time) Endpoint {
 	e := entry.Endpoint
-	e.Revision = entry.Revision
+	e.Revision, e.EntryRevision = entry.Revision, entry.Revision
 	e.Warmup, e.WarmUntil, e.WarmupReceivedAt = entry.Warmup, now.Add(entry.Warmup), now
 	e.Changed = now
 	if entry.Leaving {
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -13,6 +13,10 @@
 	if known && e.Revision < old.Revision {
 		return false
 	}
+	e.Began = e.Revision
+	if e.Ended {
+		e.Began = old.Began
+	}
 	z[e.Zone] = e
 	return e.Ended == (known && !old.Ended)
 }
--- a/directory/read.go
+++ b/directory/read.go
@@ -35,6 +35,10 @@
 	return f.read(ctx, f.opts.CheckTimeout, f.source.ReadRegistrations)
 }
 
+// ReadAgain has everything read again at once, if the store is watched: another process has heard that the
+// store was restored from a copy.
+func (f *Follower) ReadAgain() { f.abandonWatch(readAgain) }
+
 // readInitial reads everything for the first time and retries until it succeeds. A balancer that
 // knows nothing refuses every request, so the pauses between the attempts don't grow.
 func (f *Follower) readInitial(ctx context.Context) {
--- a/directory/rollout.go
+++ b/directory/rollout.go
@@ -21,7 +21,7 @@
 // RolloutRecord is the state of a rollout that the balancer leading it writes to the store for
 // all others, as JSON.
 type RolloutRecord struct {
-	Order   uint64        `json:"order"` // revision of the operator's order
+	Order   uint64        `json:"order"` // RolloutOrder.ID of the operator's order
 	Version string        `json:"version"`
 	State   rollout.State `json:"state"`
 	Stage   int           `json:"stage"`
@@ -70,7 +70,7 @@
 // has begun to carry out is running at stage 0, and its Share is 0 until it has begun. A withdrawn
 // order that was not completed counts as rolled back.
 func (r Rollout) RecordedStatus() rollout.Status {
-	begun := r.Revision > 0 && (r.Record.Order == r.Order.Revision || r.Order.Withdrawn)
+	begun := r.Revision > 0 && (r.recordIsOfOrder() || r.Order.Withdrawn)
 	switch {
 	case !begun:
 		return rollout.Status{State: rollout.Running}
@@ -83,7 +83,12 @@
 // Started reports whether a balancer has begun to carry out the latest order, unless
 // that was withdrawn.
 func (r Rollout) Started() bool {
-	return r.Revision > 0 && !r.Order.Withdrawn && r.Record.Order == r.Order.Revision
+	return r.Revision > 0 && !r.Order.Withdrawn && r.recordIsOfOrder()
+}
+
+// recordIsOfOrder reports whether the record is about the latest order.
+func (r Rollout) recordIsOfOrder() bool {
+	return r.Record.Order == r.Order.ID() && r.Record.Version == r.Order.Version
 }
 
 // Share returns the share of the service's requests that goes to the version being rolled out,
@@ -240,7 +245,9 @@
 		orders = append(slices.Clone(orders), d.rollouts.impliedEnds(c.Rollouts, c.Revision)...)
 	}
 	for _, o := range orders {
+		previous := d.rollouts[o.Service]
 		if d.rollouts.applyOrder(o) {
+			d.carryBad(previous, o)
 			d.updateBad(o.Service)
 			d.markAllChanged(o.Service)
 			applied.Rollouts = append(applied.Rollouts, d.rollouts[o.Service])
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/crash"
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/relay"
@@ -91,7 +92,12 @@
 		if r.Revision <= ent.appliedRevision {
 			return
 		}
+		// A restored store may have an earlier state of the record, which changes nothing here.
+		outdated := position.Restored(ent.appliedRevision, r.Revision) && position.Revision(r.Revision) <= position.Revision(ent.appliedRevision)
 		ent.recordRevision, ent.appliedRevision, ent.recordState = r.Revision, r.Revision, rec.State
+		if outdated {
+			return
+		}
 		if ent.service == "" {
 			ent.service, ent.kind = rec.Service, rec.Kind
 		}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/link"
 )
@@ -170,11 +171,11 @@
 	ctx, cancel := context.WithTimeout(ctx, g.opts.Wait+g.opts.Slack)
 	defer cancel()
 	after, _ := g.replica.revision() // 0 while this balancer has no complete copy, which requests everything
-	position := g.receivedPosition(r.Addr)
+	heard := g.receivedPosition(r.Addr)
 	var reply ChangesReply
 	err := g.client.Call(ctx, r.Addr, methodChanges, ChangesArgs{
 		After: after, Wait: g.opts.Wait, From: g.cfg.Addr, Patient: patient, InTouch: g.follower.UpToDate(time.Now()), PathsLost: g.pathsLost(),
-		TakesNotes: true, NotesLife: position.life, NotesAfter: position.index,
+		TakesNotes: true, NotesLife: heard.life, NotesAfter: heard.index,
 	}, &reply)
 	if err == nil {
 		g.receiveReplyNotes(r.Addr, reply)
@@ -187,6 +188,8 @@
 		return err
 	case !reply.Settled:
 		return unsettledError{lost: reply.StoreLost, askers: reply.Askers, alternative: reply.Instead}
+	case position.Restored(reply.At, after):
+		return unsettledError{} // it has not heard that the store was restored
 	}
 	records, err := unpack(reply.Packed)
 	if err != nil {
--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -38,6 +38,9 @@
 // SetServing does nothing.
 func (f staticFollower) SetServing(bool) {}
 
+// ReadAgain does nothing.
+func (f staticFollower) ReadAgain() {}
+
 // Confirmed reports that no time is known.
 func (f staticFollower) Confirmed() time.Time { return time.Time{} }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -76,6 +76,8 @@
 	SetServing(serving bool)
 	// EndRetryPause ends the pause after a failed call, because the store has just answered another call.
 	EndRetryPause()
+	// ReadAgain has everything read again at once, if the store is watched.
+	ReadAgain()
 	// Read reads the full store and applies the result, which may be some seconds old.
 	Read(ctx context.Context) error
 	// ReadRegistrations reads only the registrations and applies them.
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/pause"
 )
@@ -23,7 +24,7 @@
 	changeLog        []change             // in the order of revisions, including changes that newer ones have replaced
 	tombstones       map[string]time.Time // when the deletion of a key was learned
 	relays           map[string]Relay     // by zone; without an address if the registration was deleted
-	knownRevision    uint64               // all changes up to this revision are known
+	knownRevision    uint64               // all changes up to this position are known
 	minDeltaRevision uint64               // oldest revision after which changes can be returned without the full content
 	complete         chan struct{}        // closed when the first complete copy has been applied
 	servable         chan struct{}        // closed when enough is known to serve requests
@@ -68,6 +69,9 @@
 	if c.Complete {
 		rep.deleteAbsent(c, now)
 	}
+	if c.Complete && position.Restored(rep.knownRevision, c.Revision) {
+		rep.minDeltaRevision = c.Revision // what was known of the earlier era tells nothing of what the copy lacks
+	}
 	if c.Complete && !rep.isComplete() {
 		rep.minDeltaRevision = c.Revision
 		close(rep.complete)
--- a/relay/server.go
+++ b/relay/server.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/bootstrap"
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/internal/bootclock"
 	"github.com/lotuswing/lotuswing/link"
 )
 
-// ChangesArgs asks a relay for the changes after a revision. The relay answers after Wait at the
+// ChangesArgs asks a relay for the changes after a position. The relay answers after Wait at the
 // latest. Package gob sends the names of the fields.
 type ChangesArgs struct {
 	After   uint64
@@ -89,6 +90,11 @@
 	}
 	g.replica.waitAfter(context.Background(), args.After, wait, func() bool { return hasNotes() || !g.follower.UpToDate(time.Now()) })
 	g.cfg.Suspensions.Check() // the VM may have been suspended during the wait
+	if known, _ := g.replica.revision(); position.Restored(known, args.After) {
+		g.follower.ReadAgain() // the caller has heard that the store was restored, and this balancer has not
+		*reply = g.unsettledReply(time.Now())
+		return nil
+	}
 	d := g.replica.since(args.After)
 	packed, err := g.packer.pack(d)
 	if err != nil {
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -41,7 +41,7 @@
 		version = newerVersion
 	}
 	key := func(count string) string {
-		return keyPrefix(t.Service, r.Order.Revision) + version + "/" + count + "/" + t.Kind
+		return keyPrefix(t.Service, r.Order.ID()) + version + "/" + count + "/" + t.Kind
 	}
 	c.cfg.Counts.Add(key(askedCount), 1, now)
 	if t.Failed {
--- a/rollout/notes.go
+++ b/rollout/notes.go
@@ -17,7 +17,7 @@
 // badNote is the data of a note on a bad version, encoded as JSON.
 type badNote struct {
 	Service string
-	Order   uint64 // revision of the operator's order
+	Order   uint64 // directory.RolloutOrder.ID of the operator's order
 	Version string
 }
 
@@ -27,10 +27,10 @@
 // takeOutOfService takes a bad version out of service at this balancer, and sends a note to all
 // others. It does so once for each order.
 func (c *Controller) takeOutOfService(r directory.Rollout) {
-	if !c.cfg.Directory.MarkBad(r.Order.Service, r.Order.Revision, c.cfg.Now()) || c.cfg.Publish == nil {
+	if !c.cfg.Directory.MarkBad(r.Order.Service, r.Order.ID(), r.Order.Version, c.cfg.Now()) || c.cfg.Publish == nil {
 		return
 	}
-	data, err := json.Marshal(badNote{Service: r.Order.Service, Order: r.Order.Revision, Version: r.Order.Version})
+	data, err := json.Marshal(badNote{Service: r.Order.Service, Order: r.Order.ID(), Version: r.Order.Version})
 	if err == nil {
 		err = c.cfg.Publish(BadVersionTopic, data)
 	}
@@ -49,7 +49,7 @@
 	if bad.Service == "" || bad.Order == 0 {
 		return errIncompleteNote
 	}
-	if c.cfg.Directory.MarkBad(bad.Service, bad.Order, c.cfg.Now()) {
+	if c.cfg.Directory.MarkBad(bad.Service, bad.Order, bad.Version, c.cfg.Now()) {
 		c.cfg.Log.Info("bad version taken out of service", "service", bad.Service, "version", bad.Version, "order", bad.Order, "from", n.Origin)
 	}
 	return nil
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -39,7 +39,7 @@
 	Snapshot() *directory.Snapshot
 	// MarkBad records that the version of an order was found bad, and reports whether that was
 	// unknown before.
-	MarkBad(service string, order uint64, now time.Time) bool
+	MarkBad(service string, order uint64, version string, now time.Time) bool
 }
 
 // Counts is a set of counters that are summed over all balancers.
@@ -94,7 +94,8 @@
 
 // rolloutState is the state of one rollout at this balancer, beside the record in the store.
 type rolloutState struct {
-	order      uint64    // revision of the operator's order
+	order      uint64    // directory.RolloutOrder.ID of the operator's order
+	version    string    // of the order
 	orderSeen  time.Time // when the order was first seen here
 	status     rollout.Status
 	revision   uint64                   // of the record
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -37,8 +37,8 @@
 
 func (w *testFleet) Snapshot() *directory.Snapshot { return w.directory.Snapshot() }
 
-func (w *testFleet) MarkBad(service string, order uint64, now time.Time) bool {
-	return w.directory.MarkBad(service, order, now)
+func (w *testFleet) MarkBad(service string, order uint64, version string, now time.Time) bool {
+	return w.directory.MarkBad(service, order, version, now)
 }
 
 func (w *testFleet) Add(key string, n int64, _ time.Time) { w.counts[key] += n }
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -79,8 +79,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t, ok := c.states[r.Order.Service]
-	if !ok || t.order != r.Order.Revision {
-		t = &rolloutState{order: r.Order.Revision, orderSeen: now, kinds: map[string]*kindEvidence{}}
+	if !ok || !t.isOf(r.Order) {
+		t = &rolloutState{order: r.Order.ID(), version: r.Order.Version, orderSeen: now, kinds: map[string]*kindEvidence{}}
 		c.states[r.Order.Service] = t
 	}
 	if status := r.RecordedStatus(); t.revision != r.Revision || t.status != status {
@@ -89,6 +89,11 @@
 	return t
 }
 
+// isOf reports whether the state is of an order.
+func (t *rolloutState) isOf(o directory.RolloutOrder) bool {
+	return t.order == o.ID() && t.version == o.Version
+}
+
 // advance decides on the next status of a rollout, and writes it if it has changed.
 func (c *Controller) advance(ctx context.Context, r directory.Rollout, t *rolloutState, listed []directory.Endpoint) {
 	now := c.cfg.Now()
@@ -122,7 +127,7 @@
 	if !r.Started() {
 		return rollout.Status{State: rollout.Running}, true
 	}
-	bad, proved := t.evaluate(c.cfg.Counts.Sums(keyPrefix(r.Order.Service, r.Order.Revision)))
+	bad, proved := t.evaluate(c.cfg.Counts.Sums(keyPrefix(r.Order.Service, r.Order.ID())))
 	facts := rollout.Facts{
 		Since: now.Sub(t.orderSeen), InStage: now.Sub(t.statusSeen), Bad: bad || r.Bad, Proved: proved,
 	}
@@ -152,7 +157,7 @@
 // writeStatus writes a status to the store, for all balancers and for operators.
 func (c *Controller) writeStatus(ctx context.Context, r directory.Rollout, next rollout.Status) error {
 	value, err := json.Marshal(directory.RolloutRecord{
-		Order: r.Order.Revision, Version: r.Order.Version, State: next.State, Stage: next.Stage, By: c.cfg.ID, Out: r.HeldBackVersions(),
+		Order: r.Order.ID(), Version: r.Order.Version, State: next.State, Stage: next.Stage, By: c.cfg.ID, Out: r.HeldBackVersions(),
 	})
 	if err != nil {
 		return err
@@ -222,7 +227,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t, ok := c.states[r.Order.Service]
-	if !ok || t.order != r.Order.Revision {
+	if !ok || !t.isOf(r.Order) {
 		return st
 	}
 	st.Since = c.cfg.Now().Sub(t.orderSeen)
