upstream: informational responses without end are cut

An endpoint that sends 1xx responses without end held its request for ever: net/http stops bounding them once they are passed on, and it passed them on after the attempt was given up, beside the next response (a data race).

TestResponseWithoutEndIsCut failed before: the caller got 10 MiB of heads.

--- a/internal/rawendpoint/faulty.go
+++ b/internal/rawendpoint/faulty.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 )
 
@@ -35,6 +36,33 @@
 	CutChunked, AnswerNotRun, Bare503, AnswerTwice, AnswerForeign, SilentAfterRead,
 }
 
+// Faults whose bytes come without end, until the other side closes the connection.
+const (
+	EndlessHead    Fault = "writes a header field without end"
+	EndlessFields  Fault = "writes header fields without end"
+	EndlessInterim Fault = "writes informational responses without end"
+	EndlessBody    Fault = "writes a body without length and without end"
+	EndlessChunks  Fault = "writes chunks without end"
+)
+
+// endlessText is, for each fault without end, what is written once and what is repeated.
+var endlessText = map[Fault][2]string{
+	EndlessHead:    {"HTTP/1.1 200 OK\r\nX-Text: ", strings.Repeat("x", endlessPiece)},
+	EndlessFields:  {"HTTP/1.1 200 OK\r\n", strings.Repeat("X-Text: x\r\n", endlessPiece/11)},
+	EndlessInterim: {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", endlessPiece/28)},
+	EndlessBody:    {"HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\n\r\n", strings.Repeat("x", endlessPiece)},
+	EndlessChunks: {
+		"HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n",
+		fmt.Sprintf("%x\r\n%s\r\n", endlessPiece, strings.Repeat("x", endlessPiece)),
+	},
+}
+
+// endlessPiece is about how many bytes are written at once.
+const endlessPiece = 4096
+
+// EndlessFaults lists every fault without end.
+var EndlessFaults = []Fault{EndlessHead, EndlessFields, EndlessInterim, EndlessBody, EndlessChunks}
+
 // KeyHeader is the header that identifies a request to a Faulty endpoint.
 const KeyHeader = "X-Request-Key"
 
@@ -47,6 +75,33 @@
 	runs    map[string]int         // number of runs, by the value of KeyHeader
 	headers map[string]http.Header // request header of the last run, by the value of KeyHeader
 	fault   Fault
+	sent    int64 // bytes of responses without end
+	endless int   // responses without end that are being written
+}
+
+// Endless returns how many responses without end are being written, and the bytes of all of them so far.
+func (e *Faulty) Endless() (writing int, sent int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.endless, e.sent
+}
+
+// writeEndless writes a response without end until the other side closes the connection.
+func (e *Faulty) writeEndless(c net.Conn, text [2]string, id string) {
+	count := func(writing int, n int) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.endless, e.sent = e.endless+writing, e.sent+int64(n)
+	}
+	count(1, 0)
+	defer count(-1, 0)
+	for next := strings.ReplaceAll(text[0], "{id}", id); ; next = text[1] {
+		n, err := io.WriteString(c, next)
+		count(0, n)
+		if err != nil {
+			return
+		}
+	}
 }
 
 // NewFaulty starts an endpoint without a fault.
@@ -132,6 +187,9 @@
 		return writeText(c, response+response)
 	case AnswerForeign:
 		return writeText(c, "HTTP/1.1 200 OK\r\nLotuswing-Request-Id: another\r\nContent-Length: 5\r\n\r\nother")
+	case EndlessHead, EndlessFields, EndlessInterim, EndlessBody, EndlessChunks:
+		e.writeEndless(c, endlessText[f], req.Header.Get("Lotuswing-Request-Id"))
+		return false
 	case CloseAfterRead, ResetAfterRead, CloseMidAnswer, CutBody, CutChunked, SilentAfterRead:
 		applyClosingFault(c, f, response)
 		return false
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -122,6 +122,7 @@
 		defer c.opts.Paths.OnLost(r.Addr, func() { cancel(ErrPathLost) })()
 	}
 	response, err := transport.RoundTrip(c.outgoingRequest(httptrace.WithClientTrace(ctx, tracker.trace(r)), r, remaining))
+	tracker.informational.end()
 	release := func() { cancel(context.Canceled) }
 	if err != nil {
 		// The order matters: failureResult must seal the connection before the cancellation
--- a/upstream/tracker.go
+++ b/upstream/tracker.go
@@ -1,9 +1,7 @@
 package upstream
 
 import (
-	"net/http"
 	"net/http/httptrace"
-	"net/textproto"
 	"sync"
 	"time"
 )
@@ -15,6 +13,8 @@
 	admitted func() bool   // nil for always
 	settle   time.Duration // how long a new connection must stay open before it is used
 
+	informational informational
+
 	mu            sync.Mutex
 	gotConnection bool  // the transport picked a connection
 	conn          *conn // that connection; nil if this package's dialer did not open it
@@ -97,10 +97,8 @@
 func (t *connTracker) trace(r Request) *httptrace.ClientTrace {
 	hooks := &httptrace.ClientTrace{GotConn: t.gotConn, PutIdleConn: t.putIdleConn, GotFirstResponseByte: r.OnResponseBegun}
 	if r.OnInformational != nil {
-		hooks.Got1xxResponse = func(code int, header textproto.MIMEHeader) error {
-			r.OnInformational(code, http.Header(header))
-			return nil
-		}
+		t.informational.forward = r.OnInformational
+		hooks.Got1xxResponse = t.informational.pass
 	}
 	return hooks
 }
