--- a/control/soak.go
+++ b/control/soak.go
@@ -29,6 +29,7 @@
 		c.Flag("words", "mean time between two endpoints that say in their answers that they leave, or want no requests for a while; 0 for none").Default("0s").DurationVar(&cfg.Words)
 		c.Flag("teams", "mean time between two teams that send many times their quotas or lose a key; 0 for callers without keys").Default("0s").DurationVar(&cfg.Teams)
 		c.Flag("partition", "mean time between two losses of the paths of some balancers to all endpoints; 0 for none").Default("0s").DurationVar(&cfg.Partition)
+		c.Flag("restore", "mean time between two restores of the store from a copy; 0 for none").Default("0s").DurationVar(&cfg.Restore)
 		c.Flag("stops", "mean time between two series of planned stops of most balancers, under callers that keep connections; 0 for none").Default("0s").DurationVar(&cfg.Stops)
 		c.Flag("keep", "folder for the logs of all processes").StringVar(&cfg.Keep)
 		binary := c.Flag("binary", "the balancer's program").Default("target/lotuswing").ExistingFile()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,7 @@
 // suspended is told to its process in a file.
 //
 // It owns the processes that it starts, and ends only these. The faults are in
-// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, planned stops in series.go, their promises in stops.go, callers that keep connections in keepers.go, those that leave or want no requests by their answers in words.go, teams with keys and quotas in teams.go, lost paths to endpoints in partitions.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
+// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, planned stops in series.go, their promises in stops.go, callers that keep connections in keepers.go, those that leave or want no requests by their answers in words.go, teams with keys and quotas in teams.go, a store that comes back from a copy in restores.go, lost paths to endpoints in partitions.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
 // endpoints saw in ledger.go, promises with a time limit in timed.go. It relies on
 // package platformtest for the platform.
 //
@@ -67,6 +67,8 @@
 	// Partition is the mean time between two losses of the paths of some balancers to all endpoints; 0
 	// for none.
 	Partition time.Duration
+	// Restore is the mean time between two restores of the store from a copy; 0 for none.
+	Restore time.Duration
 	// Stops is the mean time between two series of planned stops of most balancers; 0 for none, and for
 	// no callers that keep connections in use through a stop.
 	Stops time.Duration
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -154,6 +154,11 @@
 	{42, "none: a second seed"},
 }
 
+// TestSoakOfRestores plays a soak in which the store comes back from a copy, beside other faults.
+func TestSoakOfRestores(t *testing.T) {
+	keepsPromises(t, "store comes back from a copy", soak.Config{Seed: 31, For: 10 * time.Second, Balancers: 4, Restore: 1500 * time.Millisecond, Gap: time.Second})
+}
+
 // TestSoakOfStops plays soaks in which most balancers are stopped as planned in series, while callers
 // keep their connections in use until they end.
 func TestSoakOfStops(t *testing.T) {
--- a/soak/strikers.go
+++ b/soak/strikers.go
@@ -27,6 +27,7 @@
 		{cfg.Teams, math.MaxUint64 - 300, w.strikeTeams},
 		{cfg.Stops, math.MaxUint64 - 600, w.strikeStops},
 		{cfg.Partition, math.MaxUint64 - 500, w.strikePartitions},
+		{cfg.Restore, math.MaxUint64 - 700, w.strikeRestores},
 	}
 	if w.crashes != nil {
 		strikers = append(strikers, striker{cfg.Crash, math.MaxUint64 - 1, w.crashes.strike})
