control, directory: what a balancer knows of the store's content

lotusctl store shows for each balancer the store's era and revision, whom it follows, by which way and how late the last change came, how old its knowledge may be, whether a restored store's content is held back, and how often everything was read again; /status and four metrics have the same.

--- a/compat/wire_test.go
+++ b/compat/wire_test.go
@@ -52,7 +52,7 @@
 // stream NAME.2 is of the second version, and so on.
 var addedLater = map[string][][]string{
 	"ChangesArgs":  {{"From", "Patient", "InTouch"}, {"TakesNotes", "NotesLife", "NotesAfter"}, {"PathsLost"}},
-	"ChangesReply": {{"StoreLost", "Askers", "Instead"}, {"Notes", "NotesLife", "NotesAt"}},
+	"ChangesReply": {{"StoreLost", "Askers", "Instead"}, {"Notes", "NotesLife", "NotesAt"}, {"ConfirmedAge", "ChangesAge"}},
 	"CountArgs":    {{"From", "Asks"}, {"Report.Rests"}, {"Report.Joined", "Report.Fleet", "Report.Counts.Missing"}, {"Report.Span"}},
 	"CountReply":   {{"Limits", "Answer.Members"}, {"Answer.From", "Answer.Span", "Answer.Words.Spent", "Answer.Words.ZoneTotal"}},
 	"CopyArgs":     {{"Part"}},
--- a/control/ask.go
+++ b/control/ask.go
@@ -71,3 +71,17 @@
 	}
 	return errors.New(strings.TrimSpace(string(text)))
 }
+
+// askStatus decodes the status of the balancer at an admin address into st.
+func askStatus(addr string, st any) error {
+	client := &http.Client{Timeout: readHeaderTimeout}
+	resp, err := client.Get("http://" + addr + "/status")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }() // read to its end
+	if resp.StatusCode != http.StatusOK {
+		return errorOf(resp)
+	}
+	return json.NewDecoder(resp.Body).Decode(st)
+}
--- a/control/control.go
+++ b/control/control.go
@@ -57,6 +57,7 @@
 	addQueues(a)
 	addPaths(a)
 	addStops(a)
+	addStore(a)
 	addDemo(a)
 	addReplay(a)
 	addTrace(a)
--- a/control/stops.go
+++ b/control/stops.go
@@ -1,9 +1,7 @@
 package control
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -51,17 +49,8 @@
 
 // askStop returns the state of the stop of the balancer at an admin address.
 func askStop(addr string) (server.StopStatus, error) {
-	client := &http.Client{Timeout: readHeaderTimeout}
-	resp, err := client.Get("http://" + addr + "/status")
-	if err != nil {
-		return server.StopStatus{}, err
-	}
-	defer func() { _ = resp.Body.Close() }() // read to its end
-	if resp.StatusCode != http.StatusOK {
-		return server.StopStatus{}, errorOf(resp)
-	}
 	var st struct{ Stop server.StopStatus }
-	err = json.NewDecoder(resp.Body).Decode(&st)
+	err := askStatus(addr, &st)
 	return st.Stop, err
 }
 
--- a/directory/apply.go
+++ b/directory/apply.go
@@ -16,6 +16,9 @@
 		f.opts.Log.Warn("store was restored from a copy; what is known counts for a while", "at", position.Text(changes.Revision), "for", restoreHold)
 		time.AfterFunc(restoreHold, f.endHold)
 	}
+	if changes.Count() > 0 {
+		f.last.Store(&lastChanges{via: changes.Via, age: changes.Age(now)})
+	}
 	f.logApplied(applied, changes, now)
 	f.opts.OnApplied(changes)
 }
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -120,9 +120,6 @@
 	return max(0, now.Sub(c.Since))
 }
 
-// Count returns the number of changes.
-func (c Changes) Count() int { return c.count() }
-
 // Outdated reports whether the changes are a full read at a position below known, or a part of a
 // full read that arrives after a complete one. known is the position up to which all changes are
 // applied; 0 before the first full read. Applying outdated changes would restore keys that were
@@ -132,8 +129,8 @@
 	return c.Complete && c.Revision < known || c.Partial && known > 0
 }
 
-// count returns the number of changes.
-func (c Changes) count() int {
+// Count returns the number of changes.
+func (c Changes) Count() int {
 	n := len(c.Entries) + len(c.Gone) + len(c.Evacuations) + len(c.Registrations) + len(c.Rollouts)
 	if c.Config != nil {
 		n++
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -65,6 +65,7 @@
 	costs       costs         // of recent calls
 	refused     int           // number of watches in a row that the store refused; used by Run alone
 	rereads     atomic.Int64  // number of full reads because a watch was refused or missed changes
+	last        atomic.Pointer[lastChanges]
 }
 
 // NewFollower returns a follower of source that keeps d up to date once Run is called.
@@ -184,10 +185,6 @@
 	upToDateSlack    = 150 * time.Millisecond // how much older than a check period and its timeout the last answer may be
 )
 
-// Rereads returns how often everything was read again because the store refused a watch, or a watch missed
-// changes.
-func (f *Follower) Rereads() int64 { return f.rereads.Load() }
-
 // budget returns the time within which a change must be known. One on which other processes rely leaves them
 // a part of it.
 func (f *Follower) budget() freshness.Budget {
@@ -231,10 +228,13 @@
 		began := time.Now()
 		changes, err := f.watch(ctx)
 		switch {
-		case errors.Is(err, ErrCompacted), errors.Is(err, ErrRestored):
+		case errors.Is(err, ErrCompacted):
+			f.refused++
+			f.opts.Log.Info("store has compacted its history; reading everything again", "revision", position.Text(f.directory.Snapshot().Revision), "in_a_row", f.refused)
+			return
+		case errors.Is(err, ErrRestored):
 			f.refused++
-			f.opts.Log.Info("store refuses the watch; reading everything again", "reason", err, "in_a_row", f.refused,
-				"revision", position.Text(f.directory.Snapshot().Revision))
+			f.opts.Log.Info("watch is of an earlier era of the store; reading everything again", "revision", position.Text(f.directory.Snapshot().Revision), "in_a_row", f.refused)
 			return
 		case errors.Is(err, errWatchMissesChanges):
 			f.opts.Log.Info("watch misses changes; reading everything again", "revision", position.Text(f.directory.Snapshot().Revision))
@@ -258,7 +258,7 @@
 // that other processes rely on does not pause for registrations alone: a balancer that does not
 // know of one would register too.
 func (f *Follower) pauseForBatch(ctx context.Context, changes Changes) {
-	n := changes.count()
+	n := changes.Count()
 	if f.serving.Load() {
 		n -= len(changes.Registrations)
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -36,15 +36,15 @@
 	StoreLost bool   // the relay is not settled because the store does not answer it
 	Askers    int    // number of balancers that asked the relay lately
 	Instead   string // if the relay is not settled: address of a balancer to ask instead; empty for none
-	// ConfirmedAge is how long ago the relay last knew all that the store had accepted, and ChangesAge
-	// for how long the store may have had the newest of the records; 0 if that is unknown.
-	ConfirmedAge time.Duration
-	ChangesAge   time.Duration
 	// The requested notes, whether the relay is settled or not, with the life of the log and the
 	// index of its last note.
 	Notes     []Note
 	NotesLife uint64
 	NotesAt   uint64
+	// ConfirmedAge is how long ago the relay last knew all that the store had accepted, and ChangesAge
+	// for how long the store may have had the newest of the records; 0 if that is unknown.
+	ConfirmedAge time.Duration
+	ChangesAge   time.Duration
 }
 
 // methodChanges is the net/rpc name of rpcService.Changes.
--- a/server/admin.go
+++ b/server/admin.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/lotuswing/lotuswing/direct"
+	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/node"
 	"github.com/lotuswing/lotuswing/relay"
 	"github.com/lotuswing/lotuswing/telemetry"
@@ -87,11 +88,13 @@
 	InFlight int64
 	Stopping bool
 	Stop     StopStatus
+	Store    directory.Status
 }
 
 func (s *Server) status(context.Context, any) (any, error) {
 	if s.direct != nil {
 		st := DirectStatus{Status: s.direct.Status(), InFlight: s.balancer.InFlight(), Stopping: s.isStopping(), Stop: s.stopStatus(time.Now())}
+		st.Store = s.follower.Status(time.Now())
 		if s.relays != nil {
 			st.Copy = s.relays.Status(time.Now())
 		}
@@ -119,7 +122,11 @@
 	if s.follower != nil {
 		metrics.GetOrRegisterGauge("store_calls", s.metrics).Update(s.follower.Calls())
 		metrics.GetOrRegisterGauge("following_store", s.metrics).Update(gaugeOf(s.follower.Active()))
+		st := s.follower.Status(time.Now())
 		metrics.GetOrRegisterGauge("store_era", s.metrics).Update(int64(s.follower.Era()))
+		metrics.GetOrRegisterGauge("store_rereads", s.metrics).Update(st.Rereads)
+		metrics.GetOrRegisterGauge("store_unconfirmed_ms", s.metrics).Update(st.Age.Milliseconds())
+		metrics.GetOrRegisterGauge("store_holding", s.metrics).Update(gaugeOf(st.Holding))
 		metrics.GetOrRegisterGauge("store_lost", s.metrics).Update(gaugeOf(s.follower.Lost()))
 	}
 	if s.directory != nil {
