--- a/directory/compaction_test.go
+++ b/directory/compaction_test.go
@@ -351,3 +351,21 @@
 	}
 	return applyBound * 19 / 20
 }
+
+// TestPauseEndsForMissedChange guards against a pause that holds a change back which a check has seen.
+func TestPauseEndsForMissedChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, d := newCompactingSource(), directory.New()
+		opts := directory.OptionsWithin(applyBound)
+		opts.BatchDelay = time.Hour
+		ctx, stop := context.WithCancel(t.Context())
+		t.Cleanup(stop)
+		go directory.NewFollower(d, s, opts).Run(ctx)
+		time.Sleep(time.Second)
+		s.leave()
+		time.Sleep(time.Millisecond)
+		id := s.leave()
+		time.Sleep(applyBound)
+		assert.Assert(t, isLeaving(d, id))
+	})
+}
--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -165,10 +165,10 @@
 
 	d.Apply(directory.Changes{Complete: true, Revision: at(2, 4)}, start)
 	assert.Equal(t, d.Snapshot().Rollouts[0].Order.Version, "v2", "the copy lacks the order")
-	d.Apply(directory.Changes{Revision: at(2, 5), Rollouts: order(at(2, 5))}, start)
+	d.Apply(directory.Changes{Revision: at(2, 6), Rollouts: order(at(2, 6))}, start)
 	d.EndHold(start.Add(hold))
 	assert.Assert(t, d.Snapshot().Rollouts[0].Bad, "it was written again")
-	assert.Equal(t, d.Snapshot().Rollouts[0].Order.Revision, at(2, 5))
+	assert.Equal(t, d.Snapshot().Rollouts[0].Order.Revision, at(2, 6))
 	other := order(at(2, 7))
 	other[0].Version = "v3"
 	d.Apply(directory.Changes{Revision: at(2, 7), Rollouts: other}, start)
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/directory"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -163,6 +164,23 @@
 	assert.Assert(t, !rep.since(7).whole, "the deletion of a is already known")
 }
 
+// TestRestoreForcesFullDelta checks that a balancer of an earlier era of the store gets the full content, which
+// it can tell from changes that were written.
+func TestRestoreForcesFullDelta(t *testing.T) {
+	restored, err := position.New(1, 5)
+	assert.NilError(t, err)
+	rep := newReplica()
+	rep.apply(directory.Changes{Complete: true, Revision: 9, Records: []directory.Record{{Key: "a", Revision: 4}, {Key: "b", Revision: 9}}}, start)
+	rep.apply(directory.Changes{Complete: true, Revision: restored, Records: []directory.Record{{Key: "a", Revision: restored - 1}}}, start)
+	for _, after := range []uint64{4, 9, restored - 1} {
+		d := rep.since(after)
+		assert.Assert(t, d.whole, "%d", after)
+		assert.Equal(t, len(d.records), 1, "a, and not that b is gone")
+		assert.Equal(t, d.knownRevision, restored)
+	}
+	assert.Assert(t, !rep.since(restored).whole)
+}
+
 // TestSinceReturnsEachChangeOnce checks that since returns all changes in order, whatever order
 // they arrived in and however many were replaced.
 func TestSinceReturnsEachChangeOnce(t *testing.T) {
