relay: a relay that has lost the store hands on what it knows

The store turned the relay of their zone away. The relay heard of the version from another zone's balancer at once, but replied to those that wait at it only once it was settled; they came to their own turn to ask the store 5.8 s later, sixteen waiting at one relay.

A reply of a balancer that is not settled holds the changes that it knows, and a call that waits ends when there are some. Records have positions, so that a late one does no harm; nothing else follows from such a reply.

--- a/relay/askers.go
+++ b/relay/askers.go
@@ -103,15 +103,17 @@
 	return ChangesReply{StoreLost: lost, Askers: len(g.askers.lastAsked), Instead: alternative}
 }
 
-// waitSettled waits for at most limit until this balancer is settled, until another balancer than
-// asker has reported that it is in touch with the store, or until news reports true.
-func (g *Group) waitSettled(asker string, limit time.Duration, news func() bool) {
+// waitSettled waits for at most limit until this balancer is settled or knows changes that the caller does not,
+// until another balancer than the caller has reported that it is in touch with the store, or until news reports
+// true.
+func (g *Group) waitSettled(args ChangesArgs, limit time.Duration, news func() bool) {
 	g.settleWaiters.Add(1)
 	defer g.settleWaiters.Add(-1)
 	deadline := time.Now().Add(limit)
 	for now := time.Now(); now.Before(deadline); now = time.Now() {
 		alternative := g.askerInTouch(now)
-		if g.follower.UpToDate(now) || alternative != "" && alternative != asker || news() {
+		known, _ := g.replica.revision()
+		if g.follower.UpToDate(now) || known > args.After || alternative != "" && alternative != args.From || news() {
 			return
 		}
 		g.replica.waitChange(context.Background(), deadline.Sub(now))
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -186,11 +186,21 @@
 		return err
 	case err != nil:
 		return err
+	}
+	if err := g.applyReply(reply, after); err != nil {
+		return err
+	}
+	switch {
 	case !reply.Settled:
 		return unsettledError{lost: reply.StoreLost, askers: reply.Askers, alternative: reply.Instead}
 	case position.Restored(reply.At, after):
 		return unsettledError{} // it has not heard that the store was restored
 	}
+	return nil
+}
+
+// applyReply applies the changes of a reply, which a balancer that is not settled may know, too.
+func (g *Group) applyReply(reply ChangesReply, after uint64) error {
 	records, err := unpack(reply.Packed)
 	if err != nil {
 		return err
@@ -201,7 +211,7 @@
 		changes.Via, changes.Since = directory.ViaRelay, timeOf(reply.ChangesAge, now)
 		g.follower.Apply(changes)
 	}
-	if reply.ConfirmedAge > 0 {
+	if reply.Settled && reply.ConfirmedAge > 0 {
 		g.follower.Confirm(timeOf(reply.ConfirmedAge, now))
 	}
 	return nil
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/platform"
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 	"gotest.tools/v3/assert"
 )
@@ -80,3 +82,33 @@
 	waitUntil(t, "version 5 at the relay", func() bool { return zoneRelay.version() == 5 })
 	publishAndWait(t, store, 6, all...)
 }
+
+// TestUnsettledRelayHandsOnWhatItKnows guards against followers that wait at a relay which has lost the store and
+// has heard of a change from a balancer that they do not reach.
+func TestUnsettledRelayHandsOnWhatItKnows(t *testing.T) {
+	store := platformtest.NewStore()
+	publish(store, 1)
+	all, zoneRelay, others := startZone(t, store, 3)
+	publishAndWait(t, store, 2, all...)
+	for _, m := range all {
+		m.refused.Store(true)
+	}
+	waitUntil(t, "the store lost", func() bool { return !zoneRelay.follower.UpToDate(time.Now()) })
+	publish(store, 3)
+	elsewhere := platform.NewStore(serve(t, store))
+	read, err := elsewhere.ReadAll(t.Context(), true)
+	assert.NilError(t, err)
+	zoneRelay.follower.Apply(read)
+	for i, m := range others {
+		waitUntil(t, fmt.Sprintf("version 3 at %d", i), func() bool { return m.version() == 3 })
+		assert.Assert(t, !m.follower.UpToDate(time.Now()))
+	}
+}
+
+// serve serves a store that refuses nothing, and returns its URL.
+func serve(t *testing.T, store *platformtest.Store) string {
+	t.Helper()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	return server.URL
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -29,7 +29,7 @@
 
 // ChangesReply is the answer to ChangesArgs.
 type ChangesReply struct {
-	Settled   bool   // the relay watches the store and is up to date; the records are valid
+	Settled   bool   // the relay watches the store and is up to date
 	Whole     bool   // the records are the full content
 	At        uint64 // revision up to which the relay knows all changes
 	Packed    []byte // records of the store, encoded by packer; empty for none
@@ -82,32 +82,43 @@
 	wait := min(args.Wait, maxWait)
 	hasNotes := func() bool { return args.TakesNotes && g.notes.hasAfter(args.notesPosition()) }
 	if args.Patient {
-		g.waitSettled(args.From, wait, hasNotes)
+		g.waitSettled(args, wait, hasNotes)
 	}
 	if !g.follower.UpToDate(time.Now()) {
-		*reply = g.unsettledReply(time.Now())
-		return nil
+		return g.replyUnsettled(args, reply)
 	}
 	g.replica.waitAfter(context.Background(), args.After, wait, func() bool { return hasNotes() || !g.follower.UpToDate(time.Now()) })
 	g.cfg.Suspensions.Check() // the VM may have been suspended during the wait
 	if known, _ := g.replica.revision(); position.Restored(known, args.After) {
 		g.follower.ReadAgain() // the caller has heard that the store was restored, and this balancer has not
-		*reply = g.unsettledReply(time.Now())
-		return nil
+		return g.replyUnsettled(args, reply)
 	}
-	d := g.replica.since(args.After)
+	if !g.follower.UpToDate(time.Now()) {
+		return g.replyUnsettled(args, reply)
+	}
+	reply.Settled = true
+	reply.ConfirmedAge = ageOf(g.follower.Confirmed(), time.Now())
+	return g.addChanges(args.After, reply)
+}
+
+// replyUnsettled replies that this balancer is not settled, with the changes that it knows nevertheless: it may
+// have heard of them from a balancer that the caller does not reach.
+func (g *Group) replyUnsettled(args ChangesArgs, reply *ChangesReply) error {
+	*reply = g.unsettledReply(time.Now())
+	if args.After == 0 {
+		return nil // the caller is still looking for its first copy
+	}
+	return g.addChanges(args.After, reply)
+}
+
+// addChanges adds the changes after a position to a reply.
+func (g *Group) addChanges(after uint64, reply *ChangesReply) error {
+	d := g.replica.since(after)
 	packed, err := g.packer.pack(d)
 	if err != nil {
 		return err
 	}
-	now := time.Now()
-	*reply = ChangesReply{
-		Settled: g.follower.UpToDate(now), Whole: d.whole, At: d.knownRevision, Packed: packed,
-		ConfirmedAge: ageOf(g.follower.Confirmed(), now), ChangesAge: ageOf(d.since, now),
-	}
-	if !reply.Settled {
-		*reply = g.unsettledReply(time.Now())
-	}
+	reply.Whole, reply.At, reply.Packed, reply.ChangesAge = d.whole, d.knownRevision, packed, ageOf(d.since, time.Now())
 	return nil
 }
 
