--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/crash"
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/pause"
@@ -639,6 +640,24 @@
 	})
 }
 
+// TestOlderRecordOfRestoredStoreReleasesNothing: a store restored from a copy has the release from before the
+// present refusal, which holds on and is written again.
+func TestOlderRecordOfRestoredStoreReleasesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 1)
+		q := request("a")
+		h.crashUntilRefused(t, h.trackers[0], q)
+		time.Sleep(10 * time.Second)
+		restored, err := position.New(1, 1)
+		assert.NilError(t, err)
+		name := "quarantine/" + string(q.Fingerprints.Exact)
+		h.trackers[0].ApplyChanges(directory.Changes{Complete: true, Revision: restored, Registrations: []directory.Record{
+			{Key: name, Revision: restored, Value: []byte(`{"state":"released"}`)},
+		}})
+		assert.DeepEqual(t, h.actions(q), []string{"refuse"})
+	})
+}
+
 // TestEntriesAreBounded: many made-up requests of a service neither exceed its bound of entries nor
 // evict a refusal.
 func TestEntriesAreBounded(t *testing.T) {
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -105,6 +105,33 @@
 	}
 }
 
+// TestZoneHasRelayAfterRestore checks that a zone gets one relay again whose registration a copy lacks, or of which
+// it has that of a balancer that has gone.
+func TestZoneHasRelayAfterRestore(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gone=%t", gone), func(t *testing.T) {
+			store := platformtest.NewStore()
+			publish(store, 1)
+			saved := store.Copy()
+			all, zoneRelay, others := startZone(t, store, 4)
+			publishAndWait(t, store, 2, all...)
+			if gone {
+				saved = store.Copy()
+				zoneRelay.kill()
+				all = others
+				waitUntil(t, "another relay", func() bool { return len(settledBalancers(all)) == 1 })
+			}
+			store.Restore(saved, 20*time.Millisecond)
+			publishAndWait(t, store, 5, all...)
+			waitUntil(t, "one relay that the others follow", func() bool {
+				settled := settledBalancers(all)
+				return len(settled) == 1 && len(store.Keys("lotuswing/relays/")) == 1 && settled[0].group.ServesAsRelay()
+			})
+			publishAndWait(t, store, 6, all...)
+		})
+	}
+}
+
 // serve serves a store that refuses nothing, and returns its URL.
 func serve(t *testing.T, store *platformtest.Store) string {
 	t.Helper()
