relay: other relays are asked while the own one has lost the store

It asks one of them in rotation now, each 300 ms, less often where many wait. The store is not called.

TestPenalizedRelayThatHasTheStoreBackIsFound failed before.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/crash"
-	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/pause"
 	"github.com/lotuswing/lotuswing/quarantine"
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -23,6 +23,9 @@
 	alternative       string    // address of a balancer that an unsettled peer named; empty for none
 	lastRelay         Relay     // the registered relay that was followed last
 
+	askOtherAt time.Time // when another relay is asked next while this balancer waits at one without the store
+	asked      int       // number of such questions
+
 	endNotesPoll context.CancelFunc // cancels the last call of pollNotes; nil before the first one
 }
 
--- a/relay/outage.go
+++ b/relay/outage.go
@@ -129,6 +129,9 @@
 		s.outage = outage{}
 		return
 	}
+	if g.askOtherRelay(ctx, s, target, began) {
+		return
+	}
 	err := g.fetchChanges(ctx, target, true)
 	now := time.Now()
 	if ctx.Err() != nil {
@@ -148,6 +151,30 @@
 	}
 }
 
+// askOtherRelay asks one of the other relays, if it is time to, whether it has the store back, and reports whether
+// that relay, or a balancer that it names, is to be followed.
+func (g *Group) askOtherRelay(ctx context.Context, s *subscription, waitingAt Relay, now time.Time) bool {
+	if now.Before(s.askOtherAt) {
+		return false
+	}
+	other, ok := otherRelay(g.candidateRelays(s), g.cfg.Addr, waitingAt.Addr, s.asked)
+	if !ok {
+		return false
+	}
+	s.asked++
+	s.askOtherAt = now.Add(otherRelayPause(s.outage.askers))
+	err := g.fetchChanges(ctx, other, false)
+	if ctx.Err() != nil {
+		return true
+	}
+	if err == nil {
+		g.recordAnswer(other, s, time.Now())
+		return true
+	}
+	s.recordReport(other, err, time.Now())
+	return s.alternative != ""
+}
+
 // relayReportingLoss returns a relay that reports the store lost, preferably that of this
 // balancer's own zone, and false if there is none.
 func (g *Group) relayReportingLoss(s *subscription, now time.Time) (Relay, bool) {
--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -152,6 +152,28 @@
 	assert.Assert(t, ok && got.Addr == relay.Addr)
 }
 
+// TestPenalizedRelayThatHasTheStoreBackIsFound guards against balancers that wait at a relay which has lost the store
+// while another one, penalized for the same, has it back.
+func TestPenalizedRelayThatHasTheStoreBackIsFound(t *testing.T) {
+	_, lostAddr := startStaticGroup(t, false)
+	_, backAddr := startStaticGroup(t, true)
+	now := time.Now()
+	g := New(Config{Zone: "medina", Addr: "10.0.0.2:1", Log: hclog.NewNullLogger()})
+	g.follower = staticFollower{read: new(atomic.Int64), retried: new(atomic.Int64)}
+	g.replica.apply(directory.Changes{Revision: 3, Complete: true, Registrations: []directory.Record{
+		{Key: "relays/medina", Value: []byte(`{"id":"lost","addr":"` + lostAddr + `"}`), Revision: 2},
+		{Key: "relays/tribunal", Value: []byte(`{"id":"back","addr":"` + backAddr + `"}`), Revision: 3},
+	}}, now)
+	var s subscription
+	for _, r := range g.replica.allRelays() {
+		s.recordReport(r, unsettledError{lost: true, askers: 1}, now)
+		g.recordFailure(r, &s, unsettledError{lost: true}, now)
+	}
+	s.outage.probeAt = now.Add(time.Hour)
+	g.followOnce(t.Context(), &s)
+	assert.Equal(t, s.relayAddr, backAddr)
+}
+
 // TestNotesArriveWhileOnlyRelayIsPenalized checks that a balancer gets notes from a relay that it does not
 // follow for being late, and goes on watching the store.
 func TestNotesArriveWhileOnlyRelayIsPenalized(t *testing.T) {
--- a/relay/rules.go
+++ b/relay/rules.go
@@ -55,6 +55,35 @@
 	return candidates[offset%len(candidates)], true
 }
 
+const (
+	// minOtherRelayPause and otherRelayPausePerAsker set how often a balancer that waits at a relay without the store
+	// asks one of the other relays, which may have it back. All balancers of a fleet do so.
+	minOtherRelayPause      = 300 * time.Millisecond
+	otherRelayPausePerAsker = 4 * time.Millisecond
+)
+
+// otherRelayPause returns the time between two questions to other relays while a balancer waits at one that has
+// lost the store and has the given number of askers.
+func otherRelayPause(askers int) time.Duration {
+	return max(minOtherRelayPause, time.Duration(askers)*otherRelayPausePerAsker)
+}
+
+// otherRelay returns the n-th relay, in rotation, besides this balancer and the one that it waits at, and false if
+// there is none. Penalties do not count: the question costs little, and a relay that had lost the store may have it
+// back long before its penalty ends.
+func otherRelay(all []Relay, own, waitingAt string, n int) (Relay, bool) {
+	var others []Relay
+	for _, r := range all {
+		if r.Addr != own && r.Addr != waitingAt {
+			others = append(others, r)
+		}
+	}
+	if len(others) == 0 {
+		return Relay{}, false
+	}
+	return others[n%len(others)], true
+}
+
 // penalty returns how long a relay that failed with err is not asked. A relay that has lost the
 // store gets the full penalty: followers learn of its recovery by patient calls, which ignore
 // penalties and go to the relay of their own zone first.
--- a/relay/rules_test.go
+++ b/relay/rules_test.go
@@ -79,3 +79,17 @@
 	assert.Assert(t, wait(false, 0.999, 0.8) < wait(true, 0, 0.8))
 	assert.Assert(t, wait(true, 1, 0.8) < wait(false, 0, 0.2))
 }
+
+// TestOtherRelaysAreAskedInRotation checks whom a balancer asks that waits at a relay without the store, and that a
+// large fleet asks less often.
+func TestOtherRelaysAreAskedInRotation(t *testing.T) {
+	all := []Relay{{Addr: "a"}, {Addr: "b"}, {Addr: "c"}, {Addr: "d"}}
+	for n, want := range []string{"b", "d", "b"} {
+		r, ok := otherRelay(all, "a", "c", n)
+		assert.Assert(t, ok && r.Addr == want, "%d: %v", n, r)
+	}
+	_, ok := otherRelay(all[:2], "a", "b", 0)
+	assert.Assert(t, !ok)
+	assert.Equal(t, otherRelayPause(1), minOtherRelayPause)
+	assert.Assert(t, 604/otherRelayPause(604).Seconds() <= 250, "calls a second by the balancers of a zone")
+}
