--- a/directory/apply.go
+++ b/directory/apply.go
@@ -27,6 +27,9 @@
 func (f *Follower) endHold() {
 	now := time.Now()
 	applied := f.directory.EndHold(now)
+	if f.directory.Holding() {
+		return // the store was restored once more
+	}
 	f.opts.Log.Info("content of the restored store counts", "endpoints_changed", len(applied.StateChanges), "zones_changed", len(applied.Zones))
 	f.logApplied(applied, Changes{Revision: f.directory.Snapshot().Revision, Via: ViaRead}, now)
 }
