soak: every balancer knows what is written after a restore

The promises of the soak held on balancers that read a restored store in a loop, since they bind no balancer soon after a fault.

--- a/soak/restores.go
+++ b/soak/restores.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/lotuswing/lotuswing/internal/pause"
@@ -60,3 +63,61 @@
 
 // restoreSlack lets the rewriting end before the fault does.
 const restoreSlack = 50 * time.Millisecond
+
+const (
+	// lostWrites is how many writes the last restore loses: more than follow it, so that revisions stay below those
+	// that balancers know.
+	lostWrites = 40
+	// knownLimit is how long balancers have to know a configuration. It only ends the waiting.
+	knownLimit = 30 * time.Second
+)
+
+// checkRestore restores the store once more, after all other faults, and checks that every balancer comes to know
+// a configuration that is written then, though it has the revision of a write that was lost.
+func (w *world) checkRestore(ctx context.Context, sent *ledger) {
+	w.awaitVersion(ctx, sent, "before the restore")
+	saved := w.store.Copy()
+	for range lostWrites {
+		w.publishAgain()
+	}
+	w.awaitVersion(ctx, sent, "with writes that are lost")
+	w.store.Restore(saved, 0)
+	w.publishAgain()
+	w.awaitVersion(ctx, sent, "after the restore")
+}
+
+// awaitVersion waits until all balancers have the latest configuration in force, or breaks the promise.
+func (w *world) awaitVersion(ctx context.Context, sent *ledger, when string) {
+	w.mu.Lock()
+	latest := w.version
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, knownLimit)
+	defer cancel()
+	for _, b := range w.balancers {
+		known := b.version()
+		for ; known != latest && ctx.Err() == nil; known = b.version() {
+			pause.For(ctx, askEvery)
+		}
+		if known != latest {
+			sent.broken(InForce, fmt.Sprint("version ", latest), "%s has version %d %s", b.id, known, when)
+		}
+	}
+}
+
+// askEvery is the time between two questions to a balancer.
+const askEvery = 20 * time.Millisecond
+
+// version returns the configuration that a balancer has in force, 0 if it does not answer.
+func (b *balancer) version() uint64 {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + b.admin + "/status")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }() // read to its end
+	var st struct{ Version uint64 }
+	if err := json.NewDecoder(resp.Body).Decode(&st); err != nil {
+		return 0
+	}
+	return st.Version
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -297,6 +297,9 @@
 	stopFaults()
 	stopCalls()
 	callers.Wait()
+	if cfg.Restore > 0 {
+		w.checkRestore(ctx, sent)
+	}
 	return result
 }
 
