directory: reads that do not help are not repeated in a loop

A review of the change found a loop without a pause: a check that has seen a revision which full reads never reach, as a store restored without stating its era leaves behind, ended each pause and each watch at once. Such reads count like refused watches, and their pause is not cut short.

TestReadsThatDoNotHelpAreNotRepeatedInALoop did not end before.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -63,7 +63,7 @@
 	noticed     chan struct{} // a check saw a change while no watch waits
 	watching    watching      // what the watch and the monitor know of each other
 	costs       costs         // of recent calls
-	refused     int           // number of watches in a row that the store refused; used by Run alone
+	refused     int           // number of watches in a row that the store refused, or that a full read did not help; used by Run alone
 	rereads     atomic.Int64  // number of full reads because a watch was refused or missed changes
 	last        atomic.Pointer[lastChanges]
 }
@@ -217,6 +217,9 @@
 		if f.active.wait(ctx) {
 			f.pauseForRereads(ctx)
 			f.readExactly(ctx)
+			if f.watching.lack(f.directory.Snapshot().Revision).behind {
+				f.refused++
+			}
 		}
 	}
 }
@@ -267,10 +270,10 @@
 	}
 }
 
-// pauseForRereads pauses before a full read if the store has refused several watches in a row.
+// pauseForRereads pauses before a full read if several watches in a row were refused, or not helped by a read.
 func (f *Follower) pauseForRereads(ctx context.Context) {
 	f.rereads.Add(1)
-	f.pauseUntilNoticed(ctx, f.budget().RereadPeriod(f.refused, f.opts.RetryPause, f.costs.load()))
+	pause.For(ctx, f.budget().RereadPeriod(f.refused, f.opts.RetryPause, f.costs.load()))
 }
 
 // pauseUntilNoticed pauses for d, but ends early if a check sees a change that must be known before.
--- a/directory/follow_test.go
+++ b/directory/follow_test.go
@@ -297,6 +297,36 @@
 	return s.fakeSource.Revision(ctx, exact)
 }
 
+// aheadSource claims a revision that its reads never reach, and refuses watches if refuses is true.
+type aheadSource struct {
+	countingSource
+	refuses bool
+}
+
+func (s *aheadSource) Revision(context.Context, bool) (uint64, error) { return 1000, nil }
+
+func (s *aheadSource) Watch(ctx context.Context, after uint64, wait time.Duration) (directory.Changes, error) {
+	if s.refuses {
+		return directory.Changes{}, directory.ErrCompacted
+	}
+	return s.countingSource.Watch(ctx, after, wait)
+}
+
+// TestReadsThatDoNotHelpAreNotRepeatedInALoop guards against a store that is read without a pause.
+func TestReadsThatDoNotHelpAreNotRepeatedInALoop(t *testing.T) {
+	for _, refuses := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &aheadSource{countingSource: countingSource{fakeSource: newFakeSource()}, refuses: refuses}
+			s.publish(1)
+			ctx, stop := context.WithCancel(t.Context())
+			t.Cleanup(stop)
+			go directory.NewFollower(directory.New(), s, directory.OptionsWithin(applyBound)).Run(ctx)
+			time.Sleep(time.Minute)
+			assert.Assert(t, s.exact.Load() < 60, "%d full reads in a minute", s.exact.Load())
+		})
+	}
+}
+
 // TestStandbyDoesNotCallStore checks that a follower in standby makes no calls to the store except a
 // first, cheap read, and follows the store once it is active.
 func TestStandbyDoesNotCallStore(t *testing.T) {
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -41,7 +41,7 @@
 	news := c
 	news.Complete, news.Entries, news.Gone, news.Evacuations, news.Rollouts, news.Registrations = false, nil, nil, nil, nil, nil
 	for _, entry := range c.Entries {
-		if e, known := d.endpoints[entry.Endpoint.VM]; !known || !e.isOutdatedBy(entry) {
+		if e, known := d.endpoints[entry.Endpoint.VM]; !known || !e.isBroughtBackBy(entry) {
 			news.Entries = append(news.Entries, entry)
 		}
 	}
@@ -59,8 +59,8 @@
 	return news
 }
 
-// isOutdatedBy reports whether an entry in a copy would bring an endpoint back that had gone.
-func (e Endpoint) isOutdatedBy(entry Entry) bool {
+// isBroughtBackBy reports whether an entry in a copy would bring an endpoint back that had gone.
+func (e Endpoint) isBroughtBackBy(entry Entry) bool {
 	return e.State == Missing && !entry.Leaving && !e.isNewStart(entry) && position.Revision(entry.Revision) <= position.Revision(e.EntryRevision)
 }
 
