--- a/direct/status.go
+++ b/direct/status.go
@@ -15,7 +15,7 @@
 	Ready     bool
 	Why       string   `json:",omitempty"` // reason why it is not ready
 	Version   uint64   // of the configuration
-	Revision  uint64   // of the store
+	Revision  uint64   // position in the store's content, see package coord/position
 	Routes    int      // number of configured routes
 	Evacuated []string `json:",omitempty"` // availability zones that are being evacuated
 	ByUrgency bool     // requests that find no room are served by urgency
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -268,7 +268,7 @@
 	if s.relayAddr != r.Addr {
 		s.relayAddr = r.Addr
 		revision, _ := g.replica.revision()
-		g.cfg.Log.Info("following a relay", "relay", r.ID, "zone", r.Zone, "revision", revision)
+		g.cfg.Log.Info("following a relay", "relay", r.ID, "zone", r.Zone, "revision", position.Text(revision))
 	}
 	if !g.isRelay(now) {
 		g.follower.SetActive(false)
