--- a/directory/follow.go
+++ b/directory/follow.go
@@ -128,8 +128,8 @@
 	return f.startedAt.Add(time.Duration(at))
 }
 
-// Confirm records that at the given time the directory had all changes that the store had accepted,
-// as another balancer states.
+// Confirm records that at the given time the directory had all changes that the store had accepted, as a
+// read or a check of this follower has shown, or as another balancer states. An earlier time changes nothing.
 func (f *Follower) Confirm(at time.Time) {
 	since := int64(at.Sub(f.startedAt))
 	for {
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -12,8 +12,8 @@
 // not newer than what is known if its revision is not higher than that of the last value known. For
 // restoreHold, what is known therefore counts in these cases:
 //
-//   - An endpoint that the copy may not reach back to stays in use without an entry, and one that had gone does
-//     not come back with the entry that is known.
+//   - An endpoint without an entry stays in use if the copy may be older than the entry that is known. One whose
+//     entry had been deleted is not used again because the copy still has that entry.
 //   - An evacuation goes on without an order, and one that had ended does not begin again with the order that
 //     is known.
 //   - A rollout goes on from the state that is known.
@@ -64,8 +64,8 @@
 	return e.State == Missing && !entry.Leaving && !e.isNewStart(entry) && position.Revision(entry.Revision) <= position.Revision(e.EntryRevision)
 }
 
-// removedSinceCopy returns the endpoints without an entry in a full read of a restored store though the copy
-// had one: the copy holds an entry that is known, and so everything up to its revision. d.mu is held.
+// removedSinceCopy returns the endpoints whose entries were deleted after the restore: the full read lacks them,
+// but the copy had them, because it has another entry of the same or a higher revision that is known. d.mu is held.
 func (d *Directory) removedSinceCopy(c Changes) (removed []RemovedEntry) {
 	named := make(map[string]bool, len(c.Entries))
 	reach := uint64(0)
--- a/directory/watching.go
+++ b/directory/watching.go
@@ -18,7 +18,7 @@
 	confirmed time.Time     // when nothing was missing before highest was seen; zero if unknown
 }
 
-// lack is what a watch, or the pause before it, lacks of what checks have seen.
+// lack says whether a watch, or the pause before it, is behind a position that a check has seen.
 type lack struct {
 	behind    bool      // a check has seen a higher position than is known
 	restored  bool      // that position is of a later era, which a watch does not reach
