--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -25,14 +25,15 @@
 
 // outcome is how a request ended at the client.
 type outcome struct {
-	status   int // 0 for no answer
-	begun    bool
-	complete bool
-	closes   bool // the answer says that the connection ends
-	read     int  // bytes of the body
-	length   int64
-	signed   bool
-	err      error
+	status    int // 0 for no answer
+	begun     bool
+	complete  bool
+	closes    bool // the answer says that the connection ends
+	read      int  // bytes of the body
+	length    int64
+	signed    bool
+	signature string
+	err       error
 }
 
 // String describes the outcome.
@@ -54,7 +55,7 @@
 	}
 	begun()
 	defer func() { _ = answer.Body.Close() }()
-	o := outcome{status: answer.StatusCode, begun: true, closes: answer.Close, length: answer.ContentLength, signed: answer.Header.Get("Response-Signature") != ""}
+	o := outcome{status: answer.StatusCode, begun: true, closes: answer.Close, length: answer.ContentLength, signed: answer.Header.Get("Response-Signature") != "", signature: answer.Header.Get("Response-Signature")}
 	n, err := io.Copy(io.Discard, answer.Body)
 	o.read, o.err, o.complete = int(n), err, err == nil
 	return o
--- a/review/lab/doc.go
+++ b/review/lab/doc.go
@@ -32,8 +32,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(l *lab) (broken bool, err error){
-	"stalled-answer": stalledAnswer,
-	"stop-resets":    stopResets,
+	"stalled-answer":      stalledAnswer,
+	"stop-resets":         stopResets,
+	"stale-configuration": staleConfiguration,
 }
 
 func main() {
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -19,6 +19,10 @@
 	host = "127.0.0.1"
 	// readyWithin is how long balancers may take to be ready.
 	readyWithin = 10 * time.Second
+	// seeds is how many other balancers the settings name.
+	seeds = 3
+	// fleetSize is the most balancers of a deployment.
+	fleetSize = 100
 	// grace is after how long a process that was asked to stop is killed.
 	grace = 6 * time.Second
 	// endPoll is the pause between two looks at something that is waited for.
@@ -33,7 +37,10 @@
 	dir       string // temporary
 	store     *store
 	storeURL  string
+	storeOf   func(id string) (url string, err error) // the store's address for a balancer; nil for storeURL
 	balancers []*balancer
+	fleet     int    // number of the deployment
+	others    []*lab // further deployments, with stores of their own
 }
 
 // balancer is a process of the product.
@@ -63,6 +70,17 @@
 	return l, err
 }
 
+// deploy returns a further deployment.
+func (l *lab) deploy(n int) (*lab, error) {
+	dir, err := os.MkdirTemp(l.dir, "fleet")
+	if err != nil {
+		return nil, err
+	}
+	next := &lab{record: l.record, trouble: l.trouble, binary: l.binary, dir: dir, store: newStore(), fleet: n}
+	l.others = append(l.others, next)
+	return next, nil
+}
+
 // serve serves a handler at a free address.
 func serve(h http.Handler) (addr string, err error) {
 	listener, err := net.Listen("tcp", host+":0")
@@ -73,9 +91,9 @@
 	return listener.Addr().String(), nil
 }
 
-// freeAddr returns an address that is free.
-func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", host+":0")
+// freeAddr returns an address that is free, of the n-th machine. No outgoing connection takes its port.
+func (l *lab) freeAddr(n int) (string, error) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", l.fleet+1, n+1))
 	if err != nil {
 		return "", err
 	}
@@ -87,10 +105,10 @@
 // gives for a site, and waits until all are ready.
 func (l *lab) startBalancers(site site, zones ...string) error {
 	for n, zone := range zones {
-		b := &balancer{id: fmt.Sprintf("front-%s-%d", zone, n+1), ended: make(chan struct{})}
+		b := &balancer{id: fmt.Sprintf("front-%s-%d", zone, l.fleet*fleetSize+n+1), ended: make(chan struct{})}
 		for _, addr := range []*string{&b.front, &b.admin, &b.link} {
 			var err error
-			if *addr, err = freeAddr(); err != nil {
+			if *addr, err = l.freeAddr(n); err != nil {
 				return err
 			}
 		}
@@ -114,12 +132,21 @@
 	regions, peers := map[string]string{}, []string{}
 	for n, other := range zones {
 		regions[other] = site.region
-		peers = append(peers, l.balancers[n].link)
+		if n < seeds {
+			peers = append(peers, l.balancers[n].link)
+		}
+	}
+	storeURL := l.storeURL
+	if l.storeOf != nil {
+		var err error
+		if storeURL, err = l.storeOf(b.id); err != nil {
+			return err
+		}
 	}
 	settings := map[string]any{
 		"id": b.id, "zone": zone, "regions": regions, "listen": b.front, "admin": b.admin,
 		"discovery": map[string]any{
-			"kind": "platform", "url": l.storeURL, "apply_within": site.applyWithin.String(), "drain_within": site.applyWithin.String(), "evacuate_within": "5s",
+			"kind": "platform", "url": storeURL, "apply_within": site.applyWithin.String(), "drain_within": site.applyWithin.String(), "evacuate_within": "5s",
 		},
 		"retries": map[string]any{"ratio": 0.2, "burst": site.budgetSlack, "window": "10s"},
 		"link":    b.link, "peers": peers, "link_tls": map[string]any{"insecure": true},
@@ -186,6 +213,19 @@
 
 // close ends all processes.
 func (l *lab) close() {
+	for _, other := range l.others {
+		other.kill()
+	}
+	l.kill()
+	if keep := os.Getenv("REVIEW_KEEP"); keep != "" {
+		_ = os.CopyFS(keep, os.DirFS(l.dir))
+	}
+	_ = os.RemoveAll(l.dir)
+	l.record.close()
+}
+
+// kill ends the balancers.
+func (l *lab) kill() {
 	for _, b := range l.balancers {
 		if b.cmd == nil || b.cmd.Process == nil {
 			continue
@@ -193,9 +233,4 @@
 		_ = b.cmd.Process.Kill()
 		<-b.ended
 	}
-	if keep := os.Getenv("REVIEW_KEEP"); keep != "" {
-		_ = os.CopyFS(keep, os.DirFS(l.dir))
-	}
-	_ = os.RemoveAll(l.dir)
-	l.record.close()
 }
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -21,7 +21,7 @@
 type backend struct {
 	id, service, zone, addr string
 	slots                   int
-	record                  *record
+	record                  *record // nil for none of its own
 	answerOf                func(path string) answer
 
 	mu      sync.Mutex
@@ -40,6 +40,13 @@
 	return b, nil
 }
 
+// note records what the server does.
+func (b *backend) note(format string, args ...any) {
+	if b.record != nil {
+		b.record.line(format, args...)
+	}
+}
+
 // enter writes the entry of a server.
 func (l *lab) enter(b *backend) {
 	l.store.put("servers/"+b.id, map[string]any{
@@ -117,7 +124,7 @@
 		return
 	}
 	defer b.end()
-	b.record.line("server %s runs %s %s", b.id, id, r.URL.Path)
+	b.note("server %s runs %s %s", b.id, id, r.URL.Path)
 	b.run(w, r, id)
 }
 
@@ -133,7 +140,7 @@
 		b.silence(r)
 		n, err := w.Write(part[:min(len(part), a.size-sent)])
 		if err != nil {
-			b.record.line("server %s: answer to %s broken off by the balancer", b.id, id)
+			b.note("server %s: answer to %s broken off by the balancer", b.id, id)
 			return
 		}
 		sent += n
@@ -142,7 +149,7 @@
 			b.pause(r, a.send/parts)
 		}
 	}
-	b.record.line("server %s has sent its answer to %s", b.id, id)
+	b.note("server %s has sent its answer to %s", b.id, id)
 }
 
 // pause pauses, for good if the server loses its power.
