telemetry: how old the proof is that an endpoint is warm, and how late a request is written

The log could not tell apart why a cold endpoint is flooded: whether balancers saw the same report, did not know that it is cold, or came after a refusal. `chosen` has warm_age_ms, the age of the last probe answer that says that the endpoint is warm; `attempt ended` has unsent_ms, the time until the request was about to be written. Metrics: cold_requests, cold_failures.

--- a/balancer/events.go
+++ b/balancer/events.go
@@ -50,8 +50,13 @@
 	if g.Choice.Age >= 0 {
 		age = g.Choice.Age.Milliseconds()
 	}
+	warmAge := int64(-1)
+	if g.Choice.WarmAge >= 0 {
+		warmAge = g.Choice.WarmAge.Milliseconds()
+	}
 	x.log.Line(telemetry.EventChosen).Int("attempt", int64(number)).Text("endpoint", g.Endpoint.VM).Text("zone", g.Endpoint.Zone).
 		Millis("estimate_ms", g.Choice.Estimate).Float("pace", g.Choice.Pace).Int("busy", int64(g.Choice.Busy)).Bool("cold", g.Choice.Cold).
+		Int("warm_age_ms", warmAge).
 		Bool("limited", g.Choice.Limited).
 		Int("age_ms", age).Int("probes", int64(g.Choice.Probes)).Millis("waited_ms", now.Sub(x.searchStart)).Done()
 	if x.route.Kind.Repeatable {
@@ -81,7 +86,7 @@
 	}
 	line := x.log.Line(telemetry.EventAttempt).Int("attempt", int64(a.number)).Text("endpoint", a.grant.Endpoint.VM).
 		Text("verdict", a.result.Verdict.String()).Text("reason", string(a.result.Reason)).
-		Int("status", int64(status)).Millis("took_ms", a.took).
+		Int("status", int64(status)).Millis("took_ms", a.took).Millis("unsent_ms", a.unsent()).
 		Bool("leaving", a.result.Report.Admission.Leaving).Millis("backoff_ms", a.result.Report.Admission.Backoff)
 	if a.result.Carrier != "" {
 		line.Text("carrier", a.result.Carrier).Text("tunnel", a.result.Tunnel)
--- a/balancer/exchange.go
+++ b/balancer/exchange.go
@@ -107,6 +107,15 @@
 	suspended bool // the VM was suspended during it, so its duration and the age of the response are unknown
 }
 
+// unsent returns the time from the choice of the endpoint until the request was about to be written; all of
+// the attempt's time if it never was.
+func (a *attempt) unsent() time.Duration {
+	if a.result.WrittenAt.IsZero() {
+		return a.took
+	}
+	return a.result.WrittenAt.Sub(a.sentAt)
+}
+
 // observe passes on what the response reports about the endpoint.
 func (a *attempt) observe(c Chooser) { c.ObserveResponse(a.grant, a.report()) }
 
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -121,6 +121,7 @@
 	Busy     int           // estimated number of requests that it holds, including this one
 	Side     RolloutSide   // version that the endpoint runs during a rollout
 	Cold     bool          // it is warming up
+	WarmAge  time.Duration // of the last response that says that it is warm, counted from the probe; below 0 without one
 	Trial    bool          // it had asked for a backoff and has run no request since
 	Pressed  bool          // many endpoints of its service were full or did not answer a moment ago
 	Limited  bool          // it has a limit on requests per second, and the limit's owner has granted this request
--- a/coord/selection/warmup.go
+++ b/coord/selection/warmup.go
@@ -58,13 +58,25 @@
 	return w
 }
 
-// WithWarmup returns the endpoint after its response to a probe reported the time left of its
-// warm-up.
-func (e Endpoint) WithWarmup(left time.Duration, now time.Time) Endpoint {
+// WithWarmup returns the endpoint after its response to a probe, which was sent at sentAt, reported
+// the time left of its warm-up.
+func (e Endpoint) WithWarmup(left time.Duration, sentAt, now time.Time) Endpoint {
 	e.warmUntil, e.warmupReportedAt = now.Add(left), now
+	if left <= 0 && sentAt.After(e.provenWarmAt) {
+		e.provenWarmAt = sentAt
+	}
 	return e
 }
 
+// WarmAge returns how old the endpoint's last proof that it is warm is, counted from when the probe
+// was sent that it responded to; below 0 without one.
+func (e *Endpoint) WarmAge(now time.Time) time.Duration {
+	if e.provenWarmAt.IsZero() {
+		return -1
+	}
+	return now.Sub(e.provenWarmAt)
+}
+
 // isWarmingUp reports whether the endpoint is warming up, as it reported itself or as listed. Of
 // these two, the later one counts, with one exception: the content of a listing may be older than
 // the time it was received, so a listing never overrides the endpoint's own report of a warm-up.
--- a/coord/selection/warmup_test.go
+++ b/coord/selection/warmup_test.go
@@ -36,10 +36,10 @@
 	}{
 		{"listed as cold", probedEndpoint(0, 1), coldListing, 0, true},
 		{"listed as cold until now", probedEndpoint(0, 1), coldListing, time.Hour, false},
-		{"listed as cold, later reported as warm", probedEndpoint(0, 1).WithWarmup(0, start), coldListing, 0, false},
-		{"reported as cold", probedEndpoint(0, 1).WithWarmup(3*time.Second, start), sameZone, 0, true},
-		{"reported as cold, and warmed up since", probedEndpoint(0, 1).WithWarmup(3*time.Second, start), sameZone, 3 * time.Second, false},
-		{"reported as cold, later listed as warm", probedEndpoint(0, 1).WithWarmup(3*time.Second, start), listedWarm, 2 * time.Second, true},
+		{"listed as cold, later reported as warm", probedEndpoint(0, 1).WithWarmup(0, start, start), coldListing, 0, false},
+		{"reported as cold", probedEndpoint(0, 1).WithWarmup(3*time.Second, start, start), sameZone, 0, true},
+		{"reported as cold, and warmed up since", probedEndpoint(0, 1).WithWarmup(3*time.Second, start, start), sameZone, 3 * time.Second, false},
+		{"reported as cold, later listed as warm", probedEndpoint(0, 1).WithWarmup(3*time.Second, start, start), listedWarm, 2 * time.Second, true},
 	}
 	for _, c := range cases {
 		u := probeableParams()
@@ -140,7 +140,7 @@
 		index := f.rng.IntN(len(f.endpoints))
 		e := &f.endpoints[index]
 		report := placement.LoadReport{Known: true, InFlight: e.inFlight(at), Slots: 2, Pace: 1}
-		state := selection.NewEndpoint().WithProbe(report, at.Add(probeLatency)).WithWarmup(time.Hour, at)
+		state := selection.NewEndpoint().WithProbe(report, at.Add(probeLatency)).WithWarmup(time.Hour, at, at)
 		at = at.Add(probeLatency)
 		u := probeableParams()
 		u.Work, u.WarmupBackoff, u.WarmupRate, u.Random = f.usual, f.warming[balancer], 2.5, lot
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -249,11 +249,14 @@
 	defer c.mu.Unlock()
 	e := c.state(target)
 	c.countUnwantedSend(e, now)
+	if best.Cold {
+		c.coldRequests.Inc(1)
+	}
 	trial := e.admission.OnTrial(now)
 	e.observed, e.admission = e.observed.WithRequestSent(), e.admission.WithSent(now)
 	load := e.observed.Load()
 	choice := placement.Choice{
-		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, Pressed: s.learned.Pressed, Trial: trial, Limited: best.Admission.Held, Estimate: best.Estimate, Age: -1, Probes: s.probes,
+		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, WarmAge: e.observed.WarmAge(now), Pressed: s.learned.Pressed, Trial: trial, Limited: best.Admission.Held, Estimate: best.Estimate, Age: -1, Probes: s.probes,
 	}
 	if age := load.Age(now); age < maxLoggedAge {
 		choice.Age = age
--- a/direct/complete.go
+++ b/direct/complete.go
@@ -72,6 +72,9 @@
 // recordWarmupOutcome records the outcome of a request at an endpoint that was warming up; c.mu
 // must be held.
 func (c *Chooser) recordWarmupOutcome(service string, o placement.Outcome, now time.Time) {
+	if o == placement.Shed || o == placement.Failed {
+		c.coldFailures.Inc(1)
+	}
 	c.warmupBackoffs[service] = c.warmupBackoffs[service].WithOutcome(o, c.warmupRate(service), now)
 }
 
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -130,6 +130,8 @@
 	unanswered       metrics.Counter // probes without a response
 	resets           metrics.Counter // probes and requests that endpoints reset at once
 	unwantedSends    unwantedSends
+	coldRequests     metrics.Counter // requests granted for endpoints that were warming up
+	coldFailures     metrics.Counter // those that the endpoint refused or failed
 	leavingEndpoints metrics.Counter // endpoints that announced that they are leaving
 	unsupported      *unsupportedHeaders
 	rejected         metrics.Counter // requests rejected by the queues, including the displaced ones
@@ -178,6 +180,8 @@
 		unanswered:       metrics.GetOrRegisterCounter("probes_unanswered", cfg.Metrics),
 		resets:           metrics.GetOrRegisterCounter("endpoint_resets", cfg.Metrics),
 		unwantedSends:    newUnwantedSends(cfg.Metrics),
+		coldRequests:     metrics.GetOrRegisterCounter("cold_requests", cfg.Metrics),
+		coldFailures:     metrics.GetOrRegisterCounter("cold_failures", cfg.Metrics),
 		leavingEndpoints: metrics.GetOrRegisterCounter("endpoints_said_leaving", cfg.Metrics),
 		unsupported:      newUnsupportedHeaders(cfg.Log, cfg.Metrics),
 		rejected:         metrics.GetOrRegisterCounter("queue_rejected", cfg.Metrics),
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -112,7 +112,7 @@
 	c.recordPressure(t.listed.Service, answer.Load, now)
 	e.observed = e.observed.WithProbe(answer.Load, now)
 	if answer.Warmup.Known {
-		e.observed = e.observed.WithWarmup(answer.Warmup.Remaining, now)
+		e.observed = e.observed.WithWarmup(answer.Warmup.Remaining, answer.SentAt, now)
 	}
 	if answer.NamesOtherInstance(id) && c.cfg.Directory.MarkLeaving(id, t.listed.Start, now) {
 		c.cfg.Log.Info("endpoint", "id", id, "state", "leaving", "why", "a probe found another instance", "instance", answer.Instance)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -55,6 +55,8 @@
 	IdleTooLong bool // nothing was sent, because the connection had been idle for longer than MaxIdle
 	// Withdrawn says that nothing was sent, because Admitted returned false.
 	Withdrawn bool
+	// WrittenAt is when the request was about to be written to a connection; zero if it never was.
+	WrittenAt time.Time
 	// ConnectionBroken says that the request may have been sent and its connection failed before the end
 	// of the response and before the deadline, for example because the endpoint stopped.
 	ConnectionBroken bool
@@ -128,7 +130,7 @@
 		// The order matters: failureResult must seal the connection before the cancellation
 		// releases it, and needs the cause from before the cancellation.
 		res := tracker.failureResult(context.Cause(ctx), c.http2, err)
-		res.connected = tracker.connected()
+		res.connected, res.WrittenAt = tracker.connected(), tracker.writtenAt()
 		res.Carrier, res.Tunnel = tracker.via()
 		release()
 		return res
@@ -146,7 +148,7 @@
 		release()
 		res = lateResult(res.Verdict)
 	}
-	res.Report, res.connected = report, true
+	res.Report, res.connected, res.WrittenAt = report, true, tracker.writtenAt()
 	res.Carrier, res.Tunnel = tracker.via()
 	return res
 }
--- a/upstream/tracker.go
+++ b/upstream/tracker.go
@@ -16,13 +16,14 @@
 	informational informational
 
 	mu            sync.Mutex
-	gotConnection bool  // the transport picked a connection
-	conn          *conn // that connection; nil if this package's dialer did not open it
-	writesBefore  int64 // writes on the connection before this attempt
-	idleTooLong   bool  // the connection had been idle for longer than mostIdle and is sealed
-	withdrawn     bool  // admitted returned false, and the connection is sealed
-	broken        bool  // the endpoint closed the new connection within settle, and it is sealed
-	draining      bool  // the connection is draining and is sealed
+	gotConnection bool      // the transport picked a connection
+	conn          *conn     // that connection; nil if this package's dialer did not open it
+	writesBefore  int64     // writes on the connection before this attempt
+	idleTooLong   bool      // the connection had been idle for longer than mostIdle and is sealed
+	withdrawn     bool      // admitted returned false, and the connection is sealed
+	broken        bool      // the endpoint closed the new connection within settle, and it is sealed
+	draining      bool      // the connection is draining and is sealed
+	pickedAt      time.Time // when the request was about to be written; zero while nothing may be written
 }
 
 // gotConn records the connection that the transport picked for the attempt, and seals it if the
@@ -30,12 +31,13 @@
 func (t *connTracker) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.gotConnection = true
+	t.gotConnection, t.pickedAt = true, time.Time{}
 	t.conn, _ = info.Conn.(*conn)
 	if t.conn != nil {
 		t.writesBefore = t.conn.writes.Load()
 	}
 	if t.conn == nil {
+		t.pickedAt = time.Now()
 		return
 	}
 	t.draining = t.conn.take()
@@ -48,6 +50,16 @@
 	}
 	t.withdrawn = t.admitted != nil && !t.admitted() && t.conn.sealIfNoWriteSince(t.writesBefore)
 	t.idleTooLong = !t.withdrawn && t.mostIdle > 0 && info.Reused && info.IdleTime > t.mostIdle && t.conn.sealIfNoWriteSince(t.writesBefore)
+	if !t.withdrawn && !t.idleTooLong {
+		t.pickedAt = time.Now()
+	}
+}
+
+// writtenAt returns when the request was about to be written to a connection; zero if it never was.
+func (t *connTracker) writtenAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pickedAt
 }
 
 // putIdleConn records that the transport keeps the connection for other requests, unless err is set. It
