direct: a failing test that cold endpoints are not flooded

Fleets of 3 to 300 choosers, whose probes and requests take 1 to 200 ms, and 5 to 21 endpoints in warm-up that serve or refuse, under 20 to 200 requests a second and endpoint.

--- /dev/null
+++ b/direct/coldfleet_test.go
@@ -0,0 +1,170 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/window"
+	"github.com/lotuswing/lotuswing/direct"
+	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/upstream"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+)
+
+// coldServer is an endpoint that warms up, shared by the balancers of a coldFleet.
+type coldServer struct {
+	mu       sync.Mutex
+	arrivals []time.Time
+	running  int
+}
+
+// coldFleet is a number of choosers and one service whose endpoints all warm up.
+type coldFleet struct {
+	choosers []*direct.Chooser
+	servers  map[string]*coldServer
+	work     time.Duration // service time; 0 for endpoints that refuse all requests
+	latency  time.Duration // one way, of probes and requests
+	jitter   func() time.Duration
+}
+
+const (
+	coldRate  = 5.0              // requests per second that an endpoint takes while it warms up
+	coldBound = coldRate*1.5 + 8 // most requests in any second
+	coldTime  = 3 * time.Second  // how long the load lasts
+	coldSlots = 3                // of each endpoint
+	coldClass = 2 * time.Second  // latency target of the requests
+)
+
+// Probe implements direct.Prober.
+func (f *coldFleet) Probe(_ context.Context, addr, _ string, within time.Duration) (upstream.Report, error) {
+	sent, there, back := time.Now(), f.latency+f.jitter(), f.latency+f.jitter()
+	time.Sleep(min(there, within))
+	if there > within {
+		return upstream.Report{}, context.DeadlineExceeded
+	}
+	s := f.servers[addr]
+	s.mu.Lock()
+	load := placement.LoadReport{Known: true, InFlight: s.running, Slots: coldSlots, Pace: 1, State: placement.Live}
+	s.mu.Unlock()
+	time.Sleep(min(back, within-there))
+	if there+back > within {
+		return upstream.Report{}, context.DeadlineExceeded
+	}
+	return upstream.Report{Instance: addr, SentAt: sent, ReceivedAt: time.Now(), Load: load, Warmup: upstream.Warmup{Known: true, Remaining: time.Hour}}, nil
+}
+
+// newColdFleet returns a fleet of balancers and endpoints in one zone.
+func newColdFleet(balancers, endpoints int, work, latency time.Duration) *coldFleet {
+	rng := rand.New(rand.NewPCG(1, uint64(balancers)))
+	var mu sync.Mutex
+	f := &coldFleet{servers: map[string]*coldServer{}, work: work, latency: latency, jitter: func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(rng.Int64N(int64(latency) + 1))
+	}}
+	var entries []directory.Entry
+	for i := range endpoints {
+		id := fmt.Sprintf("e%d", i)
+		f.servers[id] = &coldServer{}
+		entries = append(entries, directory.Entry{Revision: 1, Warmup: time.Hour, Endpoint: directory.Endpoint{
+			Endpoint: placement.Endpoint{VM: id, Addr: id, Zone: "near", Slots: coldSlots}, Service: "s",
+		}})
+	}
+	config := &directory.Config{Version: 5, Routes: tenant.NewPrefixTable("t", nil), Services: map[string]tenant.Service{"s": {ProbePath: "/health", WarmupRate: coldRate}}}
+	for i := range balancers {
+		d := directory.New()
+		d.Apply(directory.Changes{Config: config, Entries: entries}, time.Now())
+		f.choosers = append(f.choosers, direct.New(direct.Config{
+			ID: fmt.Sprintf("vm-%d", i), Zone: "near", Directory: d, Client: f, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+		}))
+	}
+	return f
+}
+
+// serve sends one request through a chooser, as package balancer does.
+func (f *coldFleet) serve(c *direct.Chooser) {
+	now := time.Now()
+	g, refusal := c.Acquire(context.Background(), placement.Request{ID: "id", Service: "t/s", Kind: "k", Accepted: now, Target: coldClass, Deadline: now.Add(coldClass)})
+	if refusal != nil {
+		return
+	}
+	if !c.StillAccepts(g, time.Now()) {
+		c.Complete(g, placement.Result{Outcome: placement.Unused})
+		return
+	}
+	time.Sleep(f.latency + f.jitter())
+	s := f.servers[g.Endpoint.VM]
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	refused := f.work == 0 || s.running >= coldSlots
+	if !refused {
+		s.running++
+	}
+	s.mu.Unlock()
+	result := placement.Result{Outcome: placement.Shed}
+	if !refused {
+		time.Sleep(f.work)
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+		result = placement.Result{Outcome: placement.Completed, Took: f.work}
+	}
+	time.Sleep(f.latency)
+	c.Complete(g, result)
+}
+
+// run offers demand requests per second and endpoint at random balancers.
+func (f *coldFleet) run(demand float64) (most, total int) {
+	rng := rand.New(rand.NewPCG(2, 3))
+	gap := float64(time.Second) / demand / float64(len(f.servers))
+	var requests sync.WaitGroup
+	for end := time.Now().Add(coldTime); time.Now().Before(end); time.Sleep(time.Duration(rng.ExpFloat64() * gap)) {
+		c := f.choosers[rng.IntN(len(f.choosers))]
+		requests.Go(func() { f.serve(c) })
+	}
+	requests.Wait()
+	time.Sleep(time.Second) // probes in flight end
+	for _, s := range f.servers {
+		slices.SortFunc(s.arrivals, time.Time.Compare)
+		most, total = max(most, window.MaxCount(s.arrivals, time.Second)), total+len(s.arrivals)
+	}
+	return most, total
+}
+
+// TestColdEndpointsAreNotFlooded checks the bound on what an endpoint in warm-up gets in a second, for
+// fleets, latencies and demands of all sizes.
+func TestColdEndpointsAreNotFlooded(t *testing.T) {
+	for _, c := range []struct {
+		balancers, endpoints int
+		work, latency        time.Duration
+		demand               float64
+	}{
+		{3, 5, 160 * time.Millisecond, time.Millisecond, 20},
+		{30, 5, 160 * time.Millisecond, 10 * time.Millisecond, 100},
+		{107, 21, 160 * time.Millisecond, time.Millisecond, 60},
+		{107, 21, 160 * time.Millisecond, 25 * time.Millisecond, 60},
+		{107, 21, 500 * time.Millisecond, 100 * time.Millisecond, 20},
+		{107, 21, 0, 3 * time.Millisecond, 60},
+		{300, 5, 0, 3 * time.Millisecond, 200},
+	} {
+		name := fmt.Sprintf("%d balancers, %d endpoints, work %v, latency %v, demand %v", c.balancers, c.endpoints, c.work, c.latency, c.demand)
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				most, total := newColdFleet(c.balancers, c.endpoints, c.work, c.latency).run(c.demand)
+				used := float64(total) / coldTime.Seconds() / coldRate / float64(c.endpoints)
+				t.Logf("at most %d in a second of %v allowed, %.2f of the rate used", most, coldBound, used)
+				assert.Check(t, float64(most) <= coldBound)
+			})
+		})
+	}
+}
