Requests to endpoints in warm-up need a permit that one balancer grants

What callers saw: an endpoint that is warming up got more requests in a second than it takes, fell over, and they got errors or late answers.

Cause: a bound on a sum was kept by parties that each looked at the same signal and acted on it later. Every balancer that saw an idle report sent, with a draw; what an endpoint got grew with the number of balancers, the demand and the time from the report to the arrival. Refusals left the endpoint idle again, and the pause after them was each balancer's own.

Change: exactly one balancer grants permits for the endpoints of a zone, while it holds the zone's registration under a lease that cannot have ended (package warmup; relay.Tenure). A permit expires 250 ms after it was asked for, and is checked again before the request is written. Buckets of each owner begin empty, so in any second an endpoint gets at most 2 + 1.25 times its rate by construction; without an owner it gets none, and callers are refused at once with LW2018. An endpoint counts as warm only with a proof that is at most 0.4 s old. The owner keeps the pause after refusals for all.

--- a/compat/wire_test.go
+++ b/compat/wire_test.go
@@ -53,8 +53,8 @@
 var addedLater = map[string][][]string{
 	"ChangesArgs":  {{"From", "Patient", "InTouch"}, {"TakesNotes", "NotesLife", "NotesAfter"}, {"PathsLost"}},
 	"ChangesReply": {{"StoreLost", "Askers", "Instead"}, {"Notes", "NotesLife", "NotesAt"}, {"ConfirmedAge", "ChangesAge"}},
-	"CountArgs":    {{"From", "Asks"}, {"Report.Rests"}, {"Report.Joined", "Report.Fleet", "Report.Counts.Missing"}, {"Report.Span"}},
-	"CountReply":   {{"Limits", "Answer.Members"}, {"Answer.From", "Answer.Span", "Answer.Words.Spent", "Answer.Words.ZoneTotal"}},
+	"CountArgs":    {{"From", "Asks"}, {"Report.Rests"}, {"Report.Joined", "Report.Fleet", "Report.Counts.Missing"}, {"Report.Span"}, {"Warmups"}},
+	"CountReply":   {{"Limits", "Answer.Members"}, {"Answer.From", "Answer.Span", "Answer.Words.Spent", "Answer.Words.ZoneTotal"}, {"Warmups"}},
 	"CopyArgs":     {{"Part"}},
 	"CopyReply":    {{"Part"}},
 	"Done":         {{"Backoff"}},
--- a/control/ask.go
+++ b/control/ask.go
@@ -16,17 +16,8 @@
 
 // ask returns the list that a balancer serves under a path of its admin address.
 func ask[T any](addr, path string) ([]T, error) {
-	client := &http.Client{Timeout: readHeaderTimeout}
-	resp, err := client.Get("http://" + addr + path)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }() // read to its end
-	if resp.StatusCode != http.StatusOK {
-		return nil, errorOf(resp)
-	}
 	var list []T
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	if err := askValue(addr, path, &list); err != nil {
 		return nil, err
 	}
 	return list, nil
@@ -73,9 +64,12 @@
 }
 
 // askStatus decodes the status of the balancer at an admin address into st.
-func askStatus(addr string, st any) error {
+func askStatus(addr string, st any) error { return askValue(addr, "/status", st) }
+
+// askValue decodes what a balancer serves at a path.
+func askValue(addr, path string, value any) error {
 	client := &http.Client{Timeout: readHeaderTimeout}
-	resp, err := client.Get("http://" + addr + "/status")
+	resp, err := client.Get("http://" + addr + path)
 	if err != nil {
 		return err
 	}
@@ -83,5 +77,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return errorOf(resp)
 	}
-	return json.NewDecoder(resp.Body).Decode(st)
+	return json.NewDecoder(resp.Body).Decode(value)
 }
--- a/control/control.go
+++ b/control/control.go
@@ -53,6 +53,7 @@
 	addQuarantine(a)
 	addTeams(a)
 	addLimits(a)
+	addWarmups(a)
 	addSaid(a)
 	addQueues(a)
 	addPaths(a)
--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -2,7 +2,7 @@
 //
 // The decision depends on four sources: whether the store lists the endpoint as usable, what the
 // endpoint has said in its answers (a Signal: that it is leaving, or wants no requests for a while),
-// how many requests per second it accepts, and the outcome of the requests since its last backoff.
+// how many requests per second it accepts, also while it warms up, and the outcome of the requests since its last backoff.
 // Decide combines them. A State holds what one incarnation of an endpoint has said.
 //
 // After a backoff an endpoint starts slowly: it gets one request at a time until it has run
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/limit"
+	"github.com/lotuswing/lotuswing/coord/warmup"
 )
 
 // Facts are the inputs of Decide for one request and one incarnation of an endpoint.
@@ -31,8 +32,13 @@
 	// LimitOpens is how long it still gets no requests because of that limit; 0 if unknown.
 	Limit      limit.Standing
 	LimitOpens time.Duration
-	Random     float64 // random number in [0,1) for this request and endpoint
-	Priority   int     // priority of the request; 0 is the most urgent
+	// WarmingUp says that the endpoint is warming up, Warmup its standing then, and WarmupOpens how long
+	// it still gets no requests because of that; 0 if unknown.
+	WarmingUp   bool
+	Warmup      warmup.Standing
+	WarmupOpens time.Duration
+	Random      float64 // random number in [0,1) for this request and endpoint
+	Priority    int     // priority of the request; 0 is the most urgent
 }
 
 // Access says whether a request may be sent to an endpoint.
@@ -41,7 +47,7 @@
 // The values of Access.
 const (
 	Open     Access = iota // it may be sent
-	Askable                // it may be sent if the owner of the endpoint's limit grants a permit
+	Askable                // it may be sent if the owner of the endpoint's limit, or of its warm-up, grants a permit
 	Closed                 // it may not be sent now
 	Excluded               // no request may be sent to this incarnation any more
 )
@@ -57,11 +63,12 @@
 	BackingOff
 	SlowStart
 	Limited
+	WarmingUp
 )
 
 // String returns the name used in logs and shown to operators.
 func (c Cause) String() string {
-	return [...]string{"", "unusable", "leaving", "backing-off", "slow-start", "limited"}[c]
+	return [...]string{"", "unusable", "leaving", "backing-off", "slow-start", "limited", "warming-up"}[c]
 }
 
 // Decision says whether, and if not when, a request may be sent to an endpoint.
@@ -69,6 +76,8 @@
 	Access Access
 	Cause  Cause
 	Held   bool // Access is Open because the balancer holds a permit under the limit
+	// Warmup says that Access is Open because the balancer holds a permit for the warm-up.
+	Warmup bool
 	// Deferred says that the endpoint is likely to refuse the request, so other endpoints are
 	// preferred.
 	Deferred bool
@@ -79,13 +88,13 @@
 func (d Decision) Admits() bool { return d.Access == Open }
 
 // Decide returns the decision for one request and one endpoint. A backoff or leaving takes
-// precedence over the limit.
+// precedence over the warm-up, and that over the limit.
 func Decide(f Facts, now time.Time) Decision {
 	switch {
 	case !f.Usable:
 		return Decision{Access: Excluded, Cause: Unusable}
 	case f.State.isEmpty():
-		return f.decideFromLimit()
+		return f.decideFromPermits()
 	}
 	return f.decideFromState(now)
 }
@@ -104,11 +113,24 @@
 	case now.Before(trialDeadline):
 		return Decision{Access: Closed, Cause: SlowStart, OpensIn: trialDeadline.Sub(now)}
 	}
-	d := f.decideFromLimit()
+	d := f.decideFromPermits()
 	d.Deferred = d.Admits() && now.Before(f.State.hinted.admitsAt(f.Random, f.Priority))
 	return d
 }
 
+// decideFromPermits returns the decision that follows from the warm-up of the endpoint and its limit.
+func (f *Facts) decideFromPermits() Decision {
+	switch {
+	case f.WarmingUp && f.Warmup == warmup.Denied:
+		return Decision{Access: Closed, Cause: WarmingUp, OpensIn: f.WarmupOpens}
+	case f.WarmingUp && f.Warmup == warmup.Askable:
+		return Decision{Access: Askable, Cause: WarmingUp}
+	}
+	d := f.decideFromLimit()
+	d.Warmup = f.WarmingUp && d.Admits()
+	return d
+}
+
 // decideFromLimit returns the decision that follows from the limit of the endpoint alone.
 func (f *Facts) decideFromLimit() Decision {
 	switch f.Limit {
--- a/coord/admission/admission_test.go
+++ b/coord/admission/admission_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/limit"
+	"github.com/lotuswing/lotuswing/coord/warmup"
 	"gotest.tools/v3/assert"
 )
 
@@ -45,6 +46,10 @@
 		{"no permit under its limit", admission.Facts{Usable: true, Limit: limit.Denied, LimitOpens: 7}, 0, admission.Decision{Access: admission.Closed, Cause: admission.Limited, OpensIn: 7}},
 		{"owner may grant a permit", admission.Facts{Usable: true, Limit: limit.Askable}, 0, admission.Decision{Access: admission.Askable, Cause: admission.Limited}},
 		{"owner has granted a permit", admission.Facts{Usable: true, Limit: limit.Permitted}, 0, admission.Decision{Held: true}},
+		{"no permit for its warm-up", admission.Facts{Usable: true, WarmingUp: true, Warmup: warmup.Denied, WarmupOpens: 7}, 0, admission.Decision{Access: admission.Closed, Cause: admission.WarmingUp, OpensIn: 7}},
+		{"owner may grant a permit for its warm-up", admission.Facts{Usable: true, WarmingUp: true, Warmup: warmup.Askable}, 0, admission.Decision{Access: admission.Askable, Cause: admission.WarmingUp}},
+		{"owner has granted a permit for its warm-up", admission.Facts{Usable: true, WarmingUp: true, Warmup: warmup.Permitted}, 0, admission.Decision{Warmup: true}},
+		{"permit for its warm-up, none under its limit", admission.Facts{Usable: true, WarmingUp: true, Warmup: warmup.Permitted, Limit: limit.Denied}, 0, admission.Decision{Access: admission.Closed, Cause: admission.Limited}},
 		{"permit, and backing off", admission.Facts{Usable: true, State: backingOff, Limit: limit.Permitted}, time.Second, admission.Decision{Access: admission.Closed, Cause: admission.BackingOff, OpensIn: 2 * time.Second}},
 	} {
 		assert.Equal(t, admission.Decide(c.facts, after(c.at)), c.want, c.name)
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -30,6 +30,7 @@
 	Displaced           Code = "LW2015"
 	NoPlace             Code = "LW2016"
 	NoPath              Code = "LW2017"
+	EndpointsWarmingUp  Code = "LW2018"
 	DialFailed          Code = "LW3001"
 	NothingWritten      Code = "LW3002"
 	EndpointRefused     Code = "LW3003"
@@ -74,6 +75,7 @@
 	{Displaced, "displaced by a more urgent request", "The request waited for an endpoint, and more urgent ones came: its place can no longer lead to a response in time, or was needed for them. It was not sent.", "Expected above capacity; the caller should come back after Retry-After. 'lotusctl queues' shows who waits. If it lasts, add endpoints.", 503, "0.3.0", Warning},
 	{NoPlace, "no place in the queue leads to a response in time", "No endpoint had a free slot, and by the rate at which slots become free the request would not have been answered in time; or it could not be answered in time any more when it arrived. It was refused at once and not sent.", "Expected above capacity; the caller should come back after Retry-After, when capacity is expected. 'lotusctl queues' shows the forecast. If it lasts, add endpoints.", 503, "0.3.0", Warning},
 	{NoPath, "no endpoint of the service is reached", "For some time no endpoint of the service has responded to this balancer, neither directly nor over a connection that another balancer opened. The request was refused at once and not sent; one now and then is let through to find out whether that has changed.", "The caller should come back after Retry-After; another balancer may serve it. 'lotusctl paths' shows what this balancer reaches. Check the VM's network, and whether the endpoints run.", 503, "0.3.0", Urgent},
+	{EndpointsWarmingUp, "all endpoints are warming up", "Each endpoint of the service that the request might go to is warming up and has got as many requests as it takes, from all balancers together, or no balancer is known to own its availability zone. The request was not sent.", "The caller should come back after Retry-After. 'lotusctl warmups' shows what is granted. If it lasts longer than a warm-up, find out why endpoints restart, or why a zone has no relay.", 503, "0.3.0", Warning},
 	{DialFailed, "no connection to the endpoint", "No connection could be opened, so nothing was sent.", "Check the endpoint's VM.", 503, firstRelease, Warning},
 	{NothingWritten, "connection failed before anything was sent", "The connection failed before the first byte of the request was written.", "Nothing; it is retried when time allows.", 503, firstRelease, Info},
 	{EndpointRefused, "the endpoint refused the request", "The endpoint answered that it did not run the request.", "Expected when endpoints shed load or drain.", 503, firstRelease, Info},
--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -43,6 +43,7 @@
 	Admission        admission.Decision
 	WarmUntil        time.Time // end of its warm-up
 	WarmupReceivedAt time.Time // when the directory received WarmUntil
+	Unprobeable      bool      // no probe of it is allowed now
 }
 
 // ScoringParams is what candidates are rated by: what was learned of the request's kind and
@@ -57,9 +58,10 @@
 	MaxFreshAge time.Duration // maximum age of a fresh report
 	Probeable   bool          // the service's endpoints can be probed
 
-	WarmupRate float64 // requests per second that one endpoint can take while it warms up; 0 if unknown
-	Random     uint32  // random number of the request; selects the endpoints in warm-up that it may use
-	Alone      bool    // an endpoint that holds no other request is preferred
+	// WarmupPermits says that a request to an endpoint in warm-up needs a permit, and that an endpoint
+	// counts as warm only with a recent proof.
+	WarmupPermits bool
+	Alone         bool // an endpoint that holds no other request is preferred
 	// Pressed says that the service is under pressure and that requests are ordered by urgency. Only
 	// endpoints with a recent load report are chosen then.
 	Pressed bool
@@ -87,6 +89,7 @@
 	Ejected     bool          // it is ejected because of failures
 	Cold        bool          // it is warming up
 	ColdBlocked bool          // it is warming up and must not get the request now
+	Unproven    bool          // it may be warming up, and has to be probed before it is used
 	Resetting   bool          // it is in the backoff after a reset, and is not probed
 	Unanswered  bool          // it did not respond to the last probe
 	Admission   admission.Decision
@@ -133,13 +136,14 @@
 		c.cost += deferredPenalty
 	}
 	c.cost += c.Estimate
-	c.ColdBlocked = isWarmingUp && e.blockedInWarmup(params, index, c.Estimate, now)
+	c.ColdBlocked = isWarmingUp && !params.WarmupPermits && e.blockedInWarmup(params, now)
+	c.Unproven = !isWarmingUp && params.WarmupPermits && params.Probeable && !e.IsProvenWarm(now)
 	c.Resetting = now.Before(e.resetUntil)
 	if c.Resetting || e.unproven(params, now) {
 		c.Busy = max(c.Busy, c.Slots) // the estimate, which orders the probes, does not assume this
 	}
-	c.Full = c.ColdBlocked || c.blockedByAdmission() || c.Busy >= params.concurrencyLimit(c.Slots) || now.Before(e.pausedUntil)
-	c.Good = !c.Full && c.Admission.Admits() && e.unansweredProbes == 0 && e.load.Pace(now) <= maxGoodPace
+	c.Full = c.ColdBlocked || c.Unproven && l.Unprobeable || c.blockedByAdmission() || c.Busy >= params.concurrencyLimit(c.Slots) || now.Before(e.pausedUntil)
+	c.Good = !c.Full && !c.Unproven && c.Admission.Admits() && e.unansweredProbes == 0 && (e.load.Pace(now) <= maxGoodPace || c.Admission.Warmup)
 	return c
 }
 
@@ -159,6 +163,10 @@
 		return 1
 	case c.Full != o.Full:
 		return -1
+	case c.Cold && o.Cold && c.Admission.Warmup != o.Admission.Warmup && c.Admission.Warmup:
+		return -1
+	case c.Cold && o.Cold && c.Admission.Warmup != o.Admission.Warmup:
+		return 1
 	case c.cost != o.cost:
 		return cmp.Compare(c.cost, o.cost)
 	}
@@ -193,6 +201,16 @@
 	}
 }
 
+// demoteUnproven ranks the candidates behind the others that have to be probed before they are used.
+func (r *Ranking) demoteUnproven() {
+	for i := range r.list {
+		if r.list[i].Unproven && !r.list[i].Full {
+			r.list[i].Full = true
+			r.sorted = 0
+		}
+	}
+}
+
 // Find returns the candidate with the given Index.
 func (r *Ranking) Find(index int) (*Candidate, bool) {
 	for i := range r.list {
--- a/coord/selection/decide.go
+++ b/coord/selection/decide.go
@@ -56,6 +56,7 @@
 // takes the best candidate if that is acceptable, and refuses the request otherwise.
 func (o Options) Decide(list *Ranking, r placement.Request, s SearchState, now time.Time) Decision {
 	giveUp := !now.Before(s.Deadline)
+	list.demoteUnproven()
 	earliest, allBlocked := list.AllBlocked()
 	switch {
 	case list.Len() == 0 && s.OutOfRegion:
@@ -70,7 +71,7 @@
 		return Decision{Action: Refuse, Reason: blockedReason(earliest.Cause), RetryAfter: earliest.OpensIn}
 	case allBlocked:
 		return Decision{Action: Wait, Pause: cmp.Or(min(earliest.OpensIn, s.Deadline.Sub(now)), o.RoundPause)}
-	case list.Best().Good, (s.NoneProbed || giveUp) && list.Best().acceptable(r, now):
+	case list.Best().Good && (!list.Best().Admission.Warmup || list.Best().acceptable(r, now)), (s.NoneProbed || giveUp) && list.Best().acceptable(r, now):
 		return Decision{Action: Take}
 	case !now.Before(r.Deadline):
 		return Decision{Action: Refuse, Reason: reason.Expired}
@@ -83,8 +84,11 @@
 // blockedReason returns the reason code for refusing a request because all candidates are blocked by
 // admission. c is the cause at the candidate that opens earliest.
 func blockedReason(c admission.Cause) reason.Code {
-	if c == admission.Limited {
+	switch c {
+	case admission.Limited:
 		return reason.EndpointsLimited
+	case admission.WarmingUp:
+		return reason.EndpointsWarmingUp
 	}
 	return reason.EndpointsBackingOff
 }
@@ -94,7 +98,7 @@
 // at the time a slot becomes free cannot be predicted, and an endpoint whose slots are all
 // taken is slower for all its requests.
 func (c *Candidate) acceptable(r placement.Request, now time.Time) bool {
-	if c.ColdBlocked || !c.Admission.Admits() || c.Busy >= c.Slots {
+	if c.ColdBlocked || c.Unproven || !c.Admission.Admits() || c.Busy >= c.Slots {
 		return false
 	}
 	return r.Target <= 0 || !now.Add(c.Estimate).After(r.Accepted.Add(r.Target))
--- a/coord/selection/warmup.go
+++ b/coord/selection/warmup.go
@@ -1,30 +1,26 @@
 package selection
 
 import (
-	"math"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/placement"
 )
 
-// An endpoint that is warming up can take only a few requests, from all balancers together.
-// The balancers know neither their own number nor what the others send. Three rules limit the
-// requests to such an endpoint:
+// Where the request rate that an endpoint in warm-up takes is known, a request to it needs a permit
+// (package warmup), and an endpoint counts as warm only with a proof that is at most maxWarmAge old.
+// Elsewhere two rules limit the requests that one balancer sends there:
 //
-//   - A balancer sends a request only if a fresh report of the endpoint shows that it holds
-//     none. All balancers see the same reports, so a new request follows the end of the
-//     previous one, whichever balancer sent that.
-//   - If the service time is short, that alone would allow too many requests. Of the requests
-//     that find the endpoint idle, only a random share is sent there, so that it is busy for no
-//     larger part of the time than with WarmupRate requests per second.
+//   - A balancer sends a request only if a fresh report of the endpoint shows that it holds none.
 //   - After it refuses or fails a request, an endpoint reports no request in flight although it
 //     was just sent one. The balancer therefore sends nothing to any endpoint in warm-up of the
-//     service for a pause of 1/WarmupRate, doubled with each further refusal or failure in a row.
+//     service for a pause, doubled with each further refusal or failure in a row.
 
 const (
-	// defaultWarmupPause is the first pause if the request rate that an endpoint in warm-up can take is
-	// not known.
-	defaultWarmupPause = 400 * time.Millisecond
+	// maxWarmAge is how long an endpoint counts as warm after the probe was sent to which it responded
+	// that it is. The budget of probes allows one in this time.
+	maxWarmAge = 400 * time.Millisecond
+	// warmupPause is the first pause after a refusal or failure.
+	warmupPause = 400 * time.Millisecond
 	// maxWarmupDoublings limits the pause: 2^3 times the first one is about the length of a
 	// warm-up.
 	maxWarmupDoublings = 3
@@ -40,18 +36,13 @@
 // Paused reports whether endpoints of the service that are warming up get no requests at now.
 func (w WarmupBackoff) Paused(now time.Time) bool { return now.Before(w.pausedUntil) }
 
-// WithOutcome returns the backoff after a request to an endpoint in warm-up ended. rate is the
-// number of requests per second that one such endpoint can take; 0 if unknown.
-func (w WarmupBackoff) WithOutcome(o placement.Outcome, rate float64, now time.Time) WarmupBackoff {
+// WithOutcome returns the backoff after a request to an endpoint in warm-up ended.
+func (w WarmupBackoff) WithOutcome(o placement.Outcome, now time.Time) WarmupBackoff {
 	switch o {
 	case placement.Completed:
 		return WarmupBackoff{}
 	case placement.Failed, placement.Shed:
-		pause := defaultWarmupPause
-		if rate > 0 {
-			pause = time.Duration(float64(time.Second) / rate)
-		}
-		w.pausedUntil = now.Add(pause << min(w.failures, maxWarmupDoublings))
+		w.pausedUntil = now.Add(warmupPause << min(w.failures, maxWarmupDoublings))
 		w.failures++
 	case placement.Unused:
 	}
@@ -68,6 +59,13 @@
 	return e
 }
 
+// WithoutWarmupReport returns the endpoint after a response to a probe, which was sent at sentAt, that says
+// nothing about a warm-up. Its listing decides then.
+func (e Endpoint) WithoutWarmupReport(sentAt time.Time) Endpoint {
+	e.provenWarmAt = sentAt
+	return e
+}
+
 // WarmAge returns how old the endpoint's last proof that it is warm is, counted from when the probe
 // was sent that it responded to; below 0 without one.
 func (e *Endpoint) WarmAge(now time.Time) time.Duration {
@@ -87,28 +85,25 @@
 	return now.Before(l.WarmUntil) && !e.warmupReportedAt.After(l.WarmupReceivedAt)
 }
 
-// blockedInWarmup reports whether the endpoint, which is warming up, must not get the request now.
-// requestTime is the expected time of the request there. An endpoint that can be probed is also
-// blocked while its report is not fresh; a probe can change that.
-func (e *Endpoint) blockedInWarmup(params *ScoringParams, index int, requestTime time.Duration, now time.Time) bool {
-	if params.WarmupBackoff.Paused(now) || e.load.Busy(now) > 0 || !params.mayUseInWarmup(index, requestTime) {
-		return true
-	}
-	return params.Probeable && now.Sub(e.lastResponse) > params.MaxFreshAge
+// IsWarmingUp reports whether the endpoint is warming up, as far as the balancer knows.
+func (e *Endpoint) IsWarmingUp(l Listing, now time.Time) bool { return e.isWarmingUp(l, now) }
+
+// IsProvenWarm reports whether the endpoint has proved recently that it is warm. One that does not
+// respond to probes counts as warm by its listing.
+func (e *Endpoint) IsProvenWarm(now time.Time) bool {
+	age := e.WarmAge(now)
+	return age >= 0 && age <= maxWarmAge || e.unansweredProbes >= maxUnprovenProbes
 }
 
-// drawFactor lowers the probability that mayUseInWarmup selects an endpoint, because a request
-// evaluates several endpoints before it finds one that is free for it.
-const drawFactor = 0.25
+// maxUnprovenProbes is the number of consecutive probes without a response from which on the listing of
+// an endpoint has to do.
+const maxUnprovenProbes = 3
 
-// mayUseInWarmup reports whether the request's random number (Random) selects the endpoint at
-// index, which is warming up. The probability is proportional to requestTime, the expected time of
-// the request there. The result is the same in all search rounds of a request.
-func (p *ScoringParams) mayUseInWarmup(index int, requestTime time.Duration) bool {
-	if p.WarmupRate <= 0 {
+// blockedInWarmup reports whether the endpoint, which is warming up, must not get the request now. An
+// endpoint that can be probed is also blocked while its report is not fresh; a probe can change that.
+func (e *Endpoint) blockedInWarmup(params *ScoringParams, now time.Time) bool {
+	if params.WarmupBackoff.Paused(now) || e.load.Busy(now) > 0 {
 		return true
 	}
-	const hashMultiplier = 0x9e3779b9 // 2^32 divided by the golden ratio; spreads adjacent indices
-	draw := (p.Random ^ uint32(index+1)*hashMultiplier) * hashMultiplier
-	return float64(draw)/math.MaxUint32 < drawFactor*p.WarmupRate*requestTime.Seconds()
+	return params.Probeable && now.Sub(e.lastResponse) > params.MaxFreshAge
 }
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -123,7 +123,7 @@
 	s.learned = selection.ScoringParams{
 		Work: c.serviceTimes[s.request.Kind].Expected(s.request.Target), Crowding: c.crowding[s.service], ProbeHistory: c.probeHistories[s.service],
 		WarmupBackoff: c.warmupBackoffs[s.service], MaxFreshAge: c.opts.MaxFreshAge, Probeable: c.probePath(s.service) != "",
-		WarmupRate: c.warmupRate(s.service), Random: s.random, Alone: s.request.Alone,
+		WarmupPermits: c.needsWarmupPermits(s.service), Alone: s.request.Alone,
 		Pressed: c.OrdersByUrgency() && c.pressures[s.service].Lasts(now),
 	}
 	preferredSide := s.preferredSide()
@@ -183,7 +183,12 @@
 		if admitted.Access == admission.Excluded {
 			continue
 		}
-		listing := selection.Listing{Slots: e.Slots, SameZone: e.Zone == c.cfg.Zone, Admission: admitted, WarmUntil: e.WarmUntil, WarmupReceivedAt: e.WarmupReceivedAt}
+		listing := c.listing(e)
+		listing.Admission = admitted
+		if s.learned.WarmupPermits {
+			_, allowed := state.probes.WithProbe(c.opts, now)
+			listing.Unprobeable = !allowed
+		}
 		s.ranking.Add(selection.NewCandidate(&state.observed, i, listing, &s.learned, c.rng.Uint32(), now))
 	}
 	s.ranking.DropEjected()
@@ -242,7 +247,8 @@
 func (c *Chooser) grantBest(s *search, now time.Time) (grant placement.Grant, ok bool) {
 	best := s.ranking.Best()
 	target := &s.listed[best.Index]
-	if !c.usePermit(target, now) {
+	permitUntil, ok := c.takeWarmupPermit(s.service, target, best, now)
+	if !ok || !c.usePermit(target, now) {
 		return placement.Grant{}, false
 	}
 	c.mu.Lock()
@@ -256,7 +262,7 @@
 	e.observed, e.admission = e.observed.WithRequestSent(), e.admission.WithSent(now)
 	load := e.observed.Load()
 	choice := placement.Choice{
-		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, WarmAge: e.observed.WarmAge(now), Pressed: s.learned.Pressed, Trial: trial, Limited: best.Admission.Held, Estimate: best.Estimate, Age: -1, Probes: s.probes,
+		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: best.Cold, WarmAge: e.observed.WarmAge(now), PermitUntil: permitUntil, Pressed: s.learned.Pressed, Trial: trial, Limited: best.Admission.Held, Estimate: best.Estimate, Age: -1, Probes: s.probes,
 	}
 	if age := load.Age(now); age < maxLoggedAge {
 		choice.Age = age
--- a/direct/admit.go
+++ b/direct/admit.go
@@ -32,6 +32,10 @@
 	state := c.stateForRanking(s, indices, e, now)
 	f.State = state.admission
 	f.Limit, f.LimitOpens = c.limitStanding(e, now)
+	if s.learned.WarmupPermits {
+		f.WarmingUp = state.observed.IsWarmingUp(c.listing(e), now)
+		f.Warmup, f.WarmupOpens = c.warmupStanding(s, e, f.WarmingUp, now)
+	}
 	return state, admission.Decide(f, now)
 }
 
@@ -43,7 +47,8 @@
 }
 
 // StillAccepts reports whether the endpoint of a grant may still get the request. It may not if,
-// since the grant, the endpoint has restarted, or announced that it is leaving or backing off.
+// since the grant, the endpoint has restarted, or announced that it is leaving or backing off, has turned
+// out to be warming up, or the permit for that has expired.
 func (c *Chooser) StillAccepts(g placement.Grant, now time.Time) bool {
 	listed, ok := c.cfg.Directory.Snapshot().Find(tenant.ServiceName(g.Service), g.Endpoint.VM)
 	if !ok || listed.Start != g.Choice.Start {
@@ -53,7 +58,11 @@
 	defer c.mu.Unlock()
 	state, ok := c.endpoints[g.Endpoint.VM]
 	if !ok || state.start != g.Choice.Start {
-		return listed.Usable(now)
+		return listed.Usable(now) && (g.Choice.PermitUntil.IsZero() || now.Before(g.Choice.PermitUntil))
+	}
+	if !c.warmupAccepts(g, listed, state, now) {
+		c.coldWithdrawn.Inc(1)
+		return false
 	}
 	return admission.AcceptsChosen(listed.Usable(now), state.admission, now)
 }
--- a/direct/coldfleet_test.go
+++ b/direct/coldfleet_test.go
@@ -12,11 +12,13 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/warmup"
 	"github.com/lotuswing/lotuswing/coord/window"
 	"github.com/lotuswing/lotuswing/direct"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
+	"github.com/lotuswing/lotuswing/warmups"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 )
@@ -31,6 +33,7 @@
 // coldFleet is a number of choosers and one service whose endpoints all warm up.
 type coldFleet struct {
 	choosers []*direct.Chooser
+	owner    *warmups.Keeper // of the zone
 	servers  map[string]*coldServer
 	work     time.Duration // service time; 0 for endpoints that refuse all requests
 	latency  time.Duration // one way, of probes and requests
@@ -84,13 +87,38 @@
 	for i := range balancers {
 		d := directory.New()
 		d.Apply(directory.Changes{Config: config, Entries: entries}, time.Now())
+		keeper := warmups.New(warmups.Config{Rate: func(string) float64 { return coldRate }, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+		if i == 0 {
+			f.owner = keeper
+		}
+		keeper.SetTransport(coldTransport{fleet: f, owns: i == 0})
 		f.choosers = append(f.choosers, direct.New(direct.Config{
-			ID: fmt.Sprintf("vm-%d", i), Zone: "near", Directory: d, Client: f, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+			ID: fmt.Sprintf("vm-%d", i), Zone: "near", Directory: d, Client: f, Warmups: keeper, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
 		}))
 	}
 	return f
 }
 
+// coldTransport is the warmups.Transport of one balancer of a coldFleet.
+type coldTransport struct {
+	fleet *coldFleet
+	owns  bool
+}
+
+func (t coldTransport) Tenure(string) warmup.Tenure {
+	if !t.owns {
+		return warmup.Tenure{}
+	}
+	return warmup.Tenure{Since: time.Now().Add(-time.Minute).Truncate(time.Hour), Until: time.Now().Add(time.Second)}
+}
+
+func (t coldTransport) AskWarmup(_ context.Context, a warmup.Ask) (warmup.Reply, error) {
+	time.Sleep(t.fleet.latency + t.fleet.jitter())
+	r := t.fleet.owner.HandleAsk(a)
+	time.Sleep(t.fleet.latency + t.fleet.jitter())
+	return r, nil
+}
+
 // serve sends one request through a chooser, as package balancer does.
 func (f *coldFleet) serve(c *direct.Chooser) {
 	now := time.Now()
--- a/direct/complete.go
+++ b/direct/complete.go
@@ -5,7 +5,9 @@
 
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/selection"
+	"github.com/lotuswing/lotuswing/coord/warmup"
 	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/warmups"
 )
 
 // defaultForgetInterval is the default of Config.ForgetInterval.
@@ -34,7 +36,7 @@
 	}
 	r.Outcome = c.recordRequestPressure(e, g, r, now)
 	if g.Choice.Cold {
-		c.recordWarmupOutcome(tenant.ServiceName(g.Service), r.Outcome, now)
+		c.recordWarmupOutcome(g, r.Outcome, now)
 	}
 	if r.Outcome == placement.Completed {
 		c.learnServiceTime(g, r.Took, e.observed.Load().Slots(g.Endpoint.Slots))
@@ -71,11 +73,19 @@
 
 // recordWarmupOutcome records the outcome of a request at an endpoint that was warming up; c.mu
 // must be held.
-func (c *Chooser) recordWarmupOutcome(service string, o placement.Outcome, now time.Time) {
-	if o == placement.Shed || o == placement.Failed {
+func (c *Chooser) recordWarmupOutcome(g placement.Grant, o placement.Outcome, now time.Time) {
+	failed := o == placement.Shed || o == placement.Failed
+	if failed {
 		c.coldFailures.Inc(1)
 	}
-	c.warmupBackoffs[service] = c.warmupBackoffs[service].WithOutcome(o, c.warmupRate(service), now)
+	service := tenant.ServiceName(g.Service)
+	if g.Choice.PermitUntil.IsZero() {
+		c.warmupBackoffs[service] = c.warmupBackoffs[service].WithOutcome(o, now)
+	} else if failed {
+		c.cfg.Warmups.RecordFailure(warmups.Endpoint{
+			Target: warmup.Target{ID: g.Endpoint.VM, Start: g.Choice.Start}, Group: warmup.Group{Service: service, Zone: g.Endpoint.Zone},
+		})
+	}
 }
 
 // serviceTimeRatio returns the service time of a request divided by the usual one of its kind. It
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -35,11 +35,13 @@
 	"github.com/lotuswing/lotuswing/coord/selection"
 	"github.com/lotuswing/lotuswing/coord/subset"
 	"github.com/lotuswing/lotuswing/coord/urgency"
+	"github.com/lotuswing/lotuswing/coord/warmup"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/suspend"
 	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
+	"github.com/lotuswing/lotuswing/warmups"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -60,6 +62,7 @@
 	Shutdown        func(ctx context.Context)
 	RolloutRecorder RolloutRecorder // records the outcomes of requests during rollouts; nil for none
 	Limits          Limits          // tracks the rate limits of endpoints; nil for none
+	Warmups         Warmups         // grants permits for endpoints in warm-up; nil for none
 	Order           urgency.Mode    // when requests are served by urgency
 	// MaxWaiting bounds the number of requests that wait in the queues of all services; default
 	// DefaultMaxWaiting.
@@ -101,6 +104,20 @@
 	TakePermit(e limits.Endpoint, now time.Time) bool
 }
 
+// Warmups grants permits for requests to endpoints that are warming up.
+type Warmups interface {
+	// Standing returns whether a request may go to an endpoint. If not, it also returns after how long
+	// that may change, or 0 if this is not known.
+	Standing(e warmups.Endpoint, now time.Time) (warmup.Standing, time.Duration)
+	// RequestPermits asks for permits for endpoints of one service and zone, best first, and waits for
+	// the reply at most as long as within. It reports whether there was a reply to wait for.
+	RequestPermits(ctx context.Context, endpoints []warmups.Endpoint, want int, within time.Duration) bool
+	// TakePermit takes a permit for a request that must be written before until.
+	TakePermit(e warmups.Endpoint, now time.Time) (until time.Time, ok bool)
+	// RecordFailure records that an endpoint refused or failed a request that had a permit.
+	RecordFailure(e warmups.Endpoint)
+}
+
 // Paths reports whether this process reaches endpoints.
 type Paths interface {
 	// Refuses reports whether a request for a service should be refused at once, because no endpoint of
@@ -132,6 +149,7 @@
 	unwantedSends    unwantedSends
 	coldRequests     metrics.Counter // requests granted for endpoints that were warming up
 	coldFailures     metrics.Counter // those that the endpoint refused or failed
+	coldWithdrawn    metrics.Counter // requests not written because their permit had expired or the endpoint turned out to be warming up
 	leavingEndpoints metrics.Counter // endpoints that announced that they are leaving
 	unsupported      *unsupportedHeaders
 	rejected         metrics.Counter // requests rejected by the queues, including the displaced ones
@@ -182,6 +200,7 @@
 		unwantedSends:    newUnwantedSends(cfg.Metrics),
 		coldRequests:     metrics.GetOrRegisterCounter("cold_requests", cfg.Metrics),
 		coldFailures:     metrics.GetOrRegisterCounter("cold_failures", cfg.Metrics),
+		coldWithdrawn:    metrics.GetOrRegisterCounter("cold_withdrawn", cfg.Metrics),
 		leavingEndpoints: metrics.GetOrRegisterCounter("endpoints_said_leaving", cfg.Metrics),
 		unsupported:      newUnsupportedHeaders(cfg.Log, cfg.Metrics),
 		rejected:         metrics.GetOrRegisterCounter("queue_rejected", cfg.Metrics),
--- a/direct/limits.go
+++ b/direct/limits.go
@@ -38,8 +38,8 @@
 	return c.cfg.Limits == nil || c.cfg.Limits.TakePermit(limitsEndpoint(e), now)
 }
 
-// requestPermit asks the limit's owner for a permit for the best candidate, if that needs one. It
-// reports whether it has asked.
+// requestPermit asks the owner of its limit, or of its zone, for a permit for the best candidate, if that
+// needs one. It reports whether it has asked.
 func (c *Chooser) requestPermit(ctx context.Context, s *search) bool {
 	if s.ranking.Len() == 0 || ctx.Err() != nil {
 		return false
@@ -48,6 +48,9 @@
 	if best.Admission.Access != admission.Askable || best.ColdBlocked {
 		return false
 	}
+	if best.Admission.Cause == admission.WarmingUp {
+		return c.requestWarmupPermits(ctx, s, best)
+	}
 	e := s.listed[best.Index]
 	if c.cfg.Limits.RequestPermit(ctx, limitsEndpoint(&e), permitWait) {
 		c.refreshLimit(ctx, e)
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -45,10 +45,6 @@
 	return c.serviceConfig(service).ProbePath
 }
 
-// warmupRate returns how many requests a second one endpoint of a service can take while it warms
-// up; 0 if that is not configured.
-func (c *Chooser) warmupRate(service string) float64 { return c.serviceConfig(service).WarmupRate }
-
 // serviceConfig returns the configuration of a service; zero if there is none.
 func (c *Chooser) serviceConfig(service string) tenant.Service {
 	cfg := c.cfg.Directory.Snapshot().Config
@@ -113,6 +109,8 @@
 	e.observed = e.observed.WithProbe(answer.Load, now)
 	if answer.Warmup.Known {
 		e.observed = e.observed.WithWarmup(answer.Warmup.Remaining, answer.SentAt, now)
+	} else {
+		e.observed = e.observed.WithoutWarmupReport(answer.SentAt)
 	}
 	if answer.NamesOtherInstance(id) && c.cfg.Directory.MarkLeaving(id, t.listed.Start, now) {
 		c.cfg.Log.Info("endpoint", "id", id, "state", "leaving", "why", "a probe found another instance", "instance", answer.Instance)
--- a/relay/counting.go
+++ b/relay/counting.go
@@ -8,6 +8,7 @@
 	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/coord/quota"
 	"github.com/lotuswing/lotuswing/coord/tally"
+	"github.com/lotuswing/lotuswing/coord/warmup"
 	"github.com/lotuswing/lotuswing/link"
 )
 
@@ -17,12 +18,16 @@
 	Report tally.Report
 	From   string      // address of the caller
 	Asks   []limit.Ask // requests for capacity at endpoints that the called relay owns
+	// Warmups are asks for permits for endpoints in warm-up.
+	Warmups []warmup.Ask
 }
 
 // CountReply holds the relay's knowledge of the same counts, and the capacity that it grants.
 type CountReply struct {
 	Answer quota.ReportAnswer
 	Limits limit.Reply
+	// Warmups are the replies to CountArgs.Warmups, in order.
+	Warmups []warmup.Reply
 }
 
 // methodCount is the net/rpc name of rpcService.Count.
@@ -37,12 +42,23 @@
 	if cfg.OnAsk != nil && len(args.Asks) > 0 {
 		reply.Limits = cfg.OnAsk(args.From, args.Asks)
 	}
+	if cfg.OnWarmupAsk != nil {
+		for _, a := range args.Warmups[:min(len(args.Warmups), maxWarmupAsks)] {
+			reply.Warmups = append(reply.Warmups, cfg.OnWarmupAsk(a))
+		}
+	}
 	return nil
 }
 
+// maxWarmupAsks bounds the asks for warm-up permits in one call. A balancer sends one.
+const maxWarmupAsks = 16
+
 // errNoRelay is returned by SendReport without an address.
 var errNoRelay = errors.New("relay: no relay is followed")
 
+// errNoOwner is returned by AskWarmup if the zone has no registered relay.
+var errNoOwner = errors.New("relay: the availability zone has no relay")
+
 // SendReport reports the counts of this balancer, or of its zone, to the balancer at addr and
 // returns its answer.
 func (g *Group) SendReport(ctx context.Context, addr string, r tally.Report) (quota.ReportAnswer, error) {
@@ -59,6 +75,22 @@
 	return reply.Limits, err
 }
 
+// AskWarmup sends an ask for warm-up permits to the relay of the zone, and returns its reply.
+func (g *Group) AskWarmup(ctx context.Context, a warmup.Ask) (warmup.Reply, error) {
+	owner, ok := g.replica.relay(a.Zone)
+	switch {
+	case !ok:
+		return warmup.Reply{}, errNoOwner
+	case owner.Addr == g.cfg.Addr:
+		return g.cfg.OnWarmupAsk(a), nil
+	}
+	reply, err := g.count(ctx, owner.Addr, CountArgs{From: g.cfg.Addr, Warmups: []warmup.Ask{a}})
+	if err != nil || len(reply.Warmups) != 1 {
+		return warmup.Reply{}, err
+	}
+	return reply.Warmups[0], nil
+}
+
 // count calls Count of the balancer at addr.
 func (g *Group) count(ctx context.Context, addr string, args CountArgs) (CountReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, g.opts.Wait+g.opts.Slack)
--- a/relay/registration.go
+++ b/relay/registration.go
@@ -146,10 +146,16 @@
 func (g *Group) renew(ctx context.Context, own Relay) {
 	ctx, cancel := context.WithTimeout(ctx, g.opts.TTL/renewalsPerTTL)
 	defer cancel()
-	if err := g.cfg.Registry.Renew(ctx, own.lease); err != nil {
+	suspendedBefore, sent := g.cfg.Suspensions.Check(), time.Now()
+	err := g.cfg.Registry.Renew(ctx, own.lease)
+	if errors.Is(err, ErrLeaseExpired) {
+		g.endTenure()
+	}
+	if err != nil {
 		g.cfg.Log.Warn("could not renew relay registration", "zone", g.cfg.Zone, "lease", own.lease, "error", err)
 		return
 	}
+	g.extendTenure(own, sent, suspendedBefore)
 	g.follower.EndRetryPause()
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,7 @@
 	"github.com/lotuswing/lotuswing/coord/limit"
 	"github.com/lotuswing/lotuswing/coord/quota"
 	"github.com/lotuswing/lotuswing/coord/tally"
+	"github.com/lotuswing/lotuswing/coord/warmup"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/suspend"
 	"github.com/lotuswing/lotuswing/link"
@@ -123,6 +124,8 @@
 	OnReport func(tally.Report) quota.ReportAnswer
 	// OnAsk answers another balancer that asks for capacity at endpoints; nil if no balancer asks.
 	OnAsk func(from string, asks []limit.Ask) limit.Reply
+	// OnWarmupAsk answers an ask for permits for endpoints in warm-up; nil if no balancer asks.
+	OnWarmupAsk func(warmup.Ask) warmup.Reply
 	// ByUrgency reports whether requests are ordered by urgency under the configuration in force; nil for
 	// never.
 	ByUrgency func() bool
@@ -175,6 +178,7 @@
 	runCtx          context.Context        // canceled by Close; nil before Start and after Close
 	delivering      map[string]bool        // relays to which a goroutine is delivering notes, by address
 	delivered       map[string]logPosition // by address of a peer: its life, and the index in this balancer's own log up to which it has accepted notes
+	tenure          tenure                 // of this balancer as the relay of its zone
 	received        map[string]logPosition // position in a peer's log up to which its notes have been received, by address
 }
 
@@ -236,6 +240,7 @@
 func (g *Group) release(ctx context.Context, own Relay) {
 	ctx, cancel := context.WithTimeout(ctx, g.opts.Wait)
 	defer cancel()
+	g.endTenure()
 	if err := g.cfg.Registry.Release(ctx, own.lease); err != nil {
 		g.cfg.Log.Warn("could not release relay registration", "error", err)
 		return
--- a/server/admin.go
+++ b/server/admin.go
@@ -35,6 +35,7 @@
 	s.addQuarantine(mux)
 	s.addTeams(mux)
 	s.addLimits(mux)
+	s.addWarmups(mux)
 	s.addSaid(mux)
 	s.addQueues(mux)
 	s.addRollouts(mux)
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -17,6 +17,7 @@
 	"github.com/lotuswing/lotuswing/quarantine"
 	"github.com/lotuswing/lotuswing/relay"
 	"github.com/lotuswing/lotuswing/rollout"
+	"github.com/lotuswing/lotuswing/warmups"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -67,6 +68,7 @@
 	opts.Log = s.cfg.Log.Named("directory")
 	s.directory = d
 	s.fleet = s.newFleet()
+	s.warmups = warmups.New(warmups.Config{Rate: s.warmupRate, Log: s.cfg.Log.Named("warmups"), Metrics: s.metrics})
 	s.limits = limits.New(limits.Config{Addr: settings.Link, Log: s.cfg.Log.Named("limits"), Metrics: s.metrics})
 	if s.cfg.Relays != nil {
 		s.quarantine, s.rollouts = s.newQuarantine(), s.newRollouts()
@@ -77,6 +79,7 @@
 		if s.relays, err = s.newRelays(); err != nil {
 			return err
 		}
+		s.warmups.SetTransport(s.relays) // before any balancer can ask
 		opts.Standby, opts.Bootstrap = true, s.relays.Bootstrap
 		opts.OnAnswer, opts.OnFailure = s.relays.OnAnswer, s.relays.OnFailure
 	}
@@ -105,7 +108,7 @@
 	cfg := direct.Config{
 		ID: s.cfg.Settings.ID, Zone: s.cfg.Settings.Zone, Regions: s.cfg.Settings.Regions, Directory: s.directory, Client: s.cfg.Policy.Client,
 		Log: s.cfg.Log.Named("choice"), Metrics: s.metrics, Stop: stop, Suspensions: s.suspended,
-		Limits: s.limits, Publish: s.tell, Order: s.cfg.Settings.Overload.Order, MaxWaiting: maxWaiting(s.cfg.Settings.Memory),
+		Limits: s.limits, Warmups: s.warmups, Publish: s.tell, Order: s.cfg.Settings.Overload.Order, MaxWaiting: maxWaiting(s.cfg.Settings.Memory),
 	}
 	if s.quarantine != nil {
 		cfg.RolloutRecorder = s.rollouts
@@ -240,7 +243,7 @@
 		Registry: s.cfg.Relays, Decoder: s.cfg.Relays, Log: log, TLS: secured,
 		ByUrgency: func() bool { return s.direct.OrdersByUrgency() },
 		PathsLost: s.pathsLost, Streams: s.streams(),
-		Options: relay.OptionsWithin(settings.Discovery.Within()), OnNote: s.hearNote, OnReport: s.fleet.HandleReport, OnAsk: s.limits.HandleAsks, Suspensions: s.suspended,
+		Options: relay.OptionsWithin(settings.Discovery.Within()), OnNote: s.hearNote, OnReport: s.fleet.HandleReport, OnAsk: s.limits.HandleAsks, OnWarmupAsk: s.warmups.HandleAsk, Suspensions: s.suspended,
 	}), nil
 }
 
--- a/server/resume.go
+++ b/server/resume.go
@@ -28,6 +28,9 @@
 	if s.limits != nil {
 		s.limits.Resume()
 	}
+	if s.warmups != nil {
+		s.warmups.Resume()
+	}
 	if s.follower != nil {
 		s.follower.Resume(slept)
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -39,6 +39,7 @@
 	"github.com/lotuswing/lotuswing/rollout"
 	"github.com/lotuswing/lotuswing/settings"
 	"github.com/lotuswing/lotuswing/telemetry"
+	"github.com/lotuswing/lotuswing/warmups"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -80,6 +81,7 @@
 	quarantine *quarantine.Tracker  // nil without relays
 	fleet      *fleet.Keeper        // nil without a follower
 	limits     *limits.Keeper       // nil without a follower
+	warmups    *warmups.Keeper      // nil without a follower
 	rollouts   *rollout.Controller  // nil without relays
 	peers      *startingPeers       // nil where all connections to endpoints are direct
 	paths      *detour.Table        // nil where all connections to endpoints are direct
