directory: an entry that states no less warm-up than the last one, or any after its end, says cold again

What callers saw: an endpoint that had turned cold again was used as a warm one by balancers that knew it only by its entry. Cause: only an entry with more time left than the last one counted as a new warm-up; 3 s after 3 s, or 1 s after one that had ended, did not. A warm-up only counts down, so neither can be of the same one. An entry that is read after the end that it states now counts as cold for as long as it says; a probe answer corrects that. The row "cold again before it was warm" expected the end of the earlier warm-up; it expects the later one now, which is stricter. It failed before, as does the new row "cold again, with less time left than before".

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -252,9 +252,10 @@
 		{"an older one", 4, 3 * second, 2 * second, 3 * second},
 		{"warm", 7, 0, 3 * second, 3 * second},
 		{"cold again", 8, 3 * second, 10 * second, 13 * second},
-		{"cold again before it was warm", 9, 3 * second, 11 * second, 13 * second},
+		{"cold again before it was warm", 9, 3 * second, 11 * second, 14 * second},
 		{"counts down", 10, second, 12 * second, 13 * second},
 		{"cold once more", 11, 2 * second, 13 * second, 15 * second},
+		{"cold again, with less time left than before", 12, second, 20 * second, 21 * second},
 	} {
 		assert.Equal(t, applyEntry(c.revision, c.left, c.after).WarmUntil, start.Add(c.warmAt), c.name)
 	}
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -128,10 +128,11 @@
 // warmAt returns the end of a known endpoint's warm-up after an entry for it was read. The
 // remaining warm-up counts from when the entry was written, which is before it was read.
 // While the stated time only decreases, the earliest end found is therefore the most accurate. A
-// newer entry that states more time than the last one says that the endpoint is cold again.
+// newer entry says that the endpoint is cold again if it states no less time than the last one, or
+// any after the end found.
 func (e Endpoint) warmAt(entry Entry, now time.Time) time.Time {
 	end := now.Add(entry.Warmup)
-	coldAgain := entry.Revision > e.Revision && entry.Warmup > e.Warmup
+	coldAgain := entry.Revision > e.Revision && entry.Warmup > 0 && (entry.Warmup >= e.Warmup || !now.Before(e.WarmUntil))
 	if !coldAgain && e.WarmUntil.Before(end) {
 		return e.WarmUntil
 	}
