--- a/coord/warmup/warmup.go
+++ b/coord/warmup/warmup.go
@@ -37,7 +37,7 @@
 	// MaxTargets is the number of endpoints that one ask may name.
 	MaxTargets = 16
 	// MaxPermits is the number of permits that one ask may get.
-	MaxPermits = 4
+	MaxPermits = 16
 	// maxBuckets bounds the number of endpoints for which an owner keeps a bucket.
 	maxBuckets = 1 << 15
 	// bucketTTL is how long an unused bucket is kept. It is full long before.
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -34,6 +34,7 @@
 var errNoResponse = errors.New("no response")
 
 func (p *fakeProber) Probe(_ context.Context, addr, _ string, _ time.Duration) (upstream.Report, error) {
+	sent := time.Now()
 	p.mu.Lock()
 	p.probeCount[addr]++
 	delay := p.delay
@@ -45,6 +46,7 @@
 	if !ok {
 		return upstream.Report{}, errNoResponse
 	}
+	answer.SentAt, answer.ReceivedAt = sent, time.Now()
 	return answer, nil
 }
 
@@ -95,6 +97,20 @@
 
 // newFixtureWithLimits is newFixtureForgetting with Config.Limits.
 func newFixtureWithLimits(endpoints int, opts selection.Options, forgetInterval time.Duration, l direct.Limits) *fixture {
+	return newFixtureWith(endpoints, tenant.Service{ProbePath: "/health"}, direct.Config{Options: opts, ForgetInterval: forgetInterval, Limits: l})
+}
+
+// newFixtureWithWarmups is newFixture with Config.Warmups, for a service whose endpoints say when they are warm.
+func newFixtureWithWarmups(endpoints int, w direct.Warmups) *fixture {
+	r := newFixtureWith(endpoints, tenant.Service{ProbePath: "/health", WarmupRate: 5}, direct.Config{Warmups: w})
+	for i := range endpoints {
+		r.prober.setWarmup(fmt.Sprintf("e%d", i), 0)
+	}
+	return r
+}
+
+// newFixtureWith returns a fixture with the fields of cfg that are set.
+func newFixtureWith(endpoints int, service tenant.Service, cfg direct.Config) *fixture {
 	d := directory.New()
 	var entries []directory.Entry
 	prober := &fakeProber{answers: map[string]upstream.Report{}, probeCount: map[string]int{}}
@@ -110,11 +126,11 @@
 		Name: "r", Host: "a.example", Prefix: "/", Timeout: time.Second, Target: time.Second, MaxAttempts: 2,
 		Split: []tenant.Share{{Service: "s", Weight: 1}},
 	}})
-	config := &directory.Config{Version: 5, Routes: routes, Services: map[string]tenant.Service{"s": {ProbePath: "/health"}}}
+	config := &directory.Config{Version: 5, Routes: routes, Services: map[string]tenant.Service{"s": service}}
 	d.Apply(directory.Changes{Config: config, Entries: entries}, time.Now())
-	return &fixture{directory: d, prober: prober, Chooser: direct.New(direct.Config{
-		ID: "vm-1", Zone: "near", Regions: map[string]string{"near": "west", "far": "east"}, Directory: d, Client: prober, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Options: opts, ForgetInterval: forgetInterval, Limits: l,
-	})}
+	cfg.ID, cfg.Zone, cfg.Regions, cfg.Directory, cfg.Client = "vm-1", "near", map[string]string{"near": "west", "far": "east"}, d, prober
+	cfg.Log, cfg.Metrics = hclog.NewNullLogger(), metrics.NewRegistry()
+	return &fixture{directory: d, prober: prober, Chooser: direct.New(cfg)}
 }
 
 // newRequest returns a request with a target of an hour, so that it is not refused for lack of
--- a/direct/warmup_test.go
+++ b/direct/warmup_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/selection"
+	"github.com/lotuswing/lotuswing/coord/warmup"
 	"github.com/lotuswing/lotuswing/upstream"
+	"github.com/lotuswing/lotuswing/warmups"
 	"gotest.tools/v3/assert"
 )
 
@@ -59,3 +63,61 @@
 	_, refused = r.Acquire(context.Background(), overdueRequest())
 	assert.Assert(t, refused != nil)
 }
+
+// fakeWarmups is a Warmups with permits for all endpoints that expire after ttl, or none.
+type fakeWarmups struct {
+	ttl    time.Duration
+	failed []string
+}
+
+func (f *fakeWarmups) Standing(warmups.Endpoint, time.Time) (warmup.Standing, time.Duration) {
+	if f.ttl == 0 {
+		return warmup.Denied, time.Minute
+	}
+	return warmup.Permitted, 0
+}
+
+func (f *fakeWarmups) RequestPermits(context.Context, []warmups.Endpoint, int, time.Duration) bool {
+	return false
+}
+
+func (f *fakeWarmups) TakePermit(_ warmups.Endpoint, now time.Time) (time.Time, bool) {
+	return now.Add(f.ttl), f.ttl > 0
+}
+
+func (f *fakeWarmups) RecordFailure(e warmups.Endpoint) { f.failed = append(f.failed, e.ID) }
+
+// TestColdEndpointNeedsPermit checks that an endpoint in warm-up gets a request only under a permit, which
+// must not have expired when the request is written, and that one that turns out to be warming up before the
+// request is written gets none.
+func TestColdEndpointNeedsPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeWarmups{}
+		r := newFixtureWithWarmups(1, f)
+		g, refused := r.Acquire(t.Context(), newRequest())
+		assert.Assert(t, refused == nil)
+		assert.Assert(t, !g.Choice.Cold && r.StillAccepts(g, time.Now()))
+		r.prober.setWarmup("e0", time.Hour)
+		time.Sleep(time.Second) // the endpoint has to prove again that it is warm
+		_, refused = r.Acquire(t.Context(), newRequest())
+		assert.Assert(t, refused != nil)
+		assert.Equal(t, refused.Reason, reason.EndpointsWarmingUp)
+		assert.Equal(t, refused.RetryAfter >= time.Minute, true)
+		assert.Assert(t, !r.StillAccepts(g, time.Now()), "chosen when it was warm")
+
+		f.ttl = 100 * time.Millisecond
+		g, refused = r.Acquire(t.Context(), newRequest())
+		assert.Assert(t, refused == nil)
+		assert.Assert(t, g.Choice.Cold)
+		assert.Assert(t, r.StillAccepts(g, time.Now()))
+		time.Sleep(f.ttl)
+		assert.Assert(t, !r.StillAccepts(g, time.Now()), "expired")
+		r.Complete(g, placement.Result{Outcome: placement.Shed})
+		assert.DeepEqual(t, f.failed, []string{"e0"})
+		hedge := newRequest()
+		hedge.Hedge = true
+		_, refused = r.Acquire(t.Context(), hedge)
+		assert.Assert(t, refused != nil, "a hedge")
+		assert.Equal(t, len(r.Warmups(time.Now())), 1)
+	})
+}
