--- a/coord/warmup/fleet_test.go
+++ b/coord/warmup/fleet_test.go
@@ -35,6 +35,7 @@
 	loss    float64
 	cut     func(a, b int) bool // no messages pass now; store is the store's index
 	refuse  bool
+	left    float64 // share of the callers that leave before the reply to their ask
 	holder  *simNode // of the lease in the store
 	expires time.Time
 	sent    map[Target][]time.Time
@@ -133,7 +134,11 @@
 	}
 	f.send(n, targets)
 	if a, ok := n.permits.Ask(simGroup, targets, 1, f.Now()); ok {
-		f.ask(n, a, func() { f.send(n, targets) })
+		f.ask(n, a, func() {
+			if f.rng.Float64() >= f.left {
+				f.send(n, targets)
+			}
+		})
 	}
 }
 
@@ -204,6 +209,17 @@
 var faults = map[string]func(f *simFleet){
 	"none":     func(*simFleet) {},
 	"refusing": func(f *simFleet) { f.refuse = true },
+	"callers leave, and many come at once": func(f *simFleet) {
+		f.left = 0.5
+		f.After(10*time.Second, func() {
+			f.left = 0
+			for range 20 {
+				for _, n := range f.nodes {
+					f.request(n)
+				}
+			}
+		})
+	},
 	"a third is cut off": func(f *simFleet) {
 		f.cut = func(a, b int) bool {
 			return f.Elapsed() > 4*time.Second && f.Elapsed() < 9*time.Second && (a%3 == 0) != (b%3 == 0)
--- a/direct/warmup_test.go
+++ b/direct/warmup_test.go
@@ -114,6 +114,7 @@
 		assert.Assert(t, !r.StillAccepts(g, time.Now()), "expired")
 		r.Complete(g, placement.Result{Outcome: placement.Shed})
 		assert.DeepEqual(t, f.failed, []string{"e0"})
+		time.Sleep(time.Second) // it does not count as full any more
 		hedge := newRequest()
 		hedge.Hedge = true
 		_, refused = r.Acquire(t.Context(), hedge)
