--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -24,11 +24,11 @@
 }
 
 // retryAfter returns how long the caller of a refused request should wait before it retries.
-// Callers that wait for the end of the same backoff are spread over a time after it, so that they
+// Callers that wait for the end of the same backoff, or for the next permit, are spread over a time after it, so that they
 // do not all retry at once.
 func retryAfter(d selection.Decision, target time.Duration) time.Duration {
 	spread := retry.DelayAfterNoEndpoint(target, rand.Float64())
-	if d.Reason == reason.EndpointsBackingOff {
+	if d.Reason == reason.EndpointsBackingOff || d.Reason == reason.EndpointsWarmingUp {
 		return d.RetryAfter + spread
 	}
 	return max(d.RetryAfter, spread)
