limits: a relay grants a whole limit only while it is certain to be its zone's only one

Cause, of the class of the flooded cold endpoints: a relay whose registration had ended, and that the store still answered, went on to grant the whole limit of an endpoint beside its successor. It asked whether it hears the store, which says nothing of who else holds the zone. Found by looking for the same class. Change: the whole limit within the tenure of its lease, half of it otherwise.

--- a/coord/limit/owner.go
+++ b/coord/limit/owner.go
@@ -11,28 +11,27 @@
 const (
 	// askerTTL is how long a balancer counts as an asker after its last ask.
 	askerTTL = 15 * time.Second
-	// disconnectedShare is the fraction of a limit that an owner grants while it is disconnected
-	// from the store: another balancer may have become the relay and may be granting the whole
-	// limit.
-	disconnectedShare = 0.5
+	// uncertainShare is the fraction of a limit that an owner grants while another balancer may have become
+	// the relay and may be granting the whole limit.
+	uncertainShare = 0.5
 )
 
-// HandleAsks replies to asks of the balancer at address from, which may be this one. connected says
-// that this relay is connected to the store.
-func (l *Limiter) HandleAsks(from string, asks []Ask, connected bool, now time.Time) Reply {
+// HandleAsks replies to asks of the balancer at address from, which may be this one. certain says
+// that no other balancer can be the relay of this one's zone.
+func (l *Limiter) HandleAsks(from string, asks []Ask, certain bool, now time.Time) Reply {
 	r := Reply{Taken: true, Askers: l.recordAsker(from, now)}
 	for _, a := range asks {
 		l.MergeRemote(a.Target, a.Word, now)
 		if e, ok := l.known[a.Target]; ok {
 			e.probesNameLimit = e.probesNameLimit || a.Probes
-			r.Grants = append(r.Grants, l.grant(e, a, connected, now))
+			r.Grants = append(r.Grants, l.grant(e, a, certain, now))
 		}
 	}
 	return r
 }
 
 // grant returns the reply to one ask.
-func (l *Limiter) grant(e *entry, a Ask, connected bool, now time.Time) Grant {
+func (l *Limiter) grant(e *entry, a Ask, certain bool, now time.Time) Grant {
 	want := max(0, a.Want) // a negative count would add tokens
 	g := Grant{Target: a.Target, Permits: want, Word: e.observed.WireObservation(now), Probes: e.probesNameLimit}
 	rate, limited := e.observed.RateAt(now)
@@ -42,8 +41,8 @@
 	if !e.probesNameLimit {
 		rate = max(rate, minTrialRate)
 	}
-	if !connected {
-		rate *= disconnectedShare
+	if !certain {
+		rate *= uncertainShare
 	}
 	var d decision
 	e.bucket, d = e.bucket.withAsk(rate, want, l.rng.Float64(), now)
--- a/limits/fleet_test.go
+++ b/limits/fleet_test.go
@@ -23,6 +23,7 @@
 	relays         []limit.Relay
 	isCut          map[string]bool // balancers that no message reaches or leaves
 	earlierVersion map[string]bool // balancers that run an earlier version
+	uncertain      bool            // no balancer is certain to be the only relay of its zone
 	published      int             // number of published notes
 }
 
@@ -41,7 +42,11 @@
 	return false
 }
 
-func (p testTransport) ConnectedToStore() bool { return true }
+func (p testTransport) IsOnlyRelay() bool {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	return !p.net.uncertain
+}
 
 func (p testTransport) LimitOwners() []limit.Relay {
 	p.net.mu.Lock()
@@ -187,6 +192,7 @@
 	}{
 		"cut off":            {func(n *network) { n.isCut["a0"] = true }, 1.5}, // the owner itself still uses the whole limit
 		"an earlier version": {func(n *network) { n.earlierVersion["a0"] = true }, 1.5},
+		"another may own it": {func(n *network) { n.uncertain = true }, 0.6},
 		"no relay":           {func(n *network) { n.relays = nil }, 0.6},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -203,6 +209,7 @@
 				assert.Assert(t, float64(sent) <= 4*20*c.maxShare, "%d", sent)
 				assert.Assert(t, sent > 4, "%d: the fallback sends nothing", sent)
 				n.update(func() {
+					n.uncertain = false
 					clear(n.isCut)
 					clear(n.earlierVersion)
 					n.relays = relays
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -46,8 +46,8 @@
 type Transport interface {
 	// ServesAsRelay reports whether this balancer is the relay of its zone.
 	ServesAsRelay() bool
-	// ConnectedToStore reports whether this balancer is connected to the store.
-	ConnectedToStore() bool
+	// IsOnlyRelay reports whether this balancer is certain to be the only relay of its zone.
+	IsOnlyRelay() bool
 	// LimitOwners returns the registered relays.
 	LimitOwners() []limit.Relay
 	// Ask sends asks to the balancer at addr and returns its reply.
@@ -197,11 +197,11 @@
 	if c == nil || !c.ServesAsRelay() {
 		return limit.Reply{}
 	}
-	return k.answerAsks(from, asks, c.ConnectedToStore())
+	return k.answerAsks(from, asks, c.IsOnlyRelay())
 }
 
 // answerAsks replies to asks as the owner of their endpoints, and publishes what is news.
-func (k *Keeper) answerAsks(from string, asks []limit.Ask, inTouch bool) limit.Reply {
+func (k *Keeper) answerAsks(from string, asks []limit.Ask, certain bool) limit.Reply {
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -209,7 +209,7 @@
 	for i, a := range asks {
 		before[i] = k.limiter.Observation(a.Target)
 	}
-	r := k.limiter.HandleAsks(from, asks, inTouch, now)
+	r := k.limiter.HandleAsks(from, asks, certain, now)
 	for i, a := range asks {
 		e := k.endpointOf(a.Target)
 		k.logObservation(e, before[i], fromBalancer, now)
--- a/limits/owner.go
+++ b/limits/owner.go
@@ -27,7 +27,7 @@
 	case !ok:
 		return limit.Reply{}, errNoOwner
 	case addr == k.cfg.Addr:
-		return k.answerAsks(addr, []limit.Ask{a}, c.ConnectedToStore()), nil
+		return k.answerAsks(addr, []limit.Ask{a}, c.IsOnlyRelay()), nil
 	}
 	r, err := c.Ask(ctx, addr, []limit.Ask{a})
 	if err == nil && (!r.Taken || len(r.Grants) != 1) {
--- a/relay/counting.go
+++ b/relay/counting.go
@@ -137,9 +137,8 @@
 	return owners
 }
 
-// ConnectedToStore reports whether this balancer is settled, that is, in touch with the store
-// itself.
-func (g *Group) ConnectedToStore() bool { return g.follower.UpToDate(time.Now()) }
+// IsOnlyRelay reports whether this balancer is certain to be the only relay of its zone.
+func (g *Group) IsOnlyRelay() bool { return g.Tenure(g.cfg.Zone).Contains(time.Now()) }
 
 // RelayZones returns the zones that have a registered relay, sorted.
 func (g *Group) RelayZones() []string {
