--- a/direct/coldfleet_test.go
+++ b/direct/coldfleet_test.go
@@ -38,6 +38,7 @@
 	work     time.Duration // service time; 0 for endpoints that refuse all requests
 	latency  time.Duration // one way, of probes and requests
 	jitter   func() time.Duration
+	turn     time.Time // when the endpoints turn cold; until then they are warm and twice as fast
 }
 
 const (
@@ -56,6 +57,10 @@
 		return upstream.Report{}, context.DeadlineExceeded
 	}
 	s := f.servers[addr]
+	var left time.Duration
+	if f.isCold() {
+		left = time.Hour
+	}
 	s.mu.Lock()
 	load := placement.LoadReport{Known: true, InFlight: s.running, Slots: coldSlots, Pace: 1, State: placement.Live}
 	s.mu.Unlock()
@@ -63,23 +68,30 @@
 	if there+back > within {
 		return upstream.Report{}, context.DeadlineExceeded
 	}
-	return upstream.Report{Instance: addr, SentAt: sent, ReceivedAt: time.Now(), Load: load, Warmup: upstream.Warmup{Known: true, Remaining: time.Hour}}, nil
+	return upstream.Report{Instance: addr, SentAt: sent, ReceivedAt: time.Now(), Load: load, Warmup: upstream.Warmup{Known: true, Remaining: left}}, nil
 }
 
-// newColdFleet returns a fleet of balancers and endpoints in one zone.
-func newColdFleet(balancers, endpoints int, work, latency time.Duration) *coldFleet {
+// isCold reports whether the endpoints warm up now.
+func (f *coldFleet) isCold() bool { return !time.Now().Before(f.turn) }
+
+// newColdFleet returns a fleet of balancers and endpoints in one zone, which turn cold after warmFor.
+func newColdFleet(balancers, endpoints int, work, latency, warmFor time.Duration) *coldFleet {
 	rng := rand.New(rand.NewPCG(1, uint64(balancers)))
 	var mu sync.Mutex
-	f := &coldFleet{servers: map[string]*coldServer{}, work: work, latency: latency, jitter: func() time.Duration {
+	f := &coldFleet{turn: time.Now().Add(warmFor), servers: map[string]*coldServer{}, work: work, latency: latency, jitter: func() time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
 		return time.Duration(rng.Int64N(int64(latency) + 1))
 	}}
 	var entries []directory.Entry
+	listed := time.Hour
+	if warmFor > 0 {
+		listed = 0 // the entries tell nothing of the turn
+	}
 	for i := range endpoints {
 		id := fmt.Sprintf("e%d", i)
 		f.servers[id] = &coldServer{}
-		entries = append(entries, directory.Entry{Revision: 1, Warmup: time.Hour, Endpoint: directory.Endpoint{
+		entries = append(entries, directory.Entry{Revision: 1, Warmup: listed, Endpoint: directory.Endpoint{
 			Endpoint: placement.Endpoint{VM: id, Addr: id, Zone: "near", Slots: coldSlots}, Service: "s",
 		}})
 	}
@@ -133,7 +145,12 @@
 	time.Sleep(f.latency + f.jitter())
 	s := f.servers[g.Endpoint.VM]
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, time.Now())
+	work := f.work
+	if f.isCold() {
+		s.arrivals = append(s.arrivals, time.Now())
+	} else {
+		work /= 2
+	}
 	refused := f.work == 0 || s.running >= coldSlots
 	if !refused {
 		s.running++
@@ -141,11 +158,11 @@
 	s.mu.Unlock()
 	result := placement.Result{Outcome: placement.Shed}
 	if !refused {
-		time.Sleep(f.work)
+		time.Sleep(work)
 		s.mu.Lock()
 		s.running--
 		s.mu.Unlock()
-		result = placement.Result{Outcome: placement.Completed, Took: f.work}
+		result = placement.Result{Outcome: placement.Completed, Took: work}
 	}
 	time.Sleep(f.latency)
 	c.Complete(g, result)
@@ -156,7 +173,7 @@
 	rng := rand.New(rand.NewPCG(2, 3))
 	gap := float64(time.Second) / demand / float64(len(f.servers))
 	var requests sync.WaitGroup
-	for end := time.Now().Add(coldTime); time.Now().Before(end); time.Sleep(time.Duration(rng.ExpFloat64() * gap)) {
+	for end := f.turn.Add(coldTime); time.Now().Before(end); time.Sleep(time.Duration(rng.ExpFloat64() * gap)) {
 		c := f.choosers[rng.IntN(len(f.choosers))]
 		requests.Go(func() { f.serve(c) })
 	}
@@ -176,19 +193,25 @@
 		balancers, endpoints int
 		work, latency        time.Duration
 		demand               float64
+		warmFor              time.Duration
 	}{
-		{3, 5, 160 * time.Millisecond, time.Millisecond, 20},
-		{30, 5, 160 * time.Millisecond, 10 * time.Millisecond, 100},
-		{107, 21, 160 * time.Millisecond, time.Millisecond, 60},
-		{107, 21, 160 * time.Millisecond, 25 * time.Millisecond, 60},
-		{107, 21, 500 * time.Millisecond, 100 * time.Millisecond, 20},
-		{107, 21, 0, 3 * time.Millisecond, 60},
-		{300, 5, 0, 3 * time.Millisecond, 200},
+		{3, 5, 160 * time.Millisecond, time.Millisecond, 20, 0},
+		{30, 5, 160 * time.Millisecond, 10 * time.Millisecond, 100, 0},
+		{107, 21, 160 * time.Millisecond, time.Millisecond, 60, 0},
+		{107, 21, 160 * time.Millisecond, 25 * time.Millisecond, 60, 0},
+		{107, 21, 500 * time.Millisecond, 100 * time.Millisecond, 20, 0},
+		{107, 21, 0, 3 * time.Millisecond, 60, 0},
+		{300, 5, 0, 3 * time.Millisecond, 200, 0},
+		{4, 4, 50 * time.Millisecond, time.Millisecond, 200, time.Second},
+		{40, 4, 200 * time.Millisecond, 3 * time.Millisecond, 60, time.Second},
+		{107, 21, 160 * time.Millisecond, 3 * time.Millisecond, 60, time.Second},
+		{107, 21, 160 * time.Millisecond, 80 * time.Millisecond, 60, time.Second},
+		{300, 5, 160 * time.Millisecond, 3 * time.Millisecond, 200, time.Second},
 	} {
-		name := fmt.Sprintf("%d balancers, %d endpoints, work %v, latency %v, demand %v", c.balancers, c.endpoints, c.work, c.latency, c.demand)
+		name := fmt.Sprintf("%d balancers, %d endpoints, work %v, latency %v, demand %v, warm for %v", c.balancers, c.endpoints, c.work, c.latency, c.demand, c.warmFor)
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				most, total := newColdFleet(c.balancers, c.endpoints, c.work, c.latency).run(c.demand)
+				most, total := newColdFleet(c.balancers, c.endpoints, c.work, c.latency, c.warmFor).run(c.demand)
 				used := float64(total) / coldTime.Seconds() / coldRate / float64(c.endpoints)
 				t.Logf("at most %d in a second of %v allowed, %.2f of the rate used", most, coldBound, used)
 				assert.Check(t, float64(most) <= coldBound)
