soak: endpoints turn cold at any moment, and the bound of cold endpoints holds at all times

Callers saw nothing: operators counted more requests at cold endpoints than these bear. The soak checked the bound only while nothing was disturbed, only for emptied zones, and only where promises with a time limit were checked, so its tests never looked.

The check counts the requests that were both sent and arrived within any second, at endpoints that were cold when they arrived, beside all other faults. The proxy in front of an endpoint notes when it first saw the head of each request; that is when it was sent. The case "one more, and bytes were held up" of TestPlantedCrowdsAtColdEndpointsAreCaught held a disturbance as such for an excuse, which is wrong: only a request under way for longer than a second is excused. The cases that replace it tell these apart.

--- a/control/soak.go
+++ b/control/soak.go
@@ -24,6 +24,7 @@
 		c.Flag("together", "mean time between two losses of all balancers at once; 0 for none").Default("0s").DurationVar(&cfg.Together)
 		c.Flag("half", "mean time between two losses of half of the balancers at once; 0 for none").Default("0s").DurationVar(&cfg.Half)
 		c.Flag("empty", "mean time between two emptyings of an availability zone, whose endpoints are cold when it is taken back; 0 for none").Default("0s").DurationVar(&cfg.Empty)
+		c.Flag("cold", "mean time between two turns of endpoints that become cold at any moment, under bursts of requests; 0 for none").Default("0s").DurationVar(&cfg.Cold)
 		c.Flag("crash", "mean time between two faults about requests that crash endpoints, damaged entries and suspended VMs; 0 for none").Default("0s").DurationVar(&cfg.Crash)
 		c.Flag("limit", "mean time between two endpoints that begin to name how many requests a second they take; 0 for none").Default("0s").DurationVar(&cfg.Limit)
 		c.Flag("words", "mean time between two endpoints that say in their answers that they leave, or want no requests for a while; 0 for none").Default("0s").DurationVar(&cfg.Words)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -44,24 +44,34 @@
 	ledger    *ledger
 	rng       *rand.Rand
 	client    *http.Client
+	pause     time.Duration // mean, between two requests
 	team      string
 	key       func() string // nil for none
 }
 
 func newCaller(number int, balancers []*balancer, l *ledger, rng *rand.Rand) *caller {
 	return &caller{
-		number: number, balancers: balancers, ledger: l, rng: rng,
+		number: number, balancers: balancers, ledger: l, rng: rng, pause: callerPause,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 2 * routeTimeout},
 	}
 }
 
+// newCaller returns a caller of the world's balancers, with a key where callers need one.
+func (w *world) newCaller(number int, rng *rand.Rand) *caller {
+	c := newCaller(number, w.balancers, w.sent, rng)
+	if w.teams != nil {
+		c.team, c.key = commonTeam, func() string { return w.teams.key(commonTeam) }
+	}
+	return c
+}
+
 func (c *caller) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		if b := c.choose(); b != nil {
 			c.send(n, b)
 		}
 		select {
-		case <-time.After(time.Duration(c.rng.Int64N(int64(2 * callerPause)))):
+		case <-time.After(time.Duration(c.rng.Int64N(int64(2 * c.pause)))):
 		case <-ctx.Done():
 		}
 	}
--- a/soak/endpoints.go
+++ b/soak/endpoints.go
@@ -18,6 +18,8 @@
 	proxy   *Proxy
 	http    *http.Server
 	left    time.Time // when the store was told that it leaves; zero while it stays
+
+	coldUntil time.Time
 }
 
 // mayServe reports whether some configuration sends a path to the endpoint's
@@ -37,26 +39,48 @@
 
 // addEndpoint starts an endpoint and lists it; w.mu is held.
 func (w *world) addEndpoint(service string) (*endpoint, error) {
+	e, addr, err := w.startEndpoint(service)
+	if err != nil {
+		return nil, err
+	}
+	if e.proxy, err = NewProxy(addr); err != nil {
+		return nil, err
+	}
+	e.zone = w.nextZone()
+	w.add(e)
+	w.list(e, 0)
+	return e, nil
+}
+
+// startEndpoint starts an endpoint, behind no proxy yet, and returns its address; w.mu is held.
+func (w *world) startEndpoint(service string) (*endpoint, string, error) {
 	w.started++
-	behavior := platformtest.Behavior{ServiceTime: endpointWork, Slots: endpointSlots}
+	behavior := platformtest.Behavior{ServiceTime: w.work(service), Slots: endpointSlots}
 	if service == serviceSlow {
 		behavior = slowBehavior(w.started)
 	}
 	server := platformtest.NewEndpoint(fmt.Sprintf("i-%s-%d", service, w.started), behavior)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("soak: endpoint: %w", err)
+		return nil, "", fmt.Errorf("soak: endpoint: %w", err)
 	}
-	proxy, err := NewProxy(l.Addr().String())
-	if err != nil {
-		return nil, err
-	}
-	e := &endpoint{server: server, service: service, zone: w.nextZone(), proxy: proxy, http: &http.Server{Handler: server}, slots: behavior.Slots}
+	e := &endpoint{server: server, service: service, http: &http.Server{Handler: server}, slots: behavior.Slots}
 	go func() { _ = e.http.Serve(l) }()
+	return e, l.Addr().String(), nil
+}
+
+// add adds an endpoint that has started to those that are drawn; w.mu is held.
+func (w *world) add(e *endpoint) {
 	w.current = append(w.current, e)
 	w.all = append(w.all, e)
-	w.list(e, 0)
-	return e, nil
+}
+
+// work returns how long the requests of a service take.
+func (w *world) work(service string) time.Duration {
+	if w.colds && service == serviceBeta {
+		return longWork
+	}
+	return endpointWork
 }
 
 // nextZone returns the zone of the endpoint that was started last; w.mu is held.
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -201,31 +201,45 @@
 	}
 }
 
-// TestPlantedCrowdsAtColdEndpointsAreCaught: more than the limit in a second in which the
-// endpoint warmed up.
+// TestPlantedCrowdsAtColdEndpointsAreCaught: more than the limit, sent and arrived in a second in which the
+// endpoint warmed up, whatever else was disturbed.
 func TestPlantedCrowdsAtColdEndpointsAreCaught(t *testing.T) {
 	const limit = 11 // 2.5 x 1.5 + 8, rounded down
 	for _, c := range []struct {
-		name     string
-		arrivals int
-		cold     time.Duration // how long ago it turned cold
-		quiet    bool
-		want     string
+		name      string
+		arrivals  int
+		cold      time.Duration // how long ago it turned cold
+		underWay  time.Duration // from the sending to the arrival of the first one
+		rate      float64
+		disturbed bool
+		want      string
 	}{
-		{"as many as allowed", limit, time.Second, true, ""},
-		{"one more", limit + 1, time.Second, true, string(FewToCold)},
-		{"one more, and bytes were held up", limit + 1, time.Second, false, ""},
-		{"one more, warm by then", limit + 1, time.Hour, true, ""},
+		{"as many as allowed", limit, time.Second, 0, 2.5, false, ""},
+		{"one more", limit + 1, time.Second, 0, 2.5, false, string(FewToCold)},
+		{"one more, beside a disturbance", limit + 1, time.Second, 0, 2.5, true, string(FewToCold)},
+		{"one more, sent in the same second", limit + 1, time.Second, 900 * time.Millisecond, 2.5, false, string(FewToCold)},
+		{"one more, sent earlier", limit + 1, time.Second, 1100 * time.Millisecond, 2.5, false, ""},
+		{"two more, one of them sent earlier", limit + 2, time.Second, 1100 * time.Millisecond, 2.5, false, string(FewToCold)},
+		{"one more, sent before it turned cold", limit + 1, time.Millisecond, 100 * time.Millisecond, 2.5, false, string(FewToCold)},
+		{"one more, warm by then", limit + 1, time.Hour, 0, 2.5, false, ""},
+		{"as many as allowed at twice the rate", limit + 4, time.Second, 0, 5, false, ""},
+		{"more at twice the rate", limit + 5, time.Second, 0, 5, false, string(FewToCold)},
 	} {
+		proxy, began := &Proxy{}, time.Now()
 		requests := make([]string, c.arrivals)
 		for i := range requests {
-			requests[i] = "GET a /read/1"
+			id := fmt.Sprint("r-", i)
+			requests[i] = "GET " + id + " /read/1"
+			proxy.seen.note([]string{id}, began)
 		}
+		proxy.seen.note([]string{"r-0"}, began.Add(time.Hour)) // sent again later
+		proxy.seen.at["r-0"][0] = began.Add(-c.underWay)
 		e := planted(serviceAlpha, requests...)
+		e.proxy = proxy
 		l, cal := newLedger(), &calendar{}
-		from := time.Now().Add(-c.cold)
-		cal.cool(cooling{endpoint: e, from: from, to: from.Add(2 * coldFor)})
-		if !c.quiet {
+		from := began.Add(-c.cold)
+		cal.cool(cooling{endpoint: e, from: from, to: from.Add(2 * coldFor), rate: c.rate})
+		if c.disturbed {
 			cal.disturb("", from, time.Now())
 		}
 		l.checkCold(cal)
@@ -233,6 +247,16 @@
 	}
 }
 
+// TestHeadsAreSeenWhereverBytesAreCut guards against requests that a proxy misses, or sees twice.
+func TestHeadsAreSeenWhereverBytesAreCut(t *testing.T) {
+	const text = "GET /a HTTP/1.1\r\nRequest-Id: a\r\n\r\n" + "POST /b HTTP/1.1\r\nRequest-Id: b\r\nContent-Length: 2\r\n\r\npp"
+	for cut := range len(text) {
+		var h headScanner
+		ids := append(h.scan([]byte(text[:cut])), h.scan([]byte(text[cut:]))...)
+		assert.DeepEqual(t, append(ids, h.scan([]byte(" "))...), []string{"a", "b"})
+	}
+}
+
 // TestPlantedFloodsOfLimitedEndpointsAreCaught: too many requests in a window, of balancers that
 // nothing disturbed.
 func TestPlantedFloodsOfLimitedEndpointsAreCaught(t *testing.T) {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -32,7 +32,7 @@
 	return [...]string{"pass", "delay", "reset", "silence", "cut forward", "cut back"}[m]
 }
 
-// delayTime is how late bytes come in mode Delay.
+// delayTime is how late bytes come in mode Delay, unless SetDelay changes it.
 const delayTime = 40 * time.Millisecond
 
 // Proxy is a TCP proxy on loopback whose connections can be disturbed.
@@ -40,8 +40,11 @@
 	listener net.Listener
 	target   string
 
+	seen sightings
+
 	mu    sync.Mutex
 	mode  Mode
+	delay time.Duration // in mode Delay
 	conns map[net.Conn]bool
 }
 
@@ -51,7 +54,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("soak: proxy: %w", err)
 	}
-	p := &Proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &Proxy{listener: l, target: target, delay: delayTime, conns: map[net.Conn]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -77,6 +80,21 @@
 	}
 }
 
+// SetDelay changes how late bytes come in mode Delay.
+func (p *Proxy) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// Retarget resets all connections, and lets new ones lead to another address.
+func (p *Proxy) Retarget(target string) {
+	p.mu.Lock()
+	p.target = target
+	p.mu.Unlock()
+	p.resetAll()
+}
+
 func (p *Proxy) resetAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -93,10 +111,18 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) current() Mode {
+func (p *Proxy) current() (Mode, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.mode
+	return p.mode, p.delay
+}
+
+// connect opens a connection to the address behind the proxy.
+func (p *Proxy) connect() (net.Conn, error) {
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	return net.Dial("tcp", target)
 }
 
 func (p *Proxy) accept() {
@@ -110,11 +136,11 @@
 }
 
 func (p *Proxy) serve(front net.Conn) {
-	if p.current() == Reset {
+	if mode, _ := p.current(); mode == Reset {
 		resetConn(front)
 		return
 	}
-	back, err := net.Dial("tcp", p.target)
+	back, err := p.connect()
 	if err != nil {
 		resetConn(front)
 		return
@@ -137,11 +163,15 @@
 // copy hands bytes on in one direction, unless a mode cuts it.
 func (p *Proxy) copy(to, from net.Conn, cut Mode) {
 	buffer := make([]byte, 16<<10)
+	var heads headScanner
 	for {
 		n, err := from.Read(buffer)
-		mode := p.current()
+		if cut == CutForward {
+			p.seen.note(heads.scan(buffer[:n]), time.Now())
+		}
+		mode, delay := p.current()
 		if mode == Delay {
-			time.Sleep(delayTime)
+			time.Sleep(delay)
 		}
 		if n > 0 && mode != Silence && mode != cut {
 			if _, werr := to.Write(buffer[:n]); werr != nil {
--- a/soak/routes.go
+++ b/soak/routes.go
@@ -38,8 +38,8 @@
 		route("move", movePrefix, w.moveTo, true),
 	}
 	services := map[string]tenant.Service{
-		serviceAlpha: {ProbePath: "/health", Connections: 200, WarmupRate: warmupRate},
-		serviceBeta:  {ProbePath: "/health", Connections: 200, WarmupRate: warmupRate},
+		serviceAlpha: {ProbePath: "/health", Connections: 200, WarmupRate: w.warmupRate(serviceAlpha)},
+		serviceBeta:  {ProbePath: "/health", Connections: 200, WarmupRate: w.warmupRate(serviceBeta)},
 	}
 	if w.slow {
 		routes = append(routes, route("slow", slowPrefix, serviceSlow, true))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,7 @@
 // suspended is told to its process in a file.
 //
 // It owns the processes that it starts, and ends only these. The faults are in
-// faults.go, zones that are emptied in zones.go, endpoints that name limits in limits.go, planned stops in series.go, their promises in stops.go, callers that keep connections in keepers.go, those that leave or want no requests by their answers in words.go, teams with keys and quotas in teams.go, a store that comes back from a copy in restores.go, lost paths to endpoints in partitions.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
+// faults.go, zones that are emptied in zones.go, endpoints that turn cold in cold.go, endpoints that name limits in limits.go, planned stops in series.go, their promises in stops.go, callers that keep connections in keepers.go, those that leave or want no requests by their answers in words.go, teams with keys and quotas in teams.go, a store that comes back from a copy in restores.go, lost paths to endpoints in partitions.go, requests that crash endpoints in crashes.go, the links in proxy.go, the processes in process.go, what callers and
 // endpoints saw in ledger.go, promises with a time limit in timed.go. It relies on
 // package platformtest for the platform.
 //
@@ -53,6 +53,8 @@
 	Half time.Duration
 	// Empty is the mean time between two emptyings of an availability zone; 0 for none.
 	Empty time.Duration
+	// Cold is the mean time between two turns of endpoints that become cold at any moment; 0 for none.
+	Cold time.Duration
 	// Crash is the mean time between two faults about requests that crash endpoints, damaged
 	// entries and suspended VMs; 0 for none.
 	Crash time.Duration
@@ -128,6 +130,8 @@
 	version   uint64
 	moveTo    string
 	everyZone bool // endpoints stand in all zones
+	colds     bool // endpoints turn cold at any moment
+	bursts    int  // callers of bursts, so far
 	slow      bool // there is a service whose endpoints take long
 	crashes   *crashes
 	teams     *teams // nil where callers have no keys
@@ -172,6 +176,7 @@
 		return Result{}, err
 	}
 	sent.checkRuns(w.all)
+	sent.checkCold(w.calendar)
 	if w.crashes != nil {
 		w.crashes.checkCrashes(sent, w.calendar)
 	}
@@ -200,7 +205,7 @@
 	w := &world{
 		log: cfg.Log, store: platformtest.NewStore(), calendar: &calendar{}, gap: cfg.Gap,
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), moveTo: serviceAlpha,
-		everyZone: cfg.Empty > 0, slow: cfg.Stops > 0, sent: newLedger(),
+		everyZone: cfg.Empty > 0 || cfg.Cold > 0, colds: cfg.Cold > 0, slow: cfg.Stops > 0, sent: newLedger(),
 	}
 	if cfg.Teams > 0 {
 		w.teams = newTeams()
@@ -273,10 +278,7 @@
 	calling, stopCalls := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i := range cfg.Callers {
-		c := newCaller(i, w.balancers, sent, rand.New(rand.NewPCG(cfg.Seed, uint64(i)+2)))
-		if w.teams != nil {
-			c.team, c.key = commonTeam, func() string { return w.teams.key(commonTeam) }
-		}
+		c := w.newCaller(i, rand.New(rand.NewPCG(cfg.Seed, uint64(i)+2)))
 		callers.Go(func() { c.run(calling) })
 	}
 	if w.slow {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -123,6 +123,11 @@
 	keepsPromises(t, "zone emptied", soak.Config{Seed: 11, For: 9 * time.Second, Balancers: 4, Empty: time.Second, Gap: time.Second})
 }
 
+// TestSoakWithColdEndpoints plays a soak in which endpoints turn cold at any moment, under bursts of requests.
+func TestSoakWithColdEndpoints(t *testing.T) {
+	keepsPromises(t, "endpoints turn cold", soak.Config{Seed: 1, For: 14 * time.Second, Balancers: 6, Cold: time.Second, Gap: time.Second})
+}
+
 // TestSoakOfCrashingRequests plays a soak with requests that crash endpoints, entries of
 // other writers and suspended VMs.
 func TestSoakOfCrashingRequests(t *testing.T) {
--- a/soak/strikers.go
+++ b/soak/strikers.go
@@ -28,6 +28,7 @@
 		{cfg.Stops, math.MaxUint64 - 600, w.strikeStops},
 		{cfg.Partition, math.MaxUint64 - 500, w.strikePartitions},
 		{cfg.Restore, math.MaxUint64 - 700, w.strikeRestores},
+		{cfg.Cold, math.MaxUint64 - 800, w.strikeCold},
 	}
 	if w.crashes != nil {
 		strikers = append(strikers, striker{cfg.Crash, math.MaxUint64 - 1, w.crashes.strike})
--- a/soak/timed.go
+++ b/soak/timed.go
@@ -95,7 +95,6 @@
 			}
 		}
 	}
-	l.checkCold(c)
 	l.checkEnds(c)
 }
 
--- a/soak/zones.go
+++ b/soak/zones.go
@@ -4,13 +4,10 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/lotuswing/lotuswing/coord/window"
 	"github.com/lotuswing/lotuswing/internal/pause"
-	"github.com/lotuswing/lotuswing/platform/platformtest"
 )
 
 // An operator empties a zone now and then and takes it back, and its endpoints have turned
@@ -26,24 +23,13 @@
 	// percent of the usual.
 	coldFor  = 3 * time.Second
 	coldPace = 200
-	// warmupRate is how many requests a second an endpoint bears meanwhile, and coldLimit
-	// how many it may get in a second.
-	warmupRate = 2.5
-	coldLimit  = warmupRate*1.5 + 8
 )
 
-// emptying is a time in which a zone is emptied, and cooling one in which an endpoint warms
-// up.
-type (
-	emptying struct {
-		zone     string
-		from, to time.Time
-	}
-	cooling struct {
-		endpoint *endpoint
-		from, to time.Time
-	}
-)
+// emptying is a time in which a zone is emptied.
+type emptying struct {
+	zone     string
+	from, to time.Time
+}
 
 // strikeZones empties zones at times, a mean gap apart, until ctx ends.
 func (w *world) strikeZones(ctx context.Context, gap time.Duration, rng *rand.Rand, report func(string)) {
@@ -69,22 +55,10 @@
 func (w *world) cool(ctx context.Context, zone string, warming *sync.WaitGroup) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := time.Now()
 	for _, e := range w.current {
-		if e.zone != zone {
-			continue
+		if e.zone == zone {
+			w.turnCold(ctx, e, coldFor, coldPace, 0, warming)
 		}
-		e.server.Set(func(b *platformtest.Behavior) { b.ColdPace, b.ColdUntil = coldPace, now.Add(coldFor) })
-		w.list(e, coldFor)
-		w.calendar.cool(cooling{endpoint: e, from: now, to: now.Add(coldFor)})
-		warming.Go(func() {
-			pause.For(ctx, coldFor)
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if e.left.IsZero() {
-				w.list(e, 0)
-			}
-		})
 	}
 }
 
@@ -97,12 +71,6 @@
 	c.emptyings = append(c.emptyings, e)
 }
 
-func (c *calendar) cool(e cooling) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.coolings = append(c.coolings, e)
-}
-
 // checkEmptied compares where a request ran with the zones that were emptied; c.mu is held.
 func (l *ledger) checkEmptied(c *calendar, r *sentRequest, at time.Time, e *endpoint) {
 	for _, z := range c.emptyings {
@@ -114,19 +82,3 @@
 		}
 	}
 }
-
-// checkCold counts what endpoints got in any second in which they warmed up and nothing
-// held bytes up on the way; c.mu is held.
-func (l *ledger) checkCold(c *calendar) {
-	for _, cold := range c.coolings {
-		if !c.quiet("", cold.from, cold.to) {
-			continue
-		}
-		arrivals := slices.DeleteFunc(cold.endpoint.server.ArrivalTimes(), func(at time.Time) bool {
-			return at.Before(cold.from) || at.After(cold.to)
-		})
-		if most := window.MaxCount(arrivals, time.Second); float64(most) > coldLimit {
-			l.broken(FewToCold, cold.endpoint.server.ID, "%d requests in a second while it warmed up", most)
-		}
-	}
-}
