--- a/soak/process.go
+++ b/soak/process.go
@@ -30,6 +30,7 @@
 	clock  string // file that tells for how long the VM was suspended; empty for none
 	paths  string // file that names how the paths to endpoints are lost; empty for none
 	store  *Proxy
+	lines  int // log lines a second about requests
 	start  func(settings, log string) *exec.Cmd
 	log    string
 
@@ -89,11 +90,17 @@
 		return nil, err
 	}
 	return &balancer{
-		id: id, zone: zone, listen: listen, admin: admin, link: linkAddr, store: proxy, start: start,
+		id: id, zone: zone, listen: listen, admin: admin, link: linkAddr, store: proxy, lines: usualLines, start: start,
 		file: filepath.Join(dir, id+".jsonc"), log: filepath.Join(dir, id+".log"),
 	}, nil
 }
 
+const (
+	// usualLines is the default of the settings, allLines their highest value.
+	usualLines = 200
+	allLines   = 100_000
+)
+
 func (b *balancer) writeSettings() error {
 	raw, err := json.MarshalIndent(map[string]any{
 		"id": b.id, "zone": b.zone, "listen": b.listen, "admin": b.admin,
@@ -105,6 +112,7 @@
 		"stop":      map[string]any{"notice": stopNotice.String(), "limit": stopLimit.String(), "grace": stopGrace.String()},
 		"quotas":    map[string]any{"slack": quotaExtra},
 		"log_level": "info",
+		"log_rate":  b.lines,
 	}, "", "\t")
 	if err != nil {
 		return fmt.Errorf("soak: settings: %w", err)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -250,6 +250,9 @@
 		if cfg.Crash > 0 {
 			b.clock = filepath.Join(dir, b.id+".suspended")
 		}
+		if cfg.Cold > 0 {
+			b.lines = allLines
+		}
 		if cfg.Partition > 0 {
 			b.paths = filepath.Join(dir, b.id+".paths")
 		}
