--- a/soak/cold.go
+++ b/soak/cold.go
@@ -40,10 +40,12 @@
 	// leastBurst and mostBurst bound how many callers send at once, and burstPause is the mean pause between
 	// two requests of one.
 	leastBurst = 4
-	mostBurst  = 16
+	mostBurst  = 40
 	burstPause = 10 * time.Millisecond
-	// longWork is how long requests of one service take.
-	longWork = 100 * time.Millisecond
+	// longWork is how long requests of one service take, and manySlots how many of its requests an endpoint
+	// takes at once.
+	longWork  = 100 * time.Millisecond
+	manySlots = 8
 	// burstCallers is the number of the first caller of a burst.
 	burstCallers = 1000
 )
--- a/soak/endpoints.go
+++ b/soak/endpoints.go
@@ -55,9 +55,12 @@
 // startEndpoint starts an endpoint, behind no proxy yet, and returns its address; w.mu is held.
 func (w *world) startEndpoint(service string) (*endpoint, string, error) {
 	w.started++
-	behavior := platformtest.Behavior{ServiceTime: w.work(service), Slots: endpointSlots}
-	if service == serviceSlow {
+	behavior := platformtest.Behavior{ServiceTime: endpointWork, Slots: endpointSlots}
+	switch {
+	case service == serviceSlow:
 		behavior = slowBehavior(w.started)
+	case service == serviceBeta && w.colds:
+		behavior = platformtest.Behavior{ServiceTime: longWork, Slots: manySlots}
 	}
 	server := platformtest.NewEndpoint(fmt.Sprintf("i-%s-%d", service, w.started), behavior)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -75,14 +78,6 @@
 	w.all = append(w.all, e)
 }
 
-// work returns how long the requests of a service take.
-func (w *world) work(service string) time.Duration {
-	if w.colds && service == serviceBeta {
-		return longWork
-	}
-	return endpointWork
-}
-
 // nextZone returns the zone of the endpoint that was started last; w.mu is held.
 func (w *world) nextZone() string {
 	if !w.everyZone {
