--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -125,7 +125,7 @@
 
 // TestSoakWithColdEndpoints plays a soak in which endpoints turn cold at any moment, under bursts of requests.
 func TestSoakWithColdEndpoints(t *testing.T) {
-	keepsPromises(t, "endpoints turn cold", soak.Config{Seed: 1, For: 14 * time.Second, Balancers: 6, Cold: 2 * time.Second, Gap: time.Second})
+	keepsPromises(t, "endpoints turn cold", soak.Config{Seed: 1, For: 14 * time.Second, Balancers: 6, Cold: time.Second, Gap: time.Second})
 }
 
 // TestSoakOfCrashingRequests plays a soak with requests that crash endpoints, entries of
