upstream: a body is read by one attempt at a time, without gaps, and until it is released

What callers saw: nothing yet. An endpoint could get a body with a part missing: where an attempt was given up while http.Transport still sent its body, which RoundTrip may do after it has returned, that goroutine could take bytes of the caller's body that were no longer kept, and the next attempt went on behind them.

Cause: whether a body can be sent again was asked once, before the next attempt (Replayable). Nothing held an earlier attempt to that, nor ended its reads when the request's handler returned.

Change: an attempt reads on only from where the source was read to; otherwise its read fails. A read under way is a state, not a lock that is held, so that nothing waits for a caller who sends nothing. Discard reads the rest without keeping it.

Measured: TestAttemptDoesNotSkipWhatAnEarlierOneRead failed before: a later attempt read "ijkl" behind "abcd", with "efgh" taken by an earlier one. It passes, 20 times under the race detector, as does TestReleaseEndsReads, which needs the new call. Not seen in a request: the gap takes a read between the answer of an endpoint and the end of its connection.

--- a/upstream/body.go
+++ b/upstream/body.go
@@ -4,30 +4,42 @@
 	"errors"
 	"io"
 	"sync"
-	"sync/atomic"
 )
 
-// errAttemptClosed is returned by a read from the reader of an attempt after its Close. By then
-// a later attempt may be reading the Body.
-var errAttemptClosed = errors.New("upstream: body belongs to a later attempt")
+// Errors of reads from the reader of an attempt.
+var (
+	// errAttemptClosed: the reader was closed. A later attempt may be reading the Body.
+	errAttemptClosed = errors.New("upstream: body belongs to a later attempt")
+	// errBodyReleased: the source belongs to the caller of Release.
+	errBodyReleased = errors.New("upstream: body was released")
+	// errBodyLost: another attempt has read bytes that are not kept.
+	errBodyLost = errors.New("upstream: part of the body was read by another attempt")
+)
 
 // Body is a request body that several attempts can send in turn. It keeps a prefix of limited
 // size in memory; once more than that has been read from the source, no further attempt is
 // possible. Only Prefetch reads ahead; otherwise the source is read as an attempt sends it.
+//
+// http.Transport may read the body of an attempt after RoundTrip has returned. Release ends that.
 type Body struct {
-	mu        sync.Mutex
 	source    io.Reader
 	maxPrefix int
+
+	mu        sync.Mutex
+	changed   sync.Cond // broadcast when reading, released or an attempt's closed changes
 	prefix    []byte
-	bytesRead int         // from source
-	err       error       // last error of source, io.EOF at its end
-	ended     atomic.Bool // err is set
+	bytesRead int   // from source
+	err       error // last error of source, io.EOF at its end
+	reading   bool  // a read of source is under way
+	released  bool  // no attempt may read source any more
 }
 
 // NewBody returns a body that reads from source and keeps up to maxPrefix bytes in memory for a
 // retry.
 func NewBody(source io.Reader, maxPrefix int) *Body {
-	return &Body{source: source, maxPrefix: maxPrefix}
+	b := &Body{source: source, maxPrefix: maxPrefix}
+	b.changed.L = &b.mu
+	return b
 }
 
 // Prefetch reads the source to its end and returns the read error, if any. It is meant for bodies of
@@ -39,11 +51,8 @@
 	defer b.mu.Unlock()
 	buf := make([]byte, fillChunkBytes)
 	for b.err == nil && b.bytesRead <= b.maxPrefix {
-		var n int
-		n, b.err = b.source.Read(buf)
-		b.record(buf[:n])
+		_, _ = b.readSource(buf) // its error is b.err
 	}
-	b.ended.Store(b.err != nil)
 	if b.err == nil || errors.Is(b.err, io.EOF) {
 		return nil
 	}
@@ -51,7 +60,63 @@
 }
 
 // Ended reports whether nothing more will be read from the source, because it has ended or failed.
-func (b *Body) Ended() bool { return b.ended.Load() }
+func (b *Body) Ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err != nil
+}
+
+// Complete reports whether the source was read to its end without an error.
+func (b *Body) Complete() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return errors.Is(b.err, io.EOF)
+}
+
+// Release ends the reading of the source by attempts. When it returns, no attempt reads the source or
+// will do so; what is in memory can still be sent. If a read is under way, Release calls interrupt,
+// which must make it return.
+func (b *Body) Release(interrupt func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.released = true
+	b.changed.Broadcast()
+	if !b.reading {
+		return
+	}
+	b.mu.Unlock()
+	interrupt()
+	b.mu.Lock()
+	for b.reading {
+		b.changed.Wait()
+	}
+}
+
+// Discard reads up to limit bytes of a released body's source, without keeping them, until the source
+// ends or fails.
+func (b *Body) Discard(limit int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	buf := make([]byte, fillChunkBytes)
+	for limit > 0 && b.err == nil {
+		n, _ := b.readSource(buf) // its error is b.err
+		limit -= int64(n)
+	}
+}
+
+// readSource reads from the source, while nothing else does; b.mu must be held, and is not during the
+// read.
+func (b *Body) readSource(p []byte) (int, error) {
+	b.reading = true
+	b.mu.Unlock()
+	n, err := b.source.Read(p)
+	b.mu.Lock()
+	b.reading = false
+	b.record(p[:n])
+	b.err = err
+	b.changed.Broadcast()
+	return n, err
+}
 
 // fillChunkBytes is the size of the buffer into which Prefetch reads.
 const fillChunkBytes = 4 << 10
@@ -70,11 +135,9 @@
 // Replayable reports whether the body can be sent from its start: all that was read of it is
 // still in memory, and no attempt is reading it now.
 func (b *Body) Replayable() bool {
-	if !b.mu.TryLock() {
-		return false // an earlier attempt is still reading
-	}
+	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.bytesRead == len(b.prefix)
+	return !b.reading && b.bytesRead == len(b.prefix)
 }
 
 // Attempt returns a reader of the whole body for one attempt. A request with this reader has
@@ -87,30 +150,32 @@
 // attemptBody reads a Body from its start for one attempt.
 type attemptBody struct {
 	body   *Body
-	mu     sync.Mutex
-	offset int
+	offset int // both under body.mu
 	closed bool
 }
 
 func (a *attemptBody) Read(p []byte) (int, error) {
-	if a.isClosed() {
-		return 0, errAttemptClosed
-	}
 	b := a.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.offset < len(b.prefix) {
+	for b.reading && !a.closed && a.offset >= len(b.prefix) {
+		b.changed.Wait()
+	}
+	switch {
+	case a.closed:
+		return 0, errAttemptClosed
+	case a.offset < len(b.prefix):
 		n := copy(p, b.prefix[a.offset:])
 		a.offset += n
 		return n, nil
-	}
-	if b.err != nil {
+	case a.offset != b.bytesRead:
+		return 0, errBodyLost
+	case b.err != nil:
 		return 0, b.err
+	case b.released:
+		return 0, errBodyReleased
 	}
-	n, err := b.source.Read(p)
-	b.record(p[:n])
-	b.err = err
-	b.ended.Store(err != nil)
+	n, err := b.readSource(p)
 	a.offset += n
 	return n, err
 }
@@ -118,18 +183,13 @@
 // Close ends this attempt's reads. It does not close the caller's body, which a later attempt
 // may still read.
 func (a *attemptBody) Close() error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	a.body.mu.Lock()
+	defer a.body.mu.Unlock()
 	a.closed = true
+	a.body.changed.Broadcast()
 	return nil
 }
 
-func (a *attemptBody) isClosed() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.closed
-}
-
 // record counts p as read from the source, and appends it to the prefix unless more than
 // maxPrefix bytes have been read by then. The caller holds b.mu.
 func (b *Body) record(p []byte) {
