balancer: nothing reads a caller's body after its handler, and what is left of a body is not served as a request

What callers saw: after a server had rejected a long request early, the rest of its body was taken for a request on the caller's connection, and the caller's next request got that answer (400, or 499 of a request that the body only quotes). Behind a refusal of the balancer's own, and behind an early answer to a request with a length, the connection was dropped without notice instead, and the next request had no answer. Behind a body with a malformed chunk what followed was served, and reached an endpoint.

Class: a resource of the request is used after its handler has returned. With full duplex net/http relies on two things. Nothing may read the body when the handler returns: it breaks that read off, which leaves its reader of chunks broken, and takes the connection for ready. And it reads the rest of the body by itself, where it ignores errors and, at the body's end, begins to watch the connection beside its own read of the next request, which panics ("invalid concurrent Body.Read call"). The goroutine in which http.Transport sends the body kept reading after RoundTrip had returned; only a body that was cut by the deadline or a stop closed the connection.

Change: bodyReading has the reading of a body from its first attempt to the end of the handler. A response that the endpoint has given whole, or the balancer itself gives, first ends the reading by attempts; of a rest that nobody is reading it reads what has arrived. If that is not all, the response closes the connection, and so does one that is streamed while the body still comes. Interruptions by the deadline or a stop are over before the handler returns, so that none can hit the next request.

--- a/balancer/exchange.go
+++ b/balancer/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/lotuswing/lotuswing/access"
@@ -39,13 +38,12 @@
 
 	// Kept by serve across attempts.
 	body               *upstream.Body
-	bodyCut            atomic.Bool // the reading of the body was ended before its end
-	responseBegins     func()      // set by bindBody; nil for a request without a body
-	bodyRead           bool        // the whole body was read before anything was sent
-	tried              []string    // VMs of failed attempts and of endpoints that stopped accepting requests
-	mayHaveRun         bool        // an attempt may have run, whatever later attempts show
-	ran                bool        // a response of an endpoint was forwarded
-	searchStart        time.Time   // when the search for an endpoint started
+	reading            *bodyReading
+	bodyRead           bool      // the whole body was read before anything was sent
+	tried              []string  // VMs of failed attempts and of endpoints that stopped accepting requests
+	mayHaveRun         bool      // an attempt may have run, whatever later attempts show
+	ran                bool      // a response of an endpoint was forwarded
+	searchStart        time.Time // when the search for an endpoint started
 	admission          quarantine.Admission
 	quarantineNotified bool               // a result was reported to the quarantine since it last admitted the request
 	quarantineReq      quarantine.Request // built on first use by quarantineRequest
--- a/balancer/forward.go
+++ b/balancer/forward.go
@@ -43,10 +43,8 @@
 	if err := x.awaitTurn(); err != nil {
 		return err
 	}
-	if x.responseBegins != nil {
-		x.responseBegins()
-	}
-	if b.stop.plan().Stopping() && x.place.Last() || x.bodyCut.Load() {
+	x.reading.responseBegins()
+	if b.stop.plan().Stopping() && x.place.Last() {
 		x.w.Header().Set("Connection", "close")
 	}
 	return nil
@@ -56,6 +54,9 @@
 // errTruncated.
 func (b *Balancer) forward(x *exchange, res *upstream.Result) error {
 	defer res.Close()
+	if res.Buffered {
+		x.reading.finish() // the endpoint needs no more of the body
+	}
 	if err := b.beginResponse(x); err != nil {
 		return err
 	}
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -28,7 +28,7 @@
 	if err := b.prepareRequest(ctx, x); err != nil {
 		return nil, err
 	}
-	defer bindBody(ctx, x)()
+	defer x.reading.bind(ctx, x.deadline)()
 	if err := readSmallBody(ctx, x, b.cfg.Limits.ReplayBytes); err != nil {
 		return nil, err
 	}
@@ -65,9 +65,10 @@
 	if err := limitBody(x, b.cfg.Limits.BodyBytes); err != nil {
 		return err
 	}
+	x.body = upstream.NewBody(x.r.Body, b.cfg.Limits.ReplayBytes)
+	x.reading = newBodyReading(x.w, x.r, x.body)
 	prepareHeaders(x.r, !b.cfg.Policy.HideCallerAddress)
 	b.cfg.Tracing.Propagator.Inject(ctx, propagation.HeaderCarrier(x.r.Header))
-	x.body = upstream.NewBody(x.r.Body, b.cfg.Limits.ReplayBytes)
 	return nil
 }
 
--- a/balancer/upgrade.go
+++ b/balancer/upgrade.go
@@ -21,6 +21,9 @@
 		return refusal{verdict: verdict.MayHaveRun, reason: reason.UpgradeFailed, message: "the endpoint's connection cannot be written to"}
 	}
 	defer res.Close()
+	if x.reading.finish(); !x.reading.isComplete() {
+		return refusal{verdict: verdict.MayHaveRun, reason: reason.UpgradeFailed, message: "the endpoint answered before the end of the body"}
+	}
 	callerConn, buffered, err := http.NewResponseController(x.w).Hijack()
 	if err != nil {
 		return refusal{verdict: verdict.MayHaveRun, reason: reason.UpgradeFailed, message: err.Error()}
