balancer: a refusal before a body is read does not wait for the body

What callers saw: a request that was refused before its body was read (no route, key, quota, a planned stop, a length above the limit) got its answer only when up to 256 KB of the body were in, and none while the rest of the body did not come, whatever the deadline.

Cause: without full duplex net/http reads the body before it writes the response, without a bound in time, and full duplex was enabled only when a request was about to be sent.

"no route, body there" keeps its connection.

--- a/balancer/body.go
+++ b/balancer/body.go
@@ -23,16 +23,21 @@
 	if x.r.ContentLength > limit {
 		return refusal{reason: reason.BodyTooLarge, message: fmt.Sprintf("%d bytes, at most %d", x.r.ContentLength, limit)}
 	}
-	if x.r.ProtoMajor == 1 {
-		// The error is ignored: without full duplex, net/http reads the body before the response
-		// is written.
-		_ = http.NewResponseController(x.w).EnableFullDuplex()
-	}
+	allowEarlyResponse(x.w, x.r)
 	// Without x.w, which the goroutine that sends the body must not use.
 	x.r.Body = http.MaxBytesReader(nil, x.r.Body, limit)
 	return nil
 }
 
+// allowEarlyResponse allows the response to begin before the body of its request ends.
+func allowEarlyResponse(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor == 1 {
+		// The error is ignored: without full duplex, net/http reads the body before the response
+		// is written.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+}
+
 // longAgo is a read deadline that ends a read at once.
 var longAgo = time.Unix(1, 0)
 
@@ -71,6 +76,12 @@
 	return &bodyReading{body: body, w: w, http1: r.ProtoMajor == 1, expects: r.Header.Get("Expect") != ""}
 }
 
+// leaveBody ends the reading of a body of which nothing was read.
+func leaveBody(w http.ResponseWriter, r *http.Request) {
+	allowEarlyResponse(w, r)
+	newBodyReading(w, r, upstream.NewBody(r.Body, 0)).finish()
+}
+
 // bind ends the reading when ctx ends and, until the response begins, shortly after the request's
 // deadline. A read of a body that does not arrive ends by neither. The returned function must be called
 // before the handler returns.
--- a/balancer/early_test.go
+++ b/balancer/early_test.go
@@ -63,6 +63,9 @@
 		"no endpoint, body there":           {path: "/unsafe/1", header: chunked, first: chunk + "text" + quoted + "\r\n0\r\n\r\n", refusal: expired, kept: true},
 		"no endpoint, body not asked for":   {path: "/unsafe/1", header: chunked + "Expect: 100-continue\r\n", rest: chunk + "text" + quoted + "\r\n0\r\n\r\n", refusal: expired},
 		"no endpoint, with length":          {path: "/long/1", header: long, first: strings.Repeat("x", 1<<15), rest: quoted, refusal: expired},
+		"no route":                          {path: "/none/1", header: chunked, first: chunk + "text", rest: quoted + "\r\n0\r\n\r\n"},
+		"no route, body there":              {path: "/none/1", header: chunked, first: chunk + "text" + quoted + "\r\n0\r\n\r\n", kept: true},
+		"length above the limit":            {path: "/unsafe/1", header: long, first: "text", rest: quoted},
 		"answered at the end, chunked":      {path: "/unsafe/1", header: chunked, first: chunk + "text" + quoted + "\r\n0\r\n\r\n", kept: true},
 		"answered at the end, with length":  {path: "/long/1", header: long, first: strings.Repeat("x", 1<<15) + quoted, kept: true},
 		"answered at the end, with trailer": {path: "/unsafe/1", header: chunked, first: chunk + "text" + quoted + "\r\n0\r\nX-Sum: 1\r\n\r\n", kept: true},
@@ -89,6 +92,7 @@
 				{Name: "file", Host: "desk", Prefix: "/unsafe/", Timeout: time.Minute, MaxAttempts: 1, MaxBody: 1000, Split: []tenant.Share{{Service: "s", Weight: 1}}},
 				{Name: "long", Host: "desk", Prefix: "/long/", Timeout: time.Minute, MaxAttempts: 1, Split: []tenant.Share{{Service: "s", Weight: 1}}},
 			})
+			_ = b.conn.SetReadDeadline(time.Now().Add(20 * time.Second)) // ends a test that hangs
 			_, err := fmt.Fprintf(b.conn, "POST %s HTTP/1.1\r\nHost: desk\r\nRequest-Id: q\r\n%s\r\n%s", c.path, c.header, c.first)
 			assert.NilError(t, err)
 			_, closes := b.readResponse(t)
--- a/balancer/refuse.go
+++ b/balancer/refuse.go
@@ -75,6 +75,9 @@
 		panic(fmt.Sprintf("balancer: error is not a refusal: %v", err))
 	}
 	r = r.withFinalVerdict(x.mayHaveRun)
+	if x.body == nil {
+		leaveBody(x.w, x.r)
+	}
 	if err := b.beginResponse(x); err != nil {
 		b.cfg.Log.Debug("caller disconnected before the response", "id", x.id, "error", err)
 	}
