pipeline: a connection ends if net/http leaves a request in the middle of its body

Change: a read behind a request that net/http has ended, while its body is not at its end, ends the connection. Connections that net/http reads alone have no such end known and are as before.

Measured: TestRestOfBodyIsNotServed failed in 3 of 3 runs before: 200 for the quoted request and 400 for what followed it. Package pipeline passes twice under the race detector; the mutant rest-of-body-handed-on is caught.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -136,6 +136,15 @@
 	return c.busy
 }
 
+// leftInBody ends the connection: net/http has ended a request whose body it has not read to its end, and
+// would take the rest for the next request.
+func (c *conn) leftInBody() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end()
+	return net.ErrClosed
+}
+
 // begin notes that net/http is given a request; behind says whether it was read while another one was
 // served.
 func (c *conn) begin(behind bool) {
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -264,6 +264,27 @@
 	assert.Equal(t, <-last, "/b true")
 }
 
+func TestRestOfBodyIsNotServed(t *testing.T) {
+	served := make(chan string, 2)
+	_, addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		served <- r.URL.Path
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex()
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+		_, _ = io.Copy(io.Discard, r.Body) // fails, which net/http does not notice
+	})
+	c := dial(t, addr)
+	const quoted = "GET /quoted HTTP/1.1\r\nHost: a\r\n\r\n"
+	_, err := fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\ntext", 4+len(quoted))
+	assert.NilError(t, err)
+	assert.Equal(t, c.answer(t), "")
+	_, _ = io.WriteString(c, quoted+"\r\n0\r\n\r\n") // fails on a closed connection
+	more, _ := io.ReadAll(c.in)                      // may end with a reset
+	assert.Equal(t, string(more), "")
+	assert.Equal(t, <-served, "/a")
+	assert.Equal(t, len(served), 0)
+}
+
 // TestBodiesBetween: requests with bodies keep their place and their bytes.
 func TestBodiesBetween(t *testing.T) {
 	_, addr := serve(t, echo)
--- a/pipeline/reader.go
+++ b/pipeline/reader.go
@@ -34,6 +34,8 @@
 // read reads for net/http, or returns errAgain after something has changed.
 func (r *reader) read(c *conn, p []byte) (int, error) {
 	switch {
+	case r.inBody() && r.rest != forever && !c.isBusy():
+		return 0, c.leftInBody()
 	case r.inBody():
 		return r.readRest(c, p)
 	case r.inHead:
