--- a/balancer/early_test.go
+++ b/balancer/early_test.go
@@ -1,10 +1,12 @@
 package balancer_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/tenant"
+	"github.com/lotuswing/lotuswing/upstream"
 	"gotest.tools/v3/assert"
 )
 
@@ -113,3 +116,20 @@
 		})
 	}
 }
+
+func TestCutBodyLeavesHTTP2ConnectionOpen(t *testing.T) {
+	client, url := startProxy(t, true, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	reused := false
+	for range 2 {
+		pr, pw := io.Pipe() // nothing is written
+		req := newRequest(t, "POST", url+"/once", pr)
+		req.Header.Set(upstream.TimeoutHeader, "100ms")
+		trace := httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }}
+		resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(context.Background(), &trace)))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout)
+		_, _ = io.Copy(io.Discard, resp.Body) // the stream ends with it
+		_ = pw.Close()
+	}
+	assert.Assert(t, reused)
+}
