coord/drain: begin no attempt after the notice that is not sure to end

In a planned stop a request that was accepted in the notice, or before the stop, and came to its attempt after the notice was passed on and cut at the end: one whose body arrived late, one that had waited for an endpoint, one that was repeated. Where it may not be repeated its caller could not send it again.

Cause: AcceptsRequest holds requests that come after the notice to their deadline, but BeginsAttempt held attempts to the latency target alone, at any time. Target and deadline may be seconds apart.

Change: after the notice an attempt begins only if the request's deadline comes before attempts are given up, whenever it was accepted. In the notice the target decides, as before, because there may be nowhere else to go. The property test holds both; its condition on targets is kept.

--- a/balancer/stop.go
+++ b/balancer/stop.go
@@ -86,7 +86,7 @@
 
 // checkAttempt returns a refusal if a planned stop leaves no time for another attempt.
 func (b *Balancer) checkAttempt(x *exchange, now time.Time) error {
-	if plan := b.stop.plan(); !plan.BeginsAttempt(x.expectedTime(now), now) {
+	if plan := b.stop.plan(); !plan.BeginsAttempt(x.expectedTime(now), x.deadline, now) {
 		return stopRefusal(plan, now)
 	}
 	return nil
--- a/coord/drain/drain.go
+++ b/coord/drain/drain.go
@@ -19,7 +19,7 @@
 //	if !plan.AcceptsRequest(deadline, now) {
 //		// refuse it
 //	}
-//	if !plan.BeginsAttempt(target, now) {
+//	if !plan.BeginsAttempt(target, deadline, now) {
 //		// do not send it
 //	}
 package drain
@@ -137,10 +137,15 @@
 	return p.serves(Request, deadline, now)
 }
 
-// BeginsAttempt reports whether an attempt that is expected to take some time may begin: the first one
-// of a request that was accepted, one after a wait for an endpoint, or a retry.
-func (p Plan) BeginsAttempt(expected time.Duration, now time.Time) bool {
-	return p.serves(Attempt, now.Add(expected), now)
+// BeginsAttempt reports whether an attempt may begin: the first one of a request that was accepted, one
+// after a wait for an endpoint, or a retry. During the notice it may if it is expected to end before
+// attempts are given up; after that, however long ago the request was accepted, if its deadline is before.
+func (p Plan) BeginsAttempt(expected time.Duration, deadline, now time.Time) bool {
+	end := deadline
+	if p.Phase(now) == Notice {
+		end = now.Add(expected)
+	}
+	return p.serves(Attempt, end, now)
 }
 
 // BeginsHedge reports whether a hedge that is expected to take some time may begin.
--- a/coord/drain/drain_test.go
+++ b/coord/drain/drain_test.go
@@ -37,7 +37,7 @@
 		assert.Equal(t, plan.Action(i, start), drain.Serve)
 	}
 	assert.Assert(t, plan.AcceptsRequest(start.Add(time.Hour), start))
-	assert.Assert(t, plan.BeginsAttempt(time.Hour, start))
+	assert.Assert(t, plan.BeginsAttempt(time.Hour, start.Add(time.Hour), start))
 	assert.Equal(t, plan.WithSuspension(time.Second), plan)
 }
 
@@ -58,11 +58,15 @@
 		if phase > drain.Notice && plan.AcceptsRequest(deadline, now) {
 			assert.Assert(t, !deadline.After(plan.CutAt()))
 		}
-		if phase > drain.Running && plan.BeginsAttempt(deadline.Sub(now), now) {
+		expected := min(deadline.Sub(now), draw("expected", 0, 20_000))
+		if phase > drain.Notice && plan.BeginsAttempt(expected, deadline, now) {
 			assert.Assert(t, !deadline.After(plan.CutAt()))
 		}
-		if plan.BeginsHedge(deadline.Sub(now), now) {
-			assert.Assert(t, plan.BeginsAttempt(deadline.Sub(now), now))
+		if phase > drain.Running && plan.BeginsAttempt(expected, deadline, now) {
+			assert.Assert(t, !now.Add(expected).After(plan.CutAt()))
+		}
+		if plan.BeginsHedge(expected, now) {
+			assert.Assert(t, plan.BeginsAttempt(expected, deadline, now))
 		}
 	})
 }
