directory: a full read takes no unreadable entry for a deleted one

What callers saw: requests sent to an endpoint whose entry cannot be read, for up to four seconds, where it is the only one of its service or more than three quarters of the entries went at once.

Cause: an endpoint whose entry cannot be read must get no requests. Of a full read the directory applied that, and then took the endpoint for one that the read does not name: deleted, thus usable for a while in case the store has lost its entries. A watch was right.

Change: a full read names the endpoints whose entries cannot be read.

TestUnreadableEntryIsNotUsedAfterFullRead fails without the change: one endpoint in use, none wanted.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -169,12 +169,16 @@
 	}
 }
 
-// applyAbsent treats each endpoint that a full read does not name as deleted.
+// applyAbsent treats each endpoint that a full read does not name as deleted. The read names an endpoint
+// whose entry cannot be read.
 func (d *Directory) applyAbsent(c Changes, now time.Time, applied *Applied) {
 	named := make(map[string]bool, len(c.Entries))
 	for _, e := range c.Entries {
 		named[e.Endpoint.VM] = true
 	}
+	for _, g := range c.Gone {
+		named[g.ID] = named[g.ID] || g.Unreadable
+	}
 	for id := range d.endpoints {
 		if !named[id] {
 			d.applyGone(RemovedEntry{ID: id, Revision: c.Revision}, now, applied)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -300,3 +300,14 @@
 	e.Endpoint.Start = start
 	return e
 }
+
+// TestUnreadableEntryIsNotUsedAfterFullRead guards against a full read that takes an entry that cannot be read for a deleted one.
+func TestUnreadableEntryIsNotUsedAfterFullRead(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	d := directory.New()
+	d.Apply(directory.Changes{Complete: true, Revision: 4, Entries: []directory.Entry{entry("a", 2)}}, start)
+	d.Apply(directory.Changes{Complete: true, Revision: 6, Gone: []directory.RemovedEntry{{ID: "a", Revision: 5, Unreadable: true}}}, start)
+	assert.Equal(t, len(snapshotIDs(d)), 0)
+	d.Apply(directory.Changes{Complete: true, Revision: 7, Entries: []directory.Entry{entry("a", 7)}}, start)
+	assert.DeepEqual(t, snapshotIDs(d), []string{"a"})
+}
