directory: log a record that cannot be read once

An unreadable entry or record of a rollout was logged at each full read, by each balancer that follows the store, for as long as it stood there; a store that drops its history has everything read each second or two. With the quoted values of before that were up to a megabyte a line.

Change: untrusted.Reports says which errors are news: a record is logged once for each of its revisions, and one that changes all the time once a minute. It remembers 4,096 keys; with more unreadable records than that it logs 65 lines a minute.

TestUnreadableRecordIsLoggedOnce: 12 lines for two records in six reads before, 2 now.

--- a/directory/apply.go
+++ b/directory/apply.go
@@ -44,7 +44,7 @@
 	if applied.Ignored > 0 {
 		f.opts.Log.Warn("older configuration ignored", "version", applied.Ignored, "revision", at)
 	}
-	for _, err := range slices.Concat(changes.Errors, applied.Errors) {
+	for _, err := range f.reports.New(slices.Concat(changes.Errors, applied.Errors), now) {
 		f.opts.Log.Error("unusable entry", "error", err, "revision", at)
 	}
 	for _, e := range applied.Zones {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -311,3 +313,16 @@
 	d.Apply(directory.Changes{Complete: true, Revision: 7, Entries: []directory.Entry{entry("a", 7)}}, start)
 	assert.DeepEqual(t, snapshotIDs(d), []string{"a"})
 }
+
+// TestUnreadableRecordIsLoggedOnce guards against lines of the log for each full read while such records stand in the store.
+func TestUnreadableRecordIsLoggedOnce(t *testing.T) {
+	var log strings.Builder
+	f := directory.NewFollower(directory.New(), newFakeSource(), directory.Options{Log: hclog.New(&hclog.LoggerOptions{Output: &log})})
+	odd := directory.Record{Key: directory.RolloutRecordName("s"), Value: []byte(strings.Repeat("[", 1000)), Revision: 3}
+	for revision := uint64(4); revision < 10; revision++ {
+		f.Apply(directory.Changes{
+			Complete: true, Revision: revision, Registrations: []directory.Record{odd}, Errors: []error{untrusted.NewRecordError("servers/i-1", 2, errors.New("odd"))},
+		})
+	}
+	assert.Equal(t, strings.Count(log.String(), "unusable entry"), 2, log.String())
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -10,6 +10,7 @@
 	"github.com/lotuswing/lotuswing/coord/freshness"
 	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/internal/pause"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 )
 
 // ErrCompacted says that the store no longer has the history that a watch asked
@@ -66,6 +67,7 @@
 	refused     int           // number of watches in a row that the store refused, or that a full read did not help; used by Run alone
 	rereads     atomic.Int64  // number of full reads because a watch was refused or missed changes
 	last        atomic.Pointer[lastChanges]
+	reports     untrusted.Reports // of records that cannot be read
 }
 
 // NewFollower returns a follower of source that keeps d up to date once Run is called.
--- a/directory/rollout.go
+++ b/directory/rollout.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math"
@@ -12,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/coord/rollout"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 )
 
 // rolloutRecordPrefix is the prefix of the names of the rollout records that balancers write; the
@@ -141,11 +141,11 @@
 		return false, nil
 	}
 	var decoded RolloutRecord
-	if err := json.Unmarshal(record.Value, &decoded); err != nil {
-		return false, fmt.Errorf("directory: rollout record of %s: %w", service, err)
+	if err := untrusted.Unmarshal(record.Value, untrusted.MaxRecord, &decoded); err != nil {
+		return false, untrusted.NewRecordError(record.Key, record.Revision, fmt.Errorf("directory: rollout record: %w", err))
 	}
 	if err := decoded.check(); err != nil {
-		return false, fmt.Errorf("directory: rollout record of %s: %w", service, err)
+		return false, untrusted.NewRecordError(record.Key, record.Revision, fmt.Errorf("directory: rollout record: %w", err))
 	}
 	if r.Order.Service == "" {
 		r.Order = RolloutOrder{Service: service, Withdrawn: true} // the order arrives later, or was withdrawn
