relay: replace a registration that cannot be read

What balancers saw: a zone without a relay for as long as a record of another writer stands at the zone's registration, which need not end with a lease. Every balancer of the zone tried to register once a TTL, was told that there is a registration, and followed other zones' relays or the store.

Cause: a registration is written only where none exists, and one that cannot be read counted as none. Where it replaced a good one, balancers kept the relay that they knew and later ones knew none.

Change: an unreadable registration names no relay, and who registers replaces it at its revision. One without an IP address and a port counts as unreadable. It is logged once.

The fake registry of TestRegistryAnswerEndsFollowerPause has the new method of the interface; what the test checks is the same.

--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -70,9 +70,9 @@
 	return nil
 }
 
-// Register succeeds unless the registry is down.
-func (r fakeRegistry) Register(context.Context, string, []byte, time.Duration) error {
-	return r.Renew(context.Background(), 0)
+// Replace succeeds unless the registry is down.
+func (r fakeRegistry) Replace(context.Context, string, []byte, uint64, time.Duration) (uint64, error) {
+	return 0, r.Renew(context.Background(), 0)
 }
 
 // TestRegistryAnswerEndsFollowerPause checks that a successful registration or renewal makes the
--- a/relay/registration.go
+++ b/relay/registration.go
@@ -4,14 +4,15 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/pause"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 )
 
 const (
@@ -36,13 +37,18 @@
 
 	lease    uint64
 	revision uint64 // of the registration; 0 for a balancer named by a peer
+	// unreadable says that the registration exists and names no balancer.
+	unreadable bool
 }
 
-// parseRelay decodes a registration record.
+// parseRelay decodes a registration record. If it returns an error, the Relay is unreadable.
 func parseRelay(r directory.Record) (Relay, error) {
 	relay := Relay{Zone: strings.TrimPrefix(r.Key, namePrefix), lease: r.Lease, revision: r.Revision}
-	if err := json.Unmarshal(r.Value, &relay); err != nil {
-		return Relay{}, fmt.Errorf("relay: registration %s: %w", r.Key, err)
+	if err := untrusted.Unmarshal(r.Value, untrusted.MaxRecord, &relay); err != nil {
+		return Relay{revision: r.Revision, unreadable: true}, untrusted.NewRecordError(r.Key, r.Revision, err)
+	}
+	if _, err := netip.ParseAddrPort(relay.Addr); err != nil {
+		return Relay{revision: r.Revision, unreadable: true}, untrusted.NewRecordError(r.Key, r.Revision, err)
 	}
 	return relay, nil
 }
@@ -125,7 +131,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, g.opts.TTL)
 	defer cancel()
-	err = g.cfg.Registry.Register(limited, namePrefix+g.cfg.Zone, value, g.opts.TTL)
+	_, err = g.cfg.Registry.Replace(limited, namePrefix+g.cfg.Zone, value, g.replica.unreadableRegistration(g.cfg.Zone), g.opts.TTL)
 	switch {
 	case errors.Is(err, ErrAlreadyRegistered):
 		g.cfg.Log.Info("another balancer registered as relay first", "zone", g.cfg.Zone)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,6 +43,7 @@
 	"github.com/lotuswing/lotuswing/coord/tally"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/suspend"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 	"github.com/lotuswing/lotuswing/link"
 )
 
@@ -55,9 +56,10 @@
 
 // Registry stores registrations under leases.
 type Registry interface {
-	// Register creates a registration under a new lease with the given TTL. It returns ErrAlreadyRegistered if
-	// the registration exists.
-	Register(ctx context.Context, name string, value []byte, ttl time.Duration) error
+	// Replace writes a registration under a new lease with the given TTL, which it returns, in place of the one
+	// whose record has the position at; 0 if there must be none. It returns ErrAlreadyRegistered if the
+	// registration has another position.
+	Replace(ctx context.Context, name string, value []byte, at uint64, ttl time.Duration) (lease uint64, err error)
 	// Renew extends a lease. It returns ErrLeaseExpired if the lease has expired.
 	Renew(ctx context.Context, lease uint64) error
 	// Release ends a lease and deletes its registrations.
@@ -164,6 +166,7 @@
 	// bridges the time until the store reports the registration.
 	registeredAfter atomic.Int64
 	releasedLease   atomic.Uint64 // the lease that Leave ended; 0 for none
+	reports         untrusted.Reports
 
 	mu              sync.Mutex
 	penalized       map[string]time.Time   // until when a relay that failed is not asked, by address
@@ -196,7 +199,8 @@
 // ApplyChanges records changes that the follower has applied. Pass it to the follower as its OnApplied
 // option.
 func (g *Group) ApplyChanges(c directory.Changes) {
-	for _, err := range g.replica.apply(c, time.Now()) {
+	now := time.Now()
+	for _, err := range g.reports.New(g.replica.apply(c, now), now) {
 		g.cfg.Log.Error("could not parse relay registration", "error", err)
 	}
 	if len(c.Registrations) > 0 {
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -23,7 +23,7 @@
 	records          map[string]directory.Record
 	changeLog        []change             // in the order of revisions, including changes that newer ones have replaced
 	tombstones       map[string]time.Time // when the deletion of a key was learned
-	relays           map[string]Relay     // by zone; without an address if the registration was deleted
+	relays           map[string]Relay     // by zone; without an address if the registration was deleted or cannot be read
 	knownRevision    uint64               // all changes up to this position are known
 	minDeltaRevision uint64               // oldest revision after which changes can be returned without the full content
 	complete         chan struct{}        // closed when the first complete copy has been applied
@@ -215,7 +215,6 @@
 		relay, err := parseRelay(r)
 		if err != nil {
 			errs = append(errs, err)
-			continue
 		}
 		rep.relays[zone] = relay
 	}
@@ -230,6 +229,16 @@
 	return r, ok && r.Addr != ""
 }
 
+// unreadableRegistration returns the revision of a zone's registration if it cannot be read, and 0 otherwise.
+func (rep *replica) unreadableRegistration(zone string) uint64 {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	if r := rep.relays[zone]; r.unreadable {
+		return r.revision
+	}
+	return 0
+}
+
 // isRelay reports whether the balancer at addr is a registered relay.
 func (rep *replica) isRelay(addr string) bool {
 	return slices.ContainsFunc(rep.allRelays(), func(r Relay) bool { return r.Addr == addr })
