quarantine: log a record that cannot be read once, and bound its decoding

Each full read logged every unreadable record again.

Change: errors go through untrusted.Reports, and values through its bounds on size and nesting. An error of several lines takes one line of the log.

Two values are added to TestInvalidRecordsAndNotesAreIgnored; it passes with and without the change.

--- a/internal/untrusted/untrusted.go
+++ b/internal/untrusted/untrusted.go
@@ -78,7 +78,7 @@
 
 // NewRecordError returns the error of a record. It keeps the beginning of the text of err.
 func NewRecordError(key string, revision uint64, err error) *RecordError {
-	text := fmt.Sprintf("%s: %v", key, err)
+	text := strings.ReplaceAll(fmt.Sprintf("%s: %v", key, err), "\n", "; ")
 	if len(text) > maxErrorText {
 		text = strings.Clone(text[:maxErrorText]) + "..."
 	}
@@ -88,6 +88,15 @@
 // Error returns the key and the beginning of what is wrong.
 func (e *RecordError) Error() string { return e.text }
 
+// Key returns the key of the record that err is about, empty if it is no RecordError.
+func Key(err error) string {
+	var record *RecordError
+	if errors.As(err, &record) {
+		return record.Key
+	}
+	return ""
+}
+
 const (
 	// maxNew is how many errors New returns at once, apart from the one that counts the others.
 	maxNew = 64
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -33,6 +33,7 @@
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/bootclock"
 	"github.com/lotuswing/lotuswing/internal/pause"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 	"github.com/lotuswing/lotuswing/upstream"
 	"github.com/rcrowley/go-metrics"
 )
@@ -116,6 +117,7 @@
 	trials     metrics.Counter
 	refusals   metrics.Counter
 	entryGauge metrics.Gauge
+	reports    untrusted.Reports // of records that cannot be read
 
 	mu            sync.Mutex
 	entries       map[crash.Fingerprint]*entry
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -604,7 +605,10 @@
 		h := newHarness(t, 1)
 		q := request("a")
 		name := "quarantine/" + string(q.Fingerprints.Exact)
-		for _, value := range []string{"", "null", "{}", "[]", "\xff", `{"state":"unheard-of"}`, `{"state":1}`, `{"state":"refused","ends":17}`} {
+		for _, value := range []string{
+			"", "null", "{}", "[]", "\xff", `{"state":"unheard-of"}`, `{"state":1}`, `{"state":"refused","ends":17}`,
+			`{"state":"refused","ends":` + strings.Repeat("[", 100) + strings.Repeat("]", 100) + "}", `{"state":"refused","by":"` + strings.Repeat("x", 1<<16) + `"}`,
+		} {
 			h.trackers[0].ApplyChanges(directory.Changes{Registrations: []directory.Record{{Key: name, Value: []byte(value), Revision: 5}}})
 			h.trackers[0].HandleNote(relay.Note{Topic: quarantine.Topic, Data: []byte(value)})
 		}
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -13,6 +13,7 @@
 	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/directory"
 	"github.com/lotuswing/lotuswing/internal/pause"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 	"github.com/lotuswing/lotuswing/relay"
 )
 
@@ -47,28 +48,35 @@
 	minRecordTTL = time.Second
 )
 
-// ApplyChanges applies changes of the store's records. Invalid records are logged and ignored. The end
+// errInvalidFingerprint is the error of a record whose key does not end with a fingerprint.
+var errInvalidFingerprint = errors.New("the key has no valid fingerprint")
+
+// ApplyChanges applies changes of the store's records. Invalid records are logged once and ignored. The end
 // of a record does not end a refusal: each Tracker measures by itself how long it holds, so that a
 // store that loses its keys releases nothing.
 func (k *Tracker) ApplyChanges(c directory.Changes) {
+	var errs []error
 	for _, r := range c.Registrations {
 		text, ok := strings.CutPrefix(r.Key, recordKeyPrefix)
 		if !ok {
 			continue
 		}
-		f := crash.Fingerprint(text)
-		if !f.Valid() {
-			k.cfg.Log.Warn("record not read", "key", r.Key, "error", "the key has no valid fingerprint")
-			continue
-		}
-		if r.Gone {
+		var err error
+		switch f := crash.Fingerprint(text); {
+		case !f.Valid():
+			err = errInvalidFingerprint
+		case r.Gone:
 			k.markRecordGone(f, r.Revision)
-			continue
+		default:
+			err = k.applyRecord(f, r)
 		}
-		if err := k.applyRecord(f, r); err != nil {
-			k.cfg.Log.Warn("record not read", "key", r.Key, "error", err)
+		if err != nil {
+			errs = append(errs, untrusted.NewRecordError(r.Key, r.Revision, err))
 		}
 	}
+	for _, err := range k.reports.New(errs, k.opts.Now()) {
+		k.cfg.Log.Warn("record not read", "key", untrusted.Key(err), "error", err)
+	}
 	if c.Complete {
 		k.markUnlistedRecordsGone(c)
 	}
@@ -77,7 +85,7 @@
 // applyRecord applies a record if it is newer than the last one read.
 func (k *Tracker) applyRecord(f crash.Fingerprint, r directory.Record) error {
 	var rec Record
-	if err := json.Unmarshal(r.Value, &rec); err != nil {
+	if err := untrusted.Unmarshal(r.Value, untrusted.MaxRecord, &rec); err != nil {
 		return fmt.Errorf("quarantine: record: %w", err)
 	}
 	if rec.State != stateRefused && rec.State != stateReleased && rec.State != stateRefusalOrdered {
