--- a/directory/follow.go
+++ b/directory/follow.go
@@ -24,7 +24,7 @@
 // Source is a store that holds the configuration and the endpoints.
 type Source interface {
 	// ReadAll reads everything, either exactly or cheaply; a cheap read may return data
-	// that is seconds old.
+	// that is seconds old. It fails if a part of the read takes some seconds.
 	ReadAll(ctx context.Context, exact bool) (Changes, error)
 	// ReadRegistrations reads only the registrations of balancers, cheaply; they may be
 	// seconds old.
--- a/directory/options.go
+++ b/directory/options.go
@@ -50,8 +50,11 @@
 const (
 	// watchWait is how long one watch waits at the store.
 	watchWait = 25 * time.Second
-	// readTimeout is the timeout of a full read.
-	readTimeout = 3 * time.Second
+	// watchSlack is how much longer than watchWait the answer of a watch may take.
+	watchSlack = 3 * time.Second
+	// fullReadTimeout is the timeout of a full read, of which the source bounds each page. One that is too short
+	// would fail again and again where the store holds much or the machine is slow.
+	fullReadTimeout = 30 * time.Second
 	// defaultExactCheckEvery limits exact reads, which cost ten times as much as cheap ones.
 	defaultExactCheckEvery = time.Second
 	// defaultRetryPause and maxRetryPause limit the retries while the store does not answer, because each
--- a/directory/read.go
+++ b/directory/read.go
@@ -14,7 +14,7 @@
 		return f.readAll(ctx, false)
 	}
 	entries := 0
-	return f.read(ctx, readTimeout, func(ctx context.Context) (Changes, error) {
+	return f.read(ctx, fullReadTimeout, func(ctx context.Context) (Changes, error) {
 		return paged.ReadPages(ctx, false, func(page Changes) bool {
 			entries += len(page.Entries)
 			page.Partial, page.Via = true, ViaRead
@@ -58,7 +58,7 @@
 
 // readAll reads everything, exactly or cheaply, and applies it.
 func (f *Follower) readAll(ctx context.Context, exact bool) error {
-	return f.read(ctx, readTimeout, func(ctx context.Context) (Changes, error) { return f.source.ReadAll(ctx, exact) })
+	return f.read(ctx, fullReadTimeout, func(ctx context.Context) (Changes, error) { return f.source.ReadAll(ctx, exact) })
 }
 
 // read makes a reading call with the given timeout and applies its result.
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/placement"
@@ -148,3 +149,30 @@
 	assert.Equal(t, d.Snapshot().ListedCount, 2000)
 	assert.Equal(t, d.Snapshot().Revision, uint64(9))
 }
+
+// slowSource is a fakeSource whose full reads take long.
+type slowSource struct{ *fakeSource }
+
+func (s slowSource) ReadAll(ctx context.Context, exact bool) (directory.Changes, error) {
+	select {
+	case <-time.After(10 * time.Second):
+		return s.fakeSource.ReadAll(ctx, exact)
+	case <-ctx.Done():
+		return directory.Changes{}, ctx.Err()
+	}
+}
+
+// TestLongReadIsNotBegunAgain guards against a full read that never ends because all of its pages have the time of one.
+func TestLongReadIsNotBegunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := slowSource{newFakeSource()}
+		s.publish(1)
+		d := directory.New()
+		ctx, stop := context.WithCancel(t.Context())
+		go directory.NewFollower(d, s, directory.Options{}).Run(ctx)
+		time.Sleep(time.Minute)
+		assert.Equal(t, d.Snapshot().Revision, uint64(1))
+		stop()
+		synctest.Wait()
+	})
+}
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -20,7 +20,7 @@
 // the watch. In the last case it returns errWatchMissesChanges or
 // errWatchMayBeLost.
 func (f *Follower) watch(ctx context.Context) (Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	select {
 	case <-f.watchAdvice: // discards advice about an earlier watch
