--- a/server/platform_test.go
+++ b/server/platform_test.go
@@ -36,6 +36,7 @@
 	// suspended tells balancers for how long their VM has been suspended; nil for the
 	// kernel's word.
 	suspended func() time.Duration
+	logs      logBuffer         // of all balancers
 	dial      upstream.DialFunc // opens the connections to endpoints of balancers started from now on; nil for the default
 }
 
@@ -100,7 +101,7 @@
 		policy = policy.WithDial(r.dial)
 	}
 	srv, err := server.Start(server.Config{
-		Settings: s, Log: failureLog(t, name), Traces: io.Discard, Source: store, Relays: store, Policy: policy,
+		Settings: s, Log: r.failureLog(t, name), Traces: io.Discard, Source: store, Relays: store, Policy: policy,
 		Suspended: r.suspended,
 	})
 	assert.NilError(t, err)
@@ -127,8 +128,8 @@
 	return b.out.String()
 }
 
-// failureLog returns a log that is printed if the test fails.
-func failureLog(t *testing.T, name string) hclog.Logger {
+// failureLog returns a log that is kept, and printed if the test fails.
+func (r *platformRig) failureLog(t *testing.T, name string) hclog.Logger {
 	t.Helper()
 	var out logBuffer
 	t.Cleanup(func() {
@@ -136,7 +137,7 @@
 			t.Log("\n" + out.String())
 		}
 	})
-	return hclog.New(&hclog.LoggerOptions{Name: name, Output: &out, Level: hclog.Info})
+	return hclog.New(&hclog.LoggerOptions{Name: name, Output: io.MultiWriter(&out, &r.logs), Level: hclog.Info})
 }
 
 // isReady reports whether a balancer says that it is ready.
