--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/coord/placement"
 	"github.com/lotuswing/lotuswing/directory"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -301,3 +303,27 @@
 	e.Endpoint.Start = start
 	return e
 }
+
+// TestUnreadableEntryIsNotUsedAfterFullRead guards against a full read that takes an entry that cannot be read for a deleted one.
+func TestUnreadableEntryIsNotUsedAfterFullRead(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	d := directory.New()
+	d.Apply(directory.Changes{Complete: true, Revision: 4, Entries: []directory.Entry{entry("a", 2)}}, start)
+	d.Apply(directory.Changes{Complete: true, Revision: 6, Gone: []directory.RemovedEntry{{ID: "a", Revision: 5, Unreadable: true}}}, start)
+	assert.Equal(t, len(snapshotIDs(d)), 0)
+	d.Apply(directory.Changes{Complete: true, Revision: 7, Entries: []directory.Entry{entry("a", 7)}}, start)
+	assert.DeepEqual(t, snapshotIDs(d), []string{"a"})
+}
+
+// TestUnreadableRecordIsLoggedOnce guards against lines of the log for each full read while such records stand in the store.
+func TestUnreadableRecordIsLoggedOnce(t *testing.T) {
+	var log strings.Builder
+	f := directory.NewFollower(directory.New(), newFakeSource(), directory.Options{Log: hclog.New(&hclog.LoggerOptions{Output: &log})})
+	odd := directory.Record{Key: directory.RolloutRecordName("s"), Value: []byte(strings.Repeat("[", 1000)), Revision: 3}
+	for revision := uint64(4); revision < 10; revision++ {
+		f.Apply(directory.Changes{
+			Complete: true, Revision: revision, Registrations: []directory.Record{odd}, Errors: []error{untrusted.NewRecordError("servers/i-1", 2, errors.New("odd"))},
+		})
+	}
+	assert.Equal(t, strings.Count(log.String(), "unusable entry"), 2, log.String())
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -10,6 +10,7 @@
 	"github.com/lotuswing/lotuswing/coord/freshness"
 	"github.com/lotuswing/lotuswing/coord/position"
 	"github.com/lotuswing/lotuswing/internal/pause"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 )
 
 // ErrCompacted says that the store no longer has the history that a watch asked
@@ -23,7 +24,7 @@
 // Source is a store that holds the configuration and the endpoints.
 type Source interface {
 	// ReadAll reads everything, either exactly or cheaply; a cheap read may return data
-	// that is seconds old.
+	// that is seconds old. It fails if a part of the read takes some seconds.
 	ReadAll(ctx context.Context, exact bool) (Changes, error)
 	// ReadRegistrations reads only the registrations of balancers, cheaply; they may be
 	// seconds old.
@@ -66,6 +67,7 @@
 	refused     int           // number of watches in a row that the store refused, or that a full read did not help; used by Run alone
 	rereads     atomic.Int64  // number of full reads because a watch was refused or missed changes
 	last        atomic.Pointer[lastChanges]
+	reports     untrusted.Reports // of records that cannot be read
 }
 
 // NewFollower returns a follower of source that keeps d up to date once Run is called.
