--- a/relay/registration.go
+++ b/relay/registration.go
@@ -69,8 +69,10 @@
 			g.renew(ctx, current)
 			pause.For(ctx, g.opts.TTL/renewalsPerTTL)
 		case ok:
+			g.endTenure()
 			g.replica.waitChange(ctx, g.opts.TTL)
 		default:
+			g.endTenure()
 			if g.awaitVacancy(ctx) {
 				g.register(ctx)
 			}
@@ -131,7 +133,11 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, g.opts.TTL)
 	defer cancel()
-	_, err = g.cfg.Registry.Replace(limited, namePrefix+g.cfg.Zone, value, g.replica.unreadableRegistration(g.cfg.Zone), g.opts.TTL)
+	unreadable := g.replica.unreadableRegistration(g.cfg.Zone)
+	_, err = g.cfg.Registry.Replace(limited, namePrefix+g.cfg.Zone, value, unreadable, g.opts.TTL)
+	if unreadable != 0 {
+		g.delayTenure(time.Now())
+	}
 	switch {
 	case errors.Is(err, ErrAlreadyRegistered):
 		g.cfg.Log.Info("another balancer registered as relay first", "zone", g.cfg.Zone)
--- a/relay/tenure.go
+++ b/relay/tenure.go
@@ -16,6 +16,7 @@
 	lease     uint64
 	era       uint64        // of the store, in which the registration was read
 	suspended time.Duration // total suspension of the VM at the last renewal
+	notBefore time.Time     // the next tenure begins no earlier, since the balancer replaced a registration
 }
 
 // withRenewal returns the tenure after the lease of a registration was renewed with a call sent at sent and
@@ -25,10 +26,13 @@
 	era := position.Era(own.revision)
 	if t.lease != own.lease || t.era != era || t.suspended != suspended {
 		since := now
+		if t.notBefore.After(now) {
+			since = t.notBefore
+		}
 		if era > 0 {
 			since = now.Add(ttl)
 		}
-		t = tenure{Tenure: warmup.Tenure{Since: since}, lease: own.lease, era: era, suspended: suspended}
+		t = tenure{Tenure: warmup.Tenure{Since: since}, lease: own.lease, era: era, suspended: suspended, notBefore: t.notBefore}
 	}
 	t.Tenure = t.WithRenewal(sent, ttl)
 	return t
@@ -48,7 +52,15 @@
 func (g *Group) endTenure() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tenure = tenure{}
+	g.tenure = tenure{notBefore: g.tenure.notBefore}
+}
+
+// delayTenure makes the next tenure begin a lease's time from now. A registration that was replaced, rather
+// than ended, may be one that its holder still counts on.
+func (g *Group) delayTenure(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tenure = tenure{notBefore: now.Add(g.opts.TTL)}
 }
 
 // Tenure returns the time for which this balancer is certain to be the only relay of a zone; the zero value
--- a/relay/tenure_test.go
+++ b/relay/tenure_test.go
@@ -23,13 +23,16 @@
 		name      string
 		own       Relay
 		suspended time.Duration
+		notBefore time.Time
 		since     time.Time
 	}{
-		{"the same lease", Relay{lease: 5, revision: 7}, 0, began},
-		{"another lease", Relay{lease: 6, revision: 7}, 0, now},
-		{"after a suspension", Relay{lease: 5, revision: 7}, time.Second, now},
-		{"after a restore", Relay{lease: 5, revision: restored}, 0, now.Add(ttl)},
+		{"the same lease", Relay{lease: 5, revision: 7}, 0, time.Time{}, began},
+		{"another lease", Relay{lease: 6, revision: 7}, 0, time.Time{}, now},
+		{"after it replaced a registration", Relay{lease: 6, revision: 7}, 0, now.Add(time.Second), now.Add(time.Second)},
+		{"after a suspension", Relay{lease: 5, revision: 7}, time.Second, time.Time{}, now},
+		{"after a restore", Relay{lease: 5, revision: restored}, 0, time.Time{}, now.Add(ttl)},
 	} {
+		held.notBefore = c.notBefore
 		got := held.withRenewal(c.own, ttl, c.suspended, sent, now)
 		assert.Equal(t, got.Since, c.since, c.name)
 		assert.Equal(t, got.Until, sent.Add(ttl-ttl/8), c.name)
