balancer, upstream, pipeline: a response ends by its request's deadline

Callers got a part of a response and no end of it, neither at their route's timeout nor at their own deadline, when an endpoint fell silent half-way. One that did not read held its endpoint for as long as it liked.

Cause: the timer of an attempt ended with the head of the response, or with the bytes that are read ahead; nothing bounded reading the rest, or writing it.

The timer now lasts until the response is closed, over HTTP/2 and carried connections, too; sessions (101) have no end. Writes to the caller end shortly after the deadline, for requests served ahead as well. Nothing ends a response sooner: silence is no evidence. A cut response does not look complete; where only the end of the connection would end it (HTTP/1.0), the connection is reset. A slow caller does not count against its endpoint. Seen as LW3013 and the metric responses_cut.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -185,6 +185,7 @@
 	if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
 		return // net/http sends these itself
 	}
+	x.limitWrites(time.Now())
 	copyHeader(x.w.Header(), header)
 	x.w.WriteHeader(code)
 	clear(x.w.Header())
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/drain"
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/retry"
 	"github.com/lotuswing/lotuswing/coord/verdict"
 	"github.com/lotuswing/lotuswing/telemetry"
@@ -119,6 +121,15 @@
 		Int("attempts", int64(attempts)).Int("most", int64(x.route.Kind.MaxAttempts)).Done()
 }
 
+// noteCutResponse logs and counts a response that was not forwarded in full.
+func (b *Balancer) noteCutResponse(x *exchange, err error) {
+	b.cfg.Log.Warn("response not forwarded in full", "id", x.id, "error", err)
+	if errors.Is(err, errLate) || errors.Is(err, errCallerSlow) {
+		x.reason, x.message = reason.ResponseCut, err.Error()
+		metrics.GetOrRegisterCounter("responses_cut", b.cfg.Metrics).Inc(1)
+	}
+}
+
 // finish records the end of an exchange, including one whose response was aborted.
 func (b *Balancer) finish(x *exchange) {
 	kind, service := "none", "none"
@@ -135,7 +146,7 @@
 	left := x.callerLeft()
 	x.log.Line(telemetry.EventEnded).Text("verdict", x.verdict.String()).Text("reason", string(x.reason)).
 		Int("status", int64(x.status)).Millis("took_ms", took).Millis("target_ms", target).Millis("behind_ms", x.turnWait).Bool("caller_left", left).Text("message", x.message).Done()
-	failed := x.verdict != verdict.Ran || x.status >= http.StatusInternalServerError || left
+	failed := x.verdict != verdict.Ran || x.status >= http.StatusInternalServerError || left || x.reason == reason.ResponseCut
 	late := target > 0 && took > target
 	x.log.End(failed || late, now)
 }
--- a/balancer/forward.go
+++ b/balancer/forward.go
@@ -1,10 +1,12 @@
 package balancer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +18,8 @@
 // Errors that forward returns; awaitTurn returns only errCallerLeft.
 var (
 	errTruncated  = errors.New("balancer: response truncated by the endpoint")
+	errLate       = errors.New("balancer: response not over by the deadline: the endpoint sent too little")
+	errCallerSlow = errors.New("balancer: response not over by the deadline: the caller read too little")
 	errCallerLeft = errors.New("balancer: caller left during the answer")
 )
 
@@ -49,11 +53,20 @@
 	if b.stop.plan().Stopping() && x.place.Last() || x.bodyCut.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
+	x.limitWrites(time.Now())
 	return nil
 }
 
-// forward streams a response to the caller and closes it. The errors are errCallerLeft and
-// errTruncated.
+// limitWrites bounds the writing of the response, for a caller that does not read it. A refusal without a
+// deadline is not bounded.
+func (x *exchange) limitWrites(now time.Time) {
+	if !x.deadline.IsZero() {
+		_ = http.NewResponseController(x.w).SetWriteDeadline(writeDeadline(x.deadline, now)) // fails on a closed connection only
+	}
+}
+
+// forward streams a response to the caller and closes it. The errors are errCallerLeft, errTruncated,
+// errLate and errCallerSlow.
 func (b *Balancer) forward(x *exchange, res *upstream.Result) error {
 	defer res.Close()
 	if err := b.beginResponse(x); err != nil {
@@ -73,7 +86,7 @@
 	x.w.WriteHeader(response.StatusCode)
 	streaming := response.ContentLength < 0 && !res.Buffered
 	if err := copyBody(x.w, response.Body, streaming); err != nil {
-		b.cfg.Log.Warn("response not forwarded in full", "id", x.id, "error", err)
+		b.noteCutResponse(x, err)
 		return err
 	}
 	writeTrailers(h, response.Trailer, announced)
@@ -112,21 +125,56 @@
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	control := http.NewResponseController(w)
-	for {
+	var reading, writing time.Duration
+	for last := time.Now(); ; {
 		n, err := body.Read(*buf)
+		read := time.Now()
+		reading += read.Sub(last)
 		if n > 0 {
 			if _, werr := w.Write((*buf)[:n]); werr != nil {
-				return fmt.Errorf("%w: %w", errCallerLeft, werr)
+				return writeError(werr)
 			}
 			if streaming {
 				_ = control.Flush() // a writer without Flush decides itself when to send
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		last = time.Now()
+		writing += last.Sub(read)
+		switch {
+		case errors.Is(err, io.EOF):
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, context.DeadlineExceeded):
+			return expiryError(reading, writing)
+		case err != nil:
 			return fmt.Errorf("%w: %w", errTruncated, err)
 		}
 	}
 }
+
+// writeError returns the error of forward for a failed write to the caller.
+func writeError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return errCallerSlow
+	}
+	return fmt.Errorf("%w: %w", errCallerLeft, err)
+}
+
+// abort ends a response that is not complete, so that it does not look complete.
+func (x *exchange) abort() {
+	if !x.r.ProtoAtLeast(1, 1) && x.w.Header().Get("Content-Length") == "" {
+		x.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the caller's connection, whose ordinary end would be that of the response.
+func (x *exchange) reset() {
+	conn, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		return
+	}
+	if c, ok := conn.(interface{ SetLinger(int) error }); ok {
+		_ = c.SetLinger(0) // fails on a closed connection only
+	}
+	_ = conn.Close()
+}
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -86,7 +86,7 @@
 	return false
 }
 
-// setDeadline sets the time by which the response must have begun.
+// setDeadline sets the time by which the response must be over, or have begun if it switches protocols.
 func (b *Balancer) setDeadline(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, request any) (any, error) {
 		x := request.(*exchange)
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -49,9 +49,9 @@
 // forwarding failed, nil if it succeeded.
 func forwardedOutcome(status int, callerLeft bool, err error) placement.Outcome {
 	switch {
-	case callerLeft || errors.Is(err, errCallerLeft):
+	case callerLeft || errors.Is(err, errCallerLeft) || errors.Is(err, errCallerSlow):
 		return placement.Unused
-	case errors.Is(err, errTruncated):
+	case errors.Is(err, errTruncated) || errors.Is(err, errLate):
 		return placement.Failed
 	case status >= http.StatusInternalServerError:
 		return placement.Failed // otherwise an endpoint that fails quickly would look fast
@@ -59,6 +59,27 @@
 	return placement.Completed
 }
 
+// answerGrace is how long after the deadline of a request its response may still be written, so that one
+// which the balancer has whole by then, or that says that the deadline has passed, reaches the caller.
+const answerGrace = 200 * time.Millisecond
+
+// writeDeadline returns when the writing of a response ends that begins now.
+func writeDeadline(deadline, now time.Time) time.Time {
+	if now.After(deadline) {
+		return now.Add(answerGrace)
+	}
+	return deadline.Add(answerGrace)
+}
+
+// expiryError returns who held up a response that was not over by the deadline of its request: the
+// endpoint, for whose bytes it waited, or the caller, to whom it was written.
+func expiryError(reading, writing time.Duration) error {
+	if writing > reading {
+		return errCallerSlow
+	}
+	return errLate
+}
+
 const (
 	// resetAtOnce is how soon after the start of an attempt the endpoint closes the connection if it is
 	// full. It allows for a new connection to another zone and a balancer that is short of processor
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -110,8 +110,7 @@
 	}
 	b.reportForwardedToQuarantine(x, a, err)
 	if err != nil {
-		// The caller must see an aborted response, never a truncated one that looks complete.
-		panic(http.ErrAbortHandler)
+		x.abort() // the caller must not take it for a complete response
 	}
 	return nil
 }
@@ -130,7 +129,7 @@
 			res.Response.Header.Set("Retry-After", b.cfg.Policy.Dialect.FormatRetryAfter(retryAfter))
 		}
 		if err := b.forward(x, res); err != nil {
-			panic(http.ErrAbortHandler) // as in deliver
+			x.abort() // as in deliver
 		}
 		return nil
 	}
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -42,6 +42,7 @@
 	ResponseTruncated   Code = "LW3010"
 	Withdrawn           Code = "LW3011"
 	StopEnded           Code = "LW3012"
+	ResponseCut         Code = "LW3013"
 )
 
 // firstRelease is the version of the first release.
@@ -86,4 +87,5 @@
 	{ResponseTruncated, "the answer was cut short", "The endpoint began an answer and the connection failed before its end. Nothing of it was passed on.", "As for LW3004; look for endpoints that crash.", 502, "0.2.0", Warning},
 	{Withdrawn, "the endpoint wants no more requests", "The endpoint said that it leaves, or wants no requests for a while, after it was chosen and before the request was written. Nothing was sent.", "Nothing: another endpoint is chosen. 'lotusctl said' shows what endpoints say of themselves.", 503, "0.3.0", Info},
 	{StopEnded, "the balancer's stop ended before the response", "The balancer is in a planned stop whose time is over, and the endpoint was still working on the request. It may have run.", "As for LW3004. If it happens often, give 'stop.limit' and 'stop.grace' the time that requests take; the log line 'given up by a planned stop' names the endpoint.", 502, "0.3.0", Warning},
+	{ResponseCut, "the answer was not over by the deadline", "The endpoint began an answer, and the deadline of the request passed before the caller had the whole of it. The caller's connection was closed in the middle of the answer, so that it does not look complete.", "The message says whether the endpoint or the caller held it up. Look for endpoints that fall silent or are slow in 'lotusctl status'; give kinds with long answers a longer timeout.", 504, "0.3.0", Warning},
 }
--- a/internal/rawendpoint/faulty.go
+++ b/internal/rawendpoint/faulty.go
@@ -30,6 +30,25 @@
 	SilentAfterRead Fault = "reads the request and says nothing"
 )
 
+// Faults that begin a response and say nothing more, until the other side closes the connection.
+const (
+	SilentInLength  Fault = "says nothing in a body with length"
+	SilentInChunks  Fault = "says nothing in a chunked body"
+	SilentUnbounded Fault = "says nothing in a body without length"
+	SilentTrailer   Fault = "says nothing before the trailer of a chunked body"
+)
+
+// silentText is, for each fault of silence, what is written before.
+var silentText = map[Fault]string{
+	SilentInLength:  "HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\nContent-Length: 9\r\n\r\npart",
+	SilentInChunks:  "HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+	SilentUnbounded: "HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\n\r\npart",
+	SilentTrailer:   "HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n4\r\npart\r\n0\r\n",
+}
+
+// SilentFaults lists every fault of silence within a response.
+var SilentFaults = []Fault{SilentInLength, SilentInChunks, SilentUnbounded, SilentTrailer}
+
 // AllFaults lists every fault.
 var AllFaults = []Fault{
 	None, CloseAtAccept, CloseMidHeader, CloseAfterRead, ResetAfterRead, CloseMidAnswer, CutBody,
@@ -190,6 +209,10 @@
 	case EndlessHead, EndlessFields, EndlessInterim, EndlessBody, EndlessChunks:
 		e.writeEndless(c, endlessText[f], req.Header.Get("Lotuswing-Request-Id"))
 		return false
+	case SilentInLength, SilentInChunks, SilentUnbounded, SilentTrailer:
+		writeText(c, strings.ReplaceAll(silentText[f], "{id}", req.Header.Get("Lotuswing-Request-Id")))
+		_, _ = io.Copy(io.Discard, c) // until the other side closes
+		return false
 	case CloseAfterRead, ResetAfterRead, CloseMidAnswer, CutBody, CutChunked, SilentAfterRead:
 		applyClosingFault(c, f, response)
 		return false
--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -17,6 +17,8 @@
 	aborted bool // a read is to return, for net/http
 	done    bool // it has its response
 	broken  bool // it was closed without one
+
+	writeBy time.Time // deadline of writes; zero for none
 }
 
 // Read reads the request. Behind its end it waits, as net/http does to notice that
@@ -45,7 +47,7 @@
 	if err := a.wait(); err != nil {
 		return 0, err
 	}
-	return a.conn.writeAhead(p)
+	return a.conn.writeAhead(a, p)
 }
 
 // Close ends the request. Without a response, which a handler that was cut off leaves
@@ -89,8 +91,13 @@
 	return nil
 }
 
-// SetWriteDeadline does nothing: the caller's connection has its own.
-func (a *ahead) SetWriteDeadline(time.Time) error { return nil }
+// SetWriteDeadline sets the deadline of the writes that begin after it.
+func (a *ahead) SetWriteDeadline(t time.Time) error {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	a.writeBy = t
+	return nil
+}
 
 // SetDeadline is SetReadDeadline.
 func (a *ahead) SetDeadline(t time.Time) error { return a.SetReadDeadline(t) }
--- a/pipeline/close.go
+++ b/pipeline/close.go
@@ -40,6 +40,14 @@
 	return errNoHalfClose
 }
 
+// SetLinger sets what closing the connection does with unsent data, as net.TCPConn.SetLinger does.
+func (c *conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // closeConn closes the connection; c.mu is held. In a planned stop it ends the sending direction first, and
 // the whole connection a while later: with bytes of the caller unread, that resets the connection, and
 // the caller loses what it has not read of a response.
--- a/pipeline/deadline.go
+++ b/pipeline/deadline.go
@@ -72,8 +72,8 @@
 }
 
 // writeAhead writes a part of the response of a request served ahead.
-func (c *conn) writeAhead(p []byte) (int, error) {
-	if err := c.limitWrite(time.Now()); err != nil {
+func (c *conn) writeAhead(a *ahead, p []byte) (int, error) {
+	if err := c.limitWrite(a, time.Now()); err != nil {
 		return 0, err
 	}
 	n, err := c.Write(p)
@@ -85,13 +85,17 @@
 	return n, err
 }
 
-// limitWrite bounds the next write.
-func (c *conn) limitWrite(now time.Time) error {
-	if c.writeLimit <= 0 {
-		return nil
-	}
+// limitWrite bounds the next write of a response by the server's limit and the deadline of the request.
+func (c *conn) limitWrite(a *ahead, now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writeLimited = true
-	return c.Conn.SetWriteDeadline(now.Add(c.writeLimit))
+	by := a.writeBy
+	if limit := now.Add(c.writeLimit); c.writeLimit > 0 && (by.IsZero() || limit.Before(by)) {
+		by = limit
+	}
+	if by.IsZero() && !c.writeLimited {
+		return nil
+	}
+	c.writeLimited = !by.IsZero()
+	return c.Conn.SetWriteDeadline(by)
 }
--- a/pipeline/limits_test.go
+++ b/pipeline/limits_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -117,3 +118,27 @@
 		assert.Equal(t, began.Load(), int64(len(paths)))
 	})
 }
+
+// TestDeadlineOfWritesHoldsAhead: a caller that does not read holds a request served ahead until the
+// deadline that its handler has set, not until the server's own limit.
+func TestDeadlineOfWritesHoldsAhead(t *testing.T) {
+	written := make(chan error, 1)
+	writeUntilDeadline := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/b" {
+			slowly(w, r)
+			return
+		}
+		control := http.NewResponseController(w)
+		_ = control.SetWriteDeadline(time.Now().Add(5*time.Minute + time.Second))
+		_, _ = io.WriteString(w, "part")
+		written <- control.Flush()
+	}
+	inMemory(t, writeUntilDeadline, func(c *caller) {
+		written = make(chan error, 1) // of the test's virtual time
+		began := time.Now()
+		go c.get(t, "/slow", "/b")
+		assert.Equal(t, c.answer(t), "/slow")
+		assert.ErrorIs(t, <-written, os.ErrDeadlineExceeded)
+		assert.Equal(t, time.Since(began), 5*time.Minute+time.Second) // of virtual time
+	})
+}
--- a/upstream/buffer.go
+++ b/upstream/buffer.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"io"
 	"net/http"
 
@@ -35,6 +37,27 @@
 	}
 }
 
+// timedBody is a response body whose reads fail with context.DeadlineExceeded once the deadline of the
+// request has passed, which ends ctx.
+type timedBody struct {
+	io.ReadCloser
+	ctx context.Context
+}
+
+// Read reads, and says of a failure whether the deadline is the cause: net/http does not for HTTP/2.
+func (b timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && hasExpired(b.ctx) {
+		err = context.DeadlineExceeded
+	}
+	return n, err
+}
+
+// hasExpired reports whether the context of an attempt ended by the deadline of the request.
+func hasExpired(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 // partlyReadBody is a response body whose first bytes were read already: Reader returns them
 // again, and then the rest.
 type partlyReadBody struct {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -17,7 +17,7 @@
 	Addr     string        // of the endpoint
 	Incoming *http.Request // the caller's, with its hop-by-hop headers already removed
 	Body     *Body
-	Deadline time.Time // for the header of the response, and for its body if that is buffered
+	Deadline time.Time // for the whole response; for its header if that switches protocols
 	Instance string    // incarnation of the endpoint; sent if the dialect has a header for it
 	// BufferBytes is the size up to which response bodies are read to their end before Send
 	// returns; 0 for none.
@@ -113,7 +113,6 @@
 	remaining := r.Deadline.Sub(sent)
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(remaining, func() { cancel(context.DeadlineExceeded) })
-	defer timer.Stop()
 	tracker := &connTracker{mostIdle: r.MaxIdle}
 	if !c.http2 {
 		tracker.admitted, tracker.settle = r.Admitted, r.Settle
@@ -123,7 +122,10 @@
 	}
 	response, err := transport.RoundTrip(c.outgoingRequest(httptrace.WithClientTrace(ctx, tracker.trace(r)), r, remaining))
 	tracker.informational.end()
-	release := func() { cancel(context.Canceled) }
+	release := func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
 	if err != nil {
 		// The order matters: failureResult must seal the connection before the cancellation
 		// releases it, and needs the cause from before the cancellation.
@@ -136,12 +138,17 @@
 	if c.opts.Paths != nil {
 		c.opts.Paths.Responded(r.Addr, transport == c.detours)
 	}
+	if response.StatusCode != http.StatusSwitchingProtocols {
+		response.Body = timedBody{ReadCloser: response.Body, ctx: ctx}
+	} else if !timer.Stop() {
+		cancel(context.DeadlineExceeded)
+	}
 	res := c.responseResult(response, r.ID, release)
 	report := c.readReport(&res, response, sent, time.Now())
 	if res.Response != nil && r.BufferBytes > 0 {
 		res.buffer(r.BufferBytes)
 	}
-	if !timer.Stop() { // the deadline passed while the response arrived
+	if hasExpired(ctx) { // the deadline passed while the response arrived
 		_ = response.Body.Close() // also closes the connection
 		release()
 		res = lateResult(res.Verdict)
