link: what a peer sends without end is not kept

A process whose bytes reach a balancer as messages of a peer, such as a server that got the address of one, could fill its memory: the requests of other callers ended with the process.

Cause: package gob takes messages of up to 8 GB, keeps them until they are whole, and keeps any number of type definitions; calls end by their deadlines, but reading goes on.

A connection of calls follows the lengths and types of its messages as they come, in both directions, and fails at the first one of more than 16 MiB, or at more than 256 KiB of type definitions. The error of the call says which. Streams (carried connections) have buffers of fixed size and are not touched.

--- a/link/client.go
+++ b/link/client.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("link: dial %s: %w", addr, err)
 	}
-	newClient := rpc.NewClient(conn)
+	newClient := rpc.NewClient(&boundedConn{Conn: conn})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if rpcClient = c.rpcClients[addr]; rpcClient != nil { // a concurrent call connected first
--- a/link/server.go
+++ b/link/server.go
@@ -122,7 +122,7 @@
 		return
 	}
 	if s.streams == nil {
-		s.rpc.ServeConn(callConn{Conn: c, server: s})
+		s.rpc.ServeConn(&boundedConn{Conn: callConn{Conn: c, server: s}})
 		return
 	}
 	r := bufio.NewReader(c)
@@ -135,7 +135,7 @@
 		_, _ = r.Discard(1) // buffered
 		s.streams(c, r)
 	default:
-		s.rpc.ServeConn(bufferedConn{Conn: callConn{Conn: c, server: s}, reader: r})
+		s.rpc.ServeConn(&boundedConn{Conn: bufferedConn{Conn: callConn{Conn: c, server: s}, reader: r}})
 	}
 }
 
