upstream, platform: errors quote little of what a server has sent

Errors of net/http quote the line that they reject, and ours the identity of a foreign answer: a line of 200 KB became a text of up to 800 KB in the log, in the refusal that the caller got, and in memory for as long as the request lasted.

internal/brief cuts the text of such errors after 512 bytes; what they wrap stays reachable. The faulty endpoint has eight more faults without end: no line, lines, status, long informational responses, a chunk, a chunk's size, trailers, surplus.

--- a/internal/rawendpoint/faulty.go
+++ b/internal/rawendpoint/faulty.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -62,6 +64,15 @@
 	EndlessInterim Fault = "writes informational responses without end"
 	EndlessBody    Fault = "writes a body without length and without end"
 	EndlessChunks  Fault = "writes chunks without end"
+
+	EndlessLine      Fault = "writes bytes that are no response and no line"
+	EndlessLines     Fault = "writes lines that are no response"
+	EndlessStatus    Fault = "writes a status line without end"
+	EndlessLong1xx   Fault = "writes long informational responses without end"
+	EndlessChunk     Fault = "writes a chunk without end"
+	EndlessChunkSize Fault = "writes the size of a chunk without end"
+	EndlessTrailer   Fault = "writes trailers without end"
+	EndlessSurplus   Fault = "writes bytes without end behind a whole response"
 )
 
 // endlessText is, for each fault without end, what is written once and what is repeated.
@@ -71,16 +82,30 @@
 	EndlessInterim: {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", endlessPiece/28)},
 	EndlessBody:    {"HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\n\r\n", strings.Repeat("x", endlessPiece)},
 	EndlessChunks: {
-		"HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n",
+		chunkedHead,
 		fmt.Sprintf("%x\r\n%s\r\n", endlessPiece, strings.Repeat("x", endlessPiece)),
 	},
+	EndlessLine:      {"", strings.Repeat("\x00", endlessPiece)},
+	EndlessLines:     {"", strings.Repeat("x\r\n", endlessPiece/3)},
+	EndlessStatus:    {"HTTP/1.1 200 ", strings.Repeat("x", endlessPiece)},
+	EndlessLong1xx:   {"", "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 40*endlessPiece) + "\r\n\r\n"},
+	EndlessChunk:     {chunkedHead + "7fffffffffffffff\r\n", strings.Repeat("x", endlessPiece)},
+	EndlessChunkSize: {chunkedHead, strings.Repeat("0", endlessPiece)},
+	EndlessTrailer:   {chunkedHead + "0\r\n", strings.Repeat("X-Text: x\r\n", endlessPiece/11)},
+	EndlessSurplus:   {"HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\nContent-Length: 4\r\n\r\nbody", strings.Repeat("x", endlessPiece)},
 }
 
+// chunkedHead is the head of a chunked response.
+const chunkedHead = "HTTP/1.1 200 OK\r\nLotuswing-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // endlessPiece is about how many bytes are written at once.
 const endlessPiece = 4096
 
-// EndlessFaults lists every fault without end.
-var EndlessFaults = []Fault{EndlessHead, EndlessFields, EndlessInterim, EndlessBody, EndlessChunks}
+// EndlessFaults lists faults without end, and AllEndlessFaults every one.
+var (
+	EndlessFaults    = []Fault{EndlessHead, EndlessFields, EndlessInterim, EndlessBody, EndlessChunks}
+	AllEndlessFaults = slices.Collect(maps.Keys(endlessText))
+)
 
 // KeyHeader is the header that identifies a request to a Faulty endpoint.
 const KeyHeader = "X-Request-Key"
@@ -199,6 +224,10 @@
 	body := "answer to " + key
 	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nLotuswing-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
 		req.Header.Get("Lotuswing-Request-Id"), len(body), body)
+	if text, ok := endlessText[f]; ok {
+		e.writeEndless(c, text, req.Header.Get("Lotuswing-Request-Id"))
+		return false
+	}
 	switch f {
 	case Bare503:
 		return writeText(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
@@ -206,9 +235,6 @@
 		return writeText(c, response+response)
 	case AnswerForeign:
 		return writeText(c, "HTTP/1.1 200 OK\r\nLotuswing-Request-Id: another\r\nContent-Length: 5\r\n\r\nother")
-	case EndlessHead, EndlessFields, EndlessInterim, EndlessBody, EndlessChunks:
-		e.writeEndless(c, endlessText[f], req.Header.Get("Lotuswing-Request-Id"))
-		return false
 	case SilentInLength, SilentInChunks, SilentUnbounded, SilentTrailer:
 		writeText(c, strings.ReplaceAll(silentText[f], "{id}", req.Header.Get("Lotuswing-Request-Id")))
 		_, _ = io.Copy(io.Discard, c) // until the other side closes
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"net/url"
 	"time"
+
+	"github.com/lotuswing/lotuswing/internal/brief"
 )
 
 // maxProbeBytes is how much is read of the body of a response to a probe. The body is not used.
@@ -44,6 +46,7 @@
 	for tries := 1; err != nil && tracker.isDraining() && tries < maxDrainingTries && ctx.Err() == nil; tries++ {
 		response, err = transport.RoundTrip(r.WithContext(ctx))
 	}
+	err = brief.Error(err)
 	if err != nil && ctx.Err() == nil && isReset(tracker.connection(), err) {
 		return Report{}, fmt.Errorf("%w: probe: %w", ErrReset, err)
 	}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/internal/brief"
 )
 
 // Request describes one attempt to send a caller's request.
@@ -129,7 +130,7 @@
 	if err != nil {
 		// The order matters: failureResult must seal the connection before the cancellation
 		// releases it, and needs the cause from before the cancellation.
-		res := tracker.failureResult(context.Cause(ctx), c.http2, err)
+		res := tracker.failureResult(context.Cause(ctx), c.http2, brief.Error(err))
 		res.connected = tracker.connected()
 		res.Carrier, res.Tunnel = tracker.via()
 		release()
--- a/upstream/verdict.go
+++ b/upstream/verdict.go
@@ -9,6 +9,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/verdict"
+	"github.com/lotuswing/lotuswing/internal/brief"
 )
 
 // The verdict of an attempt is decided by classify for a response, failureResult for an attempt
@@ -48,7 +49,7 @@
 // unproven returns the class of a response that proves nothing and must not be forwarded. The
 // format and its arguments say why.
 func unproven(code reason.Code, format string, args ...any) responseClass {
-	return responseClass{verdict: verdict.MayHaveRun, reason: code, err: fmt.Errorf("upstream: "+format, args...)}
+	return responseClass{verdict: verdict.MayHaveRun, reason: code, err: brief.Error(fmt.Errorf("upstream: "+format, args...))}
 }
 
 // saysNotRun reports whether a response says that the endpoint did not run the request. Where
