upstream: streams of HTTP/2 that nobody takes keep 256 KiB each

An endpoint that goes on sending while callers take nothing filled 4 MiB of memory for each stream, the window of net/http: 16 such streams 67,174,400 bytes, on VMs of 184 MB.

The window of a stream is 256 KiB; that of a connection stays, because streams that are taken must not wait for those that are not. Heads of the store of deployments with homes are bounded by 64 KiB (10 MB before; no test of its own).

--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -38,6 +38,7 @@
 	failureThreshold = 3               // consecutive failures that open the circuit breaker
 	cooldown         = 2 * time.Second // how long the circuit breaker stays open
 	maxIdleConns     = 2               // kept open to the service
+	maxHeaderBytes   = 64 << 10        // of a response
 )
 
 // Options configures a Client. Zero fields take the defaults.
@@ -64,7 +65,7 @@
 func New(base string, opts Options) *Client {
 	opts.Timeout = cmp.Or(opts.Timeout, defaultTimeout)
 	opts.Rate = cmp.Or(opts.Rate, defaultRate)
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{base: base, opts: opts, http: &http.Client{Transport: transport}, tokens: float64(opts.Rate)}
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -36,6 +36,7 @@
 	defaultIdleTimeout = 90 * time.Second
 	maxIdlePerEndpoint = 4         // idle connections kept open
 	maxHeaderBytes     = 256 << 10 // of a response
+	maxStreamBytes     = 256 << 10 // of a response over HTTP/2 that the caller has not taken yet
 )
 
 // Options configures a client. Fields that are zero take their defaults.
@@ -112,6 +113,7 @@
 		DisableKeepAlives:      opts.NewConnections,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		Protocols:              new(http.Protocols),
+		HTTP2:                  &http.HTTP2Config{MaxReceiveBufferPerStream: maxStreamBytes},
 	}
 	t.Protocols.SetHTTP1(!opts.HTTP2)
 	t.Protocols.SetUnencryptedHTTP2(opts.HTTP2)
