balancer: the slow caller of a test is slower than its endpoint

TestSlowCallerIsCutAtDeadline failed once in a run of all touched packages, at a load of 29 on 8 cores: with the race detector the caller read as fast as the endpoint sent, and the endpoint counted as the slower one, as the rule says.

--- a/balancer/deadline_test.go
+++ b/balancer/deadline_test.go
@@ -88,8 +88,9 @@
 				b.endpoints[0].Set(f)
 				c := b.dialWithDeadline(t, "HTTP/1.1")
 				if reads {
+					assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
 					go func() {
-						for p := make([]byte, 64<<10); ; time.Sleep(time.Millisecond) {
+						for p := make([]byte, 16<<10); ; time.Sleep(2 * time.Millisecond) {
 							if _, err := c.Read(p); err != nil {
 								return
 							}
