--- a/pipeline/close.go
+++ b/pipeline/close.go
@@ -40,6 +40,14 @@
 	return errNoHalfClose
 }
 
+// SetLinger sets what closing the connection does with unsent data, as net.TCPConn.SetLinger does.
+func (c *conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // closeConn closes the connection; c.mu is held. One from which a request was read, and whose caller may
 // send more, lingers.
 func (c *conn) closeConn() error {
