--- a/balancer/early_test.go
+++ b/balancer/early_test.go
@@ -75,12 +75,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newPipelinedHarness(t)
-			var mu sync.Mutex
-			reached := map[string]bool{}
+			var reached sync.Map
 			endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				mu.Lock()
-				reached[r.URL.Path] = true
-				mu.Unlock()
+				reached.Store(r.URL.Path, true)
 				answerEarly(w, r)
 			}))
 			t.Cleanup(func() {
@@ -108,11 +105,11 @@
 				assert.NilError(t, err)
 				assert.Equal(t, next.StatusCode, map[bool]int{true: http.StatusOK, false: http.StatusServiceUnavailable}[c.refusal == nil])
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			assert.Assert(t, !reached["/unsafe/quoted"])
+			_, smuggled := reached.Load("/unsafe/quoted")
+			assert.Assert(t, !smuggled)
 			assert.Equal(t, closes, !c.kept)
-			assert.Equal(t, reached["/unsafe/next"], c.kept && c.refusal == nil)
+			_, served := reached.Load("/unsafe/next")
+			assert.Equal(t, served, c.kept && c.refusal == nil)
 		})
 	}
 }
--- a/upstream/body_test.go
+++ b/upstream/body_test.go
@@ -1,7 +1,6 @@
 package upstream_test
 
 import (
-	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -29,27 +28,10 @@
 	assert.Assert(t, err != nil, "read %q behind abcd", p[:n])
 }
 
-func TestReleaseEndsReads(t *testing.T) {
-	r, w := io.Pipe()
-	b := upstream.NewBody(r, 1<<10)
-	a := b.Attempt()
-	read := make(chan error, 1)
-	go func() {
-		_, err := io.ReadAll(a)
-		read <- err
-	}()
-	_, err := io.WriteString(w, "kept")
-	assert.NilError(t, err)
-	interrupted := errors.New("interrupted")
-	b.Release(func() { _ = w.CloseWithError(interrupted) })
-	assert.Assert(t, <-read != nil)
-	p := make([]byte, 8)
+func TestReleasedBodyIsNotRead(t *testing.T) {
+	b := upstream.NewBody(strings.NewReader("text"), 1<<10)
+	b.Release(nil)
+	p := make([]byte, 4)
 	n, err := b.Attempt().Read(p)
-	assert.NilError(t, err)
-	assert.Equal(t, string(p[:n]), "kept")
-
-	unread := upstream.NewBody(strings.NewReader("text"), 1<<10)
-	unread.Release(nil)
-	n, err = unread.Attempt().Read(p)
-	assert.Assert(t, err != nil, "read %q of a released body", p[:n])
+	assert.Assert(t, err != nil, "read %q", p[:n])
 }
