--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -126,6 +126,7 @@
 	// if the request needs neither. Permit says that it is a permit.
 	WriteUntil time.Time
 	Permit     bool
+	Suspended  time.Duration // total suspension of the VM when WriteUntil was determined
 	Trial      bool          // it had asked for a backoff and has run no request since
 	Pressed    bool          // many endpoints of its service were full or did not answer a moment ago
 	Limited    bool          // it has a limit on requests per second, and the limit's owner has granted this request
--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -90,6 +90,7 @@
 	Cold        bool          // it is warming up
 	ColdBlocked bool          // it is warming up and must not get the request now
 	Unproven    bool          // it may be warming up, and has to be probed before it is used
+	AssumedCold bool          // it counts as warming up only because it gives no proof of the opposite
 	Resetting   bool          // it is in the backoff after a reset, and is not probed
 	Unanswered  bool          // it did not respond to the last probe
 	Admission   admission.Decision
@@ -142,6 +143,7 @@
 	if c.Resetting || e.unproven(params, now) {
 		c.Busy = max(c.Busy, c.Slots) // the estimate, which orders the probes, does not assume this
 	}
+	c.AssumedCold = params.WarmupPermits && params.Probeable && !isWarmingUp && e.MayBeWarmingUp(l, now)
 	c.Full = c.ColdBlocked || c.Unproven && l.Unprobeable || c.blockedByAdmission() || c.Busy >= params.concurrencyLimit(c.Slots) || now.Before(e.pausedUntil)
 	c.Good = !c.Full && !c.Unproven && c.Admission.Admits() && e.unansweredProbes == 0 && (e.load.Pace(now) <= maxGoodPace || c.Admission.Warmup)
 	return c
--- a/coord/selection/endpoint.go
+++ b/coord/selection/endpoint.go
@@ -21,6 +21,8 @@
 	resetUntil       time.Time // end of the backoff after the last reset
 	warmUntil        time.Time // end of its warm-up, as it reported; zero if it has reported none
 	warmupReportedAt time.Time // when it reported warmUntil
+	warmupAskedAt    time.Time // when the probe was sent whose response reported warmUntil
+	proofless        int       // consecutive responses to probes that prove nothing
 	proof            proof     // that it is warm; used up by a request
 	joined           bool      // it was listed when other endpoints of its service were known already
 }
@@ -66,7 +68,7 @@
 // The balancer's clock stood still meanwhile, so all recorded times move back by that duration:
 // reports become older and pauses end earlier.
 func (e Endpoint) WithSuspension(suspended time.Duration) Endpoint {
-	for _, timestamp := range []*time.Time{&e.load.timestamp, &e.lastResponse, &e.pausedUntil, &e.resetUntil, &e.warmUntil, &e.warmupReportedAt, &e.proof.sentAt, &e.proof.receivedAt} {
+	for _, timestamp := range []*time.Time{&e.load.timestamp, &e.lastResponse, &e.pausedUntil, &e.resetUntil, &e.warmUntil, &e.warmupReportedAt, &e.warmupAskedAt, &e.proof.sentAt, &e.proof.receivedAt} {
 		if !timestamp.IsZero() {
 			*timestamp = timestamp.Add(-suspended)
 		}
--- a/coord/selection/probe.go
+++ b/coord/selection/probe.go
@@ -41,7 +41,7 @@
 func (o Options) NextProbe(list *Ranking, mayProbe func(index int) bool) (index int, ok bool) {
 	for i := range list.Len() {
 		c := list.At(i)
-		if (c.Age > o.MaxFreshAge || c.Unproven) && c.Admission.Admits() && !c.Resetting && mayProbe(c.Index) {
+		if (c.Age > o.MaxFreshAge || c.Unproven) && (c.Admission.Admits() || c.AssumedCold) && !c.Resetting && mayProbe(c.Index) {
 			return c.Index, true
 		}
 	}
--- a/coord/selection/warmup.go
+++ b/coord/selection/warmup.go
@@ -58,10 +58,13 @@
 }
 
 // WithWarmup returns the endpoint after its response to a probe, which was sent at sentAt, reported
-// the time left of its warm-up.
+// the time left of its warm-up. A response to an earlier probe than the last one that counted is ignored.
 func (e Endpoint) WithWarmup(left time.Duration, sentAt, now time.Time) Endpoint {
-	e.warmUntil, e.warmupReportedAt = now.Add(left), now
-	e.proof = proof{}
+	if sentAt.Before(e.warmupAskedAt) {
+		return e
+	}
+	e.warmupAskedAt, e.warmUntil, e.warmupReportedAt = sentAt, now.Add(left), now
+	e.proof, e.proofless = proof{}, 0
 	if left <= 0 {
 		e.proof = proof{sentAt: sentAt, receivedAt: now}
 	}
@@ -69,9 +72,14 @@
 }
 
 // WithoutWarmupReport returns the endpoint after a response to a probe, which was sent at sentAt, that says
-// nothing about a warm-up. Its listing decides then.
-func (e Endpoint) WithoutWarmupReport(sentAt, now time.Time) Endpoint {
-	e.proof = proof{sentAt: sentAt, receivedAt: now}
+// nothing about a warm-up. Its listing decides then, unless the response is doubtful.
+func (e Endpoint) WithoutWarmupReport(doubtful bool, sentAt, now time.Time) Endpoint {
+	switch {
+	case doubtful:
+		e.proofless++
+	case !sentAt.Before(e.warmupAskedAt):
+		e.proof, e.proofless = proof{sentAt: sentAt, receivedAt: now}, 0
+	}
 	return e
 }
 
@@ -105,14 +113,14 @@
 	return !e.proof.sentAt.IsZero() && now.Sub(e.proof.receivedAt) <= proofTTL && now.Before(e.ProofUntil())
 }
 
-// maxUnprovenProbes is the number of consecutive probes without a response from which on an endpoint is
-// treated like one in warm-up.
+// maxUnprovenProbes is the number of consecutive probes without a response, or with doubtful ones, from
+// which on an endpoint is treated like one in warm-up.
 const maxUnprovenProbes = 3
 
 // MayBeWarmingUp reports whether the endpoint is warming up as far as the balancer knows, or gives no
 // proof of the opposite.
 func (e *Endpoint) MayBeWarmingUp(l Listing, now time.Time) bool {
-	return e.isWarmingUp(l, now) || e.unansweredProbes >= maxUnprovenProbes
+	return e.isWarmingUp(l, now) || max(e.unansweredProbes, e.proofless) >= maxUnprovenProbes
 }
 
 // blockedInWarmup reports whether the endpoint, which is warming up, must not get the request now. An
--- a/coord/selection/warmup_test.go
+++ b/coord/selection/warmup_test.go
@@ -108,7 +108,8 @@
 		{"used up by another request", probedEndpoint(0, 1).WithWarmup(0, start, start).WithRequestSent(), 0, false},
 		{"never proved", probedEndpoint(0, 1), 0, false},
 		{"warm by its count, and not proved", probedEndpoint(0, 1).WithWarmup(time.Second, start, start), time.Second, false},
-		{"says nothing of warm-ups", probedEndpoint(0, 1).WithoutWarmupReport(start, start), 0, true},
+		{"proved before it turned cold", probedEndpoint(0, 1).WithWarmup(0, start, start).WithWarmup(0, start.Add(-time.Millisecond), start).WithRequestSent(), 0, false},
+		{"says nothing of warm-ups", probedEndpoint(0, 1).WithoutWarmupReport(false, start, start), 0, true},
 	} {
 		u := probeableParams()
 		u.WarmupPermits = true
@@ -128,4 +129,10 @@
 	assert.Assert(t, !mute.MayBeWarmingUp(sameZone, start))
 	mute = mute.WithUnansweredProbe()
 	assert.Assert(t, mute.MayBeWarmingUp(sameZone, start), "it responds to no probes")
+	doubtful := probedEndpoint(0, 1).WithoutWarmupReport(true, start, start)
+	assert.Assert(t, !doubtful.IsProvenWarm(start))
+	doubtful = doubtful.WithoutWarmupReport(true, start, start).WithoutWarmupReport(true, start, start)
+	assert.Assert(t, doubtful.MayBeWarmingUp(sameZone, start), "its responses prove nothing")
+	cold := probedEndpoint(0, 1).WithWarmup(time.Second, start.Add(50*time.Millisecond), start.Add(60*time.Millisecond)).WithWarmup(0, start, start.Add(200*time.Millisecond))
+	assert.Assert(t, cold.IsWarmingUp(sameZone, start.Add(200*time.Millisecond)), "a late response to an earlier probe")
 }
--- a/coord/warmup/ledger.go
+++ b/coord/warmup/ledger.go
@@ -101,6 +101,7 @@
 	opens := maxSpread
 	for _, t := range a.Targets[:min(len(a.Targets), MaxTargets)] {
 		b := l.bucket(t, rate, now)
+		l.buckets[t] = b
 		if in := b.opensIn(rate, now); in > 0 {
 			opens = min(opens, in)
 			continue
@@ -137,7 +138,6 @@
 	b, ok := l.buckets[t]
 	if !ok {
 		b.at, b.tokens = now, -debt
-		l.buckets[t] = b
 	}
 	return b.refilled(rate, now)
 }
--- a/direct/acquire.go
+++ b/direct/acquire.go
@@ -26,6 +26,7 @@
 	random       uint32                  // drawn once, so that each ranking of this request decides alike
 	probes       int                     // number sent for this request so far
 	lastProbed   int                     // index in listed of the endpoint probed last
+	responses    *probeResponses         // nil before the first probe
 }
 
 // Acquire chooses an endpoint for a request. It ranks and probes endpoints, then decides to grant
@@ -245,6 +246,7 @@
 // grantBest grants the best candidate to the request. It returns false if the candidate has a rate
 // limit and another request has taken the permit for it in the meantime.
 func (c *Chooser) grantBest(s *search, now time.Time) (grant placement.Grant, ok bool) {
+	suspended := c.cfg.Suspensions.Check()
 	best := s.ranking.Best()
 	target := &s.listed[best.Index]
 	permitUntil, ok := c.takeWarmupPermit(s.service, target, best, now)
@@ -269,7 +271,7 @@
 	e.observed, e.admission = e.observed.WithRequestSent(), e.admission.WithSent(now)
 	load := e.observed.Load()
 	choice := placement.Choice{
-		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: cold, WarmAge: warmAge, WriteUntil: permitUntil, Permit: best.Admission.Warmup, Pressed: s.learned.Pressed, Trial: trial, Limited: best.Admission.Held, Estimate: best.Estimate, Age: -1, Probes: s.probes,
+		Start: target.Start, Side: target.Side, Pace: load.Report().Pace, Busy: load.Busy(now), Cold: cold, WarmAge: warmAge, WriteUntil: permitUntil, Permit: best.Admission.Warmup, Suspended: suspended, Pressed: s.learned.Pressed, Trial: trial, Limited: best.Admission.Held, Estimate: best.Estimate, Age: -1, Probes: s.probes,
 	}
 	if age := load.Age(now); age < maxLoggedAge {
 		choice.Age = age
--- a/direct/admit.go
+++ b/direct/admit.go
@@ -50,6 +50,10 @@
 // since the grant, the endpoint has restarted, or announced that it is leaving or backing off, has turned
 // out to be warming up, or the permit for that has expired.
 func (c *Chooser) StillAccepts(g placement.Grant, now time.Time) bool {
+	if !g.Choice.WriteUntil.IsZero() && c.cfg.Suspensions.Check() != g.Choice.Suspended {
+		c.coldWithdrawn.Inc(1)
+		return false
+	}
 	listed, ok := c.cfg.Directory.Snapshot().Find(tenant.ServiceName(g.Service), g.Endpoint.VM)
 	if !ok || listed.Start != g.Choice.Start {
 		return false
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -33,13 +33,16 @@
 // errNoResponse is the error of a probe of an address without a response in the table.
 var errNoResponse = errors.New("no response")
 
-func (p *fakeProber) Probe(_ context.Context, addr, _ string, _ time.Duration) (upstream.Report, error) {
+func (p *fakeProber) Probe(_ context.Context, addr, _ string, within time.Duration) (upstream.Report, error) {
 	sent := time.Now()
 	p.mu.Lock()
 	p.probeCount[addr]++
 	delay := p.delay
 	p.mu.Unlock()
-	time.Sleep(delay)
+	time.Sleep(min(delay, within))
+	if delay > within {
+		return upstream.Report{}, errNoResponse
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	answer, ok := p.answers[addr]
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/lotuswing/lotuswing/directory"
@@ -30,15 +31,50 @@
 	if !ok {
 		return false
 	}
+	if s.responses == nil {
+		s.responses = &probeResponses{arrived: make(chan struct{}, 1)}
+	}
 	done := make(chan struct{})
+	governed, responses, service := s.learned.WarmupPermits, s.responses, s.service
 	go func() {
 		c.probeEndpoint(context.WithoutCancel(ctx), next, path)
 		close(done)
+		if governed {
+			c.announceProof(responses, service)
+		}
 	}()
-	pause.Until(ctx, done, probeWait)
+	if !governed {
+		pause.Until(ctx, done, probeWait)
+		return true
+	}
+	// A proof soon expires, so the response to any earlier probe of the search ends the wait, too.
+	s.responses.awaited.Store(true)
+	pause.Until(ctx, s.responses.arrived, probeWait)
+	s.responses.awaited.Store(false)
 	return true
 }
 
+// probeResponses tells a search of the responses to its probes.
+type probeResponses struct {
+	arrived chan struct{} // has a buffer of one
+	awaited atomic.Bool   // the search waits for one
+}
+
+// announceProof wakes the search that sent a probe which has been responded to or, if that does not wait for
+// a response any more, a request that waits for an endpoint of the service.
+func (c *Chooser) announceProof(responses *probeResponses, service string) {
+	if responses.awaited.Load() {
+		select {
+		case responses.arrived <- struct{}{}:
+		default:
+		}
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wakeNext(service)
+}
+
 // probePath returns the path at which a service's endpoints report their load; empty if they do
 // not.
 func (c *Chooser) probePath(service string) string {
@@ -110,7 +146,7 @@
 	if answer.Warmup.Known {
 		e.observed = e.observed.WithWarmup(answer.Warmup.Remaining, answer.SentAt, now)
 	} else {
-		e.observed = e.observed.WithoutWarmupReport(answer.SentAt, now)
+		e.observed = e.observed.WithoutWarmupReport(answer.Warmup.Doubtful, answer.SentAt, now)
 	}
 	if answer.NamesOtherInstance(id) && c.cfg.Directory.MarkLeaving(id, t.listed.Start, now) {
 		c.cfg.Log.Info("endpoint", "id", id, "state", "leaving", "why", "a probe found another instance", "instance", answer.Instance)
--- a/direct/warmup_test.go
+++ b/direct/warmup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,9 @@
 	"github.com/lotuswing/lotuswing/coord/reason"
 	"github.com/lotuswing/lotuswing/coord/selection"
 	"github.com/lotuswing/lotuswing/coord/warmup"
+	"github.com/lotuswing/lotuswing/direct"
+	"github.com/lotuswing/lotuswing/internal/suspend"
+	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
 	"github.com/lotuswing/lotuswing/warmups"
 	"gotest.tools/v3/assert"
@@ -99,7 +103,7 @@
 		assert.Assert(t, !g.Choice.Cold && r.StillAccepts(g, time.Now()))
 		r.prober.setWarmup("e0", time.Hour)
 		time.Sleep(selection.MaxWarmAge / 4) // the endpoint has to prove again that it is warm
-		_, refused = r.Acquire(t.Context(), newRequest())
+		_, refused = r.Acquire(t.Context(), overdueRequest())
 		assert.Assert(t, refused != nil)
 		assert.Equal(t, refused.Reason, reason.EndpointsWarmingUp)
 		assert.Equal(t, refused.RetryAfter >= time.Minute, true)
@@ -123,3 +127,17 @@
 		assert.Equal(t, len(r.Warmups(time.Now())), 1)
 	})
 }
+
+// TestSuspensionWithdrawsColdGrant guards against permits and proofs that outlive a suspension of the VM, in
+// which its clock stands still.
+func TestSuspensionWithdrawsColdGrant(t *testing.T) {
+	var suspended atomic.Int64
+	d := suspend.New(func() time.Duration { return time.Duration(suspended.Load()) })
+	r := newFixtureWith(1, tenant.Service{ProbePath: "/health", WarmupRate: 5}, direct.Config{Warmups: &fakeWarmups{}, Suspensions: d})
+	r.prober.setWarmup("e0", 0)
+	g, refused := r.Acquire(t.Context(), newRequest())
+	assert.Assert(t, refused == nil)
+	assert.Assert(t, r.StillAccepts(g, time.Now()))
+	suspended.Add(int64(time.Minute))
+	assert.Assert(t, !r.StillAccepts(g, time.Now()))
+}
--- a/server/chooser.go
+++ b/server/chooser.go
@@ -68,7 +68,11 @@
 	opts.Log = s.cfg.Log.Named("directory")
 	s.directory = d
 	s.fleet = s.newFleet()
-	s.warmups = warmups.New(warmups.Config{Rate: s.warmupRate, Log: s.cfg.Log.Named("warmups"), Metrics: s.metrics})
+	if s.cfg.Relays != nil && settings.Link != "" {
+		s.warmups = warmups.New(warmups.Config{Rate: s.warmupRate, Log: s.cfg.Log.Named("warmups"), Metrics: s.metrics})
+	} else {
+		s.cfg.Log.Warn("without a link address, balancers do not bound together what endpoints in warm-up get")
+	}
 	s.limits = limits.New(limits.Config{Addr: settings.Link, Log: s.cfg.Log.Named("limits"), Metrics: s.metrics})
 	if s.cfg.Relays != nil {
 		s.quarantine, s.rollouts = s.newQuarantine(), s.newRollouts()
@@ -108,7 +112,10 @@
 	cfg := direct.Config{
 		ID: s.cfg.Settings.ID, Zone: s.cfg.Settings.Zone, Regions: s.cfg.Settings.Regions, Directory: s.directory, Client: s.cfg.Policy.Client,
 		Log: s.cfg.Log.Named("choice"), Metrics: s.metrics, Stop: stop, Suspensions: s.suspended,
-		Limits: s.limits, Warmups: s.warmups, Publish: s.tell, Order: s.cfg.Settings.Overload.Order, MaxWaiting: maxWaiting(s.cfg.Settings.Memory),
+		Limits: s.limits, Publish: s.tell, Order: s.cfg.Settings.Overload.Order, MaxWaiting: maxWaiting(s.cfg.Settings.Memory),
+	}
+	if s.warmups != nil {
+		cfg.Warmups = s.warmups
 	}
 	if s.quarantine != nil {
 		cfg.RolloutRecorder = s.rollouts
--- a/upstream/dialect_test.go
+++ b/upstream/dialect_test.go
@@ -159,11 +159,12 @@
 	for header, want := range map[string]upstream.Warmup{
 		"Warmup-Ms: 1500\r\n":                 {Known: true, Remaining: 1500 * time.Millisecond},
 		"Warmup-Ms: 0\r\n":                    {Known: true},
+		"Warmup-Ms: 1500.5\r\n":               {Known: true, Remaining: 1500500 * time.Microsecond},
 		"":                                    {},
-		"Warmup-Ms: soon\r\n":                 {},
-		"Warmup-Ms: -3\r\n":                   {},
-		"Warmup-Ms: 99999999999999999999\r\n": {},
-		"Warmup-Ms: 9000000000000000000\r\n":  {},
+		"Warmup-Ms: soon\r\n":                 {Doubtful: true},
+		"Warmup-Ms: -3\r\n":                   {Doubtful: true},
+		"Warmup-Ms: 99999999999999999999\r\n": {Doubtful: true},
+		"Warmup-Ms: 9000000000000000000\r\n":  {Doubtful: true},
 	} {
 		e := scriptedEndpoint(t, rawendpoint.Answer("HTTP/1.1 200 OK\r\n"+header+"Content-Length: 0\r\n\r\n"))
 		got, err := platformClient(t, false).Probe(context.Background(), e.Addr(), "/health", 5*time.Second)
--- a/upstream/report.go
+++ b/upstream/report.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"net/textproto"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -36,6 +35,7 @@
 // reports it.
 type Warmup struct {
 	Known     bool          // the response has a valid value
+	Doubtful  bool          // there is none, and the response is a failure or has one that is malformed
 	Remaining time.Duration // 0 once the endpoint is warm, or if Known is false
 }
 
@@ -56,7 +56,7 @@
 
 const (
 	// maxWarmup and maxBackoff are the longest warm-up and backoff that are accepted from an
-	// endpoint. A longer warm-up is ignored, a longer backoff is shortened: an endpoint that
+	// endpoint. A longer warm-up is malformed, a longer backoff is shortened: an endpoint that
 	// needs more time can repeat the header.
 	maxWarmup  = time.Hour
 	maxBackoff = time.Hour
@@ -103,7 +103,7 @@
 // own. asked is when the request was sent, and heard when the header of the response arrived.
 func (r *Reader) Read(status int, h http.Header, asked, heard time.Time) Report {
 	d := r.dialect
-	out := Report{SentAt: asked, ReceivedAt: heard, Load: d.ParseLoad(h.Get(d.Load)), Warmup: d.parseWarmup(h), Limit: d.parseLimit(h, asked, heard)}
+	out := Report{SentAt: asked, ReceivedAt: heard, Load: d.ParseLoad(h.Get(d.Load)), Warmup: d.parseWarmup(status, h), Limit: d.parseLimit(h, asked, heard)}
 	if d.InstanceID != "" {
 		out.Instance = h.Get(d.InstanceID)
 	}
@@ -124,17 +124,17 @@
 	return out
 }
 
-// parseWarmup returns the remaining warm-up of the endpoint. A value that is malformed, negative
-// or longer than maxWarmup is ignored.
-func (d *Dialect) parseWarmup(h http.Header) Warmup {
+// parseWarmup returns the remaining warm-up of the endpoint. A warm-up longer than maxWarmup counts as
+// malformed.
+func (d *Dialect) parseWarmup(status int, h http.Header) Warmup {
 	if d.Warmup == "" {
 		return Warmup{}
 	}
-	ms, err := strconv.ParseInt(h.Get(d.Warmup), 10, 64)
-	if err != nil || ms < 0 || ms > maxWarmup.Milliseconds() {
-		return Warmup{}
+	value := strings.TrimSpace(h.Get(d.Warmup))
+	if ms, ok := decimal.Parse(value); ok && ms <= float64(maxWarmup.Milliseconds()) {
+		return Warmup{Known: true, Remaining: time.Duration(ms * float64(time.Millisecond))}
 	}
-	return Warmup{Known: true, Remaining: time.Duration(ms) * time.Millisecond}
+	return Warmup{Doubtful: value != "" || status != http.StatusOK}
 }
 
 // parseLimit returns the endpoint's rate limit, or an Answer with MayLackHeader set if the dialect has no
--- a/warmups/warmups.go
+++ b/warmups/warmups.go
@@ -3,7 +3,7 @@
 //
 // A Keeper guards the permits that this balancer holds and, if it owns its availability zone, the ledger
 // of those that it grants. The rules are in package coord/warmup. Asks go to the owner of the endpoints'
-// zone through a Transport; without one the Keeper assumes that there are no other balancers.
+// zone through a Transport; without one there are no permits.
 //
 // # Usage
 //
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -43,6 +44,9 @@
 	AskWarmup(ctx context.Context, a warmup.Ask) (warmup.Reply, error)
 }
 
+// errNoTransport is the error of asks before SetTransport.
+var errNoTransport = errors.New("warmups: no transport")
+
 // Config configures a Keeper.
 type Config struct {
 	// Rate returns how many requests a second one endpoint of a service takes while it warms up; 0 if
@@ -58,10 +62,11 @@
 	asked, denied, unanswered, used metrics.Counter
 
 	mu        sync.Mutex
-	transport Transport // nil before SetTransport, or if there are no other balancers
+	transport Transport // nil before SetTransport
 	permits   *warmup.Permits
 	ledger    *warmup.Ledger
 	owned     bool                           // the last ask was handled within a tenure
+	resumed   int                            // number of calls of Resume
 	inFlight  map[warmup.Group]chan struct{} // closed when the ask for the group has ended
 }
 
@@ -146,13 +151,16 @@
 func (k *Keeper) ask(ctx context.Context, a warmup.Ask, sentAt time.Time) {
 	k.asked.Inc(1)
 	k.mu.Lock()
-	t := k.transport
+	t, resumed := k.transport, k.resumed
 	k.mu.Unlock()
 	var r warmup.Reply
 	var err error
 	if t == nil {
-		r = k.HandleAsk(a)
-	} else if r, err = t.AskWarmup(ctx, a); err != nil {
+		err = errNoTransport
+	} else {
+		r, err = t.AskWarmup(ctx, a)
+	}
+	if err != nil {
 		k.cfg.Log.Debug("ask for a warm-up permit failed", "service", a.Service, "zone", a.Zone, "error", err)
 	}
 	now := time.Now()
@@ -165,17 +173,17 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.inFlight, warmup.Group{Service: a.Service, Zone: a.Zone})
+	if resumed != k.resumed {
+		r.Granted = nil
+	}
 	k.permits.HandleReply(a, r, sentAt, now)
 }
 
 // HandleAsk replies to an ask of a balancer, which may be this one.
 func (k *Keeper) HandleAsk(a warmup.Ask) warmup.Reply {
+	tenure := k.tenure(a.Zone)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	tenure := warmup.Tenure{Until: time.Now().Add(warmup.PermitTTL)}
-	if k.transport != nil {
-		tenure = k.transport.Tenure(a.Zone)
-	}
 	now := time.Now()
 	r := k.ledger.Handle(a, k.cfg.Rate(a.Service), tenure, rand.Float64(), now)
 	if owned := tenure.Contains(now); owned != k.owned {
@@ -185,11 +193,24 @@
 	return r
 }
 
-// Resume drops all permits. It is called after the VM was suspended.
+// tenure returns the time for which this balancer owns a zone. k.mu must not be held: the Transport checks
+// for suspensions of the VM, which call Resume.
+func (k *Keeper) tenure(zone string) warmup.Tenure {
+	k.mu.Lock()
+	t := k.transport
+	k.mu.Unlock()
+	if t == nil {
+		return warmup.Tenure{}
+	}
+	return t.Tenure(zone)
+}
+
+// Resume drops all permits, also those of asks in flight. It is called after the VM was suspended.
 func (k *Keeper) Resume() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.permits.Drop()
+	k.resumed++
 }
 
 // Status is the permits of one balancer. The field names are also the JSON names.
@@ -206,11 +227,12 @@
 
 // Status returns the present status.
 func (k *Keeper) Status(zone string, now time.Time) Status {
+	tenure := k.tenure(zone)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := Status{
 		Held: k.permits.Held(now), Asked: k.asked.Count(), Denied: k.denied.Count(), Unanswered: k.unanswered.Count(),
-		Used: k.used.Count(), Owner: k.transport == nil || k.transport.Tenure(zone).Contains(now),
+		Used: k.used.Count(), Owner: tenure.Contains(now),
 	}
 	s.Endpoints, s.Granted, _ = k.ledger.Status(now)
 	return s
