--- a/direct/coldfleet_test.go
+++ b/direct/coldfleet_test.go
@@ -196,15 +196,43 @@
 	return most, permitted, total
 }
 
+// coldCase is a fleet under load and what its endpoints do.
+type coldCase struct {
+	balancers, endpoints int
+	work, latency        time.Duration
+	demand               float64       // requests per second and endpoint
+	warmFor              time.Duration // until the endpoints turn cold; 0 if they begin cold
+}
+
+// play runs the case, and checks that nothing is sent without a permit by a balancer that could know.
+func (c coldCase) play(t *testing.T) (most int) {
+	f := newColdFleet(c.balancers, c.endpoints, c.work, c.latency, c.warmFor)
+	most, permitted, total := f.run(c.demand)
+	used := float64(total) / coldTime.Seconds() / coldRate / float64(c.endpoints)
+	t.Logf("at most %d in a second of %v allowed, %d under permits, %.2f of the rate used", most, coldBound, permitted, used)
+	assert.Check(t, float64(permitted) <= warmup.MaxPerSecond(coldRate))
+	for id, s := range f.servers {
+		for _, asked := range s.uninformed {
+			assert.Check(t, asked.Before(f.turn), "%s: sent without a permit on a proof asked for after it turned cold", id)
+		}
+	}
+	return most
+}
+
+// playAll plays cases, and checks what endpoints get in all.
+func playAll(t *testing.T, cases []coldCase) {
+	for _, c := range cases {
+		name := fmt.Sprintf("%d balancers, %d endpoints, work %v, latency %v, demand %v, warm for %v", c.balancers, c.endpoints, c.work, c.latency, c.demand, c.warmFor)
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { assert.Check(t, float64(c.play(t)) <= coldBound) })
+		})
+	}
+}
+
 // TestColdEndpointsAreNotFlooded checks the bound on what an endpoint in warm-up gets in a second, for
 // fleets, latencies and demands of all sizes.
 func TestColdEndpointsAreNotFlooded(t *testing.T) {
-	for _, c := range []struct {
-		balancers, endpoints int
-		work, latency        time.Duration
-		demand               float64
-		warmFor              time.Duration
-	}{
+	playAll(t, []coldCase{
 		{3, 5, 160 * time.Millisecond, time.Millisecond, 20, 0},
 		{30, 5, 160 * time.Millisecond, 10 * time.Millisecond, 100, 0},
 		{107, 21, 160 * time.Millisecond, time.Millisecond, 60, 0},
@@ -215,27 +243,27 @@
 		{4, 4, 50 * time.Millisecond, time.Millisecond, 200, time.Second},
 		{40, 4, 200 * time.Millisecond, 3 * time.Millisecond, 60, time.Second},
 		{107, 21, 160 * time.Millisecond, 3 * time.Millisecond, 60, time.Second},
+	})
+}
+
+// TestManyBalancersDoNotFloodEndpointsThatTurnCold checks the same for endpoints that turn cold while many
+// balancers use them, or over slow links.
+func TestManyBalancersDoNotFloodEndpointsThatTurnCold(t *testing.T) {
+	playAll(t, []coldCase{
+		{107, 21, 160 * time.Millisecond, 25 * time.Millisecond, 60, time.Second},
+		{107, 21, 160 * time.Millisecond, 80 * time.Millisecond, 60, time.Second},
+		{300, 5, 160 * time.Millisecond, 3 * time.Millisecond, 200, time.Second},
+		{984, 5, 160 * time.Millisecond, 3 * time.Millisecond, 400, time.Second},
+	})
+}
+
+// TestOnlyUninformedBalancersSendWithoutPermit checks that what endpoints get beyond their permits, as they
+// turn cold, comes from balancers that cannot know yet.
+func TestOnlyUninformedBalancersSendWithoutPermit(t *testing.T) {
+	for _, c := range []coldCase{
 		{107, 21, 160 * time.Millisecond, 25 * time.Millisecond, 60, time.Second},
 		{300, 5, 160 * time.Millisecond, 3 * time.Millisecond, 200, time.Second},
 	} {
-		name := fmt.Sprintf("%d balancers, %d endpoints, work %v, latency %v, demand %v, warm for %v", c.balancers, c.endpoints, c.work, c.latency, c.demand, c.warmFor)
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newColdFleet(c.balancers, c.endpoints, c.work, c.latency, c.warmFor)
-				most, permitted, total := f.run(c.demand)
-				used := float64(total) / coldTime.Seconds() / coldRate / float64(c.endpoints)
-				t.Logf("at most %d in a second of %v allowed, %d under permits, %.2f of the rate used", most, coldBound, permitted, used)
-				assert.Check(t, float64(permitted) <= warmup.MaxPerSecond(coldRate))
-				for id, s := range f.servers {
-					for _, asked := range s.uninformed {
-						assert.Check(t, asked.Before(f.turn), "%s: sent without a permit on a proof asked for after it turned cold", id)
-					}
-				}
-				// No balancer can know earlier than after a round trip.
-				if c.warmFor == 0 || c.latency < 25*time.Millisecond {
-					assert.Check(t, float64(most) <= coldBound)
-				}
-			})
-		})
+		synctest.Test(t, func(t *testing.T) { c.play(t) })
 	}
 }
