--- a/soak/cold.go
+++ b/soak/cold.go
@@ -47,7 +47,7 @@
 	longWork  = 100 * time.Millisecond
 	manySlots = 8
 	// burstCallers is the number of the first caller of a burst.
-	burstCallers = 1000
+	burstCallers = 100_000
 )
 
 // warmupRate returns how many requests a second a cold endpoint of a service bears.
