--- a/coord/selection/candidate.go
+++ b/coord/selection/candidate.go
@@ -102,7 +102,7 @@
 // NewCandidate rates an endpoint, which it does not change. index is the endpoint's place in the
 // caller's list, and tieBreaker a random number that orders candidates of equal cost.
 func NewCandidate(e *Endpoint, index int, l Listing, params *ScoringParams, tieBreaker uint32, now time.Time) Candidate {
-	isWarmingUp := e.isWarmingUp(l, now)
+	isWarmingUp := e.IsWarmingUp(l, now)
 	untried := !isWarmingUp && e.untried(l)
 	conditions := Conditions{
 		Slots:    l.Slots,
--- a/coord/selection/warmup.go
+++ b/coord/selection/warmup.go
@@ -95,19 +95,16 @@
 // ProofUntil returns until when a request may be written that relies on the endpoint's proof.
 func (e *Endpoint) ProofUntil() time.Time { return e.proof.sentAt.Add(MaxWarmAge) }
 
-// isWarmingUp reports whether the endpoint is warming up, as it reported itself or as listed. Of
+// IsWarmingUp reports whether the endpoint is warming up, as it reported itself or as listed. Of
 // these two, the later one counts, with one exception: the content of a listing may be older than
 // the time it was received, so a listing never overrides the endpoint's own report of a warm-up.
-func (e *Endpoint) isWarmingUp(l Listing, now time.Time) bool {
+func (e *Endpoint) IsWarmingUp(l Listing, now time.Time) bool {
 	if now.Before(e.warmUntil) {
 		return true
 	}
 	return now.Before(l.WarmUntil) && !e.warmupReportedAt.After(l.WarmupReceivedAt)
 }
 
-// IsWarmingUp reports whether the endpoint is warming up, as far as the balancer knows.
-func (e *Endpoint) IsWarmingUp(l Listing, now time.Time) bool { return e.isWarmingUp(l, now) }
-
 // IsProvenWarm reports whether the endpoint has a proof that it is warm.
 func (e *Endpoint) IsProvenWarm(now time.Time) bool {
 	return !e.proof.sentAt.IsZero() && now.Sub(e.proof.receivedAt) <= proofTTL && now.Before(e.ProofUntil())
@@ -120,7 +117,7 @@
 // MayBeWarmingUp reports whether the endpoint is warming up as far as the balancer knows, or gives no
 // proof of the opposite.
 func (e *Endpoint) MayBeWarmingUp(l Listing, now time.Time) bool {
-	return e.isWarmingUp(l, now) || max(e.unansweredProbes, e.proofless) >= maxUnprovenProbes
+	return e.IsWarmingUp(l, now) || max(e.unansweredProbes, e.proofless) >= maxUnprovenProbes
 }
 
 // blockedInWarmup reports whether the endpoint, which is warming up, must not get the request now. An
--- a/coord/warmup/ledger.go
+++ b/coord/warmup/ledger.go
@@ -142,7 +142,7 @@
 	return b.refilled(rate, now)
 }
 
-// prune removes buckets that have not been used for bucketTTL. If there are too many others, all are
+// prune removes buckets for which nobody has asked for bucketTTL. If there are too many others, all are
 // removed, and begin empty again.
 func (l *Ledger) prune(now time.Time) {
 	full := len(l.buckets) >= maxBuckets
--- a/coord/warmup/warmup.go
+++ b/coord/warmup/warmup.go
@@ -40,7 +40,7 @@
 	MaxPermits = 16
 	// maxBuckets bounds the number of endpoints for which an owner keeps a bucket.
 	maxBuckets = 1 << 15
-	// bucketTTL is how long an unused bucket is kept. It is full long before.
+	// bucketTTL is how long a bucket is kept for which nobody asks.
 	bucketTTL = time.Minute
 )
 
