--- a/coord/warmup/fleet_test.go
+++ b/coord/warmup/fleet_test.go
@@ -325,3 +325,28 @@
 	assert.Equal(t, granted(first+(debt+1)*time.Second/5), 1)
 	assert.Equal(t, granted(first+(debt+1)*time.Second/5), 0)
 }
+
+// TestPauseAfterFailures checks that each failure in a row doubles the time for which no balancer gets a
+// permit, up to a limit, that failures reported meanwhile do not lengthen it, and that a calm time ends the row.
+func TestPauseAfterFailures(t *testing.T) {
+	const rate = 2.5
+	now, target := time.Unix(1000, 0), Target{ID: "e"}
+	tenure := Tenure{Since: now, Until: now.Add(time.Hour)}
+	l := NewLedger()
+	granted := func(at time.Time) int {
+		return len(l.Handle(Ask{Targets: []Target{target}, Want: 1}, rate, tenure, 0, at).Granted)
+	}
+	fail := func(at time.Time) { l.Handle(Ask{Failed: []Target{target}}, rate, tenure, 0, at) }
+	granted(now)
+	for i, pause := range []time.Duration{400, 800, 1600, 3200, 3200, 400} {
+		now = now.Add(10 * time.Millisecond)
+		if i == 0 || i == 5 {
+			now = now.Add(10 * time.Second)
+		}
+		fail(now)
+		fail(now.Add(pause * time.Millisecond / 2))
+		now = now.Add(pause * time.Millisecond)
+		assert.Equal(t, granted(now.Add(-time.Millisecond)), 0, "failure %d", i)
+		assert.Equal(t, granted(now), 1, "failure %d", i)
+	}
+}
--- a/coord/warmup/ledger.go
+++ b/coord/warmup/ledger.go
@@ -143,7 +143,7 @@
 }
 
 // prune removes buckets for which nobody has asked for bucketTTL. If there are too many others, all are
-// removed, and begin empty again.
+// removed, and begin in debt again.
 func (l *Ledger) prune(now time.Time) {
 	full := len(l.buckets) >= maxBuckets
 	if !full && now.Sub(l.prunedAt) < bucketTTL {
