--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds what the scripts of review/4 to review/8 start besides the deploy file's program.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review2
+go build -tags review -o target/review2/loadreport ./review/4
