--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review2
 go build -tags review -o target/review2/loadreport ./review/4
+go build -tags review -o target/review2/weights ./review/5
