--- a/review/lab2/balancer.go
+++ b/review/lab2/balancer.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// Program is the program of the deploy file.
+var Program = "target/lotuswing"
+
 // StartBalancer starts a balancer with the command of the deploy file.
 func StartBalancer(cfg BalancerConfig) (*Balancer, error) {
 	b := &Balancer{BalancerConfig: cfg, Front: FreeAddr(cfg.IP), Ready: FreeAddr(cfg.IP)}
@@ -84,7 +87,7 @@
 	if b.log, err = os.Create(filepath.Join(cfg.Dir, cfg.Name+".log")); err != nil {
 		return nil, err
 	}
-	b.cmd = exec.Command("target/lotuswing", "run")
+	b.cmd = exec.Command(Program, "run")
 	b.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LOTUSWING_NODE_FILE=" + file}
 	b.cmd.Stdout, b.cmd.Stderr = b.log, b.log
 	return b, b.cmd.Start()
