--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,5 @@
 mkdir -p target/review2
 go build -tags review -o target/review2/loadreport ./review/4
 go build -tags review -o target/review2/weights ./review/5
+go build -tags review -o target/review2/keys ./review/6
 go build -tags review -o target/review2/switching ./review/7
