--- a/review/4/main.go
+++ b/review/4/main.go
@@ -47,13 +47,15 @@
 		Zones: []string{"medina", "tribunal"}, PerZone: 2, Services: []string{"huvo11a", "wuno96b"}, PerService: 5, Slots: 3,
 		Work: 40 * time.Millisecond, ApplyMs: 2000, DrainMs: 2000, Config: config,
 		BeforeStartup: func(f *lab2.Fleet) {
-			f.Servers[0].Load = func(usual string) string {
-				if !armed.CompareAndSwap(true, false) {
-					return usual
+			for _, s := range f.Servers {
+				s.Load = func(usual string) string {
+					if !armed.CompareAndSwap(true, false) {
+						return usual
+					}
+					spoiled.Add(1)
+					record.Note("server %s of service %s answers once with Server-Load: %s", s.ID, s.Service, wrong)
+					return wrong
 				}
-				spoiled.Add(1)
-				record.Note("server %s of service %s answers once with Server-Load: %s", f.Servers[0].ID, f.Servers[0].Service, wrong)
-				return wrong
 			}
 		},
 	})
@@ -70,13 +72,14 @@
 	var mu sync.Mutex
 	counts := map[string]map[string]*count{"before": {}, "after": {}}
 	var clients sync.WaitGroup
-	began := time.Now()
+	arming, began := false, time.Now()
 	for n := 0; time.Since(began) < calm+troubled; n++ {
 		phase := "before"
 		if time.Since(began) > calm {
 			phase = "after"
 		}
-		if phase == "after" && trouble && spoiled.Load() == 0 {
+		if phase == "after" && trouble && !arming {
+			arming = true
 			armed.Store(true)
 		}
 		for _, b := range f.Balancers {
@@ -122,7 +125,8 @@
 		}
 	}
 	if trouble && spoiled.Load() == 0 {
-		record.Note("the server got no request to answer")
+		record.Note("no server got a request to answer")
+		fmt.Println("no server got a request to answer")
 		return 2
 	}
 	client := http.Client{Timeout: time.Second}
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,48 +1,56 @@
 //go:build review
 
-// Command paths sends requests whose paths have characters that clients send as they are, and compares what
-// servers run with what was sent.
+// Command silence makes the connection silent on which one balancer watches the store, and changes the configuration
+// when the machines are in touch again.
 package main
 
 import (
-	"bufio"
 	"flag"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/lotuswing/lotuswing/review/lab2"
 )
 
-const deadline = 2 * time.Second
-
-// usual are paths of letters, digits, and characters that are reserved or encoded.
-var usual = []string{"/2f", "/a%7Cb", "/a//b", "/a%2Fb;c=d", "/a!$&'()*+,=:@-._~", "/2f?q=a%7Cb"}
-
-// literal are paths with characters that browsers do not encode, and one in UTF-8.
-var literal = []string{"/dossier|2026", "/dossier^2", "/fès/2026", "/{2026}"}
+const (
+	applyMs   = 2000 // configApplyMs of the site
+	contactMs = 3000 // contactMs of the site
+	watchFor  = 4 * time.Second
+)
 
 func main() { os.Exit(run()) }
 
+func route(name, prefix, service string) lab2.Route {
+	return lab2.Route{Name: name, Host: "jepu9.example", Prefix: prefix, Kind: "safe", Service: service, TimeoutMs: 1000, TargetMs: 250, Priority: 2, Most: 2}
+}
+
 func run() int {
 	path := flag.String("record", "record.txt", "the file to write to")
 	keep := flag.Bool("keep", false, "keep the logs")
+	lag := flag.Duration("lag", 3*time.Second, "how old reads are that may be stale")
 	flag.Parse()
 	record, err := lab2.NewRecord(*path)
 	if err != nil {
 		return 2
 	}
 	defer record.Close()
-	config := lab2.Config(7, []lab2.Route{
-		{Name: "r-read", Host: "jepu9.example", Prefix: "/lepu270/", Kind: "safe", Service: "huvo11a", TimeoutMs: 1000, TargetMs: 250, Priority: 2, Most: 2},
-		{Name: "r-submit", Host: "jepu9.example", Prefix: "/xapu221/", Kind: "unsafe", Service: "wuno96b", TimeoutMs: 1200, TargetMs: 300, Priority: 1, Most: 2},
-	}, []lab2.Service{{Name: "huvo11a", MaxConnections: 260}, {Name: "wuno96b", MaxConnections: 260}}, nil)
+	services := []lab2.Service{{Name: "huvo11a", MaxConnections: 260}, {Name: "kafi81c", MaxConnections: 260}}
+	main := route("r-read", "/lepu270/", "huvo11a")
+	var proxies []*lab2.Proxy
 	f, err := lab2.StartFleet(lab2.FleetConfig{
-		Zones: []string{"medina", "tribunal"}, PerZone: 1, Services: []string{"huvo11a", "wuno96b"}, PerService: 2, Slots: 3,
-		Work: 10 * time.Millisecond, ApplyMs: 2000, DrainMs: 2000, Config: config,
+		Store: lab2.StoreOptions{StaleLag: *lag}, Zones: []string{"medina", "tribunal"}, PerZone: 2, Services: []string{"huvo11a", "kafi81c"}, PerService: 3, Slots: 3,
+		Work: 20 * time.Millisecond, ApplyMs: applyMs, DrainMs: 2000, Config: lab2.Config(7, []lab2.Route{main, route("r-old", "/fewa18/", "huvo11a")}, services, nil),
+		StoreOf: func(_, store string) string {
+			p, err := lab2.StartProxy(store)
+			if err != nil {
+				panic(err)
+			}
+			proxies = append(proxies, p)
+			return p.Addr
+		},
 	})
 	if f != nil {
 		defer f.End(*keep)
@@ -52,69 +60,41 @@
 		fmt.Println("could not start:", err)
 		return 2
 	}
-	time.Sleep(3 * time.Second)
-	paths := usual
+	time.Sleep(10 * time.Second)
 	if os.Getenv("TROUBLE") != "0" {
-		paths = append(paths[:len(paths):len(paths)], literal...)
-	}
-	sent := map[string]string{}
-	for _, b := range f.Balancers {
-		for _, p := range paths {
-			for method, prefix := range map[string]string{"GET": "/lepu270", "POST": "/xapu221"} {
-				id := lab2.NewID()
-				sent[id] = method + " " + prefix + p
-				record.Note("%s: sent to %s: %s", id, b.Name, sent[id])
-				status, err := send(b, id, method, prefix+p)
-				if err != nil {
-					record.Note("%s: %v", id, err)
-					return 2
-				}
-				record.Note("%s: answered %d", id, status)
+		leader, writer := 0, string(f.Store.LastWritten())
+		for i, b := range f.Balancers {
+			if strings.Contains(writer, b.Name) {
+				leader = i
 			}
 		}
+		silenced, all := proxies[leader].SilenceWatches()
+		record.Note("%s, which last wrote to the store under a condition: %d of the %d connections to the store that it has opened go silent, new ones work", f.Balancers[leader].Name, silenced, all)
 	}
-	changed, ran := 0, 0
-	for _, r := range f.Ledger.Runs() {
-		ran++
-		if got := r.Method + " " + r.Target; got != sent[r.ID] {
-			changed++
-			record.Note("%s: sent as %s, run by server %s as %s", r.ID, sent[r.ID], r.Server, got)
+	time.Sleep((contactMs + 500) * time.Millisecond)
+	f.Store.Put("op/config", lab2.Config(11, []lab2.Route{main, route("r-new", "/nubo77/", "kafi81c")}, services, nil))
+	acked := time.Now()
+	record.Note("acknowledged: version 11, r-old is dropped, r-new is added")
+	time.Sleep(applyMs * time.Millisecond)
+	asked, broken, last := 0, 0, time.Duration(0)
+	for end := time.Now().Add(watchFor); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, b := range f.Balancers {
+			for _, target := range []string{"/fewa18/x", "/nubo77/x"} {
+				r := lab2.Send(b, "GET", "jepu9.example", target, "", time.Second, nil)
+				asked++
+				if target == "/fewa18/x" && r.Status == http.StatusOK || target == "/nubo77/x" && r.Status == http.StatusNotFound {
+					broken++
+					last = r.Sent.Sub(acked)
+					record.Note("%s %s %s sent %.2f s after the acknowledgement, answered %d: only an older version allows it", r.ID, b.Name, target, last.Seconds(), r.Status)
+				}
+			}
 		}
 	}
-	record.Note("%d sent, %d run, %d of them with another path than was sent", len(sent), ran, changed)
-	fmt.Printf("%d sent, %d run, %d of them with another path than was sent\n", len(sent), ran, changed)
-	switch {
-	case changed > 0:
-		record.Note("broken: UNASKED")
+	record.Note("%d requests sent later than %d ms after the acknowledgement: %d handled as only an older version allows, the last one sent %.2f s after it", asked, applyMs, broken, last.Seconds())
+	fmt.Printf("%d of %d handled as only an older version allows, the last one sent %.2f s after the acknowledgement\n", broken, asked, last.Seconds())
+	if broken > 0 {
+		record.Note("broken: CONFIG")
 		return 1
-	case ran < len(sent):
-		return 2
 	}
 	return 0
 }
-
-// send sends a request byte by byte as it is, and returns the status of its answer.
-func send(b *lab2.Balancer, id, method, target string) (int, error) {
-	conn, err := net.DialTimeout("tcp", b.Front, time.Second)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(deadline))
-	body := ""
-	if method == "POST" {
-		body = "petition"
-	}
-	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: jepu9.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		method, target, id, deadline.Milliseconds(), len(body), body)
-	if err != nil {
-		return 0, err
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err
-}
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Paths reach servers changed. Exits with 1 if the rule was broken.
+# Balancers whose watch of the store is silent go on with an old version for too long. Exits with 1 if the rule was broken.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review2/paths -record review/8/record.txt
+exec target/review2/silence -record review/8/record.txt
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,4 +7,4 @@
 go build -tags review -o target/review2/weights ./review/5
 go build -tags review -o target/review2/keys ./review/6
 go build -tags review -o target/review2/switching ./review/7
-go build -tags review -o target/review2/paths ./review/8
+go build -tags review -o target/review2/silence ./review/8
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -174,6 +174,19 @@
 	return keys
 }
 
+// LastWritten returns the value that was last written under a condition, and is still there.
+func (s *Store) LastWritten() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var last item
+	for key, i := range s.present().items {
+		if !strings.HasPrefix(key, "op/") && !strings.HasPrefix(key, "servers/") && i.Revision > last.Revision {
+			last = i
+		}
+	}
+	return last.Value
+}
+
 // expire ends leases, and forgets the history that is older than historyFor.
 func (s *Store) expire(now time.Time) {
 	s.mu.Lock()
