--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,7 +1,7 @@
 //go:build review
 
-// Command weights gives a small deployment a version of the configuration in which the weights of a split are
-// fractions, and asks afterwards which version is in force.
+// Command keys gives a small deployment a version of the configuration with a long API key, and asks afterwards
+// whether the key that the version takes away still works.
 package main
 
 import (
@@ -9,22 +9,21 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/lotuswing/lotuswing/review/lab2"
 )
 
 const (
-	applyMs  = 2000 // configApplyMs of the site
+	applyMs  = 2500 // configApplyMs of the site
 	watchFor = 15 * time.Second
+	stays    = "ftimaj3nr26tta828m82"
+	revoked  = "thhkmgjqnirth5mgjy5r"
 )
 
 func main() { os.Exit(run()) }
 
-func route(name, prefix, service string) lab2.Route {
-	return lab2.Route{Name: name, Host: "jepu9.example", Prefix: prefix, Kind: "safe", Service: service, TimeoutMs: 1000, TargetMs: 250, Priority: 2, Most: 2}
-}
-
 func run() int {
 	path := flag.String("record", "record.txt", "the file to write to")
 	keep := flag.Bool("keep", false, "keep the logs")
@@ -34,16 +33,14 @@
 		return 2
 	}
 	defer record.Close()
-	services := []lab2.Service{{Name: "huvo11a", MaxConnections: 260}, {Name: "kafi81c", MaxConnections: 260}}
-	split := func(main, canary float64) lab2.Route {
-		r := route("r-read", "/lepu270/", "")
-		r.Split = []lab2.Part{{Service: "huvo11a", Weight: main}, {Service: "kafi81c", Weight: canary}}
-		return r
+	routes := []lab2.Route{
+		{Name: "r-order", Host: "jepu9.example", Prefix: "/puka111/", Kind: "unsafe", Service: "wuno96b", TimeoutMs: 3000, TargetMs: 1200, Priority: 2, Most: 2},
 	}
-	before := lab2.Config(7, []lab2.Route{split(90, 10), route("r-old", "/fewa18/", "huvo11a")}, services, nil)
+	services := []lab2.Service{{Name: "wuno96b", MaxConnections: 920}}
+	before := lab2.Config(7, routes, services, []lab2.Team{{Name: "cuka620", Keys: []string{stays, revoked}, Rate: 327, Burst: 327}})
 	f, err := lab2.StartFleet(lab2.FleetConfig{
-		Zones: []string{"medina", "tribunal"}, PerZone: 2, Services: []string{"huvo11a", "kafi81c"}, PerService: 3, Slots: 3,
-		Work: 20 * time.Millisecond, ApplyMs: applyMs, DrainMs: 2000, Config: before,
+		Zones: []string{"es-norte-1", "es-norte-2"}, PerZone: 2, Services: []string{"wuno96b"}, PerService: 3, Slots: 3,
+		Work: 20 * time.Millisecond, ApplyMs: applyMs, DrainMs: 2500, QuotaSlack: 20, Config: before,
 	})
 	if f != nil {
 		defer f.End(*keep)
@@ -54,46 +51,63 @@
 		return 2
 	}
 	time.Sleep(3 * time.Second)
+	send := func(b *lab2.Balancer, key string) lab2.Reply {
+		return lab2.Send(b, "POST", "jepu9.example", "/puka111/2f", "order", 3*time.Second, map[string]string{"Authorization": "Bearer " + key})
+	}
 	for _, b := range f.Balancers {
-		for _, target := range []string{"/lepu270/x", "/fewa18/x"} {
-			if r := lab2.Send(b, "GET", "jepu9.example", target, "", time.Second, nil); r.Status != http.StatusOK {
-				record.Note("%s does not serve %s: %d %v", b.Name, target, r.Status, r.Err)
+		for _, key := range []string{stays, revoked} {
+			if r := send(b, key); r.Status != http.StatusOK {
+				record.Note("%s does not serve: %d %v", b.Name, r.Status, r.Err)
 				return 2
 			}
 		}
 	}
-	main, canary := 99.0, 1.0
+	length := 40
 	if os.Getenv("TROUBLE") != "0" {
-		main, canary = 99.5, 0.5
+		length = 600
 	}
-	f.Store.Put("op/config", lab2.Config(11, []lab2.Route{split(main, canary), route("r-new", "/nubo77/", "kafi81c")}, services, nil))
+	added := strings.Repeat("k7Qx2mZp", length/8)
+	f.Store.Put("op/config", lab2.Config(11, routes, services, []lab2.Team{
+		{Name: "cuka620", Keys: []string{stays}, Rate: 327, Burst: 327},
+		{Name: "demo771", Keys: []string{added}, Rate: 327, Burst: 327},
+	}))
 	acked := time.Now()
-	record.Note("acknowledged: version 11, weights %v and %v, r-old is dropped, r-new is added", main, canary)
+	record.Note("acknowledged: version 11, the key %s is taken away, a key of %d characters is added", revoked, length)
 	time.Sleep(applyMs * time.Millisecond)
-	asked, broken := 0, 0
+	asked, ranRevoked, refusedAdded := 0, 0, 0
+	ids := map[string]bool{}
 	for end := time.Now().Add(watchFor); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		for _, b := range f.Balancers {
-			for _, target := range []string{"/fewa18/x", "/nubo77/x"} {
-				r := lab2.Send(b, "GET", "jepu9.example", target, "", time.Second, nil)
+			for _, key := range []string{revoked, added} {
+				r := send(b, key)
 				asked++
-				verdict := "allowed"
-				if target == "/fewa18/x" && r.Status == http.StatusOK || target == "/nubo77/x" && r.Status == http.StatusNotFound {
-					broken++
+				name, verdict := "the key taken away", "allowed"
+				if key == added {
+					name = "the key added"
+				}
+				switch {
+				case key == revoked && r.Status == http.StatusOK:
+					ranRevoked++
+					ids[r.ID] = true
+					verdict = "only an older version allows it"
+				case key == added && r.Status == http.StatusUnauthorized:
+					refusedAdded++
 					verdict = "only an older version allows it"
 				}
-				record.Note("%s %s %s sent %.2f s after the acknowledgement, answered %d: %s", r.ID, b.Name, target, r.Sent.Sub(acked).Seconds(), r.Status, verdict)
+				record.Note("%s %s, %s, sent %.2f s after the acknowledgement, answered %d: %s", r.ID, b.Name, name, r.Sent.Sub(acked).Seconds(), r.Status, verdict)
 			}
 		}
 	}
 	ran := 0
 	for _, r := range f.Ledger.Runs() {
-		if r.Target == "/fewa18/x" && r.At.After(acked.Add(applyMs*time.Millisecond)) {
+		if ids[r.ID] {
 			ran++
 		}
 	}
-	record.Note("%d requests sent later than %d ms after the acknowledgement: %d handled as only an older version allows, %d of them run by a server on the dropped route", asked, applyMs, broken, ran)
-	fmt.Printf("%d of %d handled as only an older version allows, %d run on the dropped route\n", broken, asked, ran)
-	if broken > 0 {
+	record.Note("%d requests sent later than %d ms after the acknowledgement: %d with the key taken away were answered with success, and servers ran %d of them; %d with the key added got 401",
+		asked, applyMs, ranRevoked, ran, refusedAdded)
+	fmt.Printf("%d sent: %d unsafe ones ran with the key taken away, %d with the key added got 401\n", asked, ran, refusedAdded)
+	if ran+refusedAdded > 0 {
 		record.Note("broken: CONFIG")
 		return 1
 	}
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,70 +1,55 @@
 //go:build review
 
-// Command switching sends traffic on kept connections while faulty servers answer some requests with bytes that
-// are no answer: a change of protocols that nobody asked for.
+// Command silence makes the connection silent on which one balancer watches the store, and changes the configuration
+// when the machines are in touch again.
 package main
 
 import (
-	"bufio"
 	"flag"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
-	"sync"
-	"sync/atomic"
+	"strings"
 	"time"
 
 	"github.com/lotuswing/lotuswing/review/lab2"
 )
 
 const (
-	timeoutMs = 1000
-	deadline  = 2 * time.Second
-	calm      = 3 * time.Second         // before the disruption
-	disturbed = 5500 * time.Millisecond // for_s of the site's garble
-	after     = 4 * time.Second
-	share     = 0.35 // of the servers
-	every     = 50   // one answer in so many is spoiled: x = 0.02
-	clients   = 40
+	applyMs   = 2000 // configApplyMs of the site
+	contactMs = 3000 // contactMs of the site
+	watchFor  = 4 * time.Second
 )
 
 func main() { os.Exit(run()) }
 
-// counts is what clients saw.
-type counts struct{ sent, served, other, switched, unanswered atomic.Int64 }
+func route(name, prefix, service string) lab2.Route {
+	return lab2.Route{Name: name, Host: "jepu9.example", Prefix: prefix, Kind: "safe", Service: service, TimeoutMs: 1000, TargetMs: 250, Priority: 2, Most: 2}
+}
 
 func run() int {
 	path := flag.String("record", "record.txt", "the file to write to")
 	keep := flag.Bool("keep", false, "keep the logs")
+	lag := flag.Duration("lag", 3*time.Second, "how old reads are that may be stale")
 	flag.Parse()
 	record, err := lab2.NewRecord(*path)
 	if err != nil {
 		return 2
 	}
 	defer record.Close()
-	trouble := os.Getenv("TROUBLE") != "0"
-	var disturbing atomic.Bool
-	var answers, spoiled atomic.Int64
-	config := lab2.Config(7, []lab2.Route{
-		{Name: "r-read", Host: "jepu9.example", Prefix: "/lepu270/", Kind: "safe", Service: "huvo11a", TimeoutMs: timeoutMs, TargetMs: 250, Priority: 2, Most: 2},
-	}, []lab2.Service{{Name: "huvo11a", MaxConnections: 260}}, nil)
+	services := []lab2.Service{{Name: "huvo11a", MaxConnections: 260}, {Name: "kafi81c", MaxConnections: 260}}
+	main := route("r-read", "/lepu270/", "huvo11a")
+	var proxies []*lab2.Proxy
 	f, err := lab2.StartFleet(lab2.FleetConfig{
-		Zones: []string{"medina", "tribunal"}, PerZone: 2, Services: []string{"huvo11a"}, PerService: 5, Slots: 6,
-		Work: 20 * time.Millisecond, ApplyMs: 2000, DrainMs: 2000, Config: config,
-		BeforeStartup: func(f *lab2.Fleet) {
-			for _, s := range f.Servers[:int(share*float64(len(f.Servers)))] {
-				s.Answer = func(w http.ResponseWriter, r *http.Request, _ []byte) {
-					if disturbing.Load() && answers.Add(1)%every == 1 {
-						spoiled.Add(1)
-						spoil(s, w, r, record)
-						return
-					}
-					w.Header().Set("Response-Signature", lab2.Signature(s.ID, r.Header.Get("Request-Id")))
-					_, _ = io.WriteString(w, "body of "+r.Header.Get("Request-Id")+"\n")
-				}
+		Store: lab2.StoreOptions{StaleLag: *lag}, Zones: []string{"medina", "tribunal"}, PerZone: 2, Services: []string{"huvo11a", "kafi81c"}, PerService: 3, Slots: 3,
+		Work: 20 * time.Millisecond, ApplyMs: applyMs, DrainMs: 2000, Config: lab2.Config(7, []lab2.Route{main, route("r-old", "/fewa18/", "huvo11a")}, services, nil),
+		StoreOf: func(_, store string) string {
+			p, err := lab2.StartProxy(store)
+			if err != nil {
+				panic(err)
 			}
+			proxies = append(proxies, p)
+			return p.Addr
 		},
 	})
 	if f != nil {
@@ -75,100 +60,41 @@
 		fmt.Println("could not start:", err)
 		return 2
 	}
-	time.Sleep(3 * time.Second)
-	var seen counts
-	var all sync.WaitGroup
-	end := time.Now().Add(calm + disturbed + after)
-	if trouble {
-		time.AfterFunc(calm, func() { disturbing.Store(true) })
-		time.AfterFunc(calm+disturbed, func() { disturbing.Store(false) })
-	}
-	for n := range clients {
-		all.Go(func() { client(f.Balancers[n%len(f.Balancers)], end, &seen, record) })
-	}
-	all.Wait()
-	record.Note("%d sent on kept connections, %d served, %d answered otherwise, %d answered by bytes that are no answer, %d then not answered at all; %d spoiled answers of servers",
-		seen.sent.Load(), seen.served.Load(), seen.other.Load(), seen.switched.Load(), seen.unanswered.Load(), spoiled.Load())
-	fmt.Printf("%d sent, %d served, %d answered by bytes that are no answer, %d then not answered\n", seen.sent.Load(), seen.served.Load(), seen.switched.Load(), seen.unanswered.Load())
-	switch {
-	case seen.switched.Load() > 0:
-		record.Note("broken: MIXED")
-		return 1
-	case trouble && spoiled.Load() == 0, seen.served.Load() < seen.sent.Load()/2:
-		return 2
-	}
-	return 0
-}
-
-// spoil sends bytes that are no answer, and ends the connection after a while.
-func spoil(s *lab2.Server, w http.ResponseWriter, r *http.Request, record *lab2.Record) {
-	id := r.Header.Get("Request-Id")
-	record.Note("%s: server %s ran it and sends bytes that are no answer", id, s.ID)
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer func() { _ = conn.Close() }()
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nRequest-Id: %s\r\n\r\n", id)
-	time.Sleep(3 * time.Second)
-}
-
-// client sends one request after the other on a kept connection, and opens a new one where that fails.
-func client(b *lab2.Balancer, end time.Time, seen *counts, record *lab2.Record) {
-	for time.Now().Before(end) {
-		conn, err := net.DialTimeout("tcp", b.Front, time.Second)
-		if err != nil {
-			time.Sleep(100 * time.Millisecond)
-			continue
-		}
-		session(conn, b, end, seen, record)
-		_ = conn.Close()
-	}
-}
-
-// session sends requests on a connection until it ends.
-func session(conn net.Conn, b *lab2.Balancer, end time.Time, seen *counts, record *lab2.Record) {
-	in := bufio.NewReader(conn)
-	switched := ""
-	for time.Now().Before(end) {
-		id := lab2.NewID()
-		seen.sent.Add(1)
-		_ = conn.SetDeadline(time.Now().Add(deadline))
-		if _, err := fmt.Fprintf(conn, "GET /lepu270/2f HTTP/1.1\r\nHost: jepu9.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", id, deadline.Milliseconds()); err != nil {
-			return
-		}
-		line, err := in.Peek(12)
-		if err != nil {
-			if switched != "" {
-				seen.unanswered.Add(1)
-				record.Note("%s: sent to %s behind %s on the same connection, no answer within %v: %v", id, b.Name, switched, deadline, err)
+	time.Sleep(10 * time.Second)
+	if os.Getenv("TROUBLE") != "0" {
+		leader, writer := 0, string(f.Store.LastWritten())
+		for i, b := range f.Balancers {
+			if strings.Contains(writer, b.Name) {
+				leader = i
 			}
-			return
 		}
-		if string(line[9:12]) == "101" {
-			seen.switched.Add(1)
-			switched = id
-			resp, err := http.ReadResponse(in, nil)
-			if err != nil {
-				return
+		silenced, all := proxies[leader].SilenceWatches()
+		record.Note("%s, which last wrote to the store under a condition: %d of the %d connections to the store that it has opened go silent, new ones work", f.Balancers[leader].Name, silenced, all)
+	}
+	time.Sleep((contactMs + 500) * time.Millisecond)
+	f.Store.Put("op/config", lab2.Config(11, []lab2.Route{main, route("r-new", "/nubo77/", "kafi81c")}, services, nil))
+	acked := time.Now()
+	record.Note("acknowledged: version 11, r-old is dropped, r-new is added")
+	time.Sleep(applyMs * time.Millisecond)
+	asked, broken, last := 0, 0, time.Duration(0)
+	for end := time.Now().Add(watchFor); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, b := range f.Balancers {
+			for _, target := range []string{"/fewa18/x", "/nubo77/x"} {
+				r := lab2.Send(b, "GET", "jepu9.example", target, "", time.Second, nil)
+				asked++
+				if target == "/fewa18/x" && r.Status == http.StatusOK || target == "/nubo77/x" && r.Status == http.StatusNotFound {
+					broken++
+					last = r.Sent.Sub(acked)
+					record.Note("%s %s %s sent %.2f s after the acknowledgement, answered %d: only an older version allows it", r.ID, b.Name, target, last.Seconds(), r.Status)
+				}
 			}
-			record.Note("%s: client of %s, which asked for no other protocol, gets %q", id, b.Name, resp.Proto+" "+resp.Status)
-			continue
-		}
-		resp, err := http.ReadResponse(in, nil)
-		if err != nil {
-			return
-		}
-		_, err = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusOK && err == nil {
-			seen.served.Add(1)
-		} else {
-			seen.other.Add(1)
-		}
-		if resp.Close {
-			return
 		}
-		time.Sleep(100 * time.Millisecond)
 	}
+	record.Note("%d requests sent later than %d ms after the acknowledgement: %d handled as only an older version allows, the last one sent %.2f s after it", asked, applyMs, broken, last.Seconds())
+	fmt.Printf("%d of %d handled as only an older version allows, the last one sent %.2f s after the acknowledgement\n", broken, asked, last.Seconds())
+	if broken > 0 {
+		record.Note("broken: CONFIG")
+		return 1
+	}
+	return 0
 }
