configuration: one part that cannot be used no longer keeps a version out of force

Cause: parseConfig joined the faults of all resources into one error, and the directory went on with the version before. The limit of 512 bytes on keys was the occasion.

Each resource is decoded on its own. A route, part of a split or team that cannot be used gets 503 (LW1009) and never an older meaning; the rest of the version counts, withdrawn keys above all. What the protocol allows is accepted: keys as long as the header, fractional weights, whole numbers in any form, names that a header carries.

Changed checks: TestTeamsAreRead demanded that an invalid team makes the configuration invalid, which is the fault. It now states for nine invalid texts what each of three keys becomes. TestInvalidConfigurationIsReported, now TestInvalidRouteIsReported, demands the same text of the fault and that the version counts. Two cases of TestBearerToken demanded that keys above 512 bytes are refused; they now demand that these arrive unchanged.

--- a/access/bearer.go
+++ b/access/bearer.go
@@ -12,13 +12,8 @@
 // Challenge is the value of the header WWW-Authenticate in a response with status 401.
 const Challenge = "Bearer"
 
-const (
-	// authScheme begins the value of the header, in any case (RFC 9110, section 11.1).
-	authScheme = "bearer "
-	// maxKeyBytes is the length of the longest accepted key: longer ones are refused before they are
-	// hashed.
-	maxKeyBytes = 512
-)
+// authScheme begins the value of the header, in any case (RFC 9110, section 11.1).
+const authScheme = "bearer "
 
 var (
 	// ErrNoKey is returned for a request without a key.
@@ -43,7 +38,7 @@
 		return "", ErrMalformed
 	}
 	key := strings.TrimLeft(value[len(authScheme):], " ")
-	if !isVisibleASCII(key) || len(key) > maxKeyBytes {
+	if !isToken(key) {
 		return "", ErrMalformed
 	}
 	return key, nil
--- a/access/unknownkeys.go
+++ b/access/unknownkeys.go
@@ -53,7 +53,7 @@
 	switch s {
 	case Valid:
 		return Admit
-	case Revoked:
+	case Revoked, Unusable:
 		return Deny
 	case Unknown:
 	}
--- a/balancer/authenticate.go
+++ b/balancer/authenticate.go
@@ -58,11 +58,14 @@
 	return b.keyRefusal(digest, state, now)
 }
 
-// keyRefusal returns the refusal for a key that no team holds. A key that may have been added too
+// keyRefusal returns the refusal for a key that no usable team holds. A key that may have been added too
 // recently for this balancer to know gets a Retry-After.
 func (b *Balancer) keyRefusal(digest access.Digest, s access.KeyState, now time.Time) error {
-	since := b.unknownKeys.FirstSeen(digest, now)
 	message := fmt.Sprintf("key with the salted digest %s", digest)
+	if s == access.Unusable {
+		return refusal{reason: reason.ConfigUnusable, message: "the team of the " + message}
+	}
+	since := b.unknownKeys.FirstSeen(digest, now)
 	if access.Decide(s, since, b.cfg.KeyPropagationTime, b.cfg.Access.ReceivesChanges(now), now) == access.RetryLater {
 		return refusal{reason: reason.KeyUnknown, message: message, retryAfter: b.cfg.KeyPropagationTime}
 	}
@@ -84,6 +87,8 @@
 		x.team = team.Name // empty if no team holds the key any more
 		x.replaceKeyWithTeam(b.cfg.Policy.Dialect.Team)
 		return nil
+	case state == access.Unusable:
+		return b.keyRefusal(x.key, state, now)
 	}
 	return b.keyRefusal(x.key, access.Revoked, now)
 }
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -40,6 +40,9 @@
 			return nil, refusal{reason: code, message: fmt.Sprintf("host %q, %s %s", host, x.r.Method, x.r.URL.Path)}
 		}
 		x.route = route
+		if route.Kind.Fault != "" {
+			return nil, refusal{reason: reason.ConfigUnusable, message: route.Kind.Fault}
+		}
 		return next(ctx, x)
 	}
 }
--- a/control/store.go
+++ b/control/store.go
@@ -48,16 +48,16 @@
 }
 
 func storeRows(list []storeOf) (header []string, rows [][]string) {
-	header = []string{"balancer", "era", "revision", "behind", "holding", "age", "follows", "last change by", "within", "read again"}
+	header = []string{"balancer", "era", "revision", "behind", "holding", "age", "follows", "last change by", "within", "read again", "unusable parts"}
 	for _, known := range list {
 		if known.Error != "" {
-			rows = append(rows, []string{known.Balancer, "no answer", "-", "-", "-", "-", "-", "-", "-", "-"})
+			rows = append(rows, []string{known.Balancer, "no answer", "-", "-", "-", "-", "-", "-", "-", "-", "-"})
 			continue
 		}
 		st := known.Store
 		rows = append(rows, []string{
 			known.Balancer, strconv.FormatUint(st.Era, 10), strconv.FormatUint(st.Revision, 10), strconv.FormatBool(st.Behind), strconv.FormatBool(st.Holding),
-			st.Age.Round(time.Millisecond).String(), known.Copy.Following, string(st.LastVia), st.LastAge.Round(time.Millisecond).String(), strconv.FormatInt(st.Rereads, 10),
+			st.Age.Round(time.Millisecond).String(), known.Copy.Following, string(st.LastVia), st.LastAge.Round(time.Millisecond).String(), strconv.FormatInt(st.Rereads, 10), strconv.Itoa(st.Unusable),
 		})
 	}
 	return header, rows
--- a/coord/reason/table.go
+++ b/coord/reason/table.go
@@ -12,6 +12,7 @@
 	BodyTooLarge     Code = "LW1006"
 	KeyRefused       Code = "LW1007"
 	KeyUnknown       Code = "LW1008"
+	ConfigUnusable   Code = "LW1009"
 	QueueFull        Code = "LW2001"
 	TooLate          Code = "LW2002"
 	Expired          Code = "LW2003"
@@ -59,6 +60,7 @@
 	{BodyTooLarge, "body above the limit", "The request's body is longer than the limit of the settings or of the shared configuration. Nothing was sent to an endpoint.", "Send a shorter body, or raise the limit.", 413, "0.2.0", Info},
 	{KeyRefused, "no team has this key", "The route needs a key, and the request carries none, something that is no key, or one that no team holds any more. Nothing was sent to an endpoint.", "Correct the caller: 'Authorization: Bearer KEY', once. 'lotusctl teams' shows how many keys a team has; the log line 'ended' names a salted digest of the key, never the key.", 401, "0.3.0", Info},
 	{KeyUnknown, "key not known yet", "No team holds the key in the configuration in force here, but it may have been added a moment ago: whether that is so is certain only after the time in which changes reach every balancer. Nothing was sent to an endpoint.", "Nothing: the caller comes back after Retry-After and is served, or refused for good. If it lasts, this balancer hears of no changes; see OPERATIONS.md, 'A change does not come into force'.", 503, "0.3.0", Info},
+	{ConfigUnusable, "configured in a way that cannot be applied", "The route of the request, the part of its split or the team of its key is configured in a way that this balancer cannot apply. The rest of the version is in force. Nothing was sent to an endpoint.", "Correct the configuration: the log line 'part of the configuration cannot be used' names the part and its fault, and 'lotusctl store' shows how many there are. Callers are served once the corrected version is in force.", 503, "0.3.0", Urgent},
 	{QueueFull, "waiting room full", "The service's queue for this class holds as many requests as its limit allows.", "Expected above capacity. If it lasts, add endpoints or lower the callers' rate.", 503, firstRelease, Warning},
 	{TooLate, "cannot be served in time", "The estimated wait and service time exceed the request's patience or deadline, so it was refused at once.", "Expected above capacity. The caller should come back after Retry-After.", 503, firstRelease, Warning},
 	{Expired, "patience ended while waiting", "The request waited as long as its patience allowed and no slot became free.", "Look at 'lotusctl status' for endpoints that are slow or ejected.", 503, firstRelease, Warning},
--- a/directory/apply.go
+++ b/directory/apply.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotuswing/lotuswing/coord/position"
+	"github.com/lotuswing/lotuswing/internal/untrusted"
 )
 
 // Apply applies changes to the directory, whether the store or another process sent them, and logs
@@ -39,7 +40,14 @@
 	at := position.Text(changes.Revision)
 	within := changes.Age(now).Milliseconds()
 	if applied.Version > 0 {
-		f.opts.Log.Info("configuration in force", "version", applied.Version, "revision", at, "via", changes.Via, "within_ms", within)
+		f.opts.Log.Info("configuration in force", "version", applied.Version, "revision", at, "via", changes.Via, "within_ms", within, "unusable_parts", len(applied.Faults))
+	}
+	for i, fault := range applied.Faults {
+		if i == maxFaultLines {
+			f.opts.Log.Error("more parts of the configuration cannot be used", "version", applied.Version, "parts", len(applied.Faults)-i)
+			break
+		}
+		f.opts.Log.Error("part of the configuration cannot be used", "version", applied.Version, "error", untrusted.Brief(fault))
 	}
 	if applied.Ignored > 0 {
 		f.opts.Log.Warn("older configuration ignored", "version", applied.Ignored, "revision", at)
@@ -76,6 +84,9 @@
 	}
 }
 
+// maxFaultLines is how many unusable parts of a configuration are logged with a line each.
+const maxFaultLines = 16
+
 // maxEndpointLines is the largest number of state changes of a full read that are logged with a
 // line each.
 const maxEndpointLines = 64
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -14,6 +14,7 @@
 	Routes   *tenant.PrefixTable
 	Services map[string]tenant.Service
 	Teams    *access.Table // nil where callers need no keys
+	Faults   []error       // parts of the version that cannot be used; the others are in force
 }
 
 // withWithdrawnKeys returns the configuration with Teams that also remember which keys of the
@@ -141,6 +142,7 @@
 // Applied says what the changes did to the directory.
 type Applied struct {
 	Version      uint64       // of a configuration that was applied, 0 for none
+	Faults       []error      // parts of that configuration that cannot be used
 	Ignored      uint64       // of a configuration that is older than the present one, 0 for none
 	StateChanges []Change     // new states of endpoints
 	Zones        []Evacuation // zones whose evacuation began or ended
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -130,7 +130,7 @@
 	case c == nil:
 	case d.config == nil || c.Version > d.config.Version:
 		d.config = c.withWithdrawnKeys(d.config)
-		applied.Version = c.Version
+		applied.Version, applied.Faults = c.Version, c.Faults
 	case c.Version < d.config.Version:
 		applied.Ignored = c.Version
 	}
--- a/directory/status.go
+++ b/directory/status.go
@@ -17,6 +17,7 @@
 	LastVia  Via           // way by which the latest changes came; empty if there were none
 	LastAge  time.Duration // for how long the store may have had them by then; 0 if that is unknown
 	Rereads  int64         // full reads because the store refused a watch, or a watch missed changes
+	Unusable int           // parts of the configuration in force that cannot be used
 }
 
 // lastChanges is what Status tells of the latest changes. It is immutable.
@@ -27,10 +28,14 @@
 
 // Status returns the status at the time now.
 func (f *Follower) Status(now time.Time) Status {
-	at := f.directory.Snapshot().Revision
+	snapshot := f.directory.Snapshot()
+	at := snapshot.Revision
 	st := Status{
 		Era: position.Era(at), Revision: position.Revision(at), Behind: f.watching.lack(at).behind, Holding: f.directory.Holding(), Rereads: f.rereads.Load(),
 	}
+	if snapshot.Config != nil {
+		st.Unusable = len(snapshot.Config.Faults)
+	}
 	if confirmed := f.Confirmed(); !confirmed.IsZero() {
 		st.Age = now.Sub(confirmed)
 	}
--- a/internal/untrusted/untrusted.go
+++ b/internal/untrusted/untrusted.go
@@ -78,11 +78,18 @@
 
 // NewRecordError returns the error of a record. It keeps the beginning of the text of err.
 func NewRecordError(key string, revision uint64, err error) *RecordError {
-	text := strings.ReplaceAll(fmt.Sprintf("%s: %v", key, err), "\n", "; ")
+	return &RecordError{Key: key, Revision: revision, text: brief(fmt.Sprintf("%s: %v", key, err))}
+}
+
+// Brief returns the beginning of the text of an error, on one line.
+func Brief(err error) string { return brief(err.Error()) }
+
+func brief(text string) string {
+	text = strings.ReplaceAll(text, "\n", "; ")
 	if len(text) > maxErrorText {
 		text = strings.Clone(text[:maxErrorText]) + "..."
 	}
-	return &RecordError{Key: key, Revision: revision, text: strings.ToValidUTF8(text, "\uFFFD")}
+	return strings.ToValidUTF8(text, "\uFFFD")
 }
 
 // Error returns the key and the beginning of what is wrong.
--- a/server/admin.go
+++ b/server/admin.go
@@ -128,6 +128,7 @@
 		metrics.GetOrRegisterGauge("store_rereads", s.metrics).Update(st.Rereads)
 		metrics.GetOrRegisterGauge("store_unconfirmed_ms", s.metrics).Update(st.Age.Milliseconds())
 		metrics.GetOrRegisterGauge("store_holding", s.metrics).Update(gaugeOf(st.Holding))
+		metrics.GetOrRegisterGauge("configuration_unusable_parts", s.metrics).Update(int64(st.Unusable))
 		metrics.GetOrRegisterGauge("store_lost", s.metrics).Update(gaugeOf(s.follower.Lost()))
 	}
 	if s.directory != nil {
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -126,6 +126,7 @@
 	MaxBody     int64         // bytes of a request's body; 0 for the process's limit alone
 	Public      bool          // callers need no key, where teams have keys
 	Regions     placement.Regions
+	Fault       string // why requests cannot be served as configured; empty if they can
 
 	segments []string
 }
