directory: only exact reads and answers of a watch confirm that nothing is missing

Cause: Follower.check took a cheap read, which may be seconds old, for proof that nothing was missing if it returned no more than is known, and asked for an exact one only once a cheap read had returned less, which it does not in a quiet store. UpToDate and ConfirmedAge rested on that.

In watching.begin a watch that began at the very start of its follower counted as none: only virtual time meets that.

--- a/directory/compaction_test.go
+++ b/directory/compaction_test.go
@@ -32,7 +32,9 @@
 	compactedTo uint64        // history up to this revision was dropped
 	changed     chan struct{} // closed and replaced at each change
 	fullReads   int
-	exactChecks int // reads of the revision that were exact
+	exactChecks int  // reads of the revision that were exact
+	silent      bool // watches hear nothing
+	onlyCheap   bool // exact reads of the revision get no answer
 }
 
 // gapEndpoints is the number of endpoints in a compactingSource.
@@ -124,6 +126,9 @@
 	if exact {
 		s.exactChecks++
 	}
+	if exact && s.onlyCheap {
+		return 0, errCut
+	}
 	return s.revisionFor(exact), nil
 }
 
@@ -154,7 +159,7 @@
 	revision := uint64(len(s.written))
 	beganInGap := !s.inGap && !began.Before(s.gapBegan) && began.Before(s.gapEnded)
 	switch {
-	case s.inGap:
+	case s.inGap, s.silent:
 		return changes, false, s.changed, nil
 	case began.Before(s.gapBegan) && !s.gapEnded.IsZero():
 		return changes, true, nil, errCut
@@ -369,3 +374,53 @@
 		assert.Assert(t, isLeaving(d, id))
 	})
 }
+
+// TestSilentWatchIsNoticedInQuietStore guards against taking a cheap read, which may be seconds old, for proof
+// that a watch misses nothing, so that a change after quiet seconds is known only when such reads show it.
+func TestSilentWatchIsNoticedInQuietStore(t *testing.T) {
+	const step = 100 * time.Millisecond
+	for _, callTime := range []time.Duration{0, 40 * time.Millisecond, 150 * time.Millisecond} {
+		for _, lag := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 10 * time.Second} {
+			for phase := range 11 * 2 {
+				serving := phase%2 == 1
+				t.Run(fmt.Sprintf("call=%v/lag=%v/serving=%t/phase=%v", callTime, lag, serving, time.Duration(phase/2)*step), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						s := newCompactingSource()
+						s.callTime = callTime
+						s.setLag(lag)
+						d := followCompacting(t, s, followerCase{serving: serving, phase: time.Duration(phase/2) * step})
+						s.update(func() { s.silent = true })
+						time.Sleep(5 * time.Second)
+						s.mu.Lock()
+						readsBefore := s.fullReads
+						s.mu.Unlock()
+						assert.Equal(t, readsBefore, 1, "a watch that misses nothing is kept")
+						id := s.leave()
+						time.Sleep(knownWithin(serving))
+						assert.Assert(t, isLeaving(d, id), "not known %v after it began to leave", knownWithin(serving))
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestOldReadsConfirmNothing guards against handing a copy on as the store's present state on the word of cheap
+// reads alone.
+func TestOldReadsConfirmNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, d := newCompactingSource(), directory.New()
+		f := directory.NewFollower(d, s, directory.OptionsWithin(applyBound))
+		ctx, stop := context.WithCancel(t.Context())
+		t.Cleanup(stop)
+		go f.Run(ctx)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, f.UpToDate(time.Now()) && time.Since(f.Confirmed()) < applyBound)
+		s.update(func() { s.onlyCheap = true })
+		time.Sleep(applyBound + time.Second)
+		assert.Assert(t, !f.UpToDate(time.Now()), "nothing was confirmed for %v", time.Since(f.Confirmed()))
+		s.update(func() { s.onlyCheap = false })
+		time.Sleep(applyBound)
+		assert.Assert(t, f.UpToDate(time.Now()))
+	})
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -101,9 +101,12 @@
 // shortens its pauses.
 func (f *Follower) SetServing(serving bool) { f.serving.Store(serving) }
 
-// UpToDate reports whether the store is followed and has answered recently, so
-// that the directory's content may be passed on as the store's present state.
+// UpToDate reports whether the store is followed and has answered recently, and nothing was missing at most
+// Options.Within ago, so that the directory's content may be passed on as the store's present state.
 func (f *Follower) UpToDate(now time.Time) bool {
+	if confirmed := f.Confirmed(); !confirmed.IsZero() && now.Sub(confirmed) > f.opts.Within {
+		return false
+	}
 	answeredAt := f.answeredAt.Load()
 	age := now.Sub(f.startedAt) - time.Duration(answeredAt)
 	return answeredAt > 0 && f.active.isOpen() && f.failures.Load() < outdatedFailures &&
@@ -120,8 +123,7 @@
 }
 
 // Confirmed returns the latest time at which the directory is known to have had all changes that the
-// store had accepted; the zero time if there is none. A check by a cheap read counts, though what it
-// returns may be older.
+// store had accepted; the zero time if there is none. No cheap read counts, because it may be older.
 func (f *Follower) Confirmed() time.Time {
 	at := f.confirmedAt.Load()
 	if at == 0 {
@@ -166,6 +168,9 @@
 	if answeredAt := f.answeredAt.Load(); answeredAt > 0 {
 		f.answeredAt.Store(answeredAt - int64(suspended))
 	}
+	if confirmedAt := f.confirmedAt.Load(); confirmedAt > 0 {
+		f.confirmedAt.CompareAndSwap(confirmedAt, confirmedAt-int64(suspended))
+	}
 	if f.watching.startedAt() != 0 {
 		f.abandonWatch(watchAgain)
 	}
--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -37,12 +37,14 @@
 // monitor periodically checks the store's revision and has the watch abandoned when the watchdog
 // finds that it misses changes or may be lost.
 func (f *Follower) monitor(ctx context.Context) {
-	var w watchdog
 	checked := time.Now()
+	w := watchdog{exactCheckedAt: checked}
 	for ctx.Err() == nil {
 		if !f.active.isOpen() {
 			f.active.wait(ctx)
-			checked, w = time.Time{}, watchdog{} // so that the first check comes at once
+			// The first check comes at once. It is not an exact one unless what other processes have stated
+			// is older than an exact check may be: many processes may begin to follow the store together.
+			checked, w = time.Time{}, watchdog{exactCheckedAt: time.Now()}
 		}
 		f.configure(&w)
 		// The period counts from the start of a check to that of the next, however long an
@@ -52,16 +54,16 @@
 		if f.pauseUntilDue(ctx, &w, next); !f.active.isOpen() {
 			continue
 		}
+		checked = time.Now()
 		if f.failures.Load() > 0 && f.watching.startedAt() == 0 {
-			checked = time.Now()
-			w.lastFailed, w.exactCheckedAt = false, checked // the retries of the watch show what a check would
+			w.lastFailed = false // the retries of the watch show what a check would
+			w.retryExactCheck(checked)
 			continue
 		}
 		var action advice
 		if exact {
-			action = f.checkExactly(ctx, &w)
+			action = f.checkRegularly(ctx, &w)
 		} else {
-			checked = time.Now()
 			action = f.check(ctx, &w)
 		}
 		if action != trustWatch {
@@ -78,7 +80,7 @@
 
 // pauseUntilDue pauses until the next check, and has the watch abandoned as soon as it lacks something for too long.
 func (f *Follower) pauseUntilDue(ctx context.Context, w *watchdog, next time.Time) {
-	if !w.due.IsZero() && w.due.Before(next) {
+	if !w.due.IsZero() && !w.due.After(next) {
 		pause.For(ctx, time.Until(w.due))
 		if w.isDue(time.Now(), f.directory.Snapshot().Revision) && ctx.Err() == nil {
 			w.aheadSince, w.due = time.Time{}, time.Time{}
@@ -89,7 +91,7 @@
 }
 
 // check reads the store's revision cheaply, and exactly if the watchdog asks for
-// that, and returns the watchdog's advice.
+// that, and returns the watchdog's advice. What a cheap read returns may be old, so it confirms nothing.
 func (f *Follower) check(ctx context.Context, w *watchdog) advice {
 	w.observeKnown(f.directory.Snapshot().Revision)
 	began := time.Now()
@@ -109,9 +111,6 @@
 	at := f.directory.Snapshot().Revision
 	watching := f.observe(highest, at)
 	action := w.observe(time.Now(), revision, at, watching, err)
-	if err == nil && !w.lagging && w.highest <= at {
-		f.Confirm(began)
-	}
 	if w.lagging != lagged {
 		f.opts.Log.Info("cheap reads of the store", "lagging", w.lagging, "revision", position.Text(revision), "known", position.Text(w.highest))
 	}
@@ -121,7 +120,27 @@
 	return f.checkExactly(ctx, w)
 }
 
-// checkExactly reads the store's revision exactly and returns the watchdog's advice.
+// checkRegularly makes the exact check that is due, and returns the watchdog's advice.
+func (f *Follower) checkRegularly(ctx context.Context, w *watchdog) advice {
+	began := time.Now()
+	w.exactCheckedAt = began
+	revision, err := f.revision(ctx, true)
+	if ctx.Err() != nil {
+		return trustWatch
+	}
+	at := f.directory.Snapshot().Revision
+	if err == nil {
+		f.recordCheckAnswer(time.Now())
+		f.costs.observeCheck(time.Since(began))
+		if revision <= at {
+			f.Confirm(began)
+		}
+	}
+	watching := f.observe(max(w.highest, revision), at)
+	return w.observeRegular(time.Now(), revision, at, watching, err)
+}
+
+// checkExactly reads the store's revision exactly, because cheap reads lag, and returns the watchdog's advice.
 func (f *Follower) checkExactly(ctx context.Context, w *watchdog) advice {
 	began := time.Now()
 	w.exactCheckedAt = began
--- a/directory/read.go
+++ b/directory/read.go
@@ -14,7 +14,7 @@
 		return f.readAll(ctx, false)
 	}
 	entries := 0
-	return f.read(ctx, fullReadTimeout, func(ctx context.Context) (Changes, error) {
+	return f.read(ctx, fullReadTimeout, false, func(ctx context.Context) (Changes, error) {
 		return paged.ReadPages(ctx, false, func(page Changes) bool {
 			entries += len(page.Entries)
 			page.Partial, page.Via = true, ViaRead
@@ -32,7 +32,7 @@
 // ReadRegistrations reads only the registrations of balancers, cheaply, and applies
 // them.
 func (f *Follower) ReadRegistrations(ctx context.Context) error {
-	return f.read(ctx, f.opts.CheckTimeout, f.source.ReadRegistrations)
+	return f.read(ctx, f.opts.CheckTimeout, false, f.source.ReadRegistrations)
 }
 
 // ReadAgain has everything read again at once, if the store is watched: another process has heard that the
@@ -58,11 +58,12 @@
 
 // readAll reads everything, exactly or cheaply, and applies it.
 func (f *Follower) readAll(ctx context.Context, exact bool) error {
-	return f.read(ctx, fullReadTimeout, func(ctx context.Context) (Changes, error) { return f.source.ReadAll(ctx, exact) })
+	return f.read(ctx, fullReadTimeout, exact, func(ctx context.Context) (Changes, error) { return f.source.ReadAll(ctx, exact) })
 }
 
-// read makes a reading call with the given timeout and applies its result.
-func (f *Follower) read(ctx context.Context, timeout time.Duration, call func(context.Context) (Changes, error)) error {
+// read makes a reading call with the given timeout and applies its result. Only an exact read of everything
+// confirms what is known.
+func (f *Follower) read(ctx context.Context, timeout time.Duration, exact bool, call func(context.Context) (Changes, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	f.calls.Add(1)
@@ -74,8 +75,10 @@
 	f.recordAnswer()
 	changes.Via, changes.Since = ViaRead, f.Confirmed()
 	f.Apply(changes)
-	if changes.Complete {
+	if changes.Complete && exact {
 		f.Confirm(began)
+	}
+	if changes.Complete {
 		f.costs.observeRead(time.Since(began))
 	}
 	return nil
--- a/directory/watchdog.go
+++ b/directory/watchdog.go
@@ -23,19 +23,20 @@
 	readAgain
 )
 
-// watchdog judges, from the revisions that cheap reads of the store return, whether a
-// waiting watch can be trusted. The revision of such a read may be seconds old; it is never
-// ahead of the store. The zero value has seen nothing. It is not safe for concurrent use.
+// watchdog judges, from the revisions that reads of the store return, whether a waiting watch can be trusted.
+// The revision of a cheap read may be seconds old, and is never ahead of the store: it can show that a change
+// is missing, but not that none is. Only an exact read can, so one is due a period after the latest time at
+// which nothing was missing. The zero value has seen nothing. It is not safe for concurrent use.
 type watchdog struct {
 	stuckAfter time.Duration // within which the watch must bring a revision that a check has seen
-	exactEvery time.Duration // time between exact checks while cheap reads lag
+	exactEvery time.Duration // longest time between an exact check and a time at which nothing was missing
 	checkEvery time.Duration // longest time between cheap checks while the watch can be trusted
 	budget     freshness.Budget
 	costs      freshness.Costs
 	confirmed  time.Time // latest time at which nothing was missing; zero if unknown
 
 	due            time.Time // when everything must be read unless the watch brings what a check has seen; zero for never
-	lastFailed     bool      // the last cheap check was not answered
+	lastFailed     bool      // the last check was not answered
 	lagging        bool      // the last cheap check that was answered returned less than highest
 	highest        uint64    // highest revision that a check returned or that the directory has reached
 	aheadSince     time.Time // when a check first saw a revision that the watch has not brought yet; zero for none
@@ -89,21 +90,60 @@
 	return readAgain
 }
 
-// nextCheck returns when the next check begins after one that began at checked, and whether it is an exact one:
-// while cheap reads lag, exact checks have a period of their own. While the watch has not brought a
-// revision that a check has seen, a check comes sooner.
+// nextCheck returns when the next check begins after one that began at checked, and whether it is an exact one.
+// While the watch has not brought a revision that a check has seen, a check comes sooner.
 func (w *watchdog) nextCheck(checked time.Time) (at time.Time, exact bool) {
 	if !w.aheadSince.IsZero() {
-		return checked.Add(w.stuckAfter), false
+		at = checked.Add(w.stuckAfter)
+		if w.due.After(at) {
+			at = w.due // a check must not delay the read that is due
+		}
+		return at, false
 	}
 	at = checked.Add(w.budget.CheckPeriod(w.checkEvery, w.costs))
-	exactAt := w.exactCheckedAt.Add(w.budget.ExactCheckPeriod(w.exactEvery, w.costs))
-	if !w.budget.CheapFits(w.costs) || w.lagging && exactAt.Before(at.Add(w.costs.Check)) { // a cheap check must not delay the exact one
+	last := w.exactCheckedAt
+	if w.confirmed.After(last) {
+		last = w.confirmed
+	}
+	if last.IsZero() {
+		return at, false
+	}
+	exactAt := last.Add(w.budget.ExactCheckPeriod(w.exactEvery, w.costs))
+	if !w.budget.CheapFits(w.costs) || exactAt.Before(at.Add(w.costs.Check)) { // a cheap check must not delay the exact one
 		return exactAt, true
 	}
 	return at, false
 }
 
+// retryExactCheck has the next check, a period of cheap ones after the time now, be an exact one.
+func (w *watchdog) retryExactCheck(now time.Time) {
+	w.exactCheckedAt = now.Add(w.budget.CheckPeriod(w.checkEvery, w.costs) - w.budget.ExactCheckPeriod(w.exactEvery, w.costs))
+}
+
+// observeRegular judges the watch after an exact check that returned revision or err, at its regular time. Such
+// a check may come before the watch has brought a change that the store has just accepted.
+func (w *watchdog) observeRegular(now time.Time, revision, at uint64, watching bool, err error) advice {
+	switch {
+	case err != nil:
+		w.lastFailed = true
+		w.retryExactCheck(now)
+		return trustWatch
+	case w.lastFailed:
+		w.lastFailed = false
+		w.highest = max(w.highest, revision)
+		return watchAgain
+	}
+	w.highest = max(w.highest, revision)
+	if w.highest <= at || !watching {
+		w.aheadSince, w.due = time.Time{}, time.Time{}
+		return trustWatch
+	}
+	if position.Restored(at, w.highest) {
+		return readAgain
+	}
+	return w.checkStuck(now)
+}
+
 // isDue reports whether everything must be read now, given the revision up to which the directory knows all
 // changes, because the watch has not brought what a check has seen.
 func (w *watchdog) isDue(now time.Time, at uint64) bool {
--- a/directory/watching.go
+++ b/directory/watching.go
@@ -29,7 +29,7 @@
 func (w *watching) begin(since time.Duration, after uint64) lack {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.since = since
+	w.since = max(since, 1)
 	return w.lackAt(after)
 }
 
