relay: a balancer asks a lost store itself before a change could be known too late

Cause: followers of a relay that has lost the store ask it by turns, which are shares of a rate of calls and know no bound.

A turn comes at 0.75 of the bound after the latest proof that nothing was missing at the latest, once for each proof (Options.probeDue). A question that waits at a relay ends by then. A follower that begins to follow the store checks exactly at once where the latest proof is old, and says that it is in touch when that has succeeded.

TestOldConfirmationIsNotLeftToTurns and TestServedBalancerKnowsChangeInTime fail with turns alone (two mutants).

--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -42,9 +42,12 @@
 	for ctx.Err() == nil {
 		if !f.active.isOpen() {
 			f.active.wait(ctx)
-			// The first check comes at once. It is not an exact one unless what other processes have stated
-			// is older than an exact check may be: many processes may begin to follow the store together.
-			checked, w = time.Time{}, watchdog{exactCheckedAt: time.Now()}
+			// The first check comes at once, and an exact one when the latest proof is old. A follower without any
+			// makes none at once: all processes of a fleet that starts may follow the store together.
+			checked, w = time.Time{}, watchdog{}
+			if f.Confirmed().IsZero() {
+				w.exactCheckedAt = time.Now()
+			}
 		}
 		f.configure(&w)
 		// The period counts from the start of a check to that of the next, however long an
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -26,6 +26,8 @@
 	askOtherAt time.Time // when another relay is asked next while this balancer waits at one without the store
 	asked      int       // number of such questions
 
+	probedFor time.Time // when the store's content was confirmed last, at the latest question to the store during an outage
+
 	endNotesPoll context.CancelFunc // cancels the last call of pollNotes; nil before the first one
 }
 
@@ -59,7 +61,7 @@
 	}
 	now := time.Now()
 	inOutage := s.outage.reported(now) && !g.isRelay(now)
-	if inOutage && !now.Before(s.outage.probeAt) && !g.follower.UpToDate(now) {
+	if inOutage && !now.Before(g.probeDue(s)) && !g.follower.UpToDate(now) {
 		g.probeStore(ctx, s)
 	}
 	target, ok := g.chooseTarget(s, now)
@@ -79,7 +81,7 @@
 // fetchFrom fetches changes from a relay, or from a balancer that a relay named, and records the
 // outcome.
 func (g *Group) fetchFrom(ctx context.Context, target Relay, s *subscription) {
-	err := g.fetchChanges(ctx, target, false)
+	err := g.fetchChanges(ctx, target, 0)
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
@@ -139,7 +141,7 @@
 	g.done.Go(func() {
 		defer g.pollingNotes.Store(false)
 		defer end()
-		if err := g.fetchChanges(ctx, r, false); err != nil && ctx.Err() == nil {
+		if err := g.fetchChanges(ctx, r, 0); err != nil && ctx.Err() == nil {
 			g.cfg.Log.Debug("could not get notes from a penalized relay", "relay", r.ID, "zone", r.Zone, "error", err)
 		}
 	})
@@ -151,7 +153,7 @@
 // starts for the first time would read them.
 func (g *Group) findRelays(ctx context.Context, s *subscription) {
 	if source, ok := g.bootstrapSource(); ok {
-		err := g.fetchChanges(ctx, source, false)
+		err := g.fetchChanges(ctx, source, 0)
 		s.recordReport(source, err, time.Now())
 		if s.alternative != "" || len(g.replica.allRelays()) > 0 {
 			return
@@ -168,16 +170,20 @@
 }
 
 // fetchChanges calls a balancer for changes and notes and applies them. It returns an
-// unsettledError if that balancer is not settled. If patient is set, an unsettled balancer delays
-// its answer until it is settled, knows another one to ask, or the wait ends.
-func (g *Group) fetchChanges(ctx context.Context, r Relay, patient bool) error {
+// unsettledError if that balancer is not settled. If patience is positive, an unsettled balancer delays
+// its answer by at most that time, until it is settled or knows another one to ask.
+func (g *Group) fetchChanges(ctx context.Context, r Relay, patience time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, g.opts.Wait+g.opts.Slack)
 	defer cancel()
 	after, _ := g.replica.revision() // 0 while this balancer has no complete copy, which requests everything
 	heard := g.receivedPosition(r.Addr)
 	var reply ChangesReply
+	wait := g.opts.Wait
+	if patience > 0 {
+		wait = min(wait, patience)
+	}
 	err := g.client.Call(ctx, r.Addr, methodChanges, ChangesArgs{
-		After: after, Wait: g.opts.Wait, From: g.cfg.Addr, Patient: patient, InTouch: g.follower.UpToDate(time.Now()), PathsLost: g.pathsLost(),
+		After: after, Wait: wait, From: g.cfg.Addr, Patient: patience > 0, InTouch: g.follower.UpToDate(time.Now()), PathsLost: g.pathsLost(),
 		TakesNotes: true, NotesLife: heard.life, NotesAfter: heard.index,
 	}, &reply)
 	if err == nil {
--- a/relay/options.go
+++ b/relay/options.go
@@ -16,6 +16,9 @@
 	// late by more than Slack; defaults 400 ms and 250 ms.
 	Wait  time.Duration
 	Slack time.Duration
+	// AskStoreAfter is how long ago the store's content may have been confirmed before a balancer whose relays have
+	// lost the store asks the store itself, out of turn; default 1.5 s.
+	AskStoreAfter time.Duration
 	// Penalty is how long a relay that failed is not asked; default 3 s.
 	Penalty time.Duration
 	// A balancer waits before it registers as the relay of a zone that has none: BackoffBase plus a
@@ -38,6 +41,8 @@
 	return Options{
 		Wait:  min(time.Duration(waitShare*float64(bound)), maxDerivedWait),
 		Slack: min(time.Duration(slackShare*float64(bound)), maxDerivedSlack),
+
+		AskStoreAfter: time.Duration(askStoreShare * float64(bound)),
 	}
 }
 
@@ -47,12 +52,15 @@
 	slackShare      = 0.125
 	maxDerivedWait  = time.Second
 	maxDerivedSlack = 500 * time.Millisecond
+	// askStoreShare leaves a quarter of the bound for the calls to the store that bring the change.
+	askStoreShare = 0.75
 )
 
 func (o Options) withDefaults() Options {
 	o.TTL = cmp.Or(o.TTL, 3*time.Second)
 	o.Wait = cmp.Or(o.Wait, 400*time.Millisecond)
 	o.Slack = cmp.Or(o.Slack, 250*time.Millisecond)
+	o.AskStoreAfter = cmp.Or(o.AskStoreAfter, 1500*time.Millisecond)
 	o.Penalty = cmp.Or(o.Penalty, 3*time.Second)
 	o.BackoffBase = cmp.Or(o.BackoffBase, 300*time.Millisecond)
 	o.BackoffJitter = cmp.Or(o.BackoffJitter, time.Second)
--- a/relay/outage.go
+++ b/relay/outage.go
@@ -96,8 +96,15 @@
 	return ok && now.Sub(at) < reportTTL
 }
 
-// probeStore calls the store and activates the follower if the store answers.
+// probeDue returns when this balancer asks the lost store next.
+func (g *Group) probeDue(s *subscription) time.Time {
+	return g.opts.probeDue(s.outage.probeAt, g.follower.Confirmed(), s.probedFor)
+}
+
+// probeStore calls the store and activates the follower if the store answers. It returns when the follower is
+// up to date, so that the next call to a relay says so, or after a moment.
 func (g *Group) probeStore(ctx context.Context, s *subscription) {
+	s.probedFor = g.follower.Confirmed()
 	err := g.follower.ReadRegistrations(ctx)
 	if err != nil {
 		s.outage = s.outage.withProbe(rand.Float64(), time.Now())
@@ -105,8 +112,14 @@
 	}
 	g.cfg.Log.Info("store answers this balancer but not its relays", "askers", s.outage.askers)
 	g.follower.SetActive(true)
+	for end := time.Now().Add(idlePause); ctx.Err() == nil && time.Now().Before(end) && !g.follower.UpToDate(time.Now()); {
+		g.replica.waitChange(ctx, settlePoll)
+	}
 }
 
+// settlePoll is the time between two looks at whether a follower that was activated is up to date.
+const settlePoll = 5 * time.Millisecond
+
 // notifyPredecessor tells the predecessor, which is the relay that this balancer followed before it
 // became a relay, that this balancer is in touch with the store. It does so as long as the
 // predecessor reports the store lost. The predecessor then follows this balancer and refers waiting
@@ -116,7 +129,7 @@
 	if !s.outage.reportedBy(s.lastRelay.Addr, time.Now()) {
 		return
 	}
-	err := g.fetchChanges(ctx, s.lastRelay, false)
+	err := g.fetchChanges(ctx, s.lastRelay, 0)
 	s.recordReport(s.lastRelay, err, time.Now())
 }
 
@@ -132,7 +145,11 @@
 	if g.askOtherRelay(ctx, s, target, began) {
 		return
 	}
-	err := g.fetchChanges(ctx, target, true)
+	patience := g.opts.Wait
+	if due := time.Until(g.probeDue(s)); due > 0 {
+		patience = min(patience, due)
+	}
+	err := g.fetchChanges(ctx, target, patience)
 	now := time.Now()
 	if ctx.Err() != nil {
 		return
@@ -163,7 +180,7 @@
 	}
 	s.asked++
 	s.askOtherAt = now.Add(otherRelayPause(s.outage.askers))
-	err := g.fetchChanges(ctx, other, false)
+	err := g.fetchChanges(ctx, other, 0)
 	if ctx.Err() != nil {
 		return true
 	}
--- a/relay/outage_test.go
+++ b/relay/outage_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/lotuswing/lotuswing/directory"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // TestProbeRateIsIndependentOfFleetSize checks that the followers of one relay together probe a
@@ -63,6 +66,65 @@
 	}
 }
 
+// TestOldConfirmationIsNotLeftToTurns guards against a balancer that the store serves waiting for its turn to
+// ask it, however old the last proof is that nothing is missing.
+func TestOldConfirmationIsNotLeftToTurns(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		confirmed time.Duration // ago
+		want      int64
+	}{{"recent", 100 * time.Millisecond, 0}, {"old", 2 * time.Second, 1}, {"unknown", 0, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			lost, lostAddr := startStaticGroup(t, false)
+			f := staticFollower{read: new(atomic.Int64), retried: new(atomic.Int64)}
+			if c.confirmed > 0 {
+				f.confirmed = time.Now().Add(-c.confirmed)
+			}
+			g := New(Config{ID: "a", Zone: "medina", Addr: "a", Registry: fakeRegistry{}, Log: hclog.NewNullLogger()})
+			g.follower = f
+			g.replica.apply(directory.Changes{Revision: 2, Complete: true, Registrations: []directory.Record{
+				{Key: "relays/medina", Value: []byte(`{"id":"lost","addr":"` + lostAddr + `"}`), Revision: 2},
+			}}, time.Now())
+			s := subscription{outage: outage{reportedAt: map[string]time.Time{lostAddr: time.Now()}, askers: 900, probeAt: time.Now().Add(time.Hour)}}
+			for range 3 {
+				g.followOnce(t.Context(), &s)
+			}
+			assert.Equal(t, f.read.Load(), c.want, "out of turn, once")
+			assert.Assert(t, lost.askerCount() > 0, "it waits at the relay meanwhile")
+		})
+	}
+}
+
+// TestServedBalancerKnowsChangeInTime guards against steps that together take longer than the bound: drawn fleets,
+// all of whose relays are turned away, and a change at any time after that.
+func TestServedBalancerKnowsChangeInTime(t *testing.T) {
+	const bound, spare = 2 * time.Second, 300 * time.Millisecond
+	opts := OptionsWithin(bound).withDefaults()
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string, most time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(most)).Draw(t, name))
+		}
+		turnedAway := start
+		// A relay checks exactly each second, and its followers ask again after Wait.
+		confirmed := turnedAway.Add(-draw("age of the proof", time.Second+opts.Wait))
+		// A relay counts as settled until its last answer is as old as a period of checks, a call and a slack.
+		heard := turnedAway.Add(draw("until the relay reports it", 1175*time.Millisecond) + draw("until the follower hears", opts.Wait))
+		change := turnedAway.Add(draw("until the change", 5*time.Second))
+		call := draw("call to the store", 40*time.Millisecond)
+		askers := rapid.IntRange(1, 7257).Draw(t, "askers")
+		o := outage{}.withReport("relay", askers, rapid.Float64Range(0, 1).Draw(t, "turn"), heard)
+		asked := opts.probeDue(o.probeAt, confirmed, time.Time{})
+		if asked.Before(heard) {
+			asked = heard
+		}
+		known := asked.Add(3 * call) // the question, a watch or an exact check, and a full read
+		if change.After(asked) {
+			known = change.Add(call) // it follows the store by then
+		}
+		assert.Assert(t, known.Sub(change) <= bound-spare, "known %v after the change", known.Sub(change))
+	})
+}
+
 // TestAskers checks that balancers that asked lately are counted, and that the one in touch with
 // the store is named until it reports otherwise or stops asking.
 func TestAskers(t *testing.T) {
--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -22,8 +22,10 @@
 type staticFollower struct {
 	Follower
 	settled bool
-	read    *atomic.Int64 // number of reads of the registrations
-	retried *atomic.Int64 // number of calls of EndRetryPause
+	// confirmed is what Confirmed returns.
+	confirmed time.Time
+	read      *atomic.Int64 // number of reads of the registrations
+	retried   *atomic.Int64 // number of calls of EndRetryPause
 }
 
 // UpToDate returns the configured value.
@@ -41,8 +43,8 @@
 // ReadAgain does nothing.
 func (f staticFollower) ReadAgain() {}
 
-// Confirmed reports that no time is known.
-func (f staticFollower) Confirmed() time.Time { return time.Time{} }
+// Confirmed returns the configured value.
+func (f staticFollower) Confirmed() time.Time { return f.confirmed }
 
 // Confirm does nothing.
 func (f staticFollower) Confirm(time.Time) {}
@@ -290,7 +292,7 @@
 	follower.replica.apply(directory.Changes{Revision: 2, Complete: true}, time.Now())
 	answered := make(chan error, 1)
 	go func() {
-		answered <- follower.fetchChanges(context.Background(), Relay{Addr: addr, Zone: "medina"}, false)
+		answered <- follower.fetchChanges(context.Background(), Relay{Addr: addr, Zone: "medina"}, 0)
 	}()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if relay.askerCount() == 0 {
--- a/relay/rules.go
+++ b/relay/rules.go
@@ -101,6 +101,20 @@
 	return now.Sub(lastSettledAnswer) > o.Wait+o.Slack
 }
 
+// probeDue returns when a balancer whose relays have lost the store asks the store itself: in its turn, or
+// earlier if the store's content was confirmed so long ago that a change would be known too late. confirmed is
+// the latest time at which nothing was missing, zero if unknown. A balancer asks out of turn once: probedFor is
+// the confirmed time for which it has asked. So an outage costs one call of each balancer beyond the turns.
+func (o Options) probeDue(turn, confirmed, probedFor time.Time) time.Time {
+	if confirmed.IsZero() || confirmed.Equal(probedFor) {
+		return turn
+	}
+	if due := confirmed.Add(o.AskStoreAfter); due.Before(turn) {
+		return due
+	}
+	return turn
+}
+
 // maxJitter returns the upper bound of the random part of the wait before a registration, given the
 // number of registered relays.
 func (o Options) maxJitter(relays int) time.Duration {
