selection: a load report that cannot be true counts as none

Cause: Crowding.ConcurrencyLimit took one step for each number of requests up to the reported slots, under Chooser.mu. Evidence: the goroutine dump of the busy process stands in ConcurrencyLimit(0xffffffff) below Chooser.rankPool.

Reports with counts above 2^20, a pace above 10,000 or more than eight times the listed slots count as none (PlausibleReport); metric and log line. /readyz fails once the state of the choice was locked at each look for 2 s.

--- a/coord/selection/crowding.go
+++ b/coord/selection/crowding.go
@@ -1,5 +1,7 @@
 package selection
 
+import "math/bits"
+
 const (
 	// occupancyLevels is the number of levels by which the share of occupied slots is measured.
 	occupancyLevels = 16
@@ -23,7 +25,13 @@
 // occupancyLevel returns the occupancy level, from 1 to occupancyLevels, of an endpoint that holds
 // busy requests.
 func occupancyLevel(busy, slots int) int {
-	return min(occupancyLevels, (max(1, busy)*occupancyLevels+slots-1)/slots)
+	if busy >= slots {
+		return occupancyLevels
+	}
+	hi, lo := bits.Mul64(uint64(max(1, busy)), occupancyLevels) // a product of 64 bits may overflow
+	lo, carry := bits.Add64(lo, uint64(slots-1), 0)
+	level, _ := bits.Div64(hi+carry, lo, uint64(slots))
+	return int(level)
 }
 
 // CrowdingFactor returns the service time of a request that starts at an endpoint, relative to the
@@ -50,9 +58,13 @@
 // ConcurrencyLimit returns the concurrency limit of an endpoint with the given number of slots: the
 // number of requests with the highest throughput. Beyond it, the slowdown by a further request costs
 // more throughput than the request adds.
+//
+// Within a level the throughput grows with the number of requests, so that only the highest number of each
+// level is compared: the time does not depend on the number of slots, which endpoints report.
 func (c *Crowding) ConcurrencyLimit(slots int) int {
 	best, bestThroughput := 1, 0.0
-	for n := max(1, slots/2); n <= slots; n++ {
+	for level := uncontendedLevel; level <= occupancyLevels; level++ {
+		n := max(1, slots/occupancyLevels*level+slots%occupancyLevels*level/occupancyLevels)
 		if throughput := float64(n) / c.CrowdingFactor(n, slots); throughput > bestThroughput {
 			best, bestThroughput = n, throughput
 		}
--- a/direct/complete.go
+++ b/direct/complete.go
@@ -24,6 +24,7 @@
 	if !ok || e.start != g.Choice.Start {
 		return // the endpoint has restarted, or its state was dropped
 	}
+	r.Load = c.plausible(r.Load, grantedEndpoint(g), g.Endpoint.Slots)
 	e.observed = e.observed.WithRequestEnded(r.Load, now)
 	if r.Load.Known {
 		defer c.wakeNext(tenant.ServiceName(g.Service)) // after the updates below
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -149,12 +149,17 @@
 	unwantedSends    unwantedSends
 	coldRequests     metrics.Counter // requests granted for endpoints that were warming up
 	coldFailures     metrics.Counter // those that the endpoint refused or failed
+	implausible      metrics.Counter // load reports that cannot be true
 	coldWithdrawn    metrics.Counter // requests not written because their permit had expired or the endpoint turned out to be warming up
 	leavingEndpoints metrics.Counter // endpoints that announced that they are leaving
 	unsupported      *unsupportedHeaders
 	rejected         metrics.Counter // requests rejected by the queues, including the displaced ones
 	displaced        metrics.Counter // requests displaced by more urgent ones
 
+	startedAt         time.Time
+	implausibleLogged atomic.Int64 // when a load report that cannot be true was logged last, in ns since startedAt; 0 for never
+	lockedSince       atomic.Int64 // when Stuck first found mu locked since it was last free, in ns since startedAt; 0 if it was free
+
 	mu             sync.Mutex
 	endpoints      map[string]*endpointState          // by VM
 	lastForget     time.Time                          // when the states of endpoints that are gone were last dropped
@@ -201,6 +206,8 @@
 		coldRequests:     metrics.GetOrRegisterCounter("cold_requests", cfg.Metrics),
 		coldFailures:     metrics.GetOrRegisterCounter("cold_failures", cfg.Metrics),
 		coldWithdrawn:    metrics.GetOrRegisterCounter("cold_withdrawn", cfg.Metrics),
+		startedAt:        time.Now(),
+		implausible:      metrics.GetOrRegisterCounter("implausible_load_reports", cfg.Metrics),
 		leavingEndpoints: metrics.GetOrRegisterCounter("endpoints_said_leaving", cfg.Metrics),
 		unsupported:      newUnsupportedHeaders(cfg.Log, cfg.Metrics),
 		rejected:         metrics.GetOrRegisterCounter("queue_rejected", cfg.Metrics),
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -131,6 +131,7 @@
 	now := time.Now()
 	if err == nil {
 		c.observeProbe(limitsEndpoint(&t.listed), answer)
+		answer.Load = c.plausible(answer.Load, limitsEndpoint(&t.listed), t.listed.Slots)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/direct/responses.go
+++ b/direct/responses.go
@@ -5,6 +5,7 @@
 
 	"github.com/lotuswing/lotuswing/coord/admission"
 	"github.com/lotuswing/lotuswing/coord/placement"
+	"github.com/lotuswing/lotuswing/coord/selection"
 	"github.com/lotuswing/lotuswing/limits"
 	"github.com/lotuswing/lotuswing/tenant"
 	"github.com/lotuswing/lotuswing/upstream"
@@ -23,7 +24,7 @@
 	if r.IsEmpty() {
 		return
 	}
-	e := limits.Endpoint{ID: g.Endpoint.VM, Start: g.Choice.Start, Service: tenant.ServiceName(g.Service), Zone: g.Endpoint.Zone}
+	e := grantedEndpoint(g)
 	if c.cfg.Limits != nil {
 		c.cfg.Limits.ObserveAnswer(e, r.Limit)
 	}
@@ -33,6 +34,30 @@
 	}
 }
 
+// grantedEndpoint returns the endpoint of a grant.
+func grantedEndpoint(g placement.Grant) limits.Endpoint {
+	return limits.Endpoint{ID: g.Endpoint.VM, Start: g.Choice.Start, Service: tenant.ServiceName(g.Service), Zone: g.Endpoint.Zone}
+}
+
+// implausibleLogPause is the least time between two log lines about load reports that cannot be true.
+const implausibleLogPause = time.Second
+
+// plausible returns a load report of an endpoint with the given number of listed slots, or one that is not
+// Known, which is counted, and logged once a second, if it cannot be true.
+func (c *Chooser) plausible(r placement.LoadReport, e limits.Endpoint, listed int) placement.LoadReport {
+	checked := selection.PlausibleReport(r, listed)
+	if r.Known && !checked.Known {
+		c.implausible.Inc(1)
+		now := int64(time.Since(c.startedAt)) + 1
+		if last := c.implausibleLogged.Load(); last > 0 && now-last < int64(implausibleLogPause) || !c.implausibleLogged.CompareAndSwap(last, now) {
+			return checked
+		}
+		c.cfg.Log.Warn("load report of endpoint cannot be true", "service", e.Service, "id", e.ID, "inflight", r.InFlight, "waiting", r.Waiting,
+			"slots", r.Slots, "pace", r.Pace, "listed_slots", listed)
+	}
+	return checked
+}
+
 // observeProbe processes what the response to a probe says about its endpoint. The response of
 // another instance at the same address says nothing about this endpoint and is ignored.
 func (c *Chooser) observeProbe(e limits.Endpoint, r upstream.Report) {
--- a/server/admin.go
+++ b/server/admin.go
@@ -70,6 +70,9 @@
 	if s.noneReached(time.Now()) {
 		return health{Why: "no endpoint is reached"}, nil
 	}
+	if s.direct != nil && s.direct.Stuck() {
+		return health{Why: "no endpoint can be chosen"}, nil
+	}
 	ok, why := s.chooser.Ready()
 	return health{OK: ok, Why: why}, nil
 }
