upstream: the end of a connection on which a write has failed is a reset

Cause: a socket reports a reset once. Where the write of the upload gets the error, the read that follows gets the end of the stream, and a body without a length is complete by that.

dial.Ends stands below both directions of a connection to an endpoint: an end that is read after a failed write is a reset, and a write that is under way is waited for, 50 ms at most, since the kernel ends one to a reset connection at once. Carriers use it, too: one copy got the error and the other passed the end on (TestResetOfCarriedConnectionIsNoEnd fails without).

--- a/balancer/policy_test.go
+++ b/balancer/policy_test.go
@@ -68,6 +68,7 @@
 
 // platformHarness is a balancer with the platform's policy in front of two scripted endpoints.
 type platformHarness struct {
+	chooser   *prefixChooser
 	endpoints [2]*rawendpoint.Scripted
 	server    *httptest.Server
 	log       bytes.Buffer
@@ -81,8 +82,8 @@
 // newPlatformHarnessWithLogRate logs at most rate lines per second.
 func newPlatformHarnessWithLogRate(t *testing.T, first, second rawendpoint.Step, retries *retry.WindowLimit, rate int) *platformHarness {
 	t.Helper()
-	b := &platformHarness{}
 	chooser := newPrefixChooser()
+	b := &platformHarness{chooser: chooser}
 	for i, step := range []rawendpoint.Step{first, second} {
 		e, err := rawendpoint.NewScripted(platform.Dialect().RequestID, step)
 		assert.NilError(t, err)
--- a/detour/conn_test.go
+++ b/detour/conn_test.go
@@ -3,11 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/binary"
 	"io"
 	"math/rand/v2"
+	"net"
+	"syscall"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -64,3 +68,48 @@
 		assert.Equal(t, table.carriers.Order(rand.Float64, time.Now())[2], "b")
 	}
 }
+
+// resetConn is a connection to an endpoint that resets it: the write of the request takes notice of that, and a read
+// that is under way finds an end.
+type resetConn struct {
+	net.Conn
+	written chan struct{}
+}
+
+func (c resetConn) Write([]byte) (int, error) {
+	close(c.written)
+	time.Sleep(10 * time.Millisecond)
+	return 0, syscall.EPIPE
+}
+
+func (c resetConn) Read([]byte) (int, error) {
+	<-c.written
+	return 0, io.EOF
+}
+
+// TestResetOfCarriedConnectionIsNoEnd guards against a carrier that passes the reset of an endpoint on as the end of
+// its response, which makes a body without a length look whole.
+func TestResetOfCarriedConnectionIsNoEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, other := net.Pipe()
+		defer func() { _ = other.Close() }()
+		s := NewServer(ServerConfig{
+			Find: func(string, time.Time) (string, bool) { return "s", true }, PathLost: func(string) bool { return false },
+			Dial: func(context.Context, string, string) (net.Conn, error) {
+				return resetConn{inner, make(chan struct{})}, nil
+			},
+			MaxCarried: 1, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+		})
+		user, carrier := net.Pipe()
+		go s.Serve(carrier, bufio.NewReader(carrier))
+		assert.NilError(t, writeLine(user, openRequest{Endpoint: "e", Tunnel: "t"}))
+		r := bufio.NewReader(user)
+		var reply openReply
+		assert.NilError(t, readLine(r, &reply))
+		assert.Equal(t, reply.Answer, reach.Accepted)
+		_, err := user.Write([]byte("upload"))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(&Conn{Conn: user, reader: r})
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	})
+}
--- a/detour/server.go
+++ b/detour/server.go
@@ -99,7 +99,7 @@
 		s.refuse(conn, request, reach.Unreachable, err)
 		return
 	}
-	t := &tunnel{server: s, id: request.Tunnel, understands: request.Draining, caller: conn, endpoint: endpoint}
+	t := &tunnel{server: s, id: request.Tunnel, understands: request.Draining, caller: conn, endpoint: dial.NewConn(endpoint)}
 	t.lastByte.Store(time.Now().UnixNano())
 	t.sending.Lock() // a mark must not come before the reply
 	s.release(t)
--- a/detour/tunnel.go
+++ b/detour/tunnel.go
@@ -14,10 +14,10 @@
 // tunnel is one connection that is carried.
 type tunnel struct {
 	server      *Server
-	id          string   // in the logs of both balancers
-	understands bool     // the balancer that asked understands drainingMark
-	caller      net.Conn // to the balancer that asked
-	endpoint    net.Conn
+	id          string       // in the logs of both balancers
+	understands bool         // the balancer that asked understands drainingMark
+	caller      net.Conn     // to the balancer that asked
+	endpoint    net.Conn     // its end is never a reset that a write has taken notice of, see dial.Ends
 	sending     sync.Mutex   // for writes to caller
 	lastByte    atomic.Int64 // when bytes last passed, in Unix nanoseconds
 	answered    atomic.Bool  // the last bytes came from the endpoint
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/lotuswing/lotuswing/internal/dial"
 )
 
 // ErrReset means that the endpoint closed the connection before it sent anything of a response.
@@ -33,6 +35,7 @@
 type conn struct {
 	net.Conn
 	writes atomic.Int64 // begun so far, or sealed
+	ends   dial.Ends
 
 	broken    chan struct{} // closed once a read has failed because the endpoint closed the connection
 	breakOnce sync.Once
@@ -52,9 +55,11 @@
 }
 
 // Read reads, and records that the connection is broken if that fails. http.Transport reads from a
-// connection all the time, also before the first request.
+// connection all the time, also before the first request. A reset is never an end: a body without a length would
+// be complete.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	err = c.ends.ReadError(err)
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		c.breakOnce.Do(func() { close(c.broken) })
 	}
@@ -91,7 +96,7 @@
 			return 0, errSealed
 		}
 		if c.writes.CompareAndSwap(n, n+1) {
-			return c.Conn.Write(p)
+			return c.ends.Write(c.Conn.Write, p)
 		}
 	}
 }
