upstream: an answer whose head is none of HTTP, or that switches protocols unasked, reaches no caller

A status below 100 ended the handler with a panic and the connection without an answer.

Cause: nobody checked the head. http.ReadResponse takes any three characters that are a number as the status and names with blanks as fields that it does not know, and Balancer.deliver took the caller's connection over for any 101.

headFault checks status, protocol, names, values, trailers and the protocols that the request asked for, before anything else of an answer counts: requests, hedges, probes, 1xx responses, trailers. Such an answer is LW3009; its connection is closed and a repeatable request goes elsewhere.

--- a/upstream/buffer.go
+++ b/upstream/buffer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -37,17 +38,23 @@
 	}
 }
 
-// timedBody is a response body whose reads fail with context.DeadlineExceeded once the deadline of the
-// request has passed, which ends ctx.
+// timedBody is the body of response. Its reads fail with context.DeadlineExceeded once the deadline of the
+// request has passed, which ends ctx, and at the end of the body if the trailer is invalid.
 type timedBody struct {
 	io.ReadCloser
-	ctx context.Context
+	ctx      context.Context
+	response *http.Response
 }
 
 // Read reads, and says of a failure whether the deadline is the cause: net/http does not for HTTP/2.
 func (b timedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) && hasExpired(b.ctx) {
+	switch {
+	case errors.Is(err, io.EOF):
+		if why := fieldFault(b.response.Trailer); why != "" {
+			err = fmt.Errorf("upstream: trailer with %s", why)
+		}
+	case err != nil && hasExpired(b.ctx):
 		err = context.DeadlineExceeded
 	}
 	return n, err
--- a/upstream/informational.go
+++ b/upstream/informational.go
@@ -13,6 +13,7 @@
 
 var (
 	errTooManyInformational = errors.New("upstream: too many informational responses")
+	errBadInformational     = errors.New("upstream: informational response with an invalid header")
 	errAttemptEnded         = errors.New("upstream: informational response after the end of the attempt")
 )
 
@@ -35,6 +36,8 @@
 		return errAttemptEnded
 	case i.count > maxInformational:
 		return errTooManyInformational
+	case fieldFault(http.Header(header)) != "":
+		return errBadInformational
 	}
 	i.forward(code, http.Header(header))
 	return nil
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -58,6 +58,9 @@
 		c.opts.Paths.Responded(addr, transport == c.detours)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if why := headFault(response, r.Header, c.http2); why != "" {
+		return Report{}, fmt.Errorf("upstream: probe: answer with %s", why)
+	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes)); err != nil {
 		return Report{}, fmt.Errorf("upstream: probe: %w", err)
 	}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -141,12 +141,13 @@
 	if c.opts.Paths != nil {
 		c.opts.Paths.Responded(r.Addr, transport == c.detours)
 	}
+	fault := headFault(response, r.Incoming.Header, c.http2)
 	if response.StatusCode != http.StatusSwitchingProtocols {
-		response.Body = timedBody{ReadCloser: response.Body, ctx: ctx}
+		response.Body = timedBody{ReadCloser: response.Body, ctx: ctx, response: response}
 	} else if !timer.Stop() {
 		cancel(context.DeadlineExceeded)
 	}
-	res := c.responseResult(response, r.ID, release)
+	res := c.responseResult(response, r.ID, fault, release)
 	report := c.readReport(&res, response, sent, time.Now())
 	if res.Response != nil && r.BufferBytes > 0 {
 		res.buffer(r.BufferBytes)
--- a/upstream/verdict.go
+++ b/upstream/verdict.go
@@ -91,10 +91,16 @@
 }
 
 // responseResult returns the result of an attempt that got a response to the request with the
-// given ID. release ends the attempt's context.
-func (c *Client) responseResult(response *http.Response, id string, release func()) Result {
+// given ID. fault is what is wrong with its head, see headFault: nothing else in such a response counts. release
+// ends the attempt's context.
+func (c *Client) responseResult(response *http.Response, id, fault string, release func()) Result {
 	res := Result{Response: response, cancel: release}
-	class := c.dialect.classify(response.StatusCode, response.Header, id)
+	var class responseClass
+	if fault != "" {
+		class = unproven(reason.ResponseInvalid, "answer with %s", fault)
+	} else {
+		class = c.dialect.classify(response.StatusCode, response.Header, id)
+	}
 	if class.err != nil {
 		res.Close() // also closes the connection, which can no longer be trusted
 		return Result{Verdict: class.verdict, Reason: class.reason, Err: class.err}
