--- a/tenant/prefix.go
+++ b/tenant/prefix.go
@@ -57,28 +57,24 @@
 // that its requests are refused and do not take the route of a shorter prefix. ok is false if the route
 // has no host, so that no request can have it.
 func (r PrefixRoute) Checked(services map[string]Service) (checked PrefixRoute, faults []error, ok bool) {
-	own := r.fieldFaults()
-	parts := r.unknownServices(services)
-	if len(own) > 0 {
-		r.Fault = cmp.Or(r.Fault, errors.Join(own...).Error())
+	faults = r.Faults(services)
+	if own := r.fieldFaults(); len(own) > 0 {
+		r.Fault = cmp.Or(r.Fault, strings.ReplaceAll(errors.Join(own...).Error(), "\n", "; "))
 		r.Prefix = strings.ReplaceAll("/"+strings.Trim(r.Prefix, "/")+"/", "//", "/")
 	}
 	r.Split = slices.Clone(r.Split)
-	for i, fault := range parts {
+	for i, fault := range r.unknownServices(services) {
 		r.Split[i].Fault = fault.Error()
 	}
-	for _, i := range slices.Sorted(maps.Keys(parts)) {
-		own = append(own, parts[i])
-	}
-	return r, own, r.Host != ""
+	return r, faults, r.Host != ""
 }
 
 // Faults returns what is wrong with the route: its fields in their order, then its services.
 func (r PrefixRoute) Faults(services map[string]Service) []error {
 	faults := r.fieldFaults()
-	parts := r.unknownServices(services)
-	for _, i := range slices.Sorted(maps.Keys(parts)) {
-		faults = append(faults, parts[i])
+	unknown := r.unknownServices(services)
+	for _, i := range slices.Sorted(maps.Keys(unknown)) {
+		faults = append(faults, unknown[i])
 	}
 	return faults
 }
