--- a/soak/callers.go
+++ b/soak/callers.go
@@ -154,6 +154,7 @@
 	if err != nil {
 		return 0
 	}
+	c.ledger.checkStatus(r, resp.StatusCode)
 	if resp.StatusCode == http.StatusOK {
 		c.ledger.checkAnswer(r, resp, string(body), payload)
 	}
--- a/soak/keepers.go
+++ b/soak/keepers.go
@@ -212,6 +212,7 @@
 		k.ledger.endLost(r.sentRequest, true, time.Now())
 		return false, false
 	}
+	k.ledger.checkStatus(r.sentRequest, resp.StatusCode)
 	if resp.StatusCode == http.StatusOK {
 		k.ledger.checkAnswer(r.sentRequest, resp, string(body), r.payload)
 	}
--- a/soak/pipelined.go
+++ b/soak/pipelined.go
@@ -86,6 +86,7 @@
 		c.ledger.end(r, 0, time.Now())
 		return false, false
 	}
+	c.ledger.checkStatus(r, resp.StatusCode)
 	if resp.StatusCode == http.StatusOK {
 		c.ledger.checkAnswer(r, resp, string(body), "")
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -74,6 +74,9 @@
 	// Stops is the mean time between two series of planned stops of most balancers; 0 for none, and for
 	// no callers that keep connections in use through a stop.
 	Stops time.Duration
+	// Odd is the mean time between two odd answers or load reports of endpoints, or odd parts of the
+	// configuration; 0 for none.
+	Odd time.Duration
 	// Timed checks the promises that have a time limit, too. They depend on a
 	// machine that gives every process its turn.
 	Timed bool
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -174,3 +174,16 @@
 		})
 	}
 }
+
+// TestSoakOfOddAnswers plays a soak of answers that are none, load reports that cannot be true and unusable parts of
+// the configuration. It guards against answers that reach callers, balancers that hang, and versions that do not come
+// into force.
+func TestSoakOfOddAnswers(t *testing.T) {
+	result, err := soak.Run(t.Context(), soak.Config{Seed: 77, For: 8 * time.Second, Balancers: 4, Odd: 150 * time.Millisecond, Gap: time.Second, Command: present})
+	assert.NilError(t, err)
+	for _, kind := range []string{"odd answer", "odd load report", "odd part of a configuration"} {
+		assert.Assert(t, result.Faults[kind] > 0, "%v", result.Faults)
+	}
+	assert.Equal(t, len(result.Violations), 0, "%s", fmt.Sprint(result.Violations))
+	assert.Assert(t, result.Statuses[0] < result.Requests/5, "%d of %d requests got no answer", result.Statuses[0], result.Requests)
+}
--- a/soak/strikers.go
+++ b/soak/strikers.go
@@ -29,6 +29,7 @@
 		{cfg.Partition, math.MaxUint64 - 500, w.strikePartitions},
 		{cfg.Restore, math.MaxUint64 - 700, w.strikeRestores},
 		{cfg.Cold, math.MaxUint64 - 800, w.strikeCold},
+		{cfg.Odd, math.MaxUint64 - 900, w.strikeOdd},
 	}
 	if w.crashes != nil {
 		strikers = append(strikers, striker{cfg.Crash, math.MaxUint64 - 1, w.crashes.strike})
