relay: up to forty followers of a lost relay each ask the store again within 3 s

Cause: followers that had asked the store in vain asked again in turns of 6 s on average at 17 followers, all after the same moment. Operators count a balancer as in touch 3 s after the store serves it again.

A follower asks each 2 s (1.7 to 2.3 s), all followers of a relay together twenty times a second at most, by cheap reads, a tenth of a call each. A follower that begins to follow the store makes one exact check in place of a cheap one and an exact one.

--- a/directory/monitor.go
+++ b/directory/monitor.go
@@ -39,21 +39,21 @@
 func (f *Follower) monitor(ctx context.Context) {
 	checked := time.Now()
 	w := watchdog{exactCheckedAt: checked}
+	resumed := false
 	for ctx.Err() == nil {
 		if !f.active.isOpen() {
 			f.active.wait(ctx)
-			// The first check comes at once, and an exact one when the latest proof is old. A follower without any
-			// makes none at once: all processes of a fleet that starts may follow the store together.
-			checked, w = time.Time{}, watchdog{}
-			if f.Confirmed().IsZero() {
-				w.exactCheckedAt = time.Now()
-			}
+			// The first check comes at once. It is a cheap one if this follower has no proof yet: all processes of a
+			// fleet that starts may begin to follow the store together.
+			checked, w = time.Time{}, watchdog{exactCheckedAt: time.Now()}
+			resumed = !f.Confirmed().IsZero()
 		}
 		f.configure(&w)
 		// The period counts from the start of a check to that of the next, however long an
 		// answer takes. While a store compacts its history, cheap reads show a change for
 		// little more than a second, so a longer period could miss it.
 		next, exact := w.nextCheck(checked)
+		exact, resumed = exact || resumed, false
 		if f.pauseUntilDue(ctx, &w, next); !f.active.isOpen() {
 			continue
 		}
--- a/relay/outage.go
+++ b/relay/outage.go
@@ -13,17 +13,18 @@
 // follower, the relay refers the others to it, and they follow it until a relay is settled again.
 
 const (
-	// initialProbeInterval and probeInterval are the mean times between two probes of a lost store
-	// by all followers of one relay together. The first probes come faster, to find out soon if the
-	// store rejects only the relay.
+	// initialProbeInterval is the mean time between two first probes of a lost store by all followers of one relay
+	// together: the store may reject only the relay.
 	initialProbeInterval = 200 * time.Millisecond
-	probeInterval        = 500 * time.Millisecond
-	// smallGroupProbeDelay bounds the mean time between two probes of one follower if there are few
-	// followers: the store may serve only one of them, and no other probe finds that out.
-	// uncountedFollowers is the number of followers that do not lengthen this time; see
-	// meanProbeDelay.
-	smallGroupProbeDelay = 1500 * time.Millisecond
-	uncountedFollowers   = 5
+	// smallProbeInterval is the mean time between two later probes by all followers together, unless that is too long
+	// for one of them: a follower probes each longestProbeDelay on average, because the store may serve it alone,
+	// and no other probe finds that out. probeSpread is the part of a delay that is random.
+	smallProbeInterval = 500 * time.Millisecond
+	longestProbeDelay  = 2 * time.Second
+	probeSpread        = 0.3
+	// probeInterval bounds the rate of probes of many followers, which then learn from others that are served. Probes
+	// are cheap reads.
+	probeInterval = 50 * time.Millisecond
 	// reportTTL is how long a relay's report that the store is lost stays valid.
 	reportTTL = 3 * time.Second
 )
@@ -56,17 +57,14 @@
 // withProbe returns the outage after this balancer probed the store without success. random is from
 // 0 to 1.
 func (o outage) withProbe(random float64, now time.Time) outage {
-	o.probeAt = now.Add(time.Duration((0.5 + random) * float64(o.meanProbeDelay())))
+	o.probeAt = now.Add(time.Duration((1 + probeSpread*(random-0.5)) * float64(o.meanProbeDelay())))
 	return o
 }
 
-// meanProbeDelay returns the mean time between two probes by one follower. It grows with the number
-// of followers, but is shortened for small groups. If the store serves some of many followers, one
-// of these probes soon in any case. In a small group the store may serve a single follower, and all
-// others depend on how soon that one probes.
+// meanProbeDelay returns the mean time between two probes by one follower.
 func (o outage) meanProbeDelay() time.Duration {
-	proportional := time.Duration(o.askers) * probeInterval
-	return max(min(proportional, smallGroupProbeDelay), proportional-uncountedFollowers*probeInterval)
+	askers := time.Duration(o.askers)
+	return max(min(askers*smallProbeInterval, longestProbeDelay), askers*probeInterval)
 }
 
 // withoutReport returns the outage without the report of one relay, which no longer reports the
