--- a/balancer/heads_test.go
+++ b/balancer/heads_test.go
@@ -51,9 +51,9 @@
 	return response, string(raw)
 }
 
-// TestHeadsThatAreNoHTTP guards against answers whose status, protocol, field names or change of protocols are none
-// that a caller can take: they must reach no caller, and the caller's next request must be answered.
-func TestHeadsThatAreNoHTTP(t *testing.T) {
+// TestInvalidHeadsReachNoCaller guards against responses with an invalid status, protocol or field name, or a change
+// of protocols that nobody asked for. The caller's next request must be answered.
+func TestInvalidHeadsReachNoCaller(t *testing.T) {
 	for name, text := range map[string]string{
 		"status 000":                      oddHead("HTTP/1.1 000 OK", ""),
 		"status 099":                      oddHead("HTTP/1.1 099 OK", ""),
--- a/control/soak.go
+++ b/control/soak.go
@@ -31,7 +31,7 @@
 		c.Flag("teams", "mean time between two teams that send many times their quotas or lose a key; 0 for callers without keys").Default("0s").DurationVar(&cfg.Teams)
 		c.Flag("partition", "mean time between two losses of the paths of some balancers to all endpoints; 0 for none").Default("0s").DurationVar(&cfg.Partition)
 		c.Flag("restore", "mean time between two restores of the store from a copy; 0 for none").Default("0s").DurationVar(&cfg.Restore)
-		c.Flag("odd", "mean time between two answers that are none of HTTP, load reports that cannot be true, or parts of the configuration that cannot be used; 0 for none").Default("0s").DurationVar(&cfg.Odd)
+		c.Flag("odd", "mean time between two invalid responses, load reports that cannot be true, or parts of the configuration that cannot be used; 0 for none").Default("0s").DurationVar(&cfg.Odd)
 		c.Flag("stops", "mean time between two series of planned stops of most balancers, under callers that keep connections; 0 for none").Default("0s").DurationVar(&cfg.Stops)
 		c.Flag("keep", "folder for the logs of all processes").StringVar(&cfg.Keep)
 		binary := c.Flag("binary", "the balancer's program").Default("target/lotuswing").ExistingFile()
--- a/soak/odd.go
+++ b/soak/odd.go
@@ -10,7 +10,7 @@
 	"github.com/lotuswing/lotuswing/platform/platformtest"
 )
 
-// Endpoints send answers that are none of HTTP or load reports that cannot be true, and versions of the
+// Endpoints send invalid responses or load reports that cannot be true, and versions of the
 // configuration have a part that cannot be used. These faults strike beside the others, drawn from numbers of
 // their own.
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// TestSoakOfOddAnswers plays a soak of answers that are none, load reports that cannot be true and unusable parts of
+// TestSoakOfOddAnswers plays a soak of invalid responses, load reports that cannot be true and unusable parts of
 // the configuration. It guards against answers that reach callers, balancers that hang, and versions that do not come
 // into force.
 func TestSoakOfOddAnswers(t *testing.T) {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -11,8 +11,8 @@
 // maxStatus is the highest status of a response (RFC 9110, section 15).
 const maxStatus = 599
 
-// headFault returns why the head of a response to a request with the given header is none of HTTP, or switches
-// to a protocol that the request did not ask for; "" if it is sound. Package net/http accepts any three characters
+// headFault returns why the head of a response to a request with the given header is invalid, or switches to a
+// protocol that the request did not ask for; "" if it is valid. Package net/http accepts any three characters
 // that are a number as the status, and names of header fields with blanks, which it then does not take for
 // those that they resemble.
 func headFault(response *http.Response, request http.Header, http2 bool) string {
@@ -31,7 +31,7 @@
 	return fieldFault(response.Trailer) // as announced
 }
 
-// fieldFault returns why header fields are none of HTTP; "" if they are sound.
+// fieldFault returns why header fields are invalid; "" if they are valid.
 func fieldFault(h http.Header) string {
 	for name, values := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestProbeIgnoresUnusableHead guards against load reports of answers that are none.
+// TestProbeIgnoresUnusableHead guards against load reports of responses with an invalid head.
 func TestProbeIgnoresUnusableHead(t *testing.T) {
 	const load = "Lotuswing-Load: inflight=0, slots=3, state=live\r\n"
 	for _, text := range []string{
