--- a/direct/stuck_test.go
+++ b/direct/stuck_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestFalseReportDoesNotStopChoice guards against a number in one load report that keeps a balancer from choosing
-// endpoints, and against one that makes an endpoint seem to take any number of requests.
+// endpoints.
 func TestFalseReportDoesNotStopChoice(t *testing.T) {
 	for name, report := range map[string]placement.LoadReport{
 		"slots of 32 bits":        {Known: true, Slots: math.MaxUint32, Pace: 1, State: placement.Live},
